--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# One command each; both set up everything that they need.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+LIBS := core log settings timeline ownership request daemon cli standins
+
+.PHONY: demo test check setup bench
+
+setup: $(VENV)/installed
+
+$(VENV)/installed: requirements.lock $(wildcard libs/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
+	  $(foreach lib,$(LIBS),--editable libs/bridgecross-$(lib))
+	touch $@
+
+demo: setup
+	$(BIN)/bridgecross-demo
+
+test: setup
+	$(BIN)/pytest
+
+check: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+bench: setup
+	$(BIN)/python -m benchmarks
--- /dev/null
+++ b/libs/bridgecross-cli/src/bridgecross_cli/_commands.py
@@ -0,0 +1,275 @@
+"""What each command does."""
+
+import argparse
+import sys
+from typing import Any
+
+from bridgecross_core import codec
+from bridgecross_core import findings
+from bridgecross_core import ids
+from bridgecross_daemon import peering
+from bridgecross_settings import check
+from bridgecross_settings import process
+from bridgecross_settings import tree
+from bridgecross_timeline import events
+from bridgecross_timeline import render
+
+from bridgecross_cli import publishing
+from bridgecross_cli import reach
+
+EXIT_OK = 0
+EXIT_NOT_DONE = 1
+EXIT_BAD_INPUT = 2
+EXIT_UNREACHABLE = 3
+
+
+def print_findings(error: findings.FindingsError, *, as_json: bool) -> None:
+    """Prints every finding with its place."""
+    if as_json:
+        print(codec.to_json(error.findings, indent=2))
+        return
+    for finding in error.findings:
+        print(finding, file=sys.stderr)
+    print(f"{len(error.findings)} finding(s)", file=sys.stderr)
+
+
+async def check_settings(options: argparse.Namespace) -> int:
+    """Reports every problem of a file."""
+    house = check.check_text(reach.read_text(options.file), str(options.file))
+    _print(options, f"{options.file}: sound", {"house": house.name})
+    return EXIT_OK
+
+
+async def show_settings(options: argparse.Namespace) -> int:
+    """Shows settings, whole or as they take effect at one node."""
+    version: int = ids.NO_OFFSET
+    if options.file:
+        house = check.check_text(
+            reach.read_text(options.file), str(options.file)
+        )
+    else:
+        connection = reach.read_connection(options.connect)
+        newest = await publishing.read_version(connection, connection.place)
+        if newest is None:
+            print("no settings are published", file=sys.stderr)
+            return EXIT_NOT_DONE
+        document = codec.from_json(newest.document, dict[str, Any])
+        house = check.check_document(document, f"version {newest.offset}")
+        version = newest.offset
+    if options.effective:
+        return _show_effective(options, house)
+    if version != ids.NO_OFFSET:
+        print(f"// version {version}: edit and publish with --base {version}")
+    print(codec.to_json(house.document, indent=2))
+    return EXIT_OK
+
+
+async def publish_settings(options: argparse.Namespace) -> int:
+    """Publishes a file, and waits until it is in force."""
+    house = check.check_text(reach.read_text(options.file), str(options.file))
+    connection = reach.read_connection(options.connect)
+    wanted = publishing.Publication(
+        house, ids.Offset(options.base), options.author, options.summary
+    )
+    outcome = await publishing.publish(connection, connection.place, wanted)
+    match outcome:
+        case publishing.Published():
+            return await _report_published(options, connection, outcome)
+        case publishing.Clashed():
+            _report_clash(options, outcome)
+        case publishing.PublishUnknown():
+            text = f"not certain whether it was published: {outcome.reason}"
+            _print(options, text, {"outcome": "unknown"})
+    return EXIT_NOT_DONE
+
+
+async def show_status(options: argparse.Namespace) -> int:
+    """Shows how the instances are."""
+    connection = reach.read_connection(options.connect)
+    answers = await reach.call_instances(
+        await reach.list_instances(connection),
+        peering.STATUS,
+        peering.StatusRequest(),
+    )
+    lines = [line for answer in answers for line in _describe_status(answer)]
+    _print(options, "\n".join(lines), answers)
+    healthy = all(a.reply and not a.reply.not_ready for a in answers)
+    return EXIT_OK if answers and healthy else EXIT_NOT_DONE
+
+
+async def show_owner(options: argparse.Namespace) -> int:
+    """Shows who owns a key, by every instance's newest record."""
+    connection = reach.read_connection(options.connect)
+    answers = await reach.call_instances(
+        await reach.list_instances(connection),
+        peering.OWNER,
+        peering.OwnerRequest(ids.ServiceName(options.service), options.key),
+    )
+    lines = [_describe_owner(answer) for answer in answers]
+    _print(options, "\n".join(lines), answers)
+    found = any(answer.reply and answer.reply.found for answer in answers)
+    return EXIT_OK if found else EXIT_NOT_DONE
+
+
+async def drain_instance(options: argparse.Namespace) -> int:
+    """Has one instance stop as planned."""
+    connection = reach.read_connection(options.connect)
+    listed = await reach.list_instances(connection)
+    name = ids.InstanceId(options.instance)
+    if name not in listed:
+        known = ", ".join(sorted(listed)) or "none"
+        print(f"no instance {name!r}; listed: {known}", file=sys.stderr)
+        return EXIT_BAD_INPUT
+    answers = await reach.call_instances(
+        {name: listed[name]}, peering.DRAIN, peering.DrainRequest()
+    )
+    problem = answers[0].problem
+    text = problem or f"{name} stops; {answers[0].reply.in_flight} in flight"
+    _print(options, text, answers)
+    return EXIT_UNREACHABLE if problem else EXIT_OK
+
+
+async def show_timeline(options: argparse.Namespace) -> int:
+    """Shows the events of all processes in causal order."""
+    connection = reach.read_connection(options.connect)
+    timeline = await read_timeline(connection)
+    if options.kind:
+        timeline = [event for event in timeline if event.kind in options.kind]
+    if options.html:
+        options.html.write_text(render.render_html(timeline), encoding="utf-8")
+        print(f"{len(timeline)} events written to {options.html}")
+    elif options.json:
+        for event in timeline:
+            print(codec.to_json(events.to_wire(event)._asdict()))
+    else:
+        print(render.render_text(timeline))
+    return EXIT_OK
+
+
+async def read_timeline(
+    connection: process.ProcessSettings,
+) -> list[events.Event]:
+    """Returns the events that all reachable instances remember.
+
+    Raises:
+        reach.ReachError: The instance list did not answer.
+    """
+    answers = await reach.call_instances(
+        await reach.list_instances(connection),
+        peering.TIMELINE,
+        peering.TimelineRequest(),
+    )
+    for answer in answers:
+        if answer.problem:
+            print(f"{answer.instance}: {answer.problem}", file=sys.stderr)
+    return render.merge(
+        [events.from_wire(wire) for wire in answer.reply.events]
+        for answer in answers
+        if answer.reply
+    )
+
+
+def _show_effective(options: argparse.Namespace, house: tree.House) -> int:
+    """Shows the fields in effect at a node and who set them."""
+    try:
+        fields = house.list_effective(options.effective)
+    except tree.UnknownPathError as error:
+        print(error, file=sys.stderr)
+        return EXIT_BAD_INPUT
+    lines = [
+        f"{field.name:<30} {codec.to_json(field.value):<14} {field.origin}"
+        for field in fields
+    ]
+    _print(options, "\n".join(lines), [f._asdict() for f in fields])
+    return EXIT_OK
+
+
+async def _report_published(
+    options: argparse.Namespace,
+    connection: process.ProcessSettings,
+    outcome: publishing.Published,
+) -> int:
+    """Waits until a version is in force and says where it is."""
+    reached = await publishing.wait_in_force(
+        connection, outcome.version, options.wait_s
+    )
+    lines = [f"published version {outcome.version}"]
+    lines += [f"  changed {path}" for path in outcome.changed_paths]
+    lines += [
+        f"  {line.instance}: "
+        + ("in force" if line.in_force else f"not yet {line.problem}")
+        for line in reached
+    ]
+    _print(
+        options,
+        "\n".join(lines),
+        {
+            "version": outcome.version,
+            "changed": outcome.changed_paths,
+            "instances": [line._asdict() for line in reached],
+        },
+    )
+    done = all(line.in_force for line in reached)
+    return EXIT_OK if done else EXIT_NOT_DONE
+
+
+def _report_clash(
+    options: argparse.Namespace, outcome: publishing.Clashed
+) -> None:
+    """Says which change came first and what to do."""
+    lines = [
+        f"not published: version {outcome.newest} by "
+        f"{outcome.newest_author or 'nobody'} is newest"
+    ]
+    if outcome.clashes is None:
+        lines.append("  the version that was edited is not known any more")
+    else:
+        lines += [f"  both changed {path}" for path in outcome.clashes]
+        if not outcome.clashes:
+            lines.append("  no path was changed by both")
+    lines.append(f"  redo the edit on it and use --base {outcome.newest}")
+    _print(options, "\n".join(lines), outcome._asdict())
+
+
+def _describe_status(answer: reach.Answer) -> list[str]:
+    """Returns an instance's status as lines."""
+    if answer.reply is None:
+        return [f"{answer.instance}: {answer.problem}"]
+    status: peering.InstanceStatus = answer.reply
+    state = "; ".join(status.not_ready) or "ready"
+    lines = [
+        f"{status.instance} ({status.failure_domain}): {state}, "
+        f"settings {status.settings_version}, log {status.log_offset} "
+        f"({status.log_age_ms} ms ago), {status.in_flight} in flight"
+    ]
+    for service in status.services:
+        servers = ", ".join(
+            f"{server.server} {server.health} {server.slices} slices"
+            for server in service.servers
+        )
+        lines.append(
+            f"  {service.service}: coordinator {service.coordinator} "
+            f"term {service.term}; fronts {servers or 'none'}"
+        )
+    return lines
+
+
+def _describe_owner(answer: reach.Answer) -> str:
+    """Returns one instance's view of a key's owner as a line."""
+    if answer.reply is None:
+        return f"{answer.instance}: {answer.problem}"
+    owner: peering.OwnerReply = answer.reply
+    if not owner.found:
+        return f"{answer.instance}: the service is unknown or has no slices"
+    prior = f", waits for {', '.join(owner.prior)}" if owner.prior else ""
+    return (
+        f"{answer.instance}: slice {owner.slice} is owned by {owner.server} "
+        f"by assignment {owner.token} of term {owner.term} "
+        f"({owner.coordinator}); front {owner.front} since "
+        f"{owner.front_token}{prior}"
+    )
+
+
+def _print(options: argparse.Namespace, text: str, value: object) -> None:
+    """Prints text for people, or a value as JSON for scripts."""
+    print(codec.to_json(value, indent=2) if options.json else text)
--- /dev/null
+++ b/libs/bridgecross-cli/src/bridgecross_cli/main.py
@@ -0,0 +1,140 @@
+"""The command line of bridgecross."""
+
+import argparse
+import getpass
+import pathlib
+import sys
+
+import anyio
+from bridgecross_core import findings
+
+from bridgecross_cli import _commands
+from bridgecross_cli import reach
+
+_DEFAULT_CONNECTION = pathlib.Path("bridgecross.jsonc")
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Runs one command.
+
+    Args:
+        arguments: The command line without the program's name.
+
+    Returns:
+        0 if it did what was asked, 1 if it did not, 2 if its input is not
+        sound, 3 if a part of the system could not be reached.
+    """
+    options = _build_parser().parse_args(arguments)
+    try:
+        code: int = anyio.run(options.command, options)
+        return code
+    except findings.FindingsError as error:
+        _commands.print_findings(error, as_json=options.json)
+        return _commands.EXIT_BAD_INPUT
+    except reach.ReachError as error:
+        print(f"bridgecross: {error}", file=sys.stderr)
+        return _commands.EXIT_UNREACHABLE
+
+
+def _build_parser() -> argparse.ArgumentParser:
+    """Returns the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="bridgecross",
+        description="Operates the entry instances of a place.",
+        epilog="Exit codes: 0 done, 1 not done, 2 bad input, 3 unreachable.",
+    )
+    common = argparse.ArgumentParser(add_help=False)
+    common.add_argument(
+        "--json", action="store_true", help="print JSON for scripts"
+    )
+    common.add_argument(
+        "--connect",
+        type=pathlib.Path,
+        default=_DEFAULT_CONNECTION,
+        metavar="FILE",
+        help="a process's settings, which name house, place, log and list "
+        "(default: %(default)s)",
+    )
+    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    _add_settings_commands(commands, common)
+    _add_instance_commands(commands, common)
+    return parser
+
+
+def _add_settings_commands(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+    common: argparse.ArgumentParser,
+) -> None:
+    """Adds ``settings check``, ``show`` and ``publish``."""
+    settings = commands.add_parser("settings", help="the settings of a house")
+    actions = settings.add_subparsers(required=True, metavar="ACTION")
+    check = actions.add_parser(
+        "check", parents=[common], help="report every problem of a file"
+    )
+    check.add_argument("file", type=pathlib.Path)
+    check.set_defaults(command=_commands.check_settings)
+    show = actions.add_parser(
+        "show", parents=[common], help="show settings, published or of a file"
+    )
+    show.add_argument("--file", type=pathlib.Path, help="show this file")
+    show.add_argument(
+        "--effective",
+        metavar="PATH",
+        help="show what is in effect at house/place/service/tier, and which "
+        "level set it",
+    )
+    show.set_defaults(command=_commands.show_settings)
+    publish = actions.add_parser(
+        "publish", parents=[common], help="publish a file to the place"
+    )
+    publish.add_argument("file", type=pathlib.Path)
+    publish.add_argument(
+        "--base",
+        type=int,
+        default=-1,
+        metavar="VERSION",
+        help="the version that was edited; leave out for the first one",
+    )
+    publish.add_argument("--author", default=getpass.getuser())
+    publish.add_argument("--summary", default="", help="what changes and why")
+    publish.add_argument(
+        "--wait-s",
+        type=float,
+        default=4.0,
+        help="how long to wait until it is in force (default: %(default)s)",
+    )
+    publish.set_defaults(command=_commands.publish_settings)
+
+
+def _add_instance_commands(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+    common: argparse.ArgumentParser,
+) -> None:
+    """Adds ``status``, ``owner``, ``drain`` and ``timeline``."""
+    status = commands.add_parser(
+        "status", parents=[common], help="how the instances are"
+    )
+    status.set_defaults(command=_commands.show_status)
+    owner = commands.add_parser(
+        "owner", parents=[common], help="who owns a key, and why"
+    )
+    owner.add_argument("service")
+    owner.add_argument("key")
+    owner.set_defaults(command=_commands.show_owner)
+    drain = commands.add_parser(
+        "drain", parents=[common], help="stop an instance as planned"
+    )
+    drain.add_argument("instance")
+    drain.set_defaults(command=_commands.drain_instance)
+    timeline = commands.add_parser(
+        "timeline", parents=[common], help="events over all processes"
+    )
+    timeline.add_argument(
+        "--html", type=pathlib.Path, metavar="FILE", help="write a page"
+    )
+    timeline.add_argument("--kind", action="append", help="only this kind")
+    timeline.set_defaults(command=_commands.show_timeline)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/libs/bridgecross-core/src/bridgecross_core/__init__.py
@@ -0,0 +1,24 @@
+"""Identifiers, clocks, codecs, findings and outcomes.
+
+Every other bridgecross library builds on these modules:
+
+* ``ids``: the names of instances, servers, services, slices and offsets.
+* ``clock``: where the time comes from.
+* ``codec``: bytes to typed values and back.
+* ``findings``: problems with their place, collected and reported together.
+* ``hashing``: keys to slices, and rendezvous ranking.
+* ``outcomes``: what became of a request.
+* ``pulse``: wakes the tasks that wait for a change.
+* ``stamps``: a clock that orders events over all processes.
+"""
+
+__all__ = [
+    "clock",
+    "codec",
+    "findings",
+    "hashing",
+    "ids",
+    "outcomes",
+    "pulse",
+    "stamps",
+]
--- /dev/null
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/__init__.py
@@ -0,0 +1,17 @@
+"""bridgecrossd, the entry instance.
+
+* ``main``: the command line of the daemon.
+* ``instance``: puts the parts of an entry instance together.
+* ``control``: the state that the log's control stream puts in force.
+* ``peering``: what instances and tools say to an instance, over gRPC.
+* ``peer_client`` and ``peer_server``: the two ends of that.
+"""
+
+__all__ = [
+    "control",
+    "instance",
+    "main",
+    "peer_client",
+    "peer_server",
+    "peering",
+]
--- /dev/null
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_caller_api.py
@@ -0,0 +1,367 @@
+"""The HTTP interface for callers, as an ASGI application.
+
+``/v1/{service}/{key}`` and anything below it goes to the server that owns the
+key. ``docs/caller-api.md`` describes headers, statuses and problem bodies.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import MutableMapping
+import secrets
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+import urllib.parse
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import codec
+from bridgecross_core import ids
+from bridgecross_core import outcomes
+from bridgecross_request import callers
+from bridgecross_request import requests
+from bridgecross_settings import tree
+
+from bridgecross_daemon import _metrics
+
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+
+_PREFIX = "v1"
+_PATH_PARTS = 4
+_REQUEST_ID_BYTES = 9
+_MAX_IDEMPOTENCY_KEY_CHARS = 200
+_NOT_READY_RETRY_MS = 500
+_OUTCOME_HEADER = b"bridgecross-outcome"
+_PROOF_HEADER = b"bridgecross-not-run-proof"
+_PROBLEM_TYPE = b"application/problem+json"
+
+
+class Problem(NamedTuple):
+    """A refusal before any attempt, as the caller is told."""
+
+    status: int
+    title: str
+    detail: str
+    retry_after_ms: int = 0
+
+
+class _ProblemBody(NamedTuple):
+    """A problem-details body (RFC 9457) with what is known of the outcome."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    outcome: str
+    request_id: str
+
+
+class CallerBackend(Protocol):
+    """What the application needs of the instance."""
+
+    def list_not_ready(self) -> list[str]:
+        """Returns why the instance takes no requests; empty if it does."""
+
+    def find_house(self) -> tree.House | None:
+        """Returns the settings in force."""
+
+    def find_place(self) -> tree.Place | None:
+        """Returns this instance's place in the settings in force."""
+
+    async def handle(self, request: requests.Request) -> outcomes.Outcome:
+        """Takes a request to the owner of its key."""
+
+    def begin_request(self) -> None:
+        """Counts a request as in flight."""
+
+    def end_request(self) -> None:
+        """Counts a request as done."""
+
+    def is_leaving(self) -> bool:
+        """Returns whether the instance is stopping."""
+
+
+class _Target(NamedTuple):
+    """The service and the key that a path names."""
+
+    service: str
+    key: str
+
+
+class CallerApp:
+    """The ASGI application."""
+
+    def __init__(
+        self,
+        backend: CallerBackend,
+        metrics: _metrics.Metrics,
+        clock: clocks.Clock,
+    ) -> None:
+        """Serves nothing yet."""
+        self._backend = backend
+        self._metrics = metrics
+        self._clock = clock
+
+    async def __call__(
+        self, scope: Message, receive: Receive, send: Send
+    ) -> None:
+        """Answers one HTTP request; other protocols are not served."""
+        if scope["type"] == "lifespan":
+            await _answer_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        self._backend.begin_request()
+        try:
+            await self._serve(scope, receive, send)
+        finally:
+            self._backend.end_request()
+
+    async def _serve(
+        self, scope: Message, receive: Receive, send: Send
+    ) -> None:
+        """Builds the request, has it run, and answers."""
+        started_s = self._clock.monotonic_s()
+        request_id = secrets.token_urlsafe(_REQUEST_ID_BYTES)
+        built = await self._build(scope, receive, request_id, started_s)
+        closing = self._backend.is_leaving()
+        if isinstance(built, Problem):
+            await _send_problem(send, built, request_id, closing)
+            return
+        outcome = await self._backend.handle(built)
+        duration_s = self._clock.monotonic_s() - started_s
+        self._metrics.count_request(
+            built.service, built.tier, outcome, duration_s
+        )
+        await _send_outcome(send, outcome, request_id, closing)
+
+    async def _build(
+        self,
+        scope: Message,
+        receive: Receive,
+        request_id: str,
+        started_s: float,
+    ) -> requests.Request | Problem:
+        """Returns the request, or why there is none."""
+        not_ready = self._backend.list_not_ready()
+        house = self._backend.find_house()
+        place = self._backend.find_place()
+        if not_ready or house is None or place is None:
+            detail = "; ".join(not_ready) or "no settings"
+            return Problem(503, "Not ready", detail, _NOT_READY_RETRY_MS)
+        target = _split_path(scope["path"])
+        if target is None or target.service not in place.services:
+            known = ", ".join(sorted(place.services))
+            detail = f"use /v1/{{service}}/{{key}}; services: {known}"
+            return Problem(404, "No such service", detail)
+        service = place.services[target.service]
+        headers = dict(scope["headers"])
+        admission = _find_caller(house, place, service, headers)
+        if isinstance(admission, Problem):
+            return admission
+        body = await _read_body(receive, service.policy.max_body_bytes)
+        if isinstance(body, Problem):
+            return body
+        deadline_ms = _read_deadline(headers, admission.tier)
+        if isinstance(deadline_ms, Problem):
+            return deadline_ms
+        key = _read_idempotency_key(scope["method"], headers, service)
+        if isinstance(key, Problem):
+            return key
+        return requests.Request(
+            request_id=request_id,
+            service=ids.ServiceName(service.name),
+            key=target.key,
+            caller=admission.caller,
+            tier=admission.tier.name,
+            method=scope["method"],
+            target=_render_target(scope),
+            headers=tuple(
+                requests.RequestHeader(name, value)
+                for name, value in scope["headers"]
+                if name in requests.FORWARDED_HEADERS
+            ),
+            body=body,
+            deadline_s=started_s + deadline_ms / 1_000,
+            idempotency_key=key,
+        )
+
+
+def _split_path(path: str) -> _Target | None:
+    """Returns the service and key of a path, or None if it has none."""
+    parts = path.split("/", _PATH_PARTS)
+    if len(parts) < _PATH_PARTS or parts[1] != _PREFIX or not parts[3]:
+        return None
+    return _Target(parts[2], parts[3])
+
+
+def _render_target(scope: Message) -> str:
+    """Returns path and query as the server gets them."""
+    path: str = urllib.parse.quote(scope["path"])
+    query: bytes = scope["query_string"]
+    return f"{path}?{query.decode('latin-1')}" if query else path
+
+
+def _find_caller(
+    house: tree.House,
+    place: tree.Place,
+    service: tree.Service,
+    headers: dict[bytes, bytes],
+) -> callers.Admitted | Problem:
+    """Returns the caller and its tier, or why it is not admitted."""
+    scheme, _, credential = headers.get(b"authorization", b"").partition(b" ")
+    if scheme.lower() != b"bearer":
+        detail = "send the credential as Authorization: Bearer"
+        return Problem(401, "No credential", detail)
+    admission = callers.find_caller(
+        house, place.name, service, credential.decode("latin-1").strip()
+    )
+    match admission:
+        case callers.Admitted():
+            return admission
+        case callers.NoPlace(caller=name):
+            detail = f"{name} has no place in a tier of {service.name}"
+            return Problem(403, "No place in a tier", detail)
+        case callers.UnknownCaller():
+            return Problem(401, "Unknown caller", "no caller has it")
+
+
+async def _read_body(receive: Receive, limit_bytes: int) -> bytes | Problem:
+    """Returns the whole body, or a problem if it is too large or cut off."""
+    body = bytearray()
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return Problem(400, "Cut off", "the request's body is not whole")
+        body += message.get("body", b"")
+        if len(body) > limit_bytes:
+            detail = f"at most {limit_bytes} bytes are allowed"
+            return Problem(413, "Body too large", detail)
+        if not message.get("more_body", False):
+            return bytes(body)
+
+
+def _read_deadline(
+    headers: dict[bytes, bytes], tier: tree.Tier
+) -> int | Problem:
+    """Returns the caller's deadline, or the tier's if it names none."""
+    text = headers.get(b"bridgecross-deadline-ms")
+    if text is None:
+        return tier.policy.deadline_ms
+    if not text.isdigit() or int(text) < 1:
+        detail = "Bridgecross-Deadline-Ms must be a whole number above 0"
+        return Problem(400, "Bad deadline", detail)
+    return min(int(text), tier.policy.max_deadline_ms)
+
+
+def _read_idempotency_key(
+    method: str, headers: dict[bytes, bytes], service: tree.Service
+) -> str | Problem:
+    """Returns the key of a request that may not run twice, else nothing."""
+    if method not in service.policy.non_repeatable_methods:
+        return ""
+    text = headers.get(b"idempotency-key", b"").decode("latin-1").strip()
+    if not 0 < len(text) <= _MAX_IDEMPOTENCY_KEY_CHARS:
+        detail = (
+            f"{method} to {service.name} may not run twice: send an "
+            f"Idempotency-Key of 1 to {_MAX_IDEMPOTENCY_KEY_CHARS} characters"
+        )
+        return Problem(400, "No idempotency key", detail)
+    return text
+
+
+async def _answer_lifespan(receive: Receive, send: Send) -> None:
+    """Answers the server's start and stop; there is nothing to do."""
+    while True:
+        message = await receive()
+        if message["type"] == "lifespan.startup":
+            await send({"type": "lifespan.startup.complete"})
+        else:
+            await send({"type": "lifespan.shutdown.complete"})
+            return
+
+
+async def _send_outcome(
+    send: Send, outcome: outcomes.Outcome, request_id: str, closing: bool
+) -> None:
+    """Tells the caller what became of its request."""
+    match outcome:
+        case outcomes.Answered():
+            headers = [(h.name, h.value) for h in outcome.headers]
+            headers.append((_OUTCOME_HEADER, b"answered"))
+            await _send(send, outcome.status, headers, outcome.body, closing)
+        case outcomes.NotRun():
+            problem = Problem(
+                outcome.status,
+                "Not run",
+                outcome.reason,
+                outcome.retry_after_ms,
+            )
+            proof = outcome.proof.value.encode()
+            await _send_problem(send, problem, request_id, closing, proof)
+        case outcomes.Unknown():
+            body = _render_problem(
+                Problem(outcome.status, "Outcome unknown", outcome.reason),
+                "unknown",
+                request_id,
+            )
+            headers = [
+                (b"content-type", _PROBLEM_TYPE),
+                (_OUTCOME_HEADER, b"unknown"),
+            ]
+            await _send(send, outcome.status, headers, body, closing)
+
+
+async def _send_problem(
+    send: Send,
+    problem: Problem,
+    request_id: str,
+    closing: bool,
+    proof: bytes = outcomes.NotRunProof.REFUSED_BY_ADMISSION.value.encode(),
+) -> None:
+    """Tells the caller that its request was not run, and why."""
+    headers = [
+        (b"content-type", _PROBLEM_TYPE),
+        (_OUTCOME_HEADER, b"not-run"),
+        (_PROOF_HEADER, proof),
+    ]
+    if problem.retry_after_ms:
+        # The header has whole seconds only; the second gives milliseconds.
+        seconds = -(-problem.retry_after_ms // 1_000)
+        headers.append((b"retry-after", b"%d" % seconds))
+        headers.append(
+            (b"bridgecross-retry-after-ms", b"%d" % problem.retry_after_ms)
+        )
+    body = _render_problem(problem, "not-run", request_id)
+    await _send(send, problem.status, headers, body, closing)
+
+
+def _render_problem(problem: Problem, outcome: str, request_id: str) -> bytes:
+    """Returns the body of a problem."""
+    body = _ProblemBody(
+        type="about:blank",
+        title=problem.title,
+        status=problem.status,
+        detail=problem.detail,
+        outcome=outcome,
+        request_id=request_id,
+    )
+    return codec.to_json(body._asdict()).encode()
+
+
+async def _send(
+    send: Send,
+    status: int,
+    headers: list[tuple[bytes, bytes]],
+    body: bytes,
+    closing: bool,
+) -> None:
+    """Sends a whole answer; a stopping instance closes the connection."""
+    headers.append((b"content-length", b"%d" % len(body)))
+    if closing:
+        headers.append((b"connection", b"close"))
+    await send(
+        {"type": "http.response.start", "status": status, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_heartbeats.py
@@ -0,0 +1,129 @@
+"""Heartbeats to the coordinators, and what they tell about the peers."""
+
+from collections.abc import Callable
+import dataclasses
+
+import anyio
+from bridgecross_core import clock as clocks
+from bridgecross_core import ids
+from bridgecross_ownership import membership as memberships
+
+from bridgecross_daemon import _platform
+from bridgecross_daemon import peer_client
+from bridgecross_daemon import peering
+
+
+class PeerWatcher:
+    """What this instance knows of how its peers are.
+
+    See ``coordinator.PeerWatch``. A peer counts as silent from its last
+    reply, or from when this instance first wanted to hear from it.
+    """
+
+    def __init__(
+        self,
+        me: ids.InstanceId,
+        membership: memberships.Membership,
+        clock: clocks.Clock,
+    ) -> None:
+        """Has heard from nobody yet."""
+        self.me_leaving = False
+        self._me = me
+        self._membership = membership
+        self._clock = clock
+        self._heard_s: dict[ids.InstanceId, float] = {}
+        self._leaving: set[ids.InstanceId] = set()
+
+    def silent_s(self, instance: ids.InstanceId) -> float:
+        """Returns for how long an instance has not answered."""
+        now_s = self._clock.monotonic_s()
+        return now_s - self._heard_s.setdefault(instance, now_s)
+
+    def is_leaving(self, instance: ids.InstanceId) -> bool:
+        """Returns whether an instance said, or the list says, it leaves."""
+        if instance == self._me and self.me_leaving:
+            return True
+        listing = self._membership.find(instance)
+        if listing and listing.state is memberships.ListedState.LEAVING:
+            return True
+        return instance in self._leaving
+
+    def note_heard(self, instance: ids.InstanceId, leaving: bool) -> None:
+        """Notes that an instance is there, and whether it is leaving."""
+        self._heard_s[instance] = self._clock.monotonic_s()
+        if leaving:
+            self._leaving.add(instance)
+
+    def note_leaving(self, instance: ids.InstanceId) -> None:
+        """Notes that an instance is leaving."""
+        self._leaving.add(instance)
+
+
+@dataclasses.dataclass(frozen=True)
+class HeartbeatSettings:
+    """How heartbeats are sent."""
+
+    # How often.
+    interval_ms: int
+
+
+class HeartbeatSender:
+    """Sends this instance's reports to the coordinators of its services."""
+
+    def __init__(
+        self,
+        settings: HeartbeatSettings,
+        client: peer_client.PeerClient,
+        addresses: _platform.Addresses,
+        watcher: PeerWatcher,
+        make_heartbeats: Callable[[], dict[ids.InstanceId, peering.Heartbeat]],
+    ) -> None:
+        """Sends nothing yet.
+
+        Args:
+            settings: How often, replaced as it changes.
+            client: Calls the coordinators.
+            addresses: Where they are.
+            watcher: Takes in whether they answer.
+            make_heartbeats: Returns the heartbeat for each coordinator.
+        """
+        self.settings = settings
+        self._client = client
+        self._addresses = addresses
+        self._watcher = watcher
+        self._make_heartbeats = make_heartbeats
+        self._in_flight: set[ids.InstanceId] = set()
+
+    async def run(self) -> None:
+        """Sends heartbeats until it is cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                for instance, heartbeat in self._make_heartbeats().items():
+                    if instance not in self._in_flight:
+                        tasks.start_soon(self._send, instance, heartbeat)
+                await anyio.sleep(self.settings.interval_ms / 1_000)
+
+    async def _send(
+        self, instance: ids.InstanceId, heartbeat: peering.Heartbeat
+    ) -> None:
+        """Sends one heartbeat; a failure shows as silence."""
+        address = self._addresses.find_peer_address(instance)
+        if address is None:
+            return
+        self._in_flight.add(instance)
+        try:
+            reply = await self._client.call(
+                address,
+                peering.HEARTBEAT,
+                heartbeat,
+                self.settings.interval_ms / 1_000,
+            )
+        except peering.PeerUnreachableError:
+            return
+        finally:
+            self._in_flight.discard(instance)
+        services = {report.service for report in heartbeat.reports}
+        if reply.leaving:
+            self._watcher.note_leaving(instance)
+        if services.issubset(reply.coordinates):
+            self._watcher.note_heard(instance, reply.leaving)
--- /dev/null
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_platform.py
@@ -0,0 +1,120 @@
+"""The platform's instance list, and who lives at which address."""
+
+import anyio
+from bridgecross_core import codec
+from bridgecross_core import ids
+from bridgecross_ownership import leases
+from bridgecross_ownership import membership as memberships
+import httpx
+import loguru
+
+_LIST_TIMEOUT_S = 2.0
+_HTTP_OK = 200
+_MAX_LEASE_CONNECTIONS = 200
+
+
+class ListReader:
+    """Reads the instance list again and again."""
+
+    def __init__(
+        self, url: str, interval_ms: int, membership: memberships.Membership
+    ) -> None:
+        """Reads nothing yet.
+
+        Args:
+            url: The list's base URL.
+            interval_ms: How often it is read.
+            membership: Where the newest list goes.
+        """
+        self._interval_s = interval_ms / 1_000
+        self._membership = membership
+        self._client = httpx.AsyncClient(
+            base_url=url, timeout=_LIST_TIMEOUT_S, trust_env=False
+        )
+
+    async def run(self) -> None:
+        """Reads the list until it is cancelled; an outage keeps the old."""
+        while True:
+            try:
+                await self._read_once()
+            except (httpx.HTTPError, codec.CodecError) as error:
+                loguru.logger.debug("instance list: {!r}", error)
+            await anyio.sleep(self._interval_s)
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
+        await self._client.aclose()
+
+    async def _read_once(self) -> None:
+        """Reads the list once."""
+        response = await self._client.get("/instances")
+        if response.status_code == _HTTP_OK:
+            listings = codec.from_json(
+                response.content, list[memberships.Listing]
+            )
+            self._membership.replace(listings)
+
+
+class Addresses:
+    """Finds addresses in the instance list.
+
+    A server or instance that the list has dropped may still hold something,
+    so its last address is remembered.
+    """
+
+    def __init__(self, membership: memberships.Membership) -> None:
+        """Remembers no address yet."""
+        self._membership = membership
+        self._remembered: dict[str, str] = {}
+
+    def find_address(self, server: ids.ServerId) -> str | None:
+        """Returns a server's address; see ``runner.AddressBook``."""
+        return self._find(server)
+
+    def find_peer_address(self, instance: ids.InstanceId) -> str | None:
+        """Returns a peer's address; see ``peer_client.PeerAddresses``."""
+        return self._find(instance)
+
+    def _find(self, name: str) -> str | None:
+        """Returns the newest address that was listed for a name."""
+        listing = self._membership.find(name)
+        if listing is not None:
+            self._remembered[name] = listing.address
+        return self._remembered.get(name)
+
+
+class HttpLeaseTransport:
+    """Lease exchanges with backend servers over HTTP.
+
+    Protocol: ``PUT /bridgecross/lease`` with a JSON ``LeaseRequest``; the
+    answer is a JSON ``LeaseReply``.
+    """
+
+    def __init__(self, addresses: Addresses) -> None:
+        """Opens no connection yet."""
+        self._addresses = addresses
+        self._client = httpx.AsyncClient(
+            trust_env=False,
+            limits=httpx.Limits(max_connections=_MAX_LEASE_CONNECTIONS),
+        )
+
+    async def exchange(
+        self, server: ids.ServerId, request: leases.LeaseRequest
+    ) -> leases.LeaseReply:
+        """Exchanges a lease; see ``leases.LeaseTransport``."""
+        address = self._addresses.find_address(server)
+        if address is None:
+            raise leases.ServerUnreachableError("its address is not known")
+        try:
+            response = await self._client.put(
+                f"http://{address}/bridgecross/lease",
+                content=codec.to_json(request),
+                timeout=request.lease_ms / 1_000,
+            )
+            return codec.from_json(response.content, leases.LeaseReply)
+        except (httpx.HTTPError, codec.CodecError) as error:
+            raise leases.ServerUnreachableError(repr(error)) from error
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
+        await self._client.aclose()
--- /dev/null
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
@@ -0,0 +1,245 @@
+"""All parts of one service on this instance."""
+
+import random
+from typing import NamedTuple
+
+import anyio.abc
+from bridgecross_core import clock as clocks
+from bridgecross_core import ids
+from bridgecross_core import pulse
+from bridgecross_log import appender as appenders
+from bridgecross_ownership import authority as authorities
+from bridgecross_ownership import cell as cells
+from bridgecross_ownership import coordinator as coordinators
+from bridgecross_ownership import fronts as front_sets
+from bridgecross_ownership import keeper as keeping
+from bridgecross_ownership import leases
+from bridgecross_ownership import membership as memberships
+from bridgecross_ownership import reports
+from bridgecross_request import backends
+from bridgecross_request import requests
+from bridgecross_request import routing
+from bridgecross_request import runner as runners
+from bridgecross_settings import tree
+from bridgecross_timeline import ring as rings
+
+from bridgecross_daemon import _platform
+from bridgecross_daemon import _translate
+from bridgecross_daemon import peer_client
+from bridgecross_daemon import peering
+
+_CATCH_UP_S = 0.5
+
+
+class SharedParts(NamedTuple):
+    """What all services of an instance share."""
+
+    me: ids.InstanceId
+    clock: clocks.Clock
+    ring: rings.Ring
+    authority: authorities.Authority
+    membership: memberships.Membership
+    addresses: _platform.Addresses
+    peers: coordinators.PeerWatch
+    peer_client: peer_client.PeerClient
+    lease_transport: leases.LeaseTransport
+    control: appenders.Appender
+    intents: appenders.Appender
+
+
+class ServiceParts:
+    """Coordinator, fronts, runner and router of one service."""
+
+    def __init__(
+        self, service: tree.Service, cell: cells.Cell, shared: SharedParts
+    ) -> None:
+        """Puts the parts together; ``run`` brings them to life."""
+        self.cell = cell
+        self.service = service
+        self.changed = pulse.Pulse()
+        self.book = reports.ReportBook(shared.clock)
+        self._shared = shared
+        self.backend = backends.HttpBackend(
+            _translate.backend_settings(service.policy), shared.clock
+        )
+        self.fronts = front_sets.Fronts(
+            _translate.keeper_settings(service.policy), self._keeper_ports()
+        )
+        self.coordinator = coordinators.Coordinator(
+            _translate.coordinator_settings(service.policy),
+            self._coordinator_ports(),
+        )
+        self.runner = runners.Runner(
+            _translate.runner_settings(service), self._runner_ports()
+        )
+        self.router = routing.Router(
+            _translate.retry_settings(service.policy), self._router_ports()
+        )
+
+    def replace_settings(self, service: tree.Service) -> None:
+        """Puts new settings into force in all parts."""
+        self.service = service
+        policy = service.policy
+        self.fronts.replace_settings(_translate.keeper_settings(policy))
+        self.coordinator.settings = _translate.coordinator_settings(policy)
+        self.runner.replace_settings(_translate.runner_settings(service))
+        self.router.replace_settings(_translate.retry_settings(policy))
+        self.backend.replace_settings(_translate.backend_settings(policy))
+
+    def notify(self) -> None:
+        """Tells that the cell may have changed."""
+        self.fronts.notify()
+        self.changed.notify()
+
+    async def run(self) -> None:
+        """Coordinates and fronts until it is cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.coordinator.run)
+            tasks.start_soon(self.fronts.run)
+
+    async def run_forwarded(
+        self, wire: requests.WireRequest
+    ) -> peering.WireOutcome:
+        """Runs a request that another instance has forwarded."""
+        await self.changed.wait_until(
+            lambda: self.cell.head >= wire.head, _CATCH_UP_S
+        )
+        now_s = self._shared.clock.monotonic_s()
+        request = requests.from_wire(wire, now_s)
+        return peering.wrap_outcome(await self.runner.run(request))
+
+    def build_report(self) -> reports.ServiceReport:
+        """Returns what this instance reports to the coordinator."""
+        kept = list(self.fronts.keepers.values())
+        loads = []
+        for keeper in kept:
+            loads += [
+                reports.SliceLoad(index, count)
+                for index, count in keeper.load.items()
+            ]
+            keeper.load.clear()
+        return reports.ServiceReport(
+            service=self.cell.service,
+            servers=[reports.ServerReport(k.server, k.health) for k in kept],
+            settled=[index for k in kept for index in k.list_settled()],
+            loads=loads,
+        )
+
+    def describe(self) -> peering.ServiceStatus:
+        """Returns how this instance sees the service."""
+        queues = self.runner.queues
+        waiting: dict[str, int] = {}
+        served: dict[str, int] = {}
+        for queue in queues.values():
+            for tier, count in queue.waiting.items():
+                waiting[tier] = waiting.get(tier, 0) + count
+            for tier, count in queue.served.items():
+                served[tier] = served.get(tier, 0) + count
+        return peering.ServiceStatus(
+            service=self.cell.service,
+            term=self.cell.term,
+            coordinator=self.cell.coordinator,
+            head=self.cell.head,
+            slice_count=len(self.cell.slices),
+            servers=[
+                peering.ServerStatus(
+                    server=keeper.server,
+                    health=keeper.health.value,
+                    busy=queues[keeper.server].busy
+                    if keeper.server in queues
+                    else 0,
+                    slices=self.cell.count_slices_of(keeper.server),
+                )
+                for keeper in self.fronts.keepers.values()
+            ],
+            waiting=waiting,
+            served=served,
+        )
+
+    async def aclose(self) -> None:
+        """Closes the connections to the servers."""
+        await self.backend.aclose()
+
+    def _keeper_ports(self) -> keeping.KeeperPorts:
+        """Returns what the keepers work with."""
+        shared = self._shared
+        return keeping.KeeperPorts(
+            me=shared.me,
+            cell=self.cell,
+            authority=shared.authority,
+            transport=shared.lease_transport,
+            releases=_ReleaseSource(
+                shared.me,
+                peer_client.PeerReleaseSource(
+                    shared.peer_client, shared.addresses
+                ),
+                self,
+            ),
+            clock=shared.clock,
+            ring=shared.ring,
+        )
+
+    def _coordinator_ports(self) -> coordinators.CoordinatorPorts:
+        """Returns what the coordinator works with."""
+        shared = self._shared
+        return coordinators.CoordinatorPorts(
+            me=shared.me,
+            cell=self.cell,
+            appender=shared.control,
+            authority=shared.authority,
+            membership=shared.membership,
+            book=self.book,
+            peers=shared.peers,
+            clock=shared.clock,
+            ring=shared.ring,
+        )
+
+    def _runner_ports(self) -> runners.RunnerPorts:
+        """Returns what the runner works with."""
+        shared = self._shared
+        return runners.RunnerPorts(
+            cell=self.cell,
+            fronts=self.fronts,
+            backend=self.backend,
+            addresses=shared.addresses,
+            intents=shared.intents,
+            clock=shared.clock,
+        )
+
+    def _router_ports(self) -> routing.RouterPorts:
+        """Returns what the router works with."""
+        shared = self._shared
+        return routing.RouterPorts(
+            me=shared.me,
+            cell=self.cell,
+            changed=self.changed,
+            runner=self.runner,
+            forwarder=peer_client.PeerForwarder(
+                shared.peer_client, shared.addresses, self.cell, shared.clock
+            ),
+            clock=shared.clock,
+            ring=shared.ring,
+            randomness=random.Random(),
+        )
+
+
+class _ReleaseSource:
+    """Asks this instance's own keepers directly, and peers over gRPC."""
+
+    def __init__(
+        self,
+        me: ids.InstanceId,
+        peers: peer_client.PeerReleaseSource,
+        parts: ServiceParts,
+    ) -> None:
+        self._me = me
+        self._peers = peers
+        self._parts = parts
+
+    async def await_release(
+        self, front: ids.InstanceId, query: keeping.ReleaseQuery
+    ) -> keeping.ReleaseReply:
+        """Asks a front; see ``keeper.ReleaseSource``."""
+        if front == self._me:
+            return await self._parts.fronts.answer_release(query)
+        return await self._peers.await_release(front, query)
--- /dev/null
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
@@ -0,0 +1,497 @@
+"""Puts the parts of an entry instance together and runs them."""
+
+from typing import Any
+
+import anyio
+import anyio.abc
+from bridgecross_core import clock as clocks
+from bridgecross_core import hashing
+from bridgecross_core import ids
+from bridgecross_core import outcomes
+from bridgecross_core import stamps
+from bridgecross_log import appender as appenders
+from bridgecross_log import follower as followers
+from bridgecross_log import http_service
+from bridgecross_ownership import authority as authorities
+from bridgecross_ownership import cell as cells
+from bridgecross_ownership import keeper as keeping
+from bridgecross_ownership import membership as memberships
+from bridgecross_request import intents
+from bridgecross_request import requests
+from bridgecross_settings import policy as policies
+from bridgecross_settings import process
+from bridgecross_settings import tree
+from bridgecross_timeline import events
+from bridgecross_timeline import ring as rings
+import hypercorn.asyncio
+import hypercorn.config
+import loguru
+
+from bridgecross_daemon import _admin_api
+from bridgecross_daemon import _caller_api
+from bridgecross_daemon import _heartbeats
+from bridgecross_daemon import _metrics
+from bridgecross_daemon import _platform
+from bridgecross_daemon import _service
+from bridgecross_daemon import _snapshots
+from bridgecross_daemon import control
+from bridgecross_daemon import peer_client
+from bridgecross_daemon import peer_server
+from bridgecross_daemon import peering
+
+_DRAIN_POLL_S = 0.05
+_DRAIN_LEAST_S = 1.0
+_GRPC_GRACE_S = 1.0
+_NO_REASONS: list[str] = []
+
+
+def name_control_stream(house: str, place: str) -> str:
+    """Returns the stream of a place's settings and ownership."""
+    return f"control-{house}-{place}"
+
+
+def name_intent_stream(house: str, place: str) -> str:
+    """Returns the stream of a place's requests that may not run twice."""
+    return f"intents-{house}-{place}"
+
+
+class Instance:
+    """One entry instance: all of them are alike."""
+
+    def __init__(self, settings: process.ProcessSettings) -> None:
+        """Builds the parts; ``run`` brings them to life."""
+        self._settings = settings
+        self._me = ids.InstanceId(settings.instance)
+        self._clock = clocks.SystemClock()
+        self._stamps = stamps.HybridClock(self._clock)
+        self._ring = rings.Ring(
+            rings.RingSettings(settings.instance, settings.timeline_events),
+            self._stamps,
+        )
+        self._log = http_service.HttpLogService(
+            http_service.HttpLogSettings(settings.log_url)
+        )
+        self._control = control.ControlState(self._ring)
+        self._control_follower = self._follow(
+            name_control_stream(settings.house, settings.place), self._control
+        )
+        self._control_appender = self._append_to(
+            name_control_stream(settings.house, settings.place)
+        )
+        self._control.attach(self._control_appender, self._control_follower)
+        self._control.on_change = self._take_change
+        self._intents = intents.IntentBook(intents.IntentBookSettings())
+        self._intent_follower = self._follow(
+            name_intent_stream(settings.house, settings.place), self._intents
+        )
+        self._intent_appender = self._append_to(
+            name_intent_stream(settings.house, settings.place)
+        )
+        self._intents.attach(self._intent_appender)
+        self._authority = authorities.Authority(
+            authorities.AuthoritySettings(policies.Policy().authority_ms),
+            self._control,
+            self._clock,
+        )
+        self._membership = memberships.Membership()
+        self._addresses = _platform.Addresses(self._membership)
+        self._list_reader = _platform.ListReader(
+            settings.instance_list_url,
+            settings.list_interval_ms,
+            self._membership,
+        )
+        self._watcher = _heartbeats.PeerWatcher(
+            self._me, self._membership, self._clock
+        )
+        self._peer_client = peer_client.PeerClient(self._stamps)
+        self._leases = _platform.HttpLeaseTransport(self._addresses)
+        self._heartbeats = _heartbeats.HeartbeatSender(
+            _heartbeats.HeartbeatSettings(
+                policies.Policy().heartbeat_interval_ms
+            ),
+            self._peer_client,
+            self._addresses,
+            self._watcher,
+            self._make_heartbeats,
+        )
+        self._snapshots = _snapshots.SnapshotTaker(
+            _snapshots.SnapshotSettings(
+                settings.snapshot_records, settings.snapshot_interval_s
+            ),
+            self._control,
+            self._control_appender,
+            self._clock,
+        )
+        self._metrics = _metrics.Metrics()
+        self._services: dict[ids.ServiceName, _service.ServiceParts] = {}
+        self._applied_version = ids.NO_OFFSET
+        self._in_flight = 0
+        self._stopping = anyio.Event()
+        self._servers_stop = anyio.Event()
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Runs until a planned stop has ended."""
+        settings = self._settings
+        server = peer_server.PeerServer(
+            settings.peer_address, self, self._stamps
+        )
+        await server.start()
+        loguru.logger.info(
+            "{} serves {}/{} on {}",
+            settings.instance,
+            settings.house,
+            settings.place,
+            settings.caller_address,
+        )
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            self._take_change()
+            tasks.start_soon(self._control_follower.run)
+            tasks.start_soon(self._intent_follower.run)
+            tasks.start_soon(self._list_reader.run)
+            tasks.start_soon(self._heartbeats.run)
+            tasks.start_soon(self._take_snapshots)
+            async with anyio.create_task_group() as servers:
+                servers.start_soon(
+                    self._serve_http,
+                    settings.caller_address,
+                    _caller_api.CallerApp(self, self._metrics, self._clock),
+                )
+                servers.start_soon(
+                    self._serve_http,
+                    settings.admin_address,
+                    _admin_api.build_admin_app(self, self._metrics),
+                )
+                await self._stopping.wait()
+                await self._drain()
+                self._servers_stop.set()
+            await server.stop(_GRPC_GRACE_S)
+            tasks.cancel_scope.cancel()
+        await self._aclose()
+        loguru.logger.info("{} has stopped", settings.instance)
+
+    def stop(self) -> None:
+        """Begins a planned stop."""
+        self._stopping.set()
+
+    # What the callers' application needs.
+
+    def list_not_ready(self) -> list[str]:
+        """Returns why the instance takes no requests; empty if it does."""
+        if self._applied_version != ids.NO_OFFSET and self._services:
+            return _NO_REASONS
+        return self._list_missing()
+
+    def find_house(self) -> tree.House | None:
+        """Returns the settings in force."""
+        return self._control.settings.house
+
+    def find_place(self) -> tree.Place | None:
+        """Returns this instance's place in the settings in force."""
+        house = self._control.settings.house
+        return house.places.get(self._settings.place) if house else None
+
+    async def handle(self, request: requests.Request) -> outcomes.Outcome:
+        """Takes a request to the owner of its key."""
+        outcome = await self._services[request.service].router.handle(request)
+        if isinstance(outcome, outcomes.NotRun):
+            self._ring.add(
+                events.RequestRefused(
+                    request.service, request.tier, outcome.reason
+                )
+            )
+        return outcome
+
+    def begin_request(self) -> None:
+        """Counts a request as in flight."""
+        self._in_flight += 1
+
+    def end_request(self) -> None:
+        """Counts a request as done."""
+        self._in_flight -= 1
+
+    def is_leaving(self) -> bool:
+        """Returns whether the instance is stopping."""
+        return self._watcher.me_leaving
+
+    # What peers and the command-line tool ask for; see ``peer_server``.
+
+    async def forward(
+        self, request: requests.WireRequest
+    ) -> peering.WireOutcome:
+        """Runs a request at the front of its key's owner."""
+        parts = self._services.get(request.service)
+        if parts is None:
+            return peering.wrap_outcome(
+                outcomes.NotRun(
+                    outcomes.NotRunProof.REFUSED_BY_ADMISSION,
+                    f"{self._me} does not know the service yet",
+                    reroute=True,
+                )
+            )
+        self._in_flight += 1
+        try:
+            return await parts.run_forwarded(request)
+        finally:
+            self._in_flight -= 1
+
+    async def heartbeat(
+        self, request: peering.Heartbeat
+    ) -> peering.HeartbeatReply:
+        """Takes the report of an instance."""
+        self._watcher.note_heard(request.instance, request.leaving)
+        self._add_reports(request)
+        coordinates = [
+            service
+            for service, parts in self._services.items()
+            if parts.cell.coordinator == self._me
+        ]
+        return peering.HeartbeatReply(
+            leaving=self._watcher.me_leaving,
+            coordinates=coordinates if self._authority.is_valid() else [],
+        )
+
+    async def await_release(
+        self, request: keeping.ReleaseQuery
+    ) -> keeping.ReleaseReply:
+        """Waits until a server has let go of slices."""
+        parts = self._services.get(request.service)
+        if parts is None:
+            return keeping.ReleaseReply([])
+        return await parts.fronts.answer_release(request)
+
+    async def status(
+        self, request: peering.StatusRequest
+    ) -> peering.InstanceStatus:
+        """Tells how the instance is."""
+        return self.describe()
+
+    async def owner(self, request: peering.OwnerRequest) -> peering.OwnerReply:
+        """Tells who owns a key and why."""
+        cell = self._control.cells.get(request.service)
+        if cell is None or not cell.slices:
+            return _NOT_FOUND
+        index = hashing.find_slice(request.key, len(cell.slices))
+        state = cell.slices[index]
+        front = cell.fronts.get(state.server)
+        return peering.OwnerReply(
+            found=True,
+            slice=index,
+            server=state.server,
+            token=state.token,
+            front=front.front if front else cells.NO_INSTANCE,
+            front_token=front.token if front else ids.NO_TOKEN,
+            prior=list(state.prior),
+            term=cell.term,
+            coordinator=cell.coordinator,
+        )
+
+    async def drain(self, request: peering.DrainRequest) -> peering.DrainReply:
+        """Begins a planned stop."""
+        self.stop()
+        return peering.DrainReply(self._in_flight)
+
+    async def timeline(
+        self, request: peering.TimelineRequest
+    ) -> peering.TimelineReply:
+        """Tells the events that the instance remembers."""
+        return peering.TimelineReply(
+            [events.to_wire(event) for event in self._ring.list_events()]
+        )
+
+    def describe(self) -> peering.InstanceStatus:
+        """Returns how the instance is."""
+        age_s = min(self._control_follower.age_s(), 1e9)
+        missing = self._list_missing()
+        if self._watcher.me_leaving:
+            missing.append("the instance is stopping")
+        return peering.InstanceStatus(
+            instance=self._me,
+            house=self._settings.house,
+            place=self._settings.place,
+            failure_domain=self._settings.failure_domain,
+            leaving=self._watcher.me_leaving,
+            not_ready=missing,
+            settings_version=self._control.settings.offset,
+            log_offset=self._control.next_offset - 1,
+            log_age_ms=int(age_s * 1_000),
+            in_flight=self._in_flight,
+            services=[parts.describe() for parts in self._services.values()],
+        )
+
+    def _list_missing(self) -> list[str]:
+        """Returns what is missing before requests can be routed."""
+        missing = []
+        if not self._control_follower.caught_up.is_set():
+            missing.append("the log has not been read yet")
+        elif self._control.awaits_snapshot:
+            missing.append("older records are gone and no snapshot came yet")
+        house = self._control.settings.house
+        if house is None:
+            missing.append("no settings have been published")
+        elif self._settings.place not in house.places:
+            missing.append(f"the settings have no place {self._settings.place}")
+        return missing
+
+    def _take_change(self) -> None:
+        """Brings the services in line with the newest record."""
+        version = self._control.settings.offset
+        if version != self._applied_version and self._tasks is not None:
+            self._applied_version = version
+            self._apply_settings()
+        for parts in self._services.values():
+            parts.notify()
+
+    def _apply_settings(self) -> None:
+        """Puts new settings into force and starts new services."""
+        place = self.find_place()
+        if place is None or self._tasks is None:
+            return
+        self._authority.settings = authorities.AuthoritySettings(
+            place.policy.authority_ms
+        )
+        self._heartbeats.settings = _heartbeats.HeartbeatSettings(
+            place.policy.heartbeat_interval_ms
+        )
+        for name, service in place.services.items():
+            service_name = ids.ServiceName(name)
+            if service_name in self._services:
+                self._services[service_name].replace_settings(service)
+                continue
+            parts = _service.ServiceParts(
+                service,
+                self._control.find_cell(service_name),
+                self._shared_parts(),
+            )
+            self._services[service_name] = parts
+            self._tasks.start_soon(parts.run)
+
+    def _shared_parts(self) -> _service.SharedParts:
+        """Returns what all services share."""
+        return _service.SharedParts(
+            me=self._me,
+            clock=self._clock,
+            ring=self._ring,
+            authority=self._authority,
+            membership=self._membership,
+            addresses=self._addresses,
+            peers=self._watcher,
+            peer_client=self._peer_client,
+            lease_transport=self._leases,
+            control=self._control_appender,
+            intents=self._intent_appender,
+        )
+
+    def _make_heartbeats(self) -> dict[ids.InstanceId, peering.Heartbeat]:
+        """Returns the heartbeat for each coordinator but this instance."""
+        by_coordinator: dict[ids.InstanceId, peering.Heartbeat] = {}
+        for parts in self._services.values():
+            coordinator = parts.cell.coordinator
+            report = parts.build_report()
+            if coordinator == self._me:
+                parts.book.add(self._me, report)
+            elif coordinator != cells.NO_INSTANCE:
+                heartbeat = by_coordinator.setdefault(
+                    coordinator,
+                    peering.Heartbeat(self._me, self._watcher.me_leaving, []),
+                )
+                heartbeat.reports.append(report)
+        return by_coordinator
+
+    def _add_reports(self, heartbeat: peering.Heartbeat) -> None:
+        """Gives each report to the service that it is about."""
+        for report in heartbeat.reports:
+            parts = self._services.get(report.service)
+            if parts is not None:
+                parts.book.add(heartbeat.instance, report)
+
+    async def _take_snapshots(self) -> None:
+        """Appends snapshots while this instance is the one to do so."""
+        await self._snapshots.run(self._should_snapshot)
+
+    def _should_snapshot(self) -> bool:
+        """Returns whether this instance coordinates the first service."""
+        if not self._services or not self._authority.is_valid():
+            return False
+        first = min(self._services)
+        return self._services[first].cell.coordinator == self._me
+
+    async def _serve_http(self, address: str, app: Any) -> None:
+        """Serves HTTP until the servers are told to stop."""
+        config = hypercorn.config.Config()
+        config.bind = [address]
+        config.accesslog = None
+        config.errorlog = None
+        config.graceful_timeout = self._drain_limit_s()
+        config.keep_alive_max_requests = 1_000_000
+        await hypercorn.asyncio.serve(
+            app, config, shutdown_trigger=self._servers_stop.wait
+        )
+
+    def _drain_limit_s(self) -> float:
+        """Returns how long a planned stop may take."""
+        place = self.find_place()
+        policy = place.policy if place else policies.Policy()
+        return policy.drain_ms / 1_000
+
+    async def _drain(self) -> None:
+        """Hands the servers over and waits for requests in flight."""
+        self._watcher.me_leaving = True
+        self._ring.add(events.DrainBegan(self._in_flight))
+        loguru.logger.info("draining {} requests", self._in_flight)
+        with anyio.move_on_after(self._drain_limit_s()):
+            await anyio.sleep(_DRAIN_LEAST_S)
+            while self._in_flight or self._may_hand_over():
+                await anyio.sleep(_DRAIN_POLL_S)
+        self._ring.add(events.DrainEnded(self._in_flight))
+        loguru.logger.info("drained, {} left", self._in_flight)
+
+    def _may_hand_over(self) -> bool:
+        """Returns whether servers are still to be handed to others."""
+        others = [
+            instance
+            for instance, listing in self._membership.list_instances().items()
+            if instance != self._me
+            and listing.state is memberships.ListedState.LIVE
+        ]
+        kept = any(parts.fronts.keepers for parts in self._services.values())
+        return kept and bool(others)
+
+    def _follow(
+        self, stream: str, handler: followers.RecordHandler
+    ) -> followers.Follower:
+        """Returns the follower of a stream."""
+        return followers.Follower(
+            followers.FollowerSettings(stream), self._log, handler, self._clock
+        )
+
+    def _append_to(self, stream: str) -> appenders.Appender:
+        """Returns the appender to a stream."""
+        settings = appenders.AppenderSettings(stream, self._settings.instance)
+        return appenders.Appender(settings, self._log, self._stamps)
+
+    async def _aclose(self) -> None:
+        """Closes all connections."""
+        closers = [
+            self._log.aclose,
+            self._list_reader.aclose,
+            self._leases.aclose,
+            self._peer_client.aclose,
+            *(parts.aclose for parts in self._services.values()),
+        ]
+        for close in closers:
+            await close()
+
+
+_NOT_FOUND = peering.OwnerReply(
+    found=False,
+    slice=-1,
+    server=cells.NO_SERVER,
+    token=ids.NO_TOKEN,
+    front=cells.NO_INSTANCE,
+    front_token=ids.NO_TOKEN,
+    prior=[],
+    term=ids.NO_OFFSET,
+    coordinator=cells.NO_INSTANCE,
+)
--- /dev/null
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_client.py
@@ -0,0 +1,163 @@
+"""Calls other instances over gRPC."""
+
+from typing import Any
+from typing import Protocol
+from typing import TypeVar
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import codec
+from bridgecross_core import ids
+from bridgecross_core import outcomes
+from bridgecross_core import stamps
+from bridgecross_ownership import cell as cells
+from bridgecross_ownership import keeper as keeping
+from bridgecross_request import requests
+import grpc
+import grpc.aio
+
+from bridgecross_daemon import peering
+
+Q = TypeVar("Q")
+A = TypeVar("A")
+
+_CHANNEL_OPTIONS = [
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 500),
+    ("grpc.max_receive_message_length", -1),
+    ("grpc.max_send_message_length", -1),
+    ("grpc.enable_http_proxy", 0),
+]
+_RELEASE_TIMEOUT_S = 1.5
+_NEVER_SENT_DETAIL = "failed to connect"
+
+
+class PeerAddresses(Protocol):
+    """Knows where the instances are."""
+
+    def find_peer_address(self, instance: ids.InstanceId) -> str | None:
+        """Returns an instance's peer address, or None if unknown."""
+
+
+class PeerClient:
+    """Calls instances by address, with one channel each."""
+
+    def __init__(self, clock: stamps.HybridClock) -> None:
+        """Opens no channel yet."""
+        self._clock = clock
+        self._channels: dict[str, grpc.aio.Channel] = {}
+
+    async def call(
+        self,
+        address: str,
+        method: peering.Method[Q, A],
+        request: Q,
+        timeout_s: float,
+    ) -> A:
+        """Calls a method of an instance.
+
+        Raises:
+            peering.PeerUnreachableError: There was no usable reply.
+        """
+        channel = self._find_channel(address)
+        callable_method: Any = channel.unary_unary(method.path)
+        data = method.encode_request(self._clock, request)
+        try:
+            reply = await callable_method(data, timeout=timeout_s)
+            return method.decode_reply(self._clock, reply)
+        except grpc.aio.AioRpcError as error:
+            details = error.details() or ""
+            raise peering.PeerUnreachableError(
+                f"{error.code().name}: {details}",
+                never_sent=_NEVER_SENT_DETAIL in details,
+            ) from error
+        except codec.CodecError as error:
+            raise peering.PeerUnreachableError(
+                f"damaged reply: {error}", never_sent=False
+            ) from error
+
+    async def aclose(self) -> None:
+        """Closes all channels."""
+        for channel in self._channels.values():
+            await channel.close()
+
+    def _find_channel(self, address: str) -> grpc.aio.Channel:
+        """Returns the channel to an address."""
+        if address not in self._channels:
+            self._channels[address] = grpc.aio.insecure_channel(
+                address, options=_CHANNEL_OPTIONS
+            )
+        return self._channels[address]
+
+
+class PeerForwarder:
+    """Forwards the requests of one service to other instances."""
+
+    def __init__(
+        self,
+        client: PeerClient,
+        addresses: PeerAddresses,
+        cell: cells.Cell,
+        clock: clocks.Clock,
+    ) -> None:
+        """Forwards nothing yet."""
+        self._client = client
+        self._addresses = addresses
+        self._cell = cell
+        self._clock = clock
+
+    async def forward(
+        self, instance: ids.InstanceId, request: requests.Request
+    ) -> outcomes.Outcome:
+        """Has another instance run a request; see ``routing.Forwarder``."""
+        address = self._addresses.find_peer_address(instance)
+        if address is None:
+            return outcomes.NotRun(
+                outcomes.NotRunProof.REFUSED_BY_ADMISSION,
+                f"the address of {instance} is not known",
+                reroute=True,
+            )
+        now_s = self._clock.monotonic_s()
+        wire = requests.to_wire(request, now_s, self._cell.head)
+        try:
+            reply = await self._client.call(
+                address, peering.FORWARD, wire, request.deadline_s - now_s
+            )
+        except peering.PeerUnreachableError as error:
+            return _describe_failure(instance, error)
+        return peering.unwrap_outcome(reply)
+
+
+class PeerReleaseSource:
+    """Asks other instances what their servers have let go of."""
+
+    def __init__(self, client: PeerClient, addresses: PeerAddresses) -> None:
+        """Asks nobody yet."""
+        self._client = client
+        self._addresses = addresses
+
+    async def await_release(
+        self, front: ids.InstanceId, query: keeping.ReleaseQuery
+    ) -> keeping.ReleaseReply:
+        """Asks a front; see ``keeper.ReleaseSource``."""
+        address = self._addresses.find_peer_address(front)
+        if address is None:
+            return keeping.ReleaseReply([])
+        try:
+            return await self._client.call(
+                address, peering.AWAIT_RELEASE, query, _RELEASE_TIMEOUT_S
+            )
+        except peering.PeerUnreachableError:
+            return keeping.ReleaseReply([])
+
+
+def _describe_failure(
+    instance: ids.InstanceId, error: peering.PeerUnreachableError
+) -> outcomes.Outcome:
+    """Returns the outcome of a request whose front did not answer."""
+    reason = f"the front {instance} did not answer: {error.reason}"
+    if error.never_sent:
+        return outcomes.NotRun(
+            outcomes.NotRunProof.REFUSED_BY_ADMISSION, reason, reroute=True
+        )
+    return outcomes.Unknown(reason)
--- /dev/null
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_server.py
@@ -0,0 +1,126 @@
+"""Answers other instances and the command-line tool over gRPC."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+from typing import Protocol
+from typing import TypeVar
+
+from bridgecross_core import codec
+from bridgecross_core import stamps
+from bridgecross_ownership import keeper as keeping
+from bridgecross_request import requests
+import grpc
+import grpc.aio
+
+from bridgecross_daemon import peering
+
+Q = TypeVar("Q")
+A = TypeVar("A")
+
+_SERVER_OPTIONS = [
+    ("grpc.max_receive_message_length", -1),
+    ("grpc.max_send_message_length", -1),
+    ("grpc.so_reuseport", 0),
+]
+
+
+class PeerService(Protocol):
+    """What an instance does when it is called."""
+
+    async def forward(
+        self, request: requests.WireRequest
+    ) -> peering.WireOutcome:
+        """Runs a request at the front of its key's owner."""
+
+    async def heartbeat(
+        self, request: peering.Heartbeat
+    ) -> peering.HeartbeatReply:
+        """Takes the report of an instance."""
+
+    async def await_release(
+        self, request: keeping.ReleaseQuery
+    ) -> keeping.ReleaseReply:
+        """Waits until a server has let go of slices."""
+
+    async def status(
+        self, request: peering.StatusRequest
+    ) -> peering.InstanceStatus:
+        """Tells how the instance is."""
+
+    async def owner(self, request: peering.OwnerRequest) -> peering.OwnerReply:
+        """Tells who owns a key and why."""
+
+    async def drain(self, request: peering.DrainRequest) -> peering.DrainReply:
+        """Begins a planned stop."""
+
+    async def timeline(
+        self, request: peering.TimelineRequest
+    ) -> peering.TimelineReply:
+        """Tells the events that the instance remembers."""
+
+
+class PeerServer:
+    """The gRPC server of an instance."""
+
+    def __init__(
+        self, address: str, service: PeerService, clock: stamps.HybridClock
+    ) -> None:
+        """Binds the address.
+
+        Raises:
+            RuntimeError: The address is in use.
+        """
+        self._clock = clock
+        self._server = grpc.aio.server(options=_SERVER_OPTIONS)
+        self._server.add_generic_rpc_handlers(
+            (
+                grpc.method_handlers_generic_handler(
+                    peering.SERVICE_NAME,
+                    dict(
+                        [
+                            self._handle(peering.FORWARD, service.forward),
+                            self._handle(peering.HEARTBEAT, service.heartbeat),
+                            self._handle(
+                                peering.AWAIT_RELEASE, service.await_release
+                            ),
+                            self._handle(peering.STATUS, service.status),
+                            self._handle(peering.OWNER, service.owner),
+                            self._handle(peering.DRAIN, service.drain),
+                            self._handle(peering.TIMELINE, service.timeline),
+                        ]
+                    ),
+                ),
+            )
+        )
+        self._server.add_insecure_port(address)
+
+    async def start(self) -> None:
+        """Begins to answer."""
+        await self._server.start()
+
+    async def stop(self, grace_s: float) -> None:
+        """Stops after calls in flight have ended, or after a grace."""
+        await self._server.stop(grace_s)
+
+    def _handle(
+        self,
+        method: peering.Method[Q, A],
+        answer: Callable[[Q], Awaitable[A]],
+    ) -> tuple[str, Any]:
+        """Returns the gRPC handler of a method under its name."""
+
+        async def handle(
+            data: bytes, context: grpc.aio.ServicerContext
+        ) -> bytes:
+            try:
+                request = method.decode_request(self._clock, data)
+            except codec.CodecError as error:
+                await context.abort(
+                    grpc.StatusCode.INVALID_ARGUMENT, str(error)
+                )
+                raise
+            reply = await answer(request)
+            return method.encode_reply(self._clock, reply)
+
+        return method.name, grpc.unary_unary_rpc_method_handler(handle)
--- /dev/null
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/cell.py
@@ -0,0 +1,214 @@
+"""The fold of a service's records, the same for every reader."""
+
+from typing import NamedTuple
+
+from bridgecross_core import codec
+from bridgecross_core import ids
+from bridgecross_log import appender
+from bridgecross_log import records as log_records
+
+from bridgecross_ownership import records
+
+NO_SERVER = ids.ServerId("")
+"""The owner of a slice that was never assigned."""
+
+NO_INSTANCE = ids.InstanceId("")
+"""The coordinator of a service that was never claimed."""
+
+
+class SliceState(NamedTuple):
+    """The owner of a slice.
+
+    ``token`` is the fencing token of the owner's grant. ``prior`` are the
+    servers that may still hold the slice under a lower token.
+    """
+
+    server: ids.ServerId
+    token: ids.Token
+    prior: tuple[ids.ServerId, ...]
+
+
+class FrontState(NamedTuple):
+    """The instance that fronts a server, and its fencing token.
+
+    ``inherits`` tells that another instance fronted the server before, whose
+    leases may still run.
+    """
+
+    front: ids.InstanceId
+    token: ids.Token
+    inherits: bool
+
+
+class CellSnapshot(NamedTuple):
+    """A whole cell, as a snapshot keeps it."""
+
+    service: ids.ServiceName
+    term: ids.Term
+    coordinator: ids.InstanceId
+    members: tuple[ids.InstanceId, ...]
+    head: ids.Offset
+    slices: list[SliceState]
+    fronts: dict[ids.ServerId, FrontState]
+
+
+_UNOWNED = SliceState(NO_SERVER, ids.NO_TOKEN, ())
+
+
+class Cell:
+    """The state of one service at a prefix of the log."""
+
+    def __init__(self, service: ids.ServiceName) -> None:
+        """Starts as a service that nobody has claimed."""
+        self.service = service
+        self.term = ids.Term(ids.NO_OFFSET)
+        self.coordinator = NO_INSTANCE
+        self.members: tuple[ids.InstanceId, ...] = ()
+        self.head = ids.NO_OFFSET
+        self.slices: list[SliceState] = []
+        self.fronts: dict[ids.ServerId, FrontState] = {}
+        self._owned: dict[ids.ServerId, set[ids.SliceIndex]] = {}
+
+    def restore(self, snapshot: CellSnapshot) -> None:
+        """Takes a snapshot over, in place; never an older state."""
+        if snapshot.head <= self.head:
+            return
+        self.term = snapshot.term
+        self.coordinator = snapshot.coordinator
+        self.members = snapshot.members
+        self.head = snapshot.head
+        self.slices = list(snapshot.slices)
+        self.fronts = dict(snapshot.fronts)
+        self._owned = {}
+        for index, state in enumerate(self.slices):
+            self._index_owner(ids.SliceIndex(index), state.server)
+
+    def to_snapshot(self) -> CellSnapshot:
+        """Returns the whole state, to be kept in a snapshot."""
+        return CellSnapshot(
+            service=self.service,
+            term=self.term,
+            coordinator=self.coordinator,
+            members=self.members,
+            head=self.head,
+            slices=self.slices,
+            fronts=self.fronts,
+        )
+
+    def apply(self, record: log_records.LogRecord) -> appender.Verdict:
+        """Applies a claim or an assignment of this service.
+
+        Returns:
+            What the record is to every reader. It never raises: a record
+            that cannot be decoded is void.
+        """
+        kind = record.envelope.kind
+        try:
+            if kind == records.CLAIM_KIND:
+                claim = records.CLAIMS.decode(record.envelope.body)
+                return self._apply_claim(record.offset, claim)
+            assignment = records.ASSIGNMENTS.decode(record.envelope.body)
+        except codec.CodecError as error:
+            return appender.Void(record.offset, f"damaged {kind}: {error}")
+        return self._apply_assignment(record.offset, assignment)
+
+    def list_slices_of(self, server: ids.ServerId) -> list[ids.SliceIndex]:
+        """Returns the slices that a server owns, in order."""
+        return sorted(self._owned.get(server, ()))
+
+    def count_slices_of(self, server: ids.ServerId) -> int:
+        """Returns how many slices a server owns."""
+        return len(self._owned.get(server, ()))
+
+    def list_servers_of(self, front: ids.InstanceId) -> list[ids.ServerId]:
+        """Returns the servers that an instance fronts."""
+        return [
+            server
+            for server, state in self.fronts.items()
+            if state.front == front
+        ]
+
+    def list_holders(self) -> set[ids.ServerId]:
+        """Returns every server that owns, or may still hold, a slice."""
+        holders: set[ids.ServerId] = set()
+        for state in self.slices:
+            holders.add(state.server)
+            holders.update(state.prior)
+        holders.discard(NO_SERVER)
+        return holders
+
+    def _apply_claim(
+        self, offset: ids.Offset, claim: records.Claim
+    ) -> appender.Verdict:
+        """Begins a new term if the claim ends the newest one."""
+        if claim.supersedes != self.term:
+            reason = f"supersedes term {claim.supersedes}, not {self.term}"
+            return appender.Void(offset, reason)
+        if not self.slices:
+            if claim.slice_count < 1:
+                return appender.Void(offset, "the first claim has no slices")
+            self.slices = [_UNOWNED] * claim.slice_count
+        self.term = ids.Term(offset)
+        self.head = offset
+        self.coordinator = claim.coordinator
+        self.members = claim.members
+        return appender.Applied(offset)
+
+    def _apply_assignment(
+        self, offset: ids.Offset, assignment: records.Assignment
+    ) -> appender.Verdict:
+        """Applies a change that builds on the newest record."""
+        reason = self._find_fault(assignment)
+        if reason:
+            return appender.Void(offset, reason)
+        for index in assignment.settled:
+            self.slices[index] = self.slices[index]._replace(prior=())
+        for move in assignment.moves:
+            for index in move.slices:
+                self._move(index, move.server, ids.Token(offset))
+        for change in assignment.fronts:
+            self._change_front(change, ids.Token(offset))
+        for server in assignment.retired:
+            self.fronts.pop(server, None)
+        self.head = offset
+        return appender.Applied(offset)
+
+    def _find_fault(self, assignment: records.Assignment) -> str:
+        """Returns the rule that an assignment breaks; empty if none."""
+        if assignment.term != self.term:
+            return f"is of term {assignment.term}, not {self.term}"
+        if assignment.base != self.head:
+            return f"builds on {assignment.base}, not {self.head}"
+        indices = [i for move in assignment.moves for i in move.slices]
+        indices += assignment.settled
+        if any(not 0 <= index < len(self.slices) for index in indices):
+            return "names a slice that does not exist"
+        holders = self.list_holders() if assignment.retired else set()
+        if holders.intersection(assignment.retired):
+            return "retires a server that may hold a slice"
+        return ""
+
+    def _move(
+        self, index: ids.SliceIndex, server: ids.ServerId, token: ids.Token
+    ) -> None:
+        """Gives a slice to a server; earlier owners must let go first."""
+        old = self.slices[index]
+        prior = {*old.prior, old.server} - {server, NO_SERVER}
+        self.slices[index] = SliceState(server, token, tuple(sorted(prior)))
+        self._owned.get(old.server, set()).discard(index)
+        self._index_owner(index, server)
+
+    def _index_owner(self, index: ids.SliceIndex, server: ids.ServerId) -> None:
+        """Notes a slice under its owner."""
+        if server != NO_SERVER:
+            self._owned.setdefault(server, set()).add(index)
+
+    def _change_front(
+        self, change: records.ServerFront, token: ids.Token
+    ) -> None:
+        """Gives a server to a front, which may inherit leases."""
+        old = self.fronts.get(change.server)
+        inherits = old is not None and (
+            old.inherits or old.front != change.front
+        )
+        self.fronts[change.server] = FrontState(change.front, token, inherits)
--- /dev/null
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/fronts.py
@@ -0,0 +1,116 @@
+"""The keepers of all servers of a service that this instance fronts."""
+
+import anyio
+import anyio.abc
+from bridgecross_core import ids
+from bridgecross_core import pulse
+from bridgecross_timeline import events
+
+from bridgecross_ownership import keeper as keeping
+
+_RECONCILE_S = 0.5
+_UNKNOWN_FRONT_WAIT_S = 0.2
+
+
+class Fronts:
+    """Starts and stops keepers as the log gives and takes servers."""
+
+    def __init__(
+        self, settings: keeping.KeeperSettings, ports: keeping.KeeperPorts
+    ) -> None:
+        """Fronts no server yet."""
+        self._settings = settings
+        self._ports = ports
+        self._keepers: dict[ids.ServerId, keeping.Keeper] = {}
+        self._scopes: dict[ids.ServerId, anyio.CancelScope] = {}
+        self._changed = pulse.Pulse()
+
+    @property
+    def keepers(self) -> dict[ids.ServerId, keeping.Keeper]:
+        """The keepers of the servers that this instance fronts."""
+        return self._keepers
+
+    def find(self, server: ids.ServerId) -> keeping.Keeper | None:
+        """Returns a server's keeper if this instance is its front."""
+        keeper = self._keepers.get(server)
+        if keeper and self._ports.cell.fronts.get(server) == keeper.front:
+            return keeper
+        return None
+
+    def notify(self) -> None:
+        """Tells that the cell has changed."""
+        self._changed.notify()
+        for keeper in self._keepers.values():
+            keeper.changed.notify()
+
+    def replace_settings(self, settings: keeping.KeeperSettings) -> None:
+        """Puts new settings into force in every keeper."""
+        self._settings = settings
+        for keeper in self._keepers.values():
+            keeper.settings = settings
+
+    async def answer_release(
+        self, query: keeping.ReleaseQuery
+    ) -> keeping.ReleaseReply:
+        """Answers another front that asks what a server has let go of."""
+        await self._changed.wait_until(
+            lambda: self.find(query.server) is not None, _UNKNOWN_FRONT_WAIT_S
+        )
+        keeper = self.find(query.server)
+        if keeper is None:
+            return keeping.ReleaseReply([])
+        return await keeper.answer_release(query)
+
+    async def run(self) -> None:
+        """Follows the cell until it is cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                self._reconcile(tasks)
+                await self._changed.wait_until(self._is_behind, _RECONCILE_S)
+
+    def _is_behind(self) -> bool:
+        """Returns whether the keepers differ from what the log says."""
+        cell = self._ports.cell
+        mine = {
+            server: cell.fronts[server]
+            for server in cell.list_servers_of(self._ports.me)
+        }
+        return mine != {s: k.front for s, k in self._keepers.items()}
+
+    def _reconcile(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts and stops keepers until they match the log."""
+        cell = self._ports.cell
+        mine = set(cell.list_servers_of(self._ports.me))
+        for server, keeper in list(self._keepers.items()):
+            if server not in mine or cell.fronts[server] != keeper.front:
+                self._stop(server)
+        for server in mine - self._keepers.keys():
+            self._start(server, tasks)
+
+    def _start(self, server: ids.ServerId, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts the keeper of a server."""
+        front = self._ports.cell.fronts[server]
+        keeper = keeping.Keeper(server, front, self._settings, self._ports)
+        scope = anyio.CancelScope()
+        self._keepers[server] = keeper
+        self._scopes[server] = scope
+        self._ports.ring.add(
+            events.FrontChanged(
+                self._ports.cell.service, server, front.front, front.token
+            )
+        )
+        tasks.start_soon(_run_in_scope, keeper, scope)
+
+    def _stop(self, server: ids.ServerId) -> None:
+        """Stops the keeper of a server; waiting requests are woken."""
+        keeper = self._keepers.pop(server)
+        self._scopes.pop(server).cancel()
+        keeper.changed.notify()
+
+
+async def _run_in_scope(
+    keeper: keeping.Keeper, scope: anyio.CancelScope
+) -> None:
+    """Runs a keeper until its scope is cancelled."""
+    with scope:
+        await keeper.run()
--- /dev/null
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/keeper.py
@@ -0,0 +1,477 @@
+"""Keeps the lease of one server and opens its slices to requests.
+
+All requests to a server pass through one instance, its front. The front's
+keeper is one task: it renews the lease, adds a slice to the grants once every
+earlier owner has let go of it, and answers other fronts that ask whether this
+server has let go of a slice.
+"""
+
+import collections
+import dataclasses
+import enum
+from typing import NamedTuple
+from typing import Protocol
+
+import anyio
+import anyio.abc
+from bridgecross_core import clock as clocks
+from bridgecross_core import ids
+from bridgecross_core import pulse
+from bridgecross_timeline import events
+from bridgecross_timeline import ring as rings
+import loguru
+
+from bridgecross_ownership import authority as authorities
+from bridgecross_ownership import cell as cells
+from bridgecross_ownership import leases
+
+_RELEASE_WAIT_S = 1.0
+_RETRY_S = 0.05
+
+
+class ReleaseQuery(NamedTuple):
+    """Asks whether a server has let go of slices under lower tokens."""
+
+    service: ids.ServiceName
+    server: ids.ServerId
+    wanted: list[leases.SliceGrant]
+
+
+class ReleaseReply(NamedTuple):
+    """The slices that the server has certainly let go of."""
+
+    released: list[ids.SliceIndex]
+
+
+class ReleaseSource(Protocol):
+    """Asks the front of a server what the server has let go of."""
+
+    async def await_release(
+        self, front: ids.InstanceId, query: ReleaseQuery
+    ) -> ReleaseReply:
+        """Waits a short while for slices to be let go of.
+
+        Returns:
+            What has been let go of; nothing if the front cannot be reached.
+        """
+
+
+class ServerHealth(enum.Enum):
+    """What a front has seen of its server."""
+
+    UNKNOWN = "unknown"
+    UP = "up"
+    DRAINING = "draining"
+    DOWN = "down"
+
+
+@dataclasses.dataclass(frozen=True)
+class KeeperSettings:
+    """What a keeper needs to know of its service."""
+
+    # Whether the server refuses a wrong token or a lease that is over.
+    checks_fences: bool
+    # The length of the lease.
+    lease_ms: int
+    # How often it is renewed.
+    renew_interval_ms: int
+    # Renewals in a row that fail before the server counts as down.
+    renew_misses: int
+    # The longest deadline of a request.
+    max_deadline_ms: int
+    # The difference in rate that two clocks may have.
+    clock_drift_ratio: float
+
+
+class KeeperPorts(NamedTuple):
+    """What a keeper works with."""
+
+    me: ids.InstanceId
+    cell: cells.Cell
+    authority: authorities.Authority
+    transport: leases.LeaseTransport
+    releases: ReleaseSource
+    clock: clocks.Clock
+    ring: rings.Ring
+
+
+class Keeper:
+    """The front's task for one backend server."""
+
+    def __init__(
+        self,
+        server: ids.ServerId,
+        front: cells.FrontState,
+        settings: KeeperSettings,
+        ports: KeeperPorts,
+    ) -> None:
+        """Holds no lease yet.
+
+        Args:
+            server: The backend server.
+            front: This instance's office as the server's front.
+            settings: The service's settings, replaced as they change.
+            ports: What the keeper works with.
+        """
+        self.server = server
+        self.front = front
+        self.settings = settings
+        self.health = ServerHealth.UNKNOWN
+        self.changed = pulse.Pulse()
+        self.load: collections.Counter[ids.SliceIndex] = collections.Counter()
+        self._ports = ports
+        self._log = loguru.logger.bind(server=server)
+        self._granted: dict[ids.SliceIndex, ids.Token] = {}
+        self._freed: dict[ids.SliceIndex, ids.Token] = {}
+        self._waiting_on: set[ids.ServerId] = set()
+        self._busy: collections.Counter[ids.SliceIndex] = collections.Counter()
+        self._release_waiters = 0
+        # When requests that were never answered have passed their deadline.
+        self._busy_until_s: dict[ids.SliceIndex, float] = {}
+        self._misses = 0
+        self._sequence = 0
+        self._sent_grants: list[leases.SliceGrant] | None = None
+        self._let_go_by: collections.defaultdict[
+            leases.SliceGrant, set[ids.ServerId]
+        ] = collections.defaultdict(set)
+        self._inherited_until_s = self._find_inherited_end()
+        self._term = leases.LeaseTerm(
+            settings.clock_drift_ratio, self._inherited_until_s
+        )
+        # The slices that the server may hold; None while nothing is known.
+        self._maybe_held: set[ids.SliceIndex] | None = (
+            None if front.inherits else set()
+        )
+
+    def is_open(self, index: ids.SliceIndex, token: ids.Token) -> bool:
+        """Returns whether a request of a slice may be sent at this moment."""
+        if not self._ports.authority.is_valid() or not self._is_front():
+            return False
+        if self._granted.get(index) != token:
+            return False
+        if not self.settings.checks_fences:
+            return True
+        now_s = self._ports.clock.monotonic_s()
+        return now_s < self._term.confirmed_until_s
+
+    async def wait_open(
+        self, index: ids.SliceIndex, token: ids.Token, timeout_s: float
+    ) -> bool:
+        """Waits until requests of a slice may be sent.
+
+        Returns:
+            Whether they may; False also once this instance is no longer the
+            server's front or the slice has another owner.
+        """
+        await self.changed.wait_until(
+            lambda: (
+                self.is_open(index, token) or not self.is_owner(index, token)
+            ),
+            timeout_s,
+        )
+        return self.is_open(index, token)
+
+    def is_owner(self, index: ids.SliceIndex, token: ids.Token) -> bool:
+        """Returns whether the log still gives the slice to this server."""
+        state = self._ports.cell.slices[index]
+        owned = state.server == self.server and state.token == token
+        return owned and self._is_front()
+
+    def enter(self, index: ids.SliceIndex) -> None:
+        """Notes that a request of a slice is being sent to the server."""
+        self._busy[index] += 1
+        self.load[index] += 1
+
+    def leave(self, index: ids.SliceIndex, over_at_s: float) -> None:
+        """Notes that a request is over for the front.
+
+        Args:
+            index: The request's slice.
+            over_at_s: The monotonic time at which the server certainly no
+                longer runs it; a time in the past if it answered.
+        """
+        if over_at_s > self._busy_until_s.get(index, 0.0):
+            self._busy_until_s[index] = over_at_s
+        self._busy[index] -= 1
+        if not self._busy[index]:
+            del self._busy[index]
+            if self._release_waiters:
+                self.changed.notify()
+
+    def list_settled(self) -> list[ids.SliceIndex]:
+        """Returns granted slices whose earlier owners are still in the log."""
+        return [
+            index
+            for index, token in self._granted.items()
+            if self._ports.cell.slices[index].prior
+            and self._ports.cell.slices[index].token == token
+        ]
+
+    async def answer_release(self, query: ReleaseQuery) -> ReleaseReply:
+        """Waits a short while until the server has let go of some slice."""
+        released: list[ids.SliceIndex] = []
+
+        def find() -> bool:
+            released[:] = [
+                wanted.slice
+                for wanted in query.wanted
+                if self._has_let_go(wanted)
+            ]
+            return bool(released)
+
+        self._release_waiters += 1
+        try:
+            await self.changed.wait_until(find, _RELEASE_WAIT_S)
+        finally:
+            self._release_waiters -= 1
+        return ReleaseReply(released)
+
+    async def run(self) -> None:
+        """Keeps the lease until it is cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._step(tasks)
+                await self._sleep()
+
+    async def _step(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Does one round: what to grant, whom to ask, one exchange."""
+        self._start_asking(tasks)
+        if not self._ports.authority.is_valid():
+            await anyio.sleep(self.settings.renew_interval_ms / 1_000)
+            return
+        grants = self._list_wanted()
+        await self._exchange(grants)
+        if not self.settings.checks_fences:
+            self._granted = {grant.slice: grant.token for grant in grants}
+        self._note_lapse()
+        self.changed.notify()
+
+    async def _sleep(self) -> None:
+        """Sleeps until the next renewal, or until there is more to grant."""
+        interval_s = self.settings.renew_interval_ms / 1_000
+        await self.changed.wait_until(
+            lambda: (
+                self._list_wanted() != self._sent_grants
+                or self._has_unasked_prior()
+            ),
+            interval_s,
+        )
+
+    def _is_front(self) -> bool:
+        """Returns whether this is still the newest front of the server."""
+        return self._ports.cell.fronts.get(self.server) == self.front
+
+    def _find_inherited_end(self) -> float:
+        """Returns when the grants of an earlier front are over."""
+        now_s = self._ports.clock.monotonic_s()
+        if not self.front.inherits:
+            return now_s
+        act_ms = self._ports.authority.settings.authority_ms
+        act_ms += (
+            self.settings.lease_ms
+            if self.settings.checks_fences
+            else self.settings.max_deadline_ms
+        )
+        return now_s + act_ms / 1_000 * (1 + self.settings.clock_drift_ratio)
+
+    def _list_wanted(self) -> list[leases.SliceGrant]:
+        """Returns the slices to grant: owned, and free of earlier owners."""
+        cell = self._ports.cell
+        if not self._is_front():
+            return []
+        wanted = []
+        for index in cell.list_slices_of(self.server):
+            state = cell.slices[index]
+            if not state.prior or self._freed.get(index) == state.token:
+                wanted.append(leases.SliceGrant(index, state.token))
+        return wanted
+
+    async def _exchange(self, grants: list[leases.SliceGrant]) -> None:
+        """Exchanges one lease message with the server."""
+        settings = self.settings
+        sent_s = self._ports.clock.monotonic_s()
+        echo = self._term.begin_exchange(settings.lease_ms)
+        self._sequence += 1
+        if self._maybe_held is not None:
+            self._maybe_held.update(grant.slice for grant in grants)
+        request = leases.LeaseRequest(
+            service=self._ports.cell.service,
+            front=self._ports.me,
+            front_token=self.front.token,
+            sequence=self._sequence,
+            echo=echo,
+            lease_ms=settings.lease_ms,
+            grants=grants,
+        )
+        self._sent_grants = grants
+        try:
+            with anyio.fail_after(settings.renew_interval_ms / 1_000):
+                reply = await self._ports.transport.exchange(
+                    self.server, request
+                )
+        except (leases.ServerUnreachableError, TimeoutError) as error:
+            await self._note_miss(repr(error), sent_s)
+            return
+        received_s = self._ports.clock.monotonic_s()
+        if not reply.accepted:
+            self._log.info("lease refused: {}", reply.reason)
+            await self._note_miss(reply.reason, sent_s)
+            return
+        self._term.end_exchange(
+            echo, reply, sent_s, received_s, settings.lease_ms
+        )
+        self._note_reply(reply, grants)
+        if echo is None or echo.incarnation != reply.clock.incarnation:
+            self._sent_grants = None
+
+    def _note_reply(
+        self, reply: leases.LeaseReply, grants: list[leases.SliceGrant]
+    ) -> None:
+        """Takes an accepting reply in."""
+        self._misses = 0
+        self._maybe_held = {held.slice for held in reply.held}
+        granted = {grant.slice: grant.token for grant in grants}
+        if granted != self._granted:
+            self._granted = granted
+            self._ports.ring.add(
+                events.SlicesGranted(
+                    self._ports.cell.service, self.server, len(granted)
+                )
+            )
+        health = ServerHealth.DRAINING if reply.draining else ServerHealth.UP
+        if self.health is ServerHealth.DOWN:
+            self._ports.ring.add(
+                events.FaultSeen(f"server {self.server}", "answers again")
+            )
+        self.health = health
+
+    async def _note_miss(self, reason: str, sent_s: float) -> None:
+        """Counts a failed exchange; after several the server is down."""
+        self._misses += 1
+        if self._misses >= self.settings.renew_misses:
+            self._term.forget_echo()
+            if self.health is not ServerHealth.DOWN:
+                self.health = ServerHealth.DOWN
+                self._ports.ring.add(
+                    events.FaultSeen(f"server {self.server}", reason)
+                )
+        spent_s = self._ports.clock.monotonic_s() - sent_s
+        await anyio.sleep(
+            max(self.settings.renew_interval_ms / 1_000 - spent_s, 0.0)
+        )
+
+    def _note_lapse(self) -> None:
+        """Notes once that a server which is down holds no lease any more."""
+        lapsed = self._ports.clock.monotonic_s() >= self._term.over_at_s
+        if self.health is ServerHealth.DOWN and lapsed and self._granted:
+            self._granted = {}
+            self._ports.ring.add(
+                events.LeaseLost(
+                    self._ports.cell.service, self.server, "not renewed"
+                )
+            )
+
+    def _has_let_go(self, wanted: leases.SliceGrant) -> bool:
+        """Returns whether the server cannot act on a slice any more."""
+        state = self._ports.cell.slices[wanted.slice]
+        if state.token < wanted.token or state.server == self.server:
+            return False
+        if not self._is_front() or self._busy[wanted.slice]:
+            return False
+        now_s = self._ports.clock.monotonic_s()
+        if not self.settings.checks_fences:
+            busy_until_s = self._busy_until_s.get(wanted.slice, 0.0)
+            return now_s >= max(self._inherited_until_s, busy_until_s)
+        if now_s >= self._term.over_at_s:
+            return True
+        return (
+            self._maybe_held is not None
+            and wanted.slice not in self._maybe_held
+        )
+
+    def _list_unfreed(self, prior: ids.ServerId) -> list[leases.SliceGrant]:
+        """Returns owned slices that an earlier owner may still hold."""
+        cell = self._ports.cell
+        return [
+            leases.SliceGrant(index, cell.slices[index].token)
+            for index in cell.list_slices_of(self.server)
+            if prior in self._list_blockers(index)
+        ]
+
+    def _list_priors(self) -> set[ids.ServerId]:
+        """Returns the earlier owners that must let go of something."""
+        cell = self._ports.cell
+        return {
+            prior
+            for index in cell.list_slices_of(self.server)
+            for prior in self._list_blockers(index)
+        }
+
+    def _list_blockers(self, index: ids.SliceIndex) -> set[ids.ServerId]:
+        """Returns the earlier owners that have not let go of a slice yet."""
+        state = self._ports.cell.slices[index]
+        if not state.prior or self._freed.get(index) == state.token:
+            return set()
+        grant = leases.SliceGrant(index, state.token)
+        return set(state.prior) - self._let_go_by.get(grant, set())
+
+    def _has_unasked_prior(self) -> bool:
+        """Returns whether an earlier owner is not being asked yet."""
+        return self._is_front() and bool(self._list_priors() - self._waiting_on)
+
+    def _start_asking(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts one task for each earlier owner that must let go."""
+        if not self._is_front():
+            return
+        for prior in self._list_priors() - self._waiting_on:
+            self._waiting_on.add(prior)
+            tasks.start_soon(self._ask_prior, prior)
+
+    async def _ask_prior(self, prior: ids.ServerId) -> None:
+        """Asks the front of an earlier owner until all is let go of."""
+        try:
+            while unfreed := self._list_unfreed(prior):
+                released = await self._ask_once(prior, unfreed)
+                self._note_released(prior, unfreed, released)
+                if not released:
+                    await anyio.sleep(_RETRY_S)
+        finally:
+            self._waiting_on.discard(prior)
+
+    async def _ask_once(
+        self, prior: ids.ServerId, unfreed: list[leases.SliceGrant]
+    ) -> set[ids.SliceIndex]:
+        """Asks once; returns the slices that were let go of."""
+        front = self._ports.cell.fronts.get(prior)
+        if front is None:
+            return set()
+        query = ReleaseQuery(self._ports.cell.service, prior, unfreed)
+        reply = await self._ports.releases.await_release(front.front, query)
+        return set(reply.released)
+
+    def _note_released(
+        self,
+        prior: ids.ServerId,
+        asked: list[leases.SliceGrant],
+        released: set[ids.SliceIndex],
+    ) -> None:
+        """Frees the slices that their last earlier owner let go of."""
+        for grant in asked:
+            if grant.slice not in released:
+                continue
+            state = self._ports.cell.slices[grant.slice]
+            if state.token == grant.token:
+                self._note_one_released(prior, grant, state)
+        self.changed.notify()
+
+    def _note_one_released(
+        self,
+        prior: ids.ServerId,
+        grant: leases.SliceGrant,
+        state: cells.SliceState,
+    ) -> None:
+        """Notes that one earlier owner let go of one slice."""
+        self._let_go_by[grant].add(prior)
+        if self._let_go_by[grant].issuperset(state.prior):
+            self._freed[grant.slice] = grant.token
+            del self._let_go_by[grant]
--- /dev/null
+++ b/libs/bridgecross-request/src/bridgecross_request/backends.py
@@ -0,0 +1,225 @@
+"""Sends a request to a backend server and tells what truly became of it."""
+
+import dataclasses
+from typing import NamedTuple
+from typing import Protocol
+
+from bridgecross_core import ids
+from bridgecross_core import outcomes
+import httpcore
+
+from bridgecross_request import requests
+
+TOKEN_HEADER = b"bridgecross-token"
+"""The fencing token of the slice."""
+
+SLICE_HEADER = b"bridgecross-slice"
+"""The slice that the key belongs to."""
+
+FRONT_TOKEN_HEADER = b"bridgecross-front-token"
+"""The fencing token of the front that sends the request."""
+
+DEADLINE_HEADER = b"bridgecross-deadline-unix-ms"
+"""The wall-clock time after which the server must not run the request."""
+
+REQUEST_ID_HEADER = b"bridgecross-request-id"
+"""The id of the request, for the server's journal."""
+
+REFUSED_HEADER = b"bridgecross-refused"
+"""On an answer: the server refused to run the request."""
+
+REFUSED_BY_FENCE = b"fence"
+"""The value of ``REFUSED_HEADER`` for a wrong token or no lease."""
+
+REFUSED_TO_SHED = b"shed"
+"""The value of ``REFUSED_HEADER`` for a server that sheds load."""
+
+REFUSED_AS_LATE = b"deadline"
+"""The value of ``REFUSED_HEADER`` for a deadline that has passed."""
+
+_RETRY_AFTER_SHED_MS = 200
+
+
+class Fence(NamedTuple):
+    """What a server checks before it runs a request."""
+
+    slice: ids.SliceIndex
+    token: ids.Token
+    front_token: ids.Token
+
+
+class Backend(Protocol):
+    """Sends requests to backend servers."""
+
+    async def send(
+        self,
+        address: str,
+        request: requests.Request,
+        fence: Fence,
+        left_s: float,
+    ) -> outcomes.Outcome:
+        """Sends a request once and returns what became of it.
+
+        Args:
+            address: The server's ``host:port``.
+            request: The request.
+            fence: What the server checks.
+            left_s: The time that is left before the deadline.
+        """
+
+
+class WallClock(Protocol):
+    """The part of a clock that a deadline for another process needs."""
+
+    def wall_s(self) -> float:
+        """Returns seconds since 1970."""
+
+
+@dataclasses.dataclass(frozen=True)
+class BackendSettings:
+    """How the servers of a service are connected to."""
+
+    # Connections to one server.
+    connections_per_server: int
+    # The largest answer body.
+    max_body_bytes: int
+    # How long an unused connection is kept.
+    keepalive_s: float = 30.0
+
+
+class HttpBackend:
+    """A ``Backend`` over HTTP, with one pool of connections a server."""
+
+    def __init__(self, settings: BackendSettings, clock: WallClock) -> None:
+        """Opens no connection yet."""
+        self._settings = settings
+        self._clock = clock
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+
+    async def send(
+        self,
+        address: str,
+        request: requests.Request,
+        fence: Fence,
+        left_s: float,
+    ) -> outcomes.Outcome:
+        """Sends a request once; see ``Backend.send``.
+
+        A connection on which anything went wrong is closed by the pool, so
+        a late answer can never meet another request.
+        """
+        pool = self._find_pool(address)
+        try:
+            async with pool.stream(
+                request.method,
+                f"http://{address}{request.target}",
+                headers=self._build_headers(address, request, fence, left_s),
+                content=request.body,
+                extensions={"timeout": _split_timeout(left_s)},
+            ) as response:
+                return await self._read_answer(response)
+        except (
+            httpcore.ConnectError,
+            httpcore.ConnectTimeout,
+            httpcore.PoolTimeout,
+        ) as error:
+            return outcomes.NotRun(
+                outcomes.NotRunProof.NEVER_WRITTEN, repr(error), reroute=True
+            )
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+        ) as error:
+            return outcomes.Unknown(f"the server did not answer: {error!r}")
+
+    def replace_settings(self, settings: BackendSettings) -> None:
+        """Puts new settings into force; pools that exist keep their size."""
+        self._settings = settings
+
+    async def aclose(self) -> None:
+        """Closes all connections."""
+        for pool in self._pools.values():
+            await pool.aclose()
+
+    def _find_pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        """Returns the pool of a server."""
+        if address not in self._pools:
+            self._pools[address] = httpcore.AsyncConnectionPool(
+                max_connections=self._settings.connections_per_server,
+                max_keepalive_connections=self._settings.connections_per_server,
+                keepalive_expiry=self._settings.keepalive_s,
+                retries=0,
+            )
+        return self._pools[address]
+
+    def _build_headers(
+        self,
+        address: str,
+        request: requests.Request,
+        fence: Fence,
+        left_s: float,
+    ) -> list[tuple[bytes, bytes]]:
+        """Returns the headers to send."""
+        deadline_ms = int((self._clock.wall_s() + left_s) * 1_000)
+        return [
+            (b"host", address.encode()),
+            (b"content-length", b"%d" % len(request.body)),
+            (SLICE_HEADER, b"%d" % fence.slice),
+            (TOKEN_HEADER, b"%d" % fence.token),
+            (FRONT_TOKEN_HEADER, b"%d" % fence.front_token),
+            (DEADLINE_HEADER, b"%d" % deadline_ms),
+            (REQUEST_ID_HEADER, request.request_id.encode()),
+            *request.headers,
+        ]
+
+    async def _read_answer(
+        self, response: httpcore.Response
+    ) -> outcomes.Outcome:
+        """Reads the whole answer; a refusal becomes ``NotRun``."""
+        refused = _find_header(response, REFUSED_HEADER)
+        if refused is not None:
+            await response.aread()
+            return _describe_refusal(refused)
+        body = bytearray()
+        async for part in response.aiter_stream():
+            body += part
+            if len(body) > self._settings.max_body_bytes:
+                return outcomes.Unknown("the answer is too large", status=502)
+        return outcomes.Answered(
+            status=response.status,
+            headers=tuple(
+                outcomes.Header(name.lower(), value)
+                for name, value in response.headers
+                if name.lower() in requests.FORWARDED_HEADERS
+            ),
+            body=bytes(body),
+        )
+
+
+def _split_timeout(left_s: float) -> dict[str, float]:
+    """Returns the same limit for each phase that httpcore knows."""
+    return dict.fromkeys(("connect", "read", "write", "pool"), left_s)
+
+
+def _find_header(response: httpcore.Response, wanted: bytes) -> bytes | None:
+    """Returns the value of a header of an answer."""
+    for name, value in response.headers:
+        if name.lower() == wanted:
+            return bytes(value)
+    return None
+
+
+def _describe_refusal(refused: bytes) -> outcomes.NotRun:
+    """Returns the outcome that a server's refusal stands for."""
+    if refused == REFUSED_TO_SHED:
+        return outcomes.NotRun(
+            outcomes.NotRunProof.SHED_BY_SERVER,
+            "the server sheds load",
+            retry_after_ms=_RETRY_AFTER_SHED_MS,
+        )
+    return outcomes.NotRun(
+        outcomes.NotRunProof.REFUSED_BY_FENCE,
+        f"the server refused: {refused.decode(errors='replace')}",
+        reroute=refused == REFUSED_BY_FENCE,
+    )
--- /dev/null
+++ b/libs/bridgecross-request/src/bridgecross_request/requests.py
@@ -0,0 +1,108 @@
+"""A caller's request, and how it travels between instances."""
+
+from typing import NamedTuple
+
+from bridgecross_core import ids
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
+"""The methods that may be repeated (RFC 9110, section 9.2.2)."""
+
+FORWARDED_HEADERS = frozenset(
+    {
+        b"accept",
+        b"accept-language",
+        b"content-type",
+        b"idempotency-key",
+        b"traceparent",
+    }
+)
+"""The headers of a request or an answer that pass through unchanged."""
+
+
+class RequestHeader(NamedTuple):
+    """One HTTP header of a request."""
+
+    name: bytes
+    value: bytes
+
+
+class Request(NamedTuple):
+    """A request of a known caller.
+
+    ``deadline_s`` is on this process's monotonic clock. ``idempotency_key``
+    is empty unless the request is one that may not run twice.
+    """
+
+    request_id: str
+    service: ids.ServiceName
+    key: str
+    caller: str
+    tier: str
+    method: str
+    target: str
+    headers: tuple[RequestHeader, ...]
+    body: bytes
+    deadline_s: float
+    idempotency_key: str
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether running the request twice does no harm."""
+        return not self.idempotency_key and self.method in IDEMPOTENT_METHODS
+
+
+class WireRequest(NamedTuple):
+    """A request as one instance forwards it to another.
+
+    Monotonic clocks do not compare between processes, so the deadline travels
+    as the time that is left. ``head`` is the sender's newest record of the
+    service: the receiver first reads as far.
+    """
+
+    request_id: str
+    service: ids.ServiceName
+    key: str
+    caller: str
+    tier: str
+    method: str
+    target: str
+    headers: tuple[RequestHeader, ...]
+    body: bytes
+    left_ms: int
+    idempotency_key: str
+    head: ids.Offset
+
+
+def to_wire(request: Request, now_s: float, head: ids.Offset) -> WireRequest:
+    """Returns a request ready to be forwarded."""
+    return WireRequest(
+        request_id=request.request_id,
+        service=request.service,
+        key=request.key,
+        caller=request.caller,
+        tier=request.tier,
+        method=request.method,
+        target=request.target,
+        headers=request.headers,
+        body=request.body,
+        left_ms=max(int((request.deadline_s - now_s) * 1_000), 0),
+        idempotency_key=request.idempotency_key,
+        head=head,
+    )
+
+
+def from_wire(wire: WireRequest, now_s: float) -> Request:
+    """Returns a forwarded request with its deadline on this clock."""
+    return Request(
+        request_id=wire.request_id,
+        service=wire.service,
+        key=wire.key,
+        caller=wire.caller,
+        tier=wire.tier,
+        method=wire.method,
+        target=wire.target,
+        headers=wire.headers,
+        body=wire.body,
+        deadline_s=now_s + wire.left_ms / 1_000,
+        idempotency_key=wire.idempotency_key,
+    )
--- /dev/null
+++ b/libs/bridgecross-request/src/bridgecross_request/runner.py
@@ -0,0 +1,221 @@
+"""Runs a request on the instance that fronts the key's owner."""
+
+import dataclasses
+from typing import NamedTuple
+from typing import Protocol
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import hashing
+from bridgecross_core import ids
+from bridgecross_core import outcomes
+from bridgecross_log import appender as appenders
+from bridgecross_ownership import cell as cells
+from bridgecross_ownership import fronts as front_sets
+from bridgecross_ownership import keeper as keeping
+
+from bridgecross_request import backends
+from bridgecross_request import intents
+from bridgecross_request import queueing
+from bridgecross_request import requests
+
+_NO_OWNER_RETRY_MS = 500
+_NO_LOG_RETRY_MS = 1_000
+_WALL_CLOCK_SLACK_S = 0.25
+
+
+@dataclasses.dataclass(frozen=True)
+class RunnerSettings:
+    """How requests of a service are run."""
+
+    # Requests that one backend server runs at the same time.
+    slots_per_server: int
+    # The share of slots that goes to the lowest waiting tier.
+    starvation_share_ratio: float
+    # Whether the servers refuse a wrong token or a lease that is over.
+    checks_fences: bool
+    # How each tier stands in the queue, by the tier's name.
+    places: dict[str, queueing.TierPlace]
+
+
+class AddressBook(Protocol):
+    """Knows where the backend servers are."""
+
+    def find_address(self, server: ids.ServerId) -> str | None:
+        """Returns a server's ``host:port``, or None if it is unknown."""
+
+
+class RunnerPorts(NamedTuple):
+    """What a runner works with."""
+
+    cell: cells.Cell
+    fronts: front_sets.Fronts
+    backend: backends.Backend
+    addresses: AddressBook
+    intents: appenders.Appender
+    clock: clocks.Clock
+
+
+class _Attempt(NamedTuple):
+    """A request at the owner that it was found to have."""
+
+    request: requests.Request
+    keeper: keeping.Keeper
+    slice: ids.SliceIndex
+    token: ids.Token
+
+
+class Runner:
+    """Runs requests of one service whose owner this instance fronts."""
+
+    def __init__(self, settings: RunnerSettings, ports: RunnerPorts) -> None:
+        """Has run nothing yet.
+
+        Args:
+            settings: The service's settings.
+            ports: What the runner works with.
+        """
+        self._settings = settings
+        self._ports = ports
+        self.queues: dict[ids.ServerId, queueing.TierQueue] = {}
+
+    def replace_settings(self, settings: RunnerSettings) -> None:
+        """Puts new settings into force, in existing queues as well."""
+        self._settings = settings
+        for queue in self.queues.values():
+            queue.settings = self._queue_settings()
+
+    async def run(self, request: requests.Request) -> outcomes.Outcome:
+        """Runs a request once, if this instance fronts the key's owner."""
+        cell = self._ports.cell
+        if not cell.slices:
+            return _stale("the service has no slices yet")
+        index = hashing.find_slice(request.key, len(cell.slices))
+        state = cell.slices[index]
+        keeper = self._ports.fronts.find(state.server)
+        if keeper is None:
+            return _stale("this instance does not front the key's owner")
+        attempt = _Attempt(request, keeper, index, state.token)
+        if not await keeper.wait_open(
+            index, state.token, self._left_s(request)
+        ):
+            return self._describe_closed(attempt)
+        return await self._run_queued(attempt)
+
+    async def _run_queued(self, attempt: _Attempt) -> outcomes.Outcome:
+        """Waits for a slot of the owner and runs the request in it."""
+        request = attempt.request
+        queue = self._find_queue(attempt.keeper.server)
+        place = self._find_place(request.tier)
+        answer = await queue.acquire(place, request.deadline_s)
+        if isinstance(answer, queueing.Refused):
+            return outcomes.NotRun(
+                outcomes.NotRunProof.REFUSED_BY_ADMISSION,
+                answer.reason,
+                retry_after_ms=answer.retry_after_ms,
+            )
+        started_s = self._ports.clock.monotonic_s()
+        try:
+            return await self._run_in_slot(attempt)
+        finally:
+            queue.release(self._ports.clock.monotonic_s() - started_s)
+
+    async def _run_in_slot(self, attempt: _Attempt) -> outcomes.Outcome:
+        """Wins the intent if one is needed, and sends the request."""
+        if not attempt.request.idempotency_key:
+            return await self._send(attempt)
+        request = attempt.request
+        intent = intents.Intent(
+            request.service, request.caller, request.idempotency_key
+        )
+        right = await intents.win(self._ports.intents, intent)
+        if not isinstance(right, appenders.Applied):
+            return _describe_no_right(right)
+        outcome = await self._send(attempt)
+        if isinstance(outcome, outcomes.NotRun):
+            await intents.give_back(self._ports.intents, intent, right.offset)
+        return outcome
+
+    async def _send(self, attempt: _Attempt) -> outcomes.Outcome:
+        """Sends the request if the owner may still run it."""
+        keeper = attempt.keeper
+        address = self._ports.addresses.find_address(keeper.server)
+        if address is None:
+            return _stale("the owner's address is not known")
+        # Checked last: nothing is awaited between the check and the send.
+        if not keeper.is_open(attempt.slice, attempt.token):
+            return _stale("the owner changed while the request waited")
+        fence = backends.Fence(attempt.slice, attempt.token, keeper.front.token)
+        left_s = self._left_s(attempt.request)
+        keeper.enter(attempt.slice)
+        over_at_s = attempt.request.deadline_s + _WALL_CLOCK_SLACK_S
+        try:
+            outcome = await self._ports.backend.send(
+                address, attempt.request, fence, left_s
+            )
+            if not isinstance(outcome, outcomes.Unknown):
+                over_at_s = 0.0
+        finally:
+            keeper.leave(attempt.slice, over_at_s)
+        return outcome
+
+    def _describe_closed(self, attempt: _Attempt) -> outcomes.NotRun:
+        """Returns the outcome when the owner did not become able to serve."""
+        if not attempt.keeper.is_owner(attempt.slice, attempt.token):
+            return _stale("the owner changed while the request waited")
+        return outcomes.NotRun(
+            outcomes.NotRunProof.REFUSED_BY_ADMISSION,
+            "no server can serve the key at the moment",
+            retry_after_ms=_NO_OWNER_RETRY_MS,
+        )
+
+    def _find_place(self, tier: str) -> queueing.TierPlace:
+        """Returns how a tier stands; an unknown one stands last."""
+        places = self._settings.places
+        if tier in places:
+            return places[tier]
+        return max(places.values(), key=lambda place: place.priority)
+
+    def _find_queue(self, server: ids.ServerId) -> queueing.TierQueue:
+        """Returns the queue in front of a server."""
+        if server not in self.queues:
+            self.queues[server] = queueing.TierQueue(
+                self._queue_settings(), self._ports.clock
+            )
+        return self.queues[server]
+
+    def _queue_settings(self) -> queueing.QueueSettings:
+        """Returns the settings of every queue."""
+        return queueing.QueueSettings(
+            slots=self._settings.slots_per_server,
+            starvation_share_ratio=self._settings.starvation_share_ratio,
+        )
+
+    def _left_s(self, request: requests.Request) -> float:
+        """Returns the time before a request's deadline, never below 0."""
+        return max(request.deadline_s - self._ports.clock.monotonic_s(), 0.0)
+
+
+def _stale(reason: str) -> outcomes.NotRun:
+    """Returns the outcome of a request that met an old view of the log."""
+    return outcomes.NotRun(
+        outcomes.NotRunProof.REFUSED_BY_ADMISSION,
+        reason,
+        retry_after_ms=_NO_OWNER_RETRY_MS,
+        reroute=True,
+    )
+
+
+def _describe_no_right(
+    right: appenders.AppendOutcome,
+) -> outcomes.Outcome:
+    """Returns the outcome of an attempt that did not win its intent."""
+    if isinstance(right, appenders.Void):
+        return outcomes.Unknown(
+            "an earlier request with this Idempotency-Key may have run",
+            status=409,
+        )
+    return outcomes.NotRun(
+        outcomes.NotRunProof.INTENT_NOT_WON,
+        "the log is not available, so running at most once is not certain",
+        retry_after_ms=_NO_LOG_RETRY_MS,
+    )
