--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_caller_api.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_caller_api.py
@@ -46,6 +46,22 @@
     retry_after_ms: int = 0
 
 
+class _RefusedError(Exception):
+    """A request cannot be taken."""
+
+    def __init__(self, problem: Problem) -> None:
+        """Keeps what the caller is told."""
+        self.problem = problem
+        super().__init__(problem.detail)
+
+
+class _SettingsInForce(NamedTuple):
+    """The house and this instance's place in it."""
+
+    house: tree.House
+    place: tree.Place
+
+
 class _ProblemBody(NamedTuple):
     """A problem-details body (RFC 9457) with what is known of the outcome."""
 
@@ -124,10 +140,11 @@
         """Builds the request, has it run, and answers."""
         started_s = self._clock.monotonic_s()
         request_id = secrets.token_urlsafe(_REQUEST_ID_BYTES)
-        built = await self._build(scope, receive, request_id, started_s)
         closing = self._backend.is_leaving()
-        if isinstance(built, Problem):
-            await _send_problem(send, built, request_id, closing)
+        try:
+            built = await self._build(scope, receive, request_id, started_s)
+        except _RefusedError as refused:
+            await _send_problem(send, refused.problem, request_id, closing)
             return
         outcome = await self._backend.handle(built)
         duration_s = self._clock.monotonic_s() - started_s
@@ -142,33 +159,24 @@
         receive: Receive,
         request_id: str,
         started_s: float,
-    ) -> requests.Request | Problem:
-        """Returns the request, or why there is none."""
-        not_ready = self._backend.list_not_ready()
-        house = self._backend.find_house()
-        place = self._backend.find_place()
-        if not_ready or house is None or place is None:
-            detail = "; ".join(not_ready) or "no settings"
-            return Problem(503, "Not ready", detail, _NOT_READY_RETRY_MS)
+    ) -> requests.Request:
+        """Returns the request.
+
+        Raises:
+            _RefusedError: The request cannot be taken.
+        """
+        house, place = self._find_settings()
         target = _split_path(scope["path"])
         if target is None or target.service not in place.services:
             known = ", ".join(sorted(place.services))
             detail = f"use /v1/{{service}}/{{key}}; services: {known}"
-            return Problem(404, "No such service", detail)
+            raise _RefusedError(Problem(404, "No such service", detail))
         service = place.services[target.service]
         headers = dict(scope["headers"])
         admission = _find_caller(house, place, service, headers)
-        if isinstance(admission, Problem):
-            return admission
         body = await _read_body(receive, service.policy.max_body_bytes)
-        if isinstance(body, Problem):
-            return body
         deadline_ms = _read_deadline(headers, admission.tier)
-        if isinstance(deadline_ms, Problem):
-            return deadline_ms
         key = _read_idempotency_key(scope["method"], headers, service)
-        if isinstance(key, Problem):
-            return key
         return requests.Request(
             request_id=request_id,
             service=ids.ServiceName(service.name),
@@ -187,6 +195,22 @@
             idempotency_key=key,
         )
 
+    def _find_settings(self) -> "_SettingsInForce":
+        """Returns the settings in force, if requests can be routed.
+
+        Raises:
+            _RefusedError: The instance is not ready.
+        """
+        not_ready = self._backend.list_not_ready()
+        house = self._backend.find_house()
+        place = self._backend.find_place()
+        if not_ready or house is None or place is None:
+            detail = "; ".join(not_ready) or "no settings"
+            raise _RefusedError(
+                Problem(503, "Not ready", detail, _NOT_READY_RETRY_MS)
+            )
+        return _SettingsInForce(house, place)
+
 
 def _split_path(path: str) -> _Target | None:
     """Returns the service and key of a path, or None if it has none."""
@@ -208,12 +232,16 @@
     place: tree.Place,
     service: tree.Service,
     headers: dict[bytes, bytes],
-) -> callers.Admitted | Problem:
-    """Returns the caller and its tier, or why it is not admitted."""
+) -> callers.Admitted:
+    """Returns the caller and its tier.
+
+    Raises:
+        _RefusedError: The caller is not admitted.
+    """
     scheme, _, credential = headers.get(b"authorization", b"").partition(b" ")
     if scheme.lower() != b"bearer":
         detail = "send the credential as Authorization: Bearer"
-        return Problem(401, "No credential", detail)
+        raise _RefusedError(Problem(401, "No credential", detail))
     admission = callers.find_caller(
         house, place.name, service, credential.decode("latin-1").strip()
     )
@@ -222,43 +250,57 @@
             return admission
         case callers.NoPlace(caller=name):
             detail = f"{name} has no place in a tier of {service.name}"
-            return Problem(403, "No place in a tier", detail)
+            raise _RefusedError(Problem(403, "No place in a tier", detail))
         case callers.UnknownCaller():
-            return Problem(401, "Unknown caller", "no caller has it")
+            raise _RefusedError(
+                Problem(401, "Unknown caller", "no caller has it")
+            )
+
 
+async def _read_body(receive: Receive, limit_bytes: int) -> bytes:
+    """Returns the whole body.
 
-async def _read_body(receive: Receive, limit_bytes: int) -> bytes | Problem:
-    """Returns the whole body, or a problem if it is too large or cut off."""
+    Raises:
+        _RefusedError: It is too large or cut off.
+    """
     body = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
-            return Problem(400, "Cut off", "the request's body is not whole")
+            raise _RefusedError(
+                Problem(400, "Cut off", "the request's body is not whole")
+            )
         body += message.get("body", b"")
         if len(body) > limit_bytes:
             detail = f"at most {limit_bytes} bytes are allowed"
-            return Problem(413, "Body too large", detail)
+            raise _RefusedError(Problem(413, "Body too large", detail))
         if not message.get("more_body", False):
             return bytes(body)
 
 
-def _read_deadline(
-    headers: dict[bytes, bytes], tier: tree.Tier
-) -> int | Problem:
-    """Returns the caller's deadline, or the tier's if it names none."""
+def _read_deadline(headers: dict[bytes, bytes], tier: tree.Tier) -> int:
+    """Returns the caller's deadline, or the tier's if it names none.
+
+    Raises:
+        _RefusedError: It is not a whole number above 0.
+    """
     text = headers.get(b"bridgecross-deadline-ms")
     if text is None:
         return tier.policy.deadline_ms
     if not text.isdigit() or int(text) < 1:
         detail = "Bridgecross-Deadline-Ms must be a whole number above 0"
-        return Problem(400, "Bad deadline", detail)
+        raise _RefusedError(Problem(400, "Bad deadline", detail))
     return min(int(text), tier.policy.max_deadline_ms)
 
 
 def _read_idempotency_key(
     method: str, headers: dict[bytes, bytes], service: tree.Service
-) -> str | Problem:
-    """Returns the key of a request that may not run twice, else nothing."""
+) -> str:
+    """Returns the key of a request that may not run twice, else nothing.
+
+    Raises:
+        _RefusedError: Such a request has no sound key.
+    """
     if method not in service.policy.non_repeatable_methods:
         return ""
     text = headers.get(b"idempotency-key", b"").decode("latin-1").strip()
@@ -267,7 +309,7 @@
             f"{method} to {service.name} may not run twice: send an "
             f"Idempotency-Key of 1 to {_MAX_IDEMPOTENCY_KEY_CHARS} characters"
         )
-        return Problem(400, "No idempotency key", detail)
+        raise _RefusedError(Problem(400, "No idempotency key", detail))
     return text
 
 
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
@@ -40,7 +40,6 @@
 from bridgecross_daemon import peering
 
 _DRAIN_POLL_S = 0.05
-_DRAIN_LEAST_S = 1.0
 _GRPC_GRACE_S = 1.0
 _NO_REASONS: list[str] = []
 
@@ -431,17 +430,22 @@
 
     def _drain_limit_s(self) -> float:
         """Returns how long a planned stop may take."""
+        policy = self._place_policy()
+        return (policy.drain_notice_ms + policy.drain_ms) / 1_000
+
+    def _place_policy(self) -> policies.Policy:
+        """Returns what is in effect for this instance's place."""
         place = self.find_place()
-        policy = place.policy if place else policies.Policy()
-        return policy.drain_ms / 1_000
+        return place.policy if place else policies.Policy()
 
     async def _drain(self) -> None:
         """Hands the servers over and waits for requests in flight."""
         self._watcher.me_leaving = True
         self._ring.add(events.DrainBegan(self._in_flight))
         loguru.logger.info("draining {} requests", self._in_flight)
+        policy = self._place_policy()
         with anyio.move_on_after(self._drain_limit_s()):
-            await anyio.sleep(_DRAIN_LEAST_S)
+            await anyio.sleep(policy.drain_notice_ms / 1_000)
             while self._in_flight or self._may_hand_over():
                 await anyio.sleep(_DRAIN_POLL_S)
         self._ring.add(events.DrainEnded(self._in_flight))
--- a/libs/bridgecross-request/src/bridgecross_request/routing.py
+++ b/libs/bridgecross-request/src/bridgecross_request/routing.py
@@ -159,25 +159,28 @@
         A front that is frozen never answers. Once the log names another, a
         request that may be repeated need not wait for it.
         """
-        outcome: outcomes.Outcome = outcomes.Unknown("the front changed")
+        answer: outcomes.Outcome | None = None
+        changed = False
 
         async def forward(scope: anyio.CancelScope) -> None:
-            nonlocal outcome
-            outcome = await self._ports.forwarder.forward(
+            nonlocal answer
+            answer = await self._ports.forwarder.forward(
                 route.front.front, request
             )
             scope.cancel()
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(forward, tasks.cancel_scope)
-            await self._ports.changed.wait_until(
+            changed = await self._ports.changed.wait_until(
                 lambda: (
                     self._ports.cell.fronts.get(route.server) != route.front
                 ),
                 self._left_s(request),
             )
             tasks.cancel_scope.cancel()
-        return outcome
+        when = "it was replaced" if changed else "the deadline"
+        reason = f"{route.front.front} did not answer before {when}"
+        return answer or outcomes.Unknown(reason)
 
     def _is_stale_route(self, outcome: outcomes.Outcome) -> bool:
         """Returns whether only the view of the log was old."""
--- a/libs/bridgecross-settings/src/bridgecross_settings/policy.py
+++ b/libs/bridgecross-settings/src/bridgecross_settings/policy.py
@@ -127,6 +127,11 @@
     eviction_limit_ratio: Annotated[
         float, msgspec.Meta(ge=0.0, le=1.0, extra=_AT_SERVICE)
     ] = 0.25
+    # How long a planned stop goes on serving, at least, while it says that it
+    # is not ready: longer than the platform's balancer takes to notice.
+    drain_notice_ms: Annotated[
+        int, msgspec.Meta(ge=0, le=_MINUTE_MS, extra=_AT_PLACE)
+    ] = 2_000
     # How long a planned stop waits for requests in flight.
     drain_ms: Annotated[
         int, msgspec.Meta(ge=0, le=10 * _MINUTE_MS, extra=_AT_PLACE)
--- a/libs/bridgecross-standins/src/bridgecross_standins/backend_standin.py
+++ b/libs/bridgecross-standins/src/bridgecross_standins/backend_standin.py
@@ -2,12 +2,14 @@
 
 ``PUT /bridgecross/lease`` takes leases (see ``bridgecross_ownership.leases``);
 every other path under ``/v1`` runs a request. ``PUT /faults`` takes a JSON
-``BackendFaults``, ``GET /journal?after=n`` shows the journal. Freezing is left
-to SIGSTOP. The journal is the ground truth of every proof.
+``BackendFaults``. Freezing is left to SIGSTOP. The journal goes to a file, so
+that it outlives the server; it is the ground truth of every proof.
 """
 
 import dataclasses
 import enum
+import io
+import pathlib
 import secrets
 import time
 from typing import NamedTuple
@@ -60,6 +62,8 @@
     cold_ms: int = 0
     # How many times longer a request takes while the server is cold.
     cold_factor: float = 4.0
+    # The file that the journal is written to, a line each; empty for none.
+    journal_path: str = ""
 
 
 class Deed(enum.Enum):
@@ -84,6 +88,7 @@
     began_s: float
     ended_s: float
     server: str
+    service: str
     key: str
     slice: int
     token: int
@@ -96,6 +101,7 @@
 class _Ticket(NamedTuple):
     """The part of a request that the server checks and journals."""
 
+    service: str
     key: str
     slice: int
     token: int
@@ -122,7 +128,8 @@
     def __init__(self, settings: BackendStandinSettings) -> None:
         """Starts cold, with no lease and an empty journal."""
         self.faults = BackendFaults()
-        self.journal: list[JournalEntry] = []
+        self._journal = _open_journal(settings.journal_path)
+        self._entries = 0
         self._settings = settings
         self._incarnation = secrets.token_hex(8)
         self._started_s = time.monotonic()
@@ -145,7 +152,6 @@
                     "/bridgecross/lease", self._take_lease, methods=["PUT"]
                 ),
                 routing.Route("/faults", self._set_faults, methods=["PUT"]),
-                routing.Route("/journal", self._show_journal),
                 routing.Route("/report", self._show_report),
                 routing.Route("/v1/{rest:path}", self._run, methods=_METHODS),
             ]
@@ -158,13 +164,6 @@
         self.faults = codec.from_json(await request.body(), BackendFaults)
         return responses.Response(status_code=204)
 
-    async def _show_journal(
-        self, request: requests.Request
-    ) -> responses.Response:
-        """Shows the journal from a number on."""
-        after = int(request.query_params.get("after", "0"))
-        return _json(self.journal[after:])
-
     async def _show_report(
         self, request: requests.Request
     ) -> responses.Response:
@@ -317,22 +316,25 @@
 
     def _write(self, ticket: _Ticket, deed: Deed, began_s: float) -> None:
         """Adds a line to the journal."""
-        self.journal.append(
-            JournalEntry(
-                number=len(self.journal),
-                deed=deed,
-                began_s=began_s,
-                ended_s=time.monotonic(),
-                server=self._settings.server,
-                key=ticket.key,
-                slice=ticket.slice,
-                token=ticket.token,
-                front_token=ticket.front_token,
-                method=ticket.method,
-                request_id=ticket.request_id,
-                idempotency_key=ticket.idempotency_key,
-            )
+        self._entries += 1
+        if self._journal is None:
+            return
+        entry = JournalEntry(
+            number=self._entries,
+            deed=deed,
+            began_s=began_s,
+            ended_s=time.monotonic(),
+            server=self._settings.server,
+            service=ticket.service,
+            key=ticket.key,
+            slice=ticket.slice,
+            token=ticket.token,
+            front_token=ticket.front_token,
+            method=ticket.method,
+            request_id=ticket.request_id,
+            idempotency_key=ticket.idempotency_key,
         )
+        self._journal.write(codec.to_json(entry).encode() + b"\n")
 
     def _answer(self, ticket: _Ticket, value: int) -> responses.Response:
         """Returns the answer, cut off if the fault says so."""
@@ -359,14 +361,21 @@
         return (service_ms + self.faults.delay_ms) / 1_000
 
 
+def _open_journal(path: str) -> io.FileIO | None:
+    """Opens the journal's file for appending without a buffer."""
+    return io.FileIO(path, "ab") if path else None
+
+
 def _read_ticket(request: requests.Request) -> _Ticket:
     """Returns what the headers of a request say."""
 
     def number(name: bytes) -> int:
         return int(request.headers.get(name.decode(), "-1"))
 
+    service, key = request.path_params["rest"].split("/")[:2]
     return _Ticket(
-        key=request.path_params["rest"].split("/")[1],
+        service=service,
+        key=key,
         slice=number(backends.SLICE_HEADER),
         token=number(backends.TOKEN_HEADER),
         front_token=number(backends.FRONT_TOKEN_HEADER),
@@ -387,3 +396,11 @@
     return responses.Response(
         codec.to_json(value), media_type="application/json"
     )
+
+
+def read_journal(path: pathlib.Path) -> list[JournalEntry]:
+    """Returns the journal in a file; a last line that is cut off is left."""
+    if not path.exists():
+        return []
+    lines = path.read_bytes().split(b"\n")
+    return [codec.from_json(line, JournalEntry) for line in lines[:-1]]
--- a/libs/bridgecross-standins/src/bridgecross_standins/processes.py
+++ b/libs/bridgecross-standins/src/bridgecross_standins/processes.py
@@ -13,12 +13,12 @@
 import sys
 import time
 
-import httpx
-
 from bridgecross_core import codec
 from bridgecross_ownership import membership
 from bridgecross_settings import check
 from bridgecross_settings import tree
+import httpx
+
 from bridgecross_standins import backend_standin
 
 _LOOPBACK = "127.0.0.1"
@@ -26,6 +26,14 @@
 _STOP_TIMEOUT_S = 15.0
 _POLL_S = 0.02
 _HTTP_OK = 200
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
+_ports = iter(
+    range(
+        _FIRST_PORT + os.getpid() * 97 % (_LAST_PORT - _FIRST_PORT) // 2,
+        _LAST_PORT,
+    )
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -151,6 +159,8 @@
         self.servers: dict[str, Server] = {}
         self._client = httpx.Client(trust_env=False, timeout=5.0)
         shape.folder.mkdir(parents=True, exist_ok=True)
+        for old in shape.folder.glob("*.journal"):
+            old.unlink()
         self.log_url = f"http://{_LOOPBACK}:{find_free_port()}"
         self.list_url = f"http://{_LOOPBACK}:{find_free_port()}"
         self.log = self._start_standin(
@@ -184,6 +194,7 @@
             slots=policy.slots_per_server,
             service_ms=shape.service_ms,
             checks_fences=policy.checks_fences,
+            journal_path=str(self._journal_path(name)),
         )
         process = self._start_standin(
             name, "backend", f"http://{address}", codec.to_json(settings)
@@ -202,10 +213,12 @@
         )
         return server
 
-    def start_entries(self) -> None:
-        """Starts all entry instances of the shape and awaits them."""
-        for number in range(1, self.shape.instances + 1):
-            self.start_entry(f"entry-{number}")
+    def await_entries(self) -> None:
+        """Waits until every entry instance is ready.
+
+        Raises:
+            StartError: One of them did not come up.
+        """
         for entry in self.entries.values():
             self._await_http(entry.process, f"{entry.admin_url}/readyz")
 
@@ -283,12 +296,12 @@
         ).raise_for_status()
 
     def read_journal(self, name: str) -> list[backend_standin.JournalEntry]:
-        """Returns what a running backend server has journalled."""
-        address = self.servers[name].address
-        response = self._client.get(f"http://{address}/journal")
-        return codec.from_json(
-            response.content, list[backend_standin.JournalEntry]
-        )
+        """Returns what a backend server has journalled, alive or not."""
+        return backend_standin.read_journal(self._journal_path(name))
+
+    def read_journals(self) -> list[backend_standin.JournalEntry]:
+        """Returns what all backend servers have journalled."""
+        return [e for name in self.servers for e in self.read_journal(name)]
 
     def close(self) -> None:
         """Ends all processes that were started here."""
@@ -299,6 +312,10 @@
             process.kill()
         self._client.close()
 
+    def _journal_path(self, name: str) -> pathlib.Path:
+        """Returns the file of a server's journal."""
+        return self.shape.folder / f"{name}.journal"
+
     def _choose_domain(self, number: int) -> str:
         """Returns a failure domain, one after another."""
         domains = self.place.failure_domains
@@ -342,11 +359,24 @@
 
 
 def find_free_port() -> int:
-    """Returns a loopback port that is free at the moment."""
-    with socket.socket() as probe:
-        probe.bind((_LOOPBACK, 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Returns a loopback port that is free at the moment.
+
+    The port lies below those that the kernel gives to outgoing connections,
+    so that none of these can take it before it is bound. Runs that go on at
+    the same time start at different ports.
+
+    Raises:
+        StartError: No port is free.
+    """
+    for port in _ports:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((_LOOPBACK, port))
+            except OSError:
+                continue
+            return port
+    raise StartError("no port is free")
 
 
 def _read_house(path: pathlib.Path) -> tree.House:
