--- a/libs/bridgecross-cli/src/bridgecross_cli/_commands.py
+++ b/libs/bridgecross-cli/src/bridgecross_cli/_commands.py
@@ -139,7 +139,7 @@
         print(f"{len(timeline)} events written to {options.html}")
     elif options.json:
         for event in timeline:
-            print(codec.to_json(events.to_wire(event)._asdict()))
+            print(codec.to_readable_json(events.to_wire(event)))
     else:
         print(render.render_text(timeline))
     return EXIT_OK
@@ -179,7 +179,7 @@
         f"{field.name:<30} {codec.to_json(field.value):<14} {field.origin}"
         for field in fields
     ]
-    _print(options, "\n".join(lines), [f._asdict() for f in fields])
+    _print(options, "\n".join(lines), fields)
     return EXIT_OK
 
 
@@ -205,7 +205,7 @@
         {
             "version": outcome.version,
             "changed": outcome.changed_paths,
-            "instances": [line._asdict() for line in reached],
+            "instances": reached,
         },
     )
     done = all(line.in_force for line in reached)
@@ -227,7 +227,7 @@
         if not outcome.clashes:
             lines.append("  no path was changed by both")
     lines.append(f"  redo the edit on it and use --base {outcome.newest}")
-    _print(options, "\n".join(lines), outcome._asdict())
+    _print(options, "\n".join(lines), outcome)
 
 
 def _describe_status(answer: reach.Answer) -> list[str]:
@@ -271,4 +271,6 @@
 
 def _print(options: argparse.Namespace, text: str, value: object) -> None:
     """Prints text for people, or a value as JSON for scripts."""
-    print(codec.to_json(value, indent=2) if options.json else text)
+    if options.json:
+        text = codec.to_readable_json(value, indent=2)
+    print(text)
--- a/libs/bridgecross-core/src/bridgecross_core/codec.py
+++ b/libs/bridgecross-core/src/bridgecross_core/codec.py
@@ -68,6 +68,21 @@
         raise CodecError(str(error)) from error
 
 
-def to_builtins(value: object) -> Any:
-    """Returns a value as plain dicts, lists, strings and numbers."""
-    return msgspec.to_builtins(value)
+def to_readable_json(value: object, *, indent: int = 0) -> str:
+    """Returns a value as JSON in which every field is named.
+
+    ``msgspec`` writes a NamedTuple as an array, which is right between our
+    own processes; people and scripts want its field names.
+    """
+    return to_json(_name_fields(value), indent=indent)
+
+
+def _name_fields(value: Any) -> Any:
+    """Returns a value with each NamedTuple turned into a dict."""
+    if isinstance(value, tuple) and hasattr(value, "_asdict"):
+        return {k: _name_fields(v) for k, v in value._asdict().items()}
+    if isinstance(value, (list, tuple)):
+        return [_name_fields(item) for item in value]
+    if isinstance(value, dict):
+        return {k: _name_fields(v) for k, v in value.items()}
+    return value
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/leases.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/leases.py
@@ -7,16 +7,20 @@
 at the latest one lease after that receipt, however late the echo arrives.
 """
 
+import dataclasses
 from typing import NamedTuple
 from typing import Protocol
 
 from bridgecross_core import ids
 
 
-class ClockEcho(NamedTuple):
+@dataclasses.dataclass(frozen=True)
+class ClockEcho:
     """A reading of a server's monotonic clock in one run of the server."""
 
+    # Differs from run to run of the server.
     incarnation: str
+    # The reading; only differences within a run mean anything.
     reading_ms: float
 
 
@@ -27,35 +31,41 @@
     token: ids.Token
 
 
-class LeaseRequest(NamedTuple):
-    """What a front sends to a server.
-
-    ``grants`` is the whole list: slices that are missing are taken away. The
-    server refuses a lower ``front_token`` than it has seen, and ignores a
-    ``sequence`` that is not higher than the last of that front. ``echo`` is
-    None in a first exchange, which renews nothing.
-    """
+@dataclasses.dataclass(frozen=True)
+class LeaseRequest:
+    """What a front sends to a server."""
 
+    # The service that the server belongs to.
     service: ids.ServiceName
+    # The instance that sends the request.
     front: ids.InstanceId
+    # The server refuses a lower one than it has seen.
     front_token: ids.Token
+    # The server refuses one that is not higher than the front's last.
     sequence: int
+    # The newest reading of the server's clock that the front has received;
+    # None in a first exchange, which renews nothing.
     echo: ClockEcho | None
+    # How long after the echoed reading the lease ends.
     lease_ms: int
+    # The whole list: slices that are missing are taken away.
     grants: list[SliceGrant]
 
 
-class LeaseReply(NamedTuple):
-    """What the server answers.
-
-    ``held`` are the grants that it may still act on: those of the request,
-    and those taken away whose requests are still running.
-    """
+@dataclasses.dataclass(frozen=True)
+class LeaseReply:
+    """What the server answers."""
 
+    # Whether the grants are in force.
     accepted: bool
+    # Why not; empty if they are.
     reason: str
+    # The server's clock.
     clock: ClockEcho
+    # The grants that the server may still act on: those of the request, and
+    # those taken away whose requests are still running.
     held: list[SliceGrant]
+    # Whether the server is about to stop and wants no more slices.
     draining: bool
 
 
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/membership.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/membership.py
@@ -1,7 +1,7 @@
 """The instances and servers that the platform lists."""
 
+import dataclasses
 import enum
-from typing import NamedTuple
 
 from bridgecross_core import ids
 
@@ -23,19 +23,22 @@
     LEAVING = "leaving"
 
 
-class Listing(NamedTuple):
-    """One line of the instance list.
-
-    ``address`` is ``host:port`` with an IP number: the peer address of an
-    entry instance, the service address of a backend server. ``service`` is
-    empty for an entry instance.
-    """
+@dataclasses.dataclass(frozen=True)
+class Listing:
+    """One line of the instance list."""
 
+    # The name of the instance or server.
     name: str
+    # What it is.
     role: Role
+    # The service of a backend server; empty for an entry instance.
     service: str
+    # The failure domain that it is in.
     failure_domain: str
+    # ``host:port`` with an IP number: the peer address of an entry instance,
+    # the service address of a backend server.
     address: str
+    # Whether it is about to stop.
     state: ListedState
 
 
--- /dev/null
+++ b/libs/bridgecross-ownership/tests/test_planner.py
@@ -0,0 +1,145 @@
+from bridgecross_core import ids
+from bridgecross_ownership import cell as cells
+from bridgecross_ownership import planner
+from bridgecross_ownership import records
+
+USABLE = planner.Standing.USABLE
+HELD = planner.Standing.HELD
+UNUSABLE = planner.Standing.UNUSABLE
+SETTINGS = planner.PlannerSettings(
+    imbalance_target_ratio=1.2, balance_moves=100
+)
+
+
+def _cell(owners: list[str], fronts: dict[str, str]) -> cells.Cell:
+    cell = cells.Cell(ids.ServiceName("rapor"))
+    cell.restore(
+        cells.CellSnapshot(
+            service=cell.service,
+            term=ids.Term(0),
+            coordinator=ids.InstanceId("a"),
+            members=(),
+            head=ids.Offset(1),
+            slices=[
+                cells.SliceState(ids.ServerId(o), ids.Token(1), ())
+                for o in owners
+            ],
+            fronts={
+                ids.ServerId(s): cells.FrontState(
+                    ids.InstanceId(f), ids.Token(1), inherits=False
+                )
+                for s, f in fronts.items()
+            },
+        )
+    )
+    return cell
+
+
+def _plan(
+    owners: list[str],
+    servers: dict[str, planner.Standing],
+    *,
+    loads: dict[int, float] | None = None,
+    instances: tuple[str, ...] = ("a", "b"),
+    fronts: dict[str, str] | None = None,
+    settings: planner.PlannerSettings = SETTINGS,
+    unfit: set[records.ServerFront] | None = None,
+) -> planner.Plan:
+    spread = {s: instances[i % len(instances)] for i, s in enumerate(servers)}
+    view = planner.PlannerView(
+        cell=_cell(owners, spread if fronts is None else fronts),
+        servers={ids.ServerId(s): st for s, st in servers.items()},
+        instances=[ids.InstanceId(i) for i in instances],
+        loads={ids.SliceIndex(i): v for i, v in (loads or {}).items()},
+        unfit_fronts=unfit or set(),
+    )
+    return planner.plan(view, settings)
+
+
+def test_a_balanced_service_is_left_alone():
+    owners = ["s1", "s2"] * 8
+    assert _plan(owners, {"s1": USABLE, "s2": USABLE}).is_empty
+
+
+def test_only_the_slices_of_a_lost_server_move():
+    owners = ["s1", "s2", "s3"] * 8
+    plan = _plan(owners, {"s1": UNUSABLE, "s2": USABLE, "s3": USABLE})
+    assert set(plan.moves) == {i for i, o in enumerate(owners) if o == "s1"}
+    assert sorted(plan.moves.values()).count(ids.ServerId("s2")) == 4
+    assert plan.balanced == 0
+
+
+def test_a_suspected_server_keeps_its_slices_and_gets_none():
+    owners = ["s1", "s2", ""] * 4
+    plan = _plan(owners, {"s1": HELD, "s2": USABLE})
+    assert set(plan.moves.values()) == {ids.ServerId("s2")}
+    assert len(plan.moves) == 4
+
+
+def test_without_a_usable_server_nothing_moves():
+    assert not _plan(["s1"] * 4, {"s1": UNUSABLE, "s2": HELD}).moves
+
+
+def test_a_returned_server_gets_its_share():
+    owners = ["s1", "s2"] * 12
+    servers = {"s1": USABLE, "s2": USABLE, "s3": USABLE}
+    plan = _plan(owners, servers)
+    assert set(plan.moves.values()) == {ids.ServerId("s3")}
+    assert 6 <= len(plan.moves) <= 8
+
+
+def test_balance_moves_stay_within_the_budget():
+    owners = ["s1"] * 24 + ["s2"]
+    settings = SETTINGS._replace(balance_moves=3)
+    plan = _plan(owners, {"s1": USABLE, "s2": USABLE}, settings=settings)
+    assert plan.balanced == 3
+
+
+def test_the_fewest_slices_move_off_a_loaded_server():
+    owners = ["s1"] * 8 + ["s2"] * 8
+    loads = {0: 400.0, 1: 400.0, 8: 100.0}
+    plan = _plan(owners, {"s1": USABLE, "s2": USABLE}, loads=loads)
+    assert len(plan.moves) == 1
+    assert next(iter(plan.moves)) in {0, 1}
+
+
+def test_a_single_hot_slice_is_not_passed_around():
+    owners = ["s1"] * 8 + ["s2"] * 8
+    plan = _plan(owners, {"s1": USABLE, "s2": USABLE}, loads={0: 100_000.0})
+    assert 0 not in plan.moves
+
+
+def test_a_few_requests_are_no_reason_to_move():
+    owners = ["s1", "s2"] * 20
+    plan = _plan(owners, {"s1": USABLE, "s2": USABLE}, loads={0: 0.4, 2: 0.4})
+    assert plan.is_empty
+
+
+def test_only_servers_of_a_lost_instance_change_front():
+    servers = {f"s{i}": USABLE for i in range(6)}
+    fronts = {f"s{i}": "abc"[i % 3] for i in range(6)}
+    plan = _plan(
+        [f"s{i % 6}" for i in range(24)],
+        servers,
+        instances=("a", "b"),
+        fronts=fronts,
+    )
+    assert set(plan.fronts) == {s for s, f in fronts.items() if f == "c"}
+    assert set(plan.fronts.values()) == {"a", "b"}
+
+
+def test_an_unfit_front_is_replaced_once():
+    unfit = {records.ServerFront(ids.ServerId("s1"), ids.InstanceId("a"))}
+    plan = _plan(["s1"], {"s1": HELD}, fronts={"s1": "a"}, unfit=unfit)
+    assert plan.fronts == {ids.ServerId("s1"): ids.InstanceId("b")}
+    alone = _plan(
+        ["s1"], {"s1": HELD}, fronts={"s1": "a"}, unfit=unfit, instances=("a",)
+    )
+    assert alone.is_empty
+
+
+def test_a_server_that_is_gone_is_retired_once_it_holds_nothing():
+    fronts = {"s1": "a", "s2": "b"}
+    assert _plan(["s1"], {"s1": USABLE}, fronts=fronts).retired == ["s2"]
+    held = _plan(["s2"], {"s1": USABLE}, fronts=fronts)
+    assert held.retired == []
--- /dev/null
+++ b/tests/test_house.py
@@ -0,0 +1,381 @@
+"""Whole houses as separate processes over loopback."""
+
+import pathlib
+import signal
+import subprocess
+import sys
+from typing import Any
+
+import anyio
+import anyio.to_thread
+import httpx
+import pytest
+
+from bridgecross_core import codec
+from bridgecross_core import hashing
+from bridgecross_core import ids
+from bridgecross_standins import balancer
+from bridgecross_standins import checker
+from bridgecross_standins import house_tools
+from bridgecross_standins import log_standin
+from bridgecross_standins import probing
+from bridgecross_standins import processes
+
+pytestmark = pytest.mark.anyio
+
+SETTINGS = pathlib.Path(__file__).parents[1] / "settings"
+KARATAS = processes.HouseShape(
+    settings_file=SETTINGS / "karatas.jsonc",
+    place="anadolu",
+    services=(
+        processes.ServiceShape("rapor", 3),
+        processes.ServiceShape("bulgu", 2),
+        processes.ServiceShape("kapama", 2),
+        processes.ServiceShape("cizim", 2),
+    ),
+    instances=3,
+    folder=pathlib.Path(),
+)
+VALDIVIESO = processes.HouseShape(
+    settings_file=SETTINGS / "valdivieso.jsonc",
+    place="santiago",
+    services=(
+        processes.ServiceShape("disponibilidad", 2),
+        processes.ServiceShape("reservas", 2),
+        processes.ServiceShape("garantias", 2),
+        processes.ServiceShape("informes", 2),
+    ),
+    instances=2,
+    folder=pathlib.Path(),
+)
+INSPECTOR = {"Authorization": "Bearer demir-secret"}
+CONCIERGE = {"Authorization": "Bearer plaza-secret"}
+PATIENCE_S = 20.0
+
+
+def _shape(
+    shape: processes.HouseShape, folder: pathlib.Path
+) -> processes.HouseShape:
+    return processes.HouseShape(**{**vars(shape), "folder": folder / "house"})
+
+
+@pytest.fixture(scope="module")
+def karatas(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("karatas")
+    with processes.House(_shape(KARATAS, folder)) as house:
+        anyio.run(house_tools.bring_up, house)
+        yield house
+
+
+def _run_tool(house: processes.House, *arguments: str):
+    entry = next(iter(house.entries.values()))
+    return subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "bridgecross_cli.main",
+            *arguments,
+            "--connect",
+            str(entry.settings_path),
+        ],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+def _send(
+    entry: processes.Entry, service: str, key: str, **options: Any
+) -> httpx.Response:
+    headers = options.pop("headers", INSPECTOR)
+    with httpx.Client(trust_env=False, timeout=15.0) as client:
+        return client.request(
+            options.pop("method", "GET"),
+            f"{entry.caller_url}/v1/{service}/{key}",
+            headers={"Bridgecross-Deadline-Ms": "10000"} | headers,
+            **options,
+        )
+
+
+@pytest.mark.parametrize("service", ["rapor", "bulgu", "kapama", "cizim"])
+def test_every_instance_reaches_every_service(karatas, service):
+    for number, entry in enumerate(karatas.entries.values()):
+        answer = _send(entry, service, f"kopru-{number}")
+        assert answer.status_code == 200
+        assert answer.headers["bridgecross-outcome"] == "answered"
+        assert answer.json()["key"] == f"kopru-{number}"
+
+
+def test_a_request_for_every_service_of_the_other_house(tmp_path):
+    with processes.House(_shape(VALDIVIESO, tmp_path)) as house:
+        anyio.run(house_tools.bring_up, house)
+        entry = house.entries["entry-1"]
+        for service in house.place.services:
+            answer = _send(entry, service, "cena", headers=CONCIERGE)
+            assert answer.status_code == 200
+        first = _post_deposit(entry)
+        again = _post_deposit(entry)
+        assert first.json()["value"] == 1
+        assert again.headers["bridgecross-outcome"] == "unknown"
+        assert not checker.check_single_runs(house.read_journals())
+
+
+def _post_deposit(entry: processes.Entry) -> httpx.Response:
+    return _send(
+        entry,
+        "garantias",
+        "cena",
+        method="POST",
+        headers=CONCIERGE | {"Idempotency-Key": "deposit-1"},
+    )
+
+
+REFUSALS = {
+    "no credential": ({"Authorization": ""}, "rapor", "GET", 401),
+    "unknown credential": (
+        {"Authorization": "Bearer nobody"},
+        "rapor",
+        "GET",
+        401,
+    ),
+    "no place in a tier": (
+        {"Authorization": "Bearer yapi-secret"},
+        "kapama",
+        "GET",
+        403,
+    ),
+    "no such service": (INSPECTOR, "rapport", "GET", 404),
+    "no idempotency key": (INSPECTOR, "kapama", "POST", 400),
+    "bad deadline": (
+        INSPECTOR | {"Bridgecross-Deadline-Ms": "soon"},
+        "rapor",
+        "GET",
+        400,
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("headers", "service", "method", "status"),
+    REFUSALS.values(),
+    ids=REFUSALS.keys(),
+)
+def test_refusals_say_why(karatas, headers, service, method, status):
+    entry = karatas.entries["entry-1"]
+    answer = _send(entry, service, "k", headers=headers, method=method)
+    assert answer.status_code == status
+    assert answer.headers["bridgecross-outcome"] == "not-run"
+    assert answer.headers["content-type"] == "application/problem+json"
+    assert answer.json()["detail"]
+
+
+def test_a_body_that_is_too_large_is_refused(karatas):
+    entry = karatas.entries["entry-1"]
+    answer = _send(entry, "rapor", "k", method="PUT", content=b"x" * 1_100_000)
+    assert answer.status_code == 413
+
+
+def test_health_checks_and_metrics(karatas):
+    entry = karatas.entries["entry-1"]
+    with httpx.Client(trust_env=False) as client:
+        assert client.get(f"{entry.admin_url}/livez").status_code == 200
+        assert client.get(f"{entry.admin_url}/readyz").json()["ready"]
+        _send(entry, "rapor", "k")
+        text = client.get(f"{entry.admin_url}/metrics").text
+    assert "bridgecross_requests_total{" in text
+    assert "bridgecross_request_seconds_bucket" in text
+
+
+def test_the_tool_tells_owner_status_and_time_line(karatas, tmp_path):
+    owner = _run_tool(karatas, "owner", "rapor", "kopru-1")
+    assert owner.returncode == 0
+    assert owner.stdout.count("is owned by rapor-") == 3
+    status = _run_tool(karatas, "status", "--json")
+    assert status.returncode == 0
+    assert len(codec.from_json(status.stdout, list[dict[str, object]])) == 3
+    page = tmp_path / "timeline.html"
+    drawn = _run_tool(karatas, "timeline", "--html", str(page))
+    assert drawn.returncode == 0
+    text = page.read_text(encoding="utf-8")
+    assert "entry-3" in text
+    assert "SlicesMoved" not in text
+    assert "restore" in text
+    missing = _run_tool(karatas, "owner", "rapport", "k")
+    assert missing.returncode == 1
+
+
+def test_the_second_of_two_operators_is_told_what_clashes(karatas, tmp_path):
+    shown = _run_tool(karatas, "settings", "show")
+    base = shown.stdout.split()[2].rstrip(":")
+    first = tmp_path / "first.jsonc"
+    second = tmp_path / "second.jsonc"
+    slots = '"slots_per_server": 4'
+    first.write_text(shown.stdout.replace(slots, '"slots_per_server": 5'))
+    second.write_text(shown.stdout.replace(slots, '"slots_per_server": 6'))
+    publish = ["settings", "publish", "--base", base, "--author", "ayse"]
+    accepted = _run_tool(karatas, *publish, str(first))
+    assert accepted.returncode == 0
+    assert "changed slots_per_server" in accepted.stdout
+    assert accepted.stdout.count("in force") == 3
+    refused = _run_tool(karatas, *publish, str(second))
+    assert refused.returncode == 1
+    assert "both changed slots_per_server" in refused.stdout
+    effective = _run_tool(
+        karatas, "settings", "show", "--effective", "karatas/anadolu/rapor"
+    )
+    assert "slots_per_server               5" in effective.stdout
+
+
+async def test_a_planned_stop_cuts_off_nothing(tmp_path):
+    with processes.House(_shape(KARATAS, tmp_path)) as house:
+        await house_tools.bring_up(house)
+        probes = await _load(
+            house, "rapor", "PUT", house.entries["entry-2"].process.terminate
+        )
+        code = await anyio.to_thread.run_sync(
+            house.entries["entry-2"].process.wait
+        )
+        assert code == 0
+        assert [p for p in probes if p.outcome != "answered"] == []
+        assert not checker.check_owners(house.read_journals())
+
+
+@pytest.mark.parametrize(
+    ("service", "number"),
+    [
+        ("rapor", signal.SIGKILL),
+        ("rapor", signal.SIGSTOP),
+        ("cizim", signal.SIGKILL),
+    ],
+)
+async def test_keys_of_a_lost_server_are_served_again(
+    tmp_path, service, number
+):
+    with processes.House(_shape(KARATAS, tmp_path)) as house:
+        await house_tools.bring_up(house)
+        keys = await _find_keys(house, service, f"{service}-1")
+        server = house.servers[f"{service}-1"].process
+        probes = await _load(
+            house, service, "PUT", lambda: server.signal(number), keys
+        )
+        server.signal(signal.SIGCONT)
+        await anyio.sleep(1.0)
+        _check_truth(house, probes)
+        assert {p.key for p in probes[-len(keys) :]} == set(keys)
+        assert all(p.outcome == "answered" for p in probes[-len(keys) :])
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+@pytest.mark.parametrize("is_coordinator", [True, False])
+async def test_keys_are_served_again_after_the_loss_of_an_instance(
+    tmp_path, number, is_coordinator
+):
+    with processes.House(_shape(KARATAS, tmp_path)) as house:
+        await house_tools.bring_up(house)
+        cell = await house_tools.read_cell(house, ids.ServiceName("rapor"))
+        lost = next(
+            name
+            for name in house.entries
+            if (name == cell.coordinator) == is_coordinator
+        )
+        process = house.entries[lost].process
+        probes = await _load(
+            house, "rapor", "PUT", lambda: process.signal(number), (), lost
+        )
+        process.signal(signal.SIGCONT)
+        await anyio.sleep(1.0)
+        _check_truth(house, probes)
+        assert all(p.outcome == "answered" for p in probes[-40:])
+
+
+async def test_an_acknowledgement_that_is_lost_does_not_double(tmp_path):
+    with processes.House(_shape(KARATAS, tmp_path)) as house:
+        await house_tools.bring_up(house)
+        house.set_faults(
+            house.log_url, log_standin.LogFaults(lose_acknowledgements=3)
+        )
+        answers = [
+            await anyio.to_thread.run_sync(
+                lambda i=i: _send(
+                    house.entries["entry-1"],
+                    "kapama",
+                    f"kopru-{i}",
+                    method="POST",
+                    headers=INSPECTOR | {"Idempotency-Key": f"order-{i}"},
+                )
+            )
+            for i in range(6)
+        ]
+        assert all(a.status_code == 200 for a in answers)
+        journal = house.read_journals()
+        assert not checker.check_single_runs(journal)
+        assert len(checker.list_ran(journal)) == 6
+
+
+async def _find_keys(
+    house: processes.House, service: str, server: str
+) -> tuple[str, ...]:
+    cell = await house_tools.read_cell(house, ids.ServiceName(service))
+    keys = (f"key-{i}" for i in range(200))
+    return tuple(
+        key
+        for key in keys
+        if cell.slices[hashing.find_slice(key, len(cell.slices))].server
+        == server
+    )[:10]
+
+
+async def _load(
+    house: processes.House,
+    service: str,
+    method: str,
+    fault,
+    keys: tuple[str, ...] = (),
+    avoid: str = "",
+) -> list[probing.Probe]:
+    """Sends requests, causes a fault, and goes on until all is well again."""
+    chooser = balancer.Balancer(
+        {
+            e.caller_url: e.admin_url
+            for e in house.entries.values()
+            if e.name != avoid
+        }
+    )
+    settings = probing.ProbeSettings(
+        credential="demir-secret",
+        service=service,
+        keys=keys or tuple(f"key-{i}" for i in range(20)),
+        rate_per_s=60.0,
+        deadline_ms=3_000,
+        method=method,
+    )
+    prober = probing.Prober(settings, chooser.choose)
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(chooser.run)
+        async with anyio.create_task_group() as load:
+            load.start_soon(prober.run)
+            await anyio.sleep(1.0)
+            fault()
+            await anyio.sleep(1.0)
+            await _await_recovery(prober)
+            prober.stop()
+        tasks.cancel_scope.cancel()
+    return sorted(prober.probes, key=lambda probe: probe.sent_s)
+
+
+async def _await_recovery(prober: probing.Prober) -> None:
+    """Waits until requests of the last two seconds were all answered."""
+    with anyio.move_on_after(PATIENCE_S):
+        while True:
+            seen = len(prober.probes)
+            await anyio.sleep(2.5)
+            newest = prober.probes[seen:]
+            if newest and all(p.outcome == "answered" for p in newest):
+                return
+
+
+def _check_truth(house: processes.House, probes: list[probing.Probe]) -> None:
+    journal = house.read_journals()
+    not_run = [p.request_id for p in probes if p.outcome == "not-run"]
+    assert not checker.check_owners(journal)
+    assert not checker.check_not_run(journal, not_run)
