--- /dev/null
+++ b/benchmarks/layer_server.py
@@ -0,0 +1,98 @@
+"""A small server in a process of its own, to be measured from outside."""
+
+import pathlib
+import sys
+from typing import Any
+
+import anyio
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import outcomes
+from bridgecross_core import stamps
+from bridgecross_daemon import _caller_api
+from bridgecross_daemon import _metrics
+from bridgecross_daemon import peer_server
+from bridgecross_daemon import peering
+from bridgecross_request import requests
+from bridgecross_settings import check
+from bridgecross_settings import tree
+from bridgecross_standins import serving
+
+_SETTINGS = pathlib.Path("settings/karatas.jsonc")
+
+
+async def _answer_two_bytes(scope: Any, receive: Any, send: Any) -> None:
+    """The smallest ASGI application."""
+    if scope["type"] != "http":
+        return
+    headers = [(b"content-length", b"2")]
+    await send(
+        {"type": "http.response.start", "status": 200, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": b"ok"})
+
+
+class _FixedBackend:
+    """Answers every request at once, as an instance would."""
+
+    def __init__(self) -> None:
+        text = _SETTINGS.read_text(encoding="utf-8")
+        self._house = check.check_text(text, str(_SETTINGS))
+
+    def list_not_ready(self) -> list[str]:
+        """Is always ready."""
+        return []
+
+    def find_house(self) -> tree.House:
+        """Returns the sample settings."""
+        return self._house
+
+    def find_place(self) -> tree.Place:
+        """Returns the sample place."""
+        return self._house.places["anadolu"]
+
+    async def handle(self, request: requests.Request) -> outcomes.Outcome:
+        """Answers two bytes."""
+        return outcomes.Answered(200, (), b"ok")
+
+    def begin_request(self) -> None:
+        """Counts nothing."""
+
+    def end_request(self) -> None:
+        """Counts nothing."""
+
+    def is_leaving(self) -> bool:
+        """Never stops."""
+        return False
+
+
+class _FixedPeer:
+    """A peer that answers drains, and nothing else."""
+
+    async def drain(self, request: peering.DrainRequest) -> peering.DrainReply:
+        """Answers at once."""
+        return peering.DrainReply(0)
+
+    def __getattr__(self, name: str) -> Any:
+        """Stands in for the methods that are not measured."""
+        return self.drain
+
+
+async def _run(kind: str, port: int) -> None:
+    """Serves until the process is killed."""
+    address = f"127.0.0.1:{port}"
+    if kind == "grpc":
+        clock = stamps.HybridClock(clocks.SystemClock())
+        peer: Any = _FixedPeer()
+        await peer_server.PeerServer(address, peer, clock).start()
+        await anyio.sleep_forever()
+    app: Any = _answer_two_bytes
+    if kind == "caller-api":
+        app = _caller_api.CallerApp(
+            _FixedBackend(), _metrics.Metrics(), clocks.SystemClock()
+        )
+    await serving.serve(address, app, anyio.Event())
+
+
+if __name__ == "__main__":
+    anyio.run(_run, sys.argv[1], int(sys.argv[2]))
--- /dev/null
+++ b/benchmarks/rows.py
@@ -0,0 +1,37 @@
+"""A measured figure, and how to print it."""
+
+from collections.abc import Callable
+import statistics
+import time
+from typing import NamedTuple
+
+_REPEATS = 5
+
+
+class Row(NamedTuple):
+    """One measured figure."""
+
+    benchmark: str
+    size: str
+    figure: str
+    value: float
+    unit: str
+
+
+def render(rows: list[Row]) -> str:
+    """Returns rows as an aligned table."""
+    return "\n".join(
+        f"{row.benchmark:<10} {row.size:<28} {row.figure:<34} "
+        f"{row.value:>12,.3f} {row.unit}"
+        for row in rows
+    )
+
+
+def measure_cpu_s(action: Callable[[], object]) -> float:
+    """Returns the median processor time of an action, in seconds."""
+    times = []
+    for _ in range(_REPEATS):
+        started_s = time.process_time()
+        action()
+        times.append(time.process_time() - started_s)
+    return statistics.median(times)
