--- /dev/null
+++ b/benchmarks/faults.py
@@ -0,0 +1,407 @@
+"""Unavailable time, churn and imbalance under faults, on real processes.
+
+For each scenario a house is started, requests are sent at a steady rate, the
+fault is caused, and the servers' journals are checked afterwards. Beside it
+stand two baselines that need no coordination, and so keep no key from having
+two owners: consistent hashing and modulo over the live servers.
+"""
+
+import argparse
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+import math
+import pathlib
+import random
+import signal
+import statistics
+import sys
+import time
+from typing import NamedTuple
+
+import anyio
+import anyio.to_thread
+
+from benchmarks import baselines
+from bridgecross_core import codec
+from bridgecross_core import hashing
+from bridgecross_core import ids
+from bridgecross_ownership import cell as cells
+from bridgecross_ownership import membership
+from bridgecross_standins import balancer
+from bridgecross_standins import checker
+from bridgecross_standins import house_tools
+from bridgecross_standins import log_standin
+from bridgecross_standins import probing
+from bridgecross_standins import processes
+
+_SERVICE = ids.ServiceName("rapor")
+_SERVERS = 10
+_KEYS = 200
+_RATE_PER_S = 160.0
+_HOT_RATE_PER_S = 60.0
+_DEADLINE_MS = 1_000
+_SETTLE_S = 2.0
+_RECOVER_S = 6.0
+_HOT_S = 20.0
+_OTHERS = ("bulgu", "kapama", "cizim")
+
+
+class Result(NamedTuple):
+    """What one run of a scenario gave; times are seconds.
+
+    ``churn`` is the share of keys with another owner than before, after the
+    fault and what followed; ``imbalance`` is the most loaded server's
+    requests over the mean.
+    """
+
+    scenario: str
+    seed: int
+    median_s: float
+    p99_s: float
+    longest_s: float
+    failed: int
+    sent: int
+    churn: float
+    imbalance: float
+    violations: int
+
+
+class Run:
+    """A running house under load."""
+
+    def __init__(
+        self, house: processes.House, seed: int, outage_s: float
+    ) -> None:
+        """Prepares a run.
+
+        Args:
+            house: The house.
+            seed: Decides which server or instance is lost.
+            outage_s: How long an outage of the log lasts.
+        """
+        self.house = house
+        self.outage_s = outage_s
+        self.randomness = random.Random(seed)
+        self.extra: list[probing.Prober] = []
+        self.choose: Callable[[], str | None] = lambda: None
+        self.load: anyio.abc.TaskGroup | None = None
+
+    def server(self, number: int) -> processes.Server:
+        """Returns a server of the measured service."""
+        return self.house.servers[f"{_SERVICE}-{number}"]
+
+    def any_server(self) -> processes.Server:
+        """Returns a server by the seed."""
+        return self.server(self.randomness.randint(1, _SERVERS))
+
+    async def any_entry(self, *, coordinator: bool) -> processes.Entry:
+        """Returns an instance that does, or does not, coordinate."""
+        cell = await house_tools.read_cell(self.house, _SERVICE)
+        names = [
+            name
+            for name in self.house.entries
+            if (name == cell.coordinator) == coordinator
+        ]
+        return self.house.entries[self.randomness.choice(names)]
+
+    def set_log(self, faults: log_standin.LogFaults) -> None:
+        """Switches the faults of the log."""
+        self.house.set_faults(self.house.log_url, faults)
+
+
+async def _lose_server(run: Run) -> None:
+    run.any_server().process.kill()
+    await anyio.sleep(_RECOVER_S)
+
+
+async def _freeze_server(run: Run) -> None:
+    process = run.any_server().process
+    process.signal(signal.SIGSTOP)
+    await anyio.sleep(_RECOVER_S)
+    process.signal(signal.SIGCONT)
+    await anyio.sleep(_SETTLE_S)
+
+
+async def _lose_instance(run: Run) -> None:
+    (await run.any_entry(coordinator=False)).process.kill()
+    await anyio.sleep(_RECOVER_S)
+
+
+async def _freeze_instance(run: Run) -> None:
+    process = (await run.any_entry(coordinator=False)).process
+    process.signal(signal.SIGSTOP)
+    await anyio.sleep(_RECOVER_S)
+    process.signal(signal.SIGCONT)
+    await anyio.sleep(_SETTLE_S)
+
+
+async def _lose_coordinator(run: Run) -> None:
+    (await run.any_entry(coordinator=True)).process.kill()
+    await anyio.sleep(_RECOVER_S)
+
+
+async def _outage(run: Run) -> None:
+    run.set_log(log_standin.LogFaults(outage=True))
+    await anyio.sleep(run.outage_s)
+    run.set_log(log_standin.LogFaults())
+    await anyio.sleep(_RECOVER_S)
+
+
+async def _lose_server_in_outage(run: Run) -> None:
+    run.set_log(log_standin.LogFaults(outage=True))
+    await anyio.sleep(_SETTLE_S)
+    run.any_server().process.kill()
+    await anyio.sleep(run.outage_s)
+    run.set_log(log_standin.LogFaults())
+    await anyio.sleep(_RECOVER_S)
+
+
+async def _lose_instance_in_outage(run: Run) -> None:
+    entry = await run.any_entry(coordinator=False)
+    run.set_log(log_standin.LogFaults(outage=True))
+    await anyio.sleep(_SETTLE_S)
+    entry.process.kill()
+    await anyio.sleep(run.outage_s)
+    run.set_log(log_standin.LogFaults())
+    await anyio.sleep(_RECOVER_S)
+
+
+async def _lose_fifth(run: Run) -> None:
+    for number in run.randomness.sample(range(1, _SERVERS + 1), 2):
+        run.server(number).process.kill()
+    await anyio.sleep(_RECOVER_S)
+
+
+async def _leave(run: Run) -> None:
+    server = run.any_server()
+    run.house.put_listing(
+        membership.Listing(
+            name=server.name,
+            role=membership.Role.BACKEND,
+            service=server.service,
+            failure_domain=run.house.place.failure_domains[0],
+            address=server.address,
+            state=membership.ListedState.LEAVING,
+        )
+    )
+    await anyio.sleep(_RECOVER_S)
+
+
+async def _restart_instance(run: Run) -> None:
+    entry = await run.any_entry(coordinator=True)
+    entry.process.terminate()
+    await anyio.to_thread.run_sync(entry.process.wait)
+    run.house.delete_listing(entry.name)
+    run.house.start_entry("entry-new")
+    await anyio.sleep(_RECOVER_S)
+
+
+async def _heat_key(run: Run) -> None:
+    prober = probing.Prober(_probe(("key-0",), _HOT_RATE_PER_S), run.choose)
+    run.extra.append(prober)
+    if run.load is not None:
+        run.load.start_soon(prober.run)
+    await anyio.sleep(_HOT_S)
+
+
+Scenario = Callable[[Run], Awaitable[None]]
+
+SCENARIOS: dict[str, Scenario] = {
+    "server lost": _lose_server,
+    "server frozen": _freeze_server,
+    "server leaves": _leave,
+    "instance lost": _lose_instance,
+    "instance frozen": _freeze_instance,
+    "coordinator lost": _lose_coordinator,
+    "coordinator restarted": _restart_instance,
+    "log outage": _outage,
+    "server lost in outage": _lose_server_in_outage,
+    "instance lost in outage": _lose_instance_in_outage,
+    "a fifth of servers lost": _lose_fifth,
+    "hot key": _heat_key,
+}
+"""The faults by name."""
+
+
+def _probe(keys: tuple[str, ...], rate_per_s: float) -> probing.ProbeSettings:
+    """Returns how requests of the measured service are sent."""
+    return probing.ProbeSettings(
+        credential="demir-secret",
+        service=_SERVICE,
+        keys=keys,
+        rate_per_s=rate_per_s,
+        deadline_ms=_DEADLINE_MS,
+        method="PUT",
+    )
+
+
+async def _execute(name: str, run: Run, seed: int) -> Result:
+    """Runs one scenario on a house that has just been started."""
+    house = run.house
+    await house_tools.bring_up(house)
+    chooser = balancer.Balancer(
+        {e.caller_url: e.admin_url for e in house.entries.values()}
+    )
+    run.choose = chooser.choose
+    keys = tuple(f"key-{i}" for i in range(_KEYS))
+    prober = probing.Prober(_probe(keys, _RATE_PER_S), chooser.choose)
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(chooser.run)
+        async with anyio.create_task_group() as load:
+            run.load = load
+            load.start_soon(prober.run)
+            await anyio.sleep(_SETTLE_S)
+            before = await house_tools.read_cell(house, _SERVICE)
+            began_s = time.monotonic()
+            await SCENARIOS[name](run)
+            ended_s = time.monotonic()
+            for each in (prober, *run.extra):
+                each.stop()
+        tasks.cancel_scope.cancel()
+    after = await house_tools.read_cell(house, _SERVICE)
+    return _judge(
+        name, seed, house, [prober, *run.extra], before, after, began_s, ended_s
+    )
+
+
+def _judge(
+    name: str,
+    seed: int,
+    house: processes.House,
+    probers: list[probing.Prober],
+    before: cells.Cell,
+    after: cells.Cell,
+    began_s: float,
+    ended_s: float,
+) -> Result:
+    """Returns the figures of a run."""
+    probes = sorted(
+        (p for prober in probers for p in prober.probes),
+        key=lambda probe: probe.sent_s,
+    )
+    gaps = sorted(_find_gaps(probes, began_s, ended_s).values())
+    journal = house.read_journals()
+    not_run = [p.request_id for p in probes if p.outcome == "not-run"]
+    violations = [
+        *checker.check_owners(journal),
+        *checker.check_not_run(journal, not_run),
+    ]
+    changed = [
+        key
+        for key in {p.key for p in probes}
+        if _find_owner(before, key) != _find_owner(after, key)
+    ]
+    tail_s = ended_s - 4.0
+    served = collections.Counter(
+        entry.server
+        for entry in checker.list_ran(journal)
+        if entry.service == _SERVICE and entry.ended_s > tail_s
+    )
+    live = {state.server for state in after.slices}
+    failed = [
+        p for p in probes if p.sent_s >= began_s and p.outcome != "answered"
+    ]
+    return Result(
+        scenario=name,
+        seed=seed,
+        median_s=statistics.median(gaps),
+        p99_s=gaps[min(int(len(gaps) * 0.99), len(gaps) - 1)],
+        longest_s=gaps[-1],
+        failed=len(failed),
+        sent=sum(1 for p in probes if p.sent_s >= began_s),
+        churn=len(changed) / _KEYS,
+        imbalance=max(served.values()) / (sum(served.values()) / len(live)),
+        violations=len(violations),
+    )
+
+
+def _find_gaps(
+    probes: list[probing.Probe], began_s: float, ended_s: float
+) -> dict[str, float]:
+    """Returns for each key its longest time without an answer.
+
+    A gap runs from the sending of the first request that failed, or that
+    took long, to the first answer afterwards: 0 for a key whose every request
+    was answered in time.
+    """
+    longest: dict[str, float] = {}
+    open_since: dict[str, float] = {}
+    for probe in probes:
+        if not began_s <= probe.sent_s <= ended_s:
+            continue
+        longest.setdefault(probe.key, 0.0)
+        since_s = open_since.setdefault(probe.key, probe.sent_s)
+        if probe.outcome == "answered":
+            gap_s = probe.done_s - since_s
+            longest[probe.key] = max(longest[probe.key], gap_s)
+            del open_since[probe.key]
+    for key in open_since:
+        longest[key] = math.inf
+    return longest
+
+
+def _find_owner(cell: cells.Cell, key: str) -> ids.ServerId:
+    """Returns the owner of a key."""
+    return cell.slices[hashing.find_slice(key, len(cell.slices))].server
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Runs scenarios and prints a table."""
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.faults")
+    parser.add_argument("scenarios", nargs="*", metavar="SCENARIO")
+    parser.add_argument("--seeds", type=int, default=1, metavar="COUNT")
+    parser.add_argument("--outage-s", type=float, default=20.0)
+    parser.add_argument("--instances", type=int, default=4)
+    parser.add_argument("--json", type=pathlib.Path, metavar="FILE")
+    options = parser.parse_args(arguments)
+    unknown = set(options.scenarios) - set(SCENARIOS)
+    if unknown:
+        parser.error(f"unknown: {unknown}; known: {', '.join(SCENARIOS)}")
+    results = []
+    print(_HEADER)
+    for name in options.scenarios or SCENARIOS:
+        for seed in range(options.seeds):
+            results.append(_run_once(name, seed, options))
+            print(_render(results[-1]), flush=True)
+    print(baselines.render(_KEYS, _SERVERS))
+    if options.json:
+        options.json.write_text(codec.to_readable_json(results, indent=2))
+    return 1 if any(result.violations for result in results) else 0
+
+
+def _run_once(name: str, seed: int, options: argparse.Namespace) -> Result:
+    """Starts a house and runs one scenario on it."""
+    shape = processes.HouseShape(
+        settings_file=pathlib.Path("settings/karatas.jsonc"),
+        place="anadolu",
+        services=(
+            processes.ServiceShape(_SERVICE, _SERVERS),
+            *(processes.ServiceShape(other, 1) for other in _OTHERS),
+        ),
+        instances=options.instances,
+        folder=pathlib.Path("out/faults"),
+    )
+    with processes.House(shape) as house:
+        run = Run(house, seed, options.outage_s)
+        return anyio.run(_execute, name, run, seed)
+
+
+_HEADER = (
+    f"{'scenario':<26}{'seed':>5}{'median s':>9}{'p99 s':>8}{'max s':>8}"
+    f"{'failed':>8}{'sent':>7}{'churn':>7}{'imbal.':>7}{'viol.':>6}"
+)
+
+
+def _render(result: Result) -> str:
+    """Returns a result as a line of the table."""
+    return (
+        f"{result.scenario:<26}{result.seed:>5}{result.median_s:>9.3f}"
+        f"{result.p99_s:>8.3f}{result.longest_s:>8.3f}{result.failed:>8}"
+        f"{result.sent:>7}{result.churn:>7.3f}{result.imbalance:>7.2f}"
+        f"{result.violations:>6}"
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/fold.py
+++ b/benchmarks/fold.py
@@ -62,7 +62,14 @@
         for number in range(servers)
     )
     fronts = tuple(
-        records.ServerFront(_server(n), ids.InstanceId(f"entry-{n % 11}"))
+        records.ServerFront(
+            _server(n),
+            ids.InstanceId(f"entry-{n % 11}"),
+            (
+                ids.InstanceId(f"entry-{(n + 1) % 11}"),
+                ids.InstanceId(f"entry-{(n + 2) % 11}"),
+            ),
+        )
         for n in range(servers)
     )
     assignment = records.Assignment(
@@ -72,6 +79,7 @@
         moves=moves,
         fronts=fronts,
         settled=(),
+        seated=(),
         retired=(),
         reason="first",
     )
@@ -152,6 +160,7 @@
             ),
             fronts=(),
             settled=(),
+            seated=(),
             retired=(),
             reason="",
         )
@@ -207,6 +216,7 @@
         cell=cell,
         servers=usable,
         instances=[ids.InstanceId(f"entry-{n}") for n in range(11)],
+        domains={},
         loads={
             ids.SliceIndex(n): float(n % 50) for n in range(len(cell.slices))
         },
--- a/benchmarks/wire.py
+++ b/benchmarks/wire.py
@@ -218,7 +218,9 @@
         service=ids.ServiceName("rapor"),
         servers=[
             reports.ServerReport(
-                ids.ServerId(f"rapor-{n}"), keeping.ServerHealth.UP
+                ids.ServerId(f"rapor-{n}"),
+                keeping.ServerHealth.UP,
+                ids.Token(123_456),
             )
             for n in range(servers)
         ],
--- /dev/null
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_news.py
@@ -0,0 +1,115 @@
+"""News of the control stream from other instances, while the log is silent.
+
+The instances that the log names as witnesses of this instance's fronts are
+asked for what they have read. If that is nothing newer, they have confirmed
+that this instance may go on; if it is, this instance now knows it as well.
+"""
+
+import anyio
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import ids
+from bridgecross_daemon import _platform
+from bridgecross_daemon import control
+from bridgecross_daemon import peer_client
+from bridgecross_daemon import peering
+from bridgecross_ownership import authority as authorities
+
+_SHARE_OF_AUTHORITY = 5
+_NOTHING = ids.Offset(2**62)
+
+
+class NewsReader:
+    """Asks other instances; a ``keeper.WitnessSource``."""
+
+    def __init__(
+        self,
+        me: ids.InstanceId,
+        state: control.ControlState,
+        authority: authorities.Authority,
+        client: peer_client.PeerClient,
+        addresses: _platform.Addresses,
+        clock: clocks.Clock,
+    ) -> None:
+        """Asks nobody yet."""
+        self.witnesses: set[ids.InstanceId] = set()
+        self._me = me
+        self._state = state
+        self._authority = authority
+        self._client = client
+        self._addresses = addresses
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Asks the witnesses while the log is silent, until cancelled."""
+        while True:
+            if self._authority.needs_witnesses():
+                await self._ask_all(self.witnesses)
+            await anyio.sleep(self._interval_s())
+
+    async def start_from_peers(self, instances: set[ids.InstanceId]) -> None:
+        """Takes the state over from peers, once, if the log is silent."""
+        await self._ask_all(instances)
+
+    async def has_read(
+        self, instance: ids.InstanceId, offset: ids.Offset
+    ) -> bool:
+        """Returns whether an instance has certainly read a record."""
+        if instance == self._me:
+            return self._state.next_offset > offset
+        reply = await self._ask(instance, _NOTHING)
+        return reply is not None and reply.next_offset > offset
+
+    def answer(self, request: peering.NewsRequest) -> peering.NewsReply:
+        """Tells another instance what this one has read."""
+        if self._state.awaits_snapshot:
+            return peering.NewsReply(self._me, ids.Offset(0), [], None)
+        records = self._state.list_recent(request.from_offset)
+        return peering.NewsReply(
+            instance=self._me,
+            next_offset=self._state.next_offset,
+            records=records or [],
+            snapshot=self._state.to_snapshot() if records is None else None,
+        )
+
+    def _interval_s(self) -> float:
+        """Returns how often the witnesses are asked."""
+        return (
+            self._authority.settings.authority_ms / 1_000 / _SHARE_OF_AUTHORITY
+        )
+
+    async def _ask_all(self, instances: set[ids.InstanceId]) -> None:
+        """Asks several instances at the same time."""
+        async with anyio.create_task_group() as tasks:
+            for instance in instances - {self._me}:
+                tasks.start_soon(self._take_news, instance)
+
+    async def _take_news(self, instance: ids.InstanceId) -> None:
+        """Asks one instance and takes its news in."""
+        sent_s = self._clock.monotonic_s()
+        reply = await self._ask(instance, self._state.next_offset)
+        if reply is None:
+            return
+        if reply.snapshot is not None:
+            self._state.adopt(reply.snapshot)
+        self._state.apply_news(reply.records)
+        if reply.next_offset and reply.next_offset <= self._state.next_offset:
+            self._authority.confirm(instance, sent_s)
+
+    async def _ask(
+        self, instance: ids.InstanceId, from_offset: ids.Offset
+    ) -> peering.NewsReply | None:
+        """Returns an instance's news; None unless that very run answers."""
+        address = self._addresses.find_peer_address(instance)
+        if address is None:
+            return None
+        try:
+            reply = await self._client.call(
+                address,
+                peering.NEWS,
+                peering.NewsRequest(from_offset),
+                self._interval_s(),
+            )
+        except peering.PeerUnreachableError:
+            return None
+        return reply if reply.instance == instance else None
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
@@ -43,6 +43,7 @@
     peers: coordinators.PeerWatch
     peer_client: peer_client.PeerClient
     lease_transport: leases.LeaseTransport
+    news: keeping.WitnessSource
     control: appenders.Appender
     intents: appenders.Appender
 
@@ -120,7 +121,14 @@
             keeper.load.clear()
         return reports.ServiceReport(
             service=self.cell.service,
-            servers=[reports.ServerReport(k.server, k.health) for k in kept],
+            servers=[
+                reports.ServerReport(
+                    k.server,
+                    k.health,
+                    k.front.token if k.is_seated() else ids.NO_TOKEN,
+                )
+                for k in kept
+            ],
             settled=[index for k in kept for index in k.list_settled()],
             loads=loads,
         )
@@ -175,6 +183,7 @@
                 ),
                 self,
             ),
+            witnesses=shared.news,
             clock=shared.clock,
             ring=shared.ring,
         )
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/control.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/control.py
@@ -5,6 +5,7 @@
 the same state at the same offset.
 """
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import math
@@ -48,6 +49,7 @@
     problem: str
 
 
+_RECENT_RECORDS = 1_000
 _SNAPSHOTS = codec.Codec(ControlSnapshot)
 
 
@@ -67,6 +69,10 @@
         self._appender: appenders.Appender | None = None
         self._follower: followers.Follower | None = None
         self._assembler = snapshots.Assembler()
+        # The newest applied records, for instances that cannot reach the log.
+        self._recent: collections.deque[log_service.StoredRecord] = (
+            collections.deque(maxlen=_RECENT_RECORDS)
+        )
         # Records since a gap; None while there is no gap.
         self._pending: list[log_service.StoredRecord] | None = None
 
@@ -109,6 +115,37 @@
         self._pending = [] if first_offset > self.next_offset else None
         self._assembler = snapshots.Assembler()
 
+    def list_recent(
+        self, from_offset: ids.Offset
+    ) -> list[log_service.StoredRecord] | None:
+        """Returns the applied records from an offset on.
+
+        Returns:
+            None if the offset is no longer remembered.
+        """
+        if from_offset >= self.next_offset:
+            return []
+        if not self._recent or from_offset < self._recent[0].offset:
+            return None
+        return [r for r in self._recent if r.offset >= from_offset]
+
+    def apply_news(self, records: list[log_service.StoredRecord]) -> None:
+        """Applies records that another instance has read in the log."""
+        for record in records:
+            if record.offset == self.next_offset:
+                self.apply(record)
+        self._move_follower()
+
+    def adopt(self, snapshot: snapshots.Snapshot) -> None:
+        """Takes over a whole state that another instance has folded."""
+        if snapshot.as_of < self.next_offset:
+            return
+        self._restore(snapshot)
+        self.next_offset = ids.Offset(snapshot.as_of + 1)
+        self._pending = None
+        self._move_follower()
+        self._tell_change()
+
     def to_snapshot(self) -> snapshots.Snapshot:
         """Returns the whole state at the newest record."""
         state = ControlSnapshot(
@@ -120,6 +157,7 @@
 
     def _apply_now(self, record: log_service.StoredRecord) -> None:
         """Applies a record on top of the state."""
+        self._recent.append(record)
         try:
             envelope = log_records.decode_envelope(record.data)
             verdict = self._judge(record.offset, envelope)
@@ -136,8 +174,7 @@
             )
         if self._appender is not None:
             self._appender.report(envelope.record_id, verdict)
-        self.on_change()
-        self.changed.notify()
+        self._tell_change()
 
     def _judge(
         self, offset: ids.Offset, envelope: log_records.Envelope
@@ -208,14 +245,27 @@
         pending = self._pending or []
         if not pending or whole.as_of < pending[0].offset - 1:
             return
-        state = _SNAPSHOTS.decode(whole.data)
-        self.settings.restore(state.settings)
-        for kept in state.cells:
-            self.find_cell(kept.service).restore(kept)
+        self._restore(whole)
         self._pending = None
         for record in pending:
             if record.offset > whole.as_of:
                 self._apply_now(record)
+        self._tell_change()
+
+    def _restore(self, whole: snapshots.Snapshot) -> None:
+        """Takes the settings and cells of a snapshot over."""
+        state = _SNAPSHOTS.decode(whole.data)
+        self.settings.restore(state.settings)
+        for kept in state.cells:
+            self.find_cell(kept.service).restore(kept)
+
+    def _move_follower(self) -> None:
+        """Has the follower go on behind what came from elsewhere."""
+        if self._follower is not None:
+            self._follower.resume_at(self.next_offset)
+
+    def _tell_change(self) -> None:
+        """Wakes everybody who waits for a change."""
         self.on_change()
         self.changed.notify()
 
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
@@ -17,6 +17,7 @@
 from bridgecross_daemon import _caller_api
 from bridgecross_daemon import _heartbeats
 from bridgecross_daemon import _metrics
+from bridgecross_daemon import _news
 from bridgecross_daemon import _platform
 from bridgecross_daemon import _service
 from bridgecross_daemon import _snapshots
@@ -43,6 +44,7 @@
 _GRPC_GRACE_S = 1.0
 _CONTROL_WAIT_MS = 400
 _INTENT_WAIT_MS = 10_000
+_PEER_START_S = 0.5
 _NO_REASONS: list[str] = []
 
 
@@ -111,6 +113,14 @@
             self._me, self._membership, self._clock
         )
         self._peer_client = peer_client.PeerClient(self._stamps)
+        self._news = _news.NewsReader(
+            self._me,
+            self._control,
+            self._authority,
+            self._peer_client,
+            self._addresses,
+            self._clock,
+        )
         self._leases = _platform.HttpLeaseTransport(self._addresses)
         self._heartbeats = _heartbeats.HeartbeatSender(
             _heartbeats.HeartbeatSettings(
@@ -159,6 +169,8 @@
             tasks.start_soon(self._list_reader.run)
             tasks.start_soon(self._heartbeats.run)
             tasks.start_soon(self._take_snapshots)
+            tasks.start_soon(self._news.run)
+            tasks.start_soon(self._start_from_peers)
             async with anyio.create_task_group() as servers:
                 servers.start_soon(
                     self._serve_http,
@@ -256,7 +268,7 @@
         ]
         return peering.HeartbeatReply(
             leaving=self._watcher.me_leaving,
-            coordinates=coordinates if self._authority.is_valid() else [],
+            coordinates=coordinates if self._authority.has_log() else [],
         )
 
     async def await_release(
@@ -268,6 +280,10 @@
             return keeping.ReleaseReply([])
         return await parts.fronts.answer_release(request)
 
+    async def news(self, request: peering.NewsRequest) -> peering.NewsReply:
+        """Tells what the instance has read of the control stream."""
+        return self._news.answer(request)
+
     async def status(
         self, request: peering.StatusRequest
     ) -> peering.InstanceStatus:
@@ -330,8 +346,9 @@
     def _list_missing(self) -> list[str]:
         """Returns what is missing before requests can be routed."""
         missing = []
-        if not self._control_follower.caught_up.is_set():
-            missing.append("the log has not been read yet")
+        is_read = self._control_follower.caught_up.is_set()
+        if not is_read and self._control.settings.house is None:
+            missing.append("neither the log nor a peer could be read yet")
         elif self._control.awaits_snapshot:
             missing.append("older records are gone and no snapshot came yet")
         house = self._control.settings.house
@@ -349,6 +366,24 @@
             self._apply_settings()
         for parts in self._services.values():
             parts.notify()
+        self._news.witnesses = {
+            witness
+            for cell in self._control.cells.values()
+            for state in cell.fronts.values()
+            if state.front == self._me
+            for witness in state.witnesses
+        }
+
+    async def _start_from_peers(self) -> None:
+        """Takes the state over from a peer while the log cannot be read."""
+        while True:
+            await anyio.sleep(_PEER_START_S)
+            if self._control_follower.caught_up.is_set():
+                return
+            instances = set(self._membership.list_instances())
+            await self._news.start_from_peers(instances)
+            if self._control.settings.house is not None:
+                return
 
     def _apply_settings(self) -> None:
         """Puts new settings into force and starts new services."""
@@ -386,6 +421,7 @@
             peers=self._watcher,
             peer_client=self._peer_client,
             lease_transport=self._leases,
+            news=self._news,
             control=self._control_appender,
             intents=self._intent_appender,
         )
@@ -419,7 +455,7 @@
 
     def _should_snapshot(self) -> bool:
         """Returns whether this instance coordinates the first service."""
-        if not self._services or not self._authority.is_valid():
+        if not self._services or not self._authority.has_log():
             return False
         first = min(self._services)
         return self._services[first].cell.coordinator == self._me
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peer_server.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_server.py
@@ -43,6 +43,9 @@
     ) -> keeping.ReleaseReply:
         """Waits until a server has let go of slices."""
 
+    async def news(self, request: peering.NewsRequest) -> peering.NewsReply:
+        """Tells what the instance has read of the control stream."""
+
     async def status(
         self, request: peering.StatusRequest
     ) -> peering.InstanceStatus:
@@ -84,6 +87,7 @@
                             self._handle(
                                 peering.AWAIT_RELEASE, service.await_release
                             ),
+                            self._handle(peering.NEWS, service.news),
                             self._handle(peering.STATUS, service.status),
                             self._handle(peering.OWNER, service.owner),
                             self._handle(peering.DRAIN, service.drain),
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peering.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peering.py
@@ -12,6 +12,8 @@
 from bridgecross_core import ids
 from bridgecross_core import outcomes
 from bridgecross_core import stamps
+from bridgecross_log import service as log_service
+from bridgecross_log import snapshot as snapshots
 from bridgecross_ownership import keeper as keeping
 from bridgecross_ownership import reports
 from bridgecross_request import requests
@@ -123,6 +125,26 @@
     coordinator: ids.InstanceId
 
 
+class NewsRequest(NamedTuple):
+    """Asks for what an instance has read of the control stream."""
+
+    from_offset: ids.Offset
+
+
+class NewsReply(NamedTuple):
+    """What an instance has read of the control stream.
+
+    ``next_offset`` is one more than the newest record that it has applied.
+    ``snapshot`` is set if it no longer remembers the record that was asked
+    for; then ``records`` is empty.
+    """
+
+    instance: ids.InstanceId
+    next_offset: ids.Offset
+    records: list[log_service.StoredRecord]
+    snapshot: snapshots.Snapshot | None
+
+
 class DrainRequest(NamedTuple):
     """Asks an instance to stop as planned."""
 
@@ -191,6 +213,9 @@
 )
 """Waits until a server has let go of slices."""
 
+NEWS = Method("News", NewsRequest, NewsReply)
+"""Tells what an instance has read of the control stream."""
+
 STATUS = Method("Status", StatusRequest, InstanceStatus)
 """Tells how an instance is."""
 
--- a/libs/bridgecross-log/src/bridgecross_log/follower.py
+++ b/libs/bridgecross-log/src/bridgecross_log/follower.py
@@ -72,8 +72,8 @@
         return self._clock.monotonic_s() - self._fresh_at_s
 
     def resume_at(self, offset: ids.Offset) -> None:
-        """Moves the start to an offset, after a snapshot was taken over."""
-        self.next_offset = offset
+        """Goes on at a higher offset: what lies below came from elsewhere."""
+        self.next_offset = max(self.next_offset, offset)
 
     async def run(self) -> None:
         """Follows the stream until it is cancelled."""
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/authority.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/authority.py
@@ -2,15 +2,20 @@
 
 An instance that is cut off from the log cannot know whether it has been
 replaced. It may therefore act only while its news is fresh: for a bounded
-time after a complete read of the log or, during an outage of the log, after
-a majority of the members confirmed that they have read nothing newer.
+time after a complete read of the log or, while the log is silent, after a
+witness confirmed that it has read nothing newer. The log names the witnesses
+of each front. Whoever wants to be sure that a front has stopped, without
+hearing from it or from its server, first makes sure that every witness of it
+has read the change; see ``docs/design/leases.md``.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import math
 from typing import Protocol
 
 from bridgecross_core import clock as clocks
+from bridgecross_core import ids
 
 
 class NewsSource(Protocol):
@@ -20,6 +25,10 @@
     def fresh_at_s(self) -> float:
         """The monotonic time up to which every record is known applied."""
 
+    @property
+    def awaits_snapshot(self) -> bool:
+        """Whether records are missing, so that the state is not whole."""
+
 
 @dataclasses.dataclass(frozen=True)
 class AuthoritySettings:
@@ -42,27 +51,42 @@
         self.settings = settings
         self._log_news = log_news
         self._clock = clock
-        self._peers_fresh_at_s = -math.inf
+        self._confirmed_s: dict[ids.InstanceId, float] = {}
 
-    @property
-    def valid_until_s(self) -> float:
-        """The monotonic time at which the authority ends."""
-        fresh_at_s = max(self._log_news.fresh_at_s, self._peers_fresh_at_s)
-        return fresh_at_s + self.settings.authority_ms / 1_000
+    def has_log(self) -> bool:
+        """Returns whether the log itself was read lately."""
+        return self._is_fresh(self._log_news.fresh_at_s)
 
-    def is_valid(self) -> bool:
-        """Returns whether this instance may act now."""
-        return self._clock.monotonic_s() < self.valid_until_s
+    def may_front(self, witnesses: Iterable[ids.InstanceId]) -> bool:
+        """Returns whether this instance may act as a front now.
 
-    def needs_peers(self) -> bool:
+        Args:
+            witnesses: The front's witnesses; one of them is enough.
+        """
+        if self._log_news.awaits_snapshot:
+            return False
+        if self.has_log():
+            return True
+        return any(
+            self._is_fresh(self._confirmed_s.get(witness, -math.inf))
+            for witness in witnesses
+        )
+
+    def needs_witnesses(self) -> bool:
         """Returns whether the log has been silent for half the time."""
         silent_s = self._clock.monotonic_s() - self._log_news.fresh_at_s
         return silent_s > self.settings.authority_ms / 2_000
 
-    def confirm_by_peers(self, sent_s: float) -> None:
-        """Extends the authority after a majority confirmed it.
+    def confirm(self, witness: ids.InstanceId, sent_s: float) -> None:
+        """Notes that a witness has read nothing that this instance has not.
 
         Args:
-            sent_s: The monotonic time at which the peers were asked.
+            witness: The instance that answered.
+            sent_s: The monotonic time at which it was asked.
         """
-        self._peers_fresh_at_s = max(self._peers_fresh_at_s, sent_s)
+        self._confirmed_s[witness] = sent_s
+
+    def _is_fresh(self, at_s: float) -> bool:
+        """Returns whether news of a time is fresh enough to act on."""
+        limit_s = at_s + self.settings.authority_ms / 1_000
+        return self._clock.monotonic_s() < limit_s
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/cell.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/cell.py
@@ -27,16 +27,25 @@
     prior: tuple[ids.ServerId, ...]
 
 
+class EarlierFront(NamedTuple):
+    """A front that was replaced but may not know it yet."""
+
+    front: ids.InstanceId
+    token: ids.Token
+    witnesses: tuple[ids.InstanceId, ...]
+
+
 class FrontState(NamedTuple):
     """The instance that fronts a server, and its fencing token.
 
-    ``inherits`` tells that another instance fronted the server before, whose
-    leases may still run.
+    ``earlier`` are the fronts before it that the server may still obey: all
+    since the last one that the server is known to have accepted.
     """
 
     front: ids.InstanceId
     token: ids.Token
-    inherits: bool
+    witnesses: tuple[ids.InstanceId, ...]
+    earlier: tuple[EarlierFront, ...]
 
 
 class CellSnapshot(NamedTuple):
@@ -162,6 +171,8 @@
             return appender.Void(offset, reason)
         for index in assignment.settled:
             self.slices[index] = self.slices[index]._replace(prior=())
+        for server in assignment.seated:
+            self.fronts[server] = self.fronts[server]._replace(earlier=())
         for move in assignment.moves:
             for index in move.slices:
                 self._move(index, move.server, ids.Token(offset))
@@ -182,6 +193,8 @@
         indices += assignment.settled
         if any(not 0 <= index < len(self.slices) for index in indices):
             return "names a slice that does not exist"
+        if any(server not in self.fronts for server in assignment.seated):
+            return "seats the front of a server that has none"
         holders = self.list_holders() if assignment.retired else set()
         if holders.intersection(assignment.retired):
             return "retires a server that may hold a slice"
@@ -205,9 +218,12 @@
     def _change_front(
         self, change: records.ServerFront, token: ids.Token
     ) -> None:
-        """Gives a server to a front, which may inherit leases."""
+        """Gives a server to a front; the one before may not know it yet."""
         old = self.fronts.get(change.server)
-        inherits = old is not None and (
-            old.inherits or old.front != change.front
+        earlier: tuple[EarlierFront, ...] = ()
+        if old is not None:
+            replaced = EarlierFront(old.front, old.token, old.witnesses)
+            earlier = (*old.earlier, replaced)
+        self.fronts[change.server] = FrontState(
+            change.front, token, change.witnesses, earlier
         )
-        self.fronts[change.server] = FrontState(change.front, token, inherits)
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/coordinator.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/coordinator.py
@@ -105,11 +105,12 @@
         self._ports = ports
         self._log = loguru.logger.bind(service=ports.cell.service)
         self._evictions: list[_Eviction] = []
-        self._disputed: set[records.ServerFront] = set()
+        self._disputed: set[planner.UnfitFront] = set()
         self._moved_at_s: list[float] = []
         self._settled_at_s = -math.inf
         self._first_plan_at_s: float | None = None
         self._unclaimed_since_s = ports.clock.monotonic_s()
+        self._log_since_s = math.inf
         self._grace_term = ids.Term(ids.NO_OFFSET)
         self._grace_until_s = 0.0
         self._lost_coordinator = cells.NO_INSTANCE
@@ -117,10 +118,19 @@
     async def run(self) -> None:
         """Coordinates or stands by until it is cancelled."""
         while True:
-            if self._ports.authority.is_valid():
+            if self._has_log():
                 await self._step()
             await anyio.sleep(self.settings.heartbeat_interval_ms / 1_000)
 
+    def _has_log(self) -> bool:
+        """Returns whether the log is read; notes since when it is."""
+        if not self._ports.authority.has_log():
+            self._log_since_s = math.inf
+            return False
+        now_s = self._ports.clock.monotonic_s()
+        self._log_since_s = min(self._log_since_s, now_s)
+        return True
+
     async def _step(self) -> None:
         """Plans if this instance coordinates; claims if it should."""
         if self._ports.cell.coordinator == self._ports.me:
@@ -146,7 +156,12 @@
             if rank:
                 return False
         else:
-            silent_s = ports.peers.silent_s(current)
+            # In an outage of the log no coordinator answers as such, so only
+            # silence since its end counts.
+            silent_s = min(
+                ports.peers.silent_s(current),
+                ports.clock.monotonic_s() - self._log_since_s,
+            )
             allowed_s = self.settings.silence_s
         return silent_s >= allowed_s + rank * self.settings.silence_s
 
@@ -197,11 +212,12 @@
             view = view._replace(servers=_hold_all(view.servers))
         plan = planner.plan(view, self._planner_settings())
         settled = self._list_settled()
+        seated = self._list_seated()
         due = ports.clock.monotonic_s() - self._settled_at_s
-        settle_only = bool(settled) and due >= _SETTLE_INTERVAL_S
+        settle_only = bool(settled or seated) and due >= _SETTLE_INTERVAL_S
         if plan.is_empty and not settle_only:
             return
-        assignment = self._build_assignment(plan, settled)
+        assignment = self._build_assignment(plan, settled, seated)
         outcome = await ports.appender.append(
             records.ASSIGNMENT_KIND, records.ASSIGNMENTS.encode(assignment)
         )
@@ -226,7 +242,10 @@
         return unheard and waited_s < _FIRST_REPORTS_S
 
     def _build_assignment(
-        self, plan: planner.Plan, settled: list[ids.SliceIndex]
+        self,
+        plan: planner.Plan,
+        settled: list[ids.SliceIndex],
+        seated: list[ids.ServerId],
     ) -> records.Assignment:
         """Returns the record for a plan, built on the newest one."""
         cell = self._ports.cell
@@ -241,11 +260,9 @@
                 records.ServerSlices(server, tuple(slices))
                 for server, slices in by_server.items()
             ),
-            fronts=tuple(
-                records.ServerFront(server, front)
-                for server, front in plan.fronts.items()
-            ),
+            fronts=tuple(plan.fronts),
             settled=tuple(settled),
+            seated=tuple(seated),
             retired=tuple(plan.retired),
             reason=f"restore {plan.restored}, balance {plan.balanced}",
         )
@@ -286,14 +303,33 @@
             if cell.slices[index].prior
         )
 
+    def _list_seated(self) -> list[ids.ServerId]:
+        """Returns the servers whose earlier fronts may be forgotten."""
+        book = self._ports.book
+        return [
+            server
+            for server, state in self._ports.cell.fronts.items()
+            if state.earlier
+            and book.is_seated(server, state.front, state.token)
+        ]
+
     def _view(self) -> planner.PlannerView:
         """Returns what is known of servers, instances and load."""
         ports = self._ports
         standings = self._judge_servers()
+        listed = ports.membership.list_servers(ports.cell.service)
+        domains: dict[str, str] = {
+            name: listing.failure_domain
+            for name, listing in (
+                *listed.items(),
+                *ports.membership.list_instances().items(),
+            )
+        }
         return planner.PlannerView(
             cell=ports.cell,
             servers=standings,
             instances=self._list_instances(),
+            domains=domains,
             loads=ports.book.list_loads(),
             unfit_fronts=self._disputed,
         )
@@ -361,7 +397,7 @@
         evicted = {e.server for e in self._evictions if e.accuser == front}
         limit = max(1, int(server_count * self.settings.eviction_limit_ratio))
         if server not in evicted and len(evicted) >= limit:
-            self._disputed.add(records.ServerFront(server, front))
+            self._disputed.add(planner.UnfitFront(server, front))
             return planner.Standing.HELD
         if server not in evicted:
             self._evictions.append(_Eviction(server, front, now_s))
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/fronts.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/fronts.py
@@ -82,8 +82,10 @@
         cell = self._ports.cell
         mine = set(cell.list_servers_of(self._ports.me))
         for server, keeper in list(self._keepers.items()):
-            if server not in mine or cell.fronts[server] != keeper.front:
+            if server not in mine:
                 self._stop(server)
+            elif cell.fronts[server] != keeper.front:
+                keeper.reseat(cell.fronts[server])
         for server in mine - self._keepers.keys():
             self._start(server, tasks)
 
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/keeper.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/keeper.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import enum
+import math
 from typing import NamedTuple
 from typing import Protocol
 
@@ -56,6 +57,21 @@
         """
 
 
+class WitnessSource(Protocol):
+    """Asks other instances how far they have read the log."""
+
+    async def has_read(
+        self, instance: ids.InstanceId, offset: ids.Offset
+    ) -> bool:
+        """Returns whether an instance has certainly read a record.
+
+        Args:
+            instance: The run of an instance that is meant; a later run of it
+                does not count.
+            offset: The record.
+        """
+
+
 class ServerHealth(enum.Enum):
     """What a front has seen of its server."""
 
@@ -91,6 +107,7 @@
     authority: authorities.Authority
     transport: leases.LeaseTransport
     releases: ReleaseSource
+    witnesses: WitnessSource
     clock: clocks.Clock
     ring: rings.Ring
 
@@ -134,26 +151,46 @@
         self._let_go_by: collections.defaultdict[
             leases.SliceGrant, set[ids.ServerId]
         ] = collections.defaultdict(set)
-        self._inherited_until_s = self._find_inherited_end()
-        self._term = leases.LeaseTerm(
-            settings.clock_drift_ratio, self._inherited_until_s
+        # When everything that earlier fronts may have granted or sent is
+        # over; infinite until none of them can act any more.
+        self._inherited_until_s = (
+            math.inf if front.earlier else ports.clock.monotonic_s()
         )
+        self._term = leases.LeaseTerm(settings.clock_drift_ratio)
         # The slices that the server may hold; None while nothing is known.
         self._maybe_held: set[ids.SliceIndex] | None = (
-            None if front.inherits else set()
+            None if front.earlier else set()
         )
+        # The token of this office that the server has accepted.
+        self._seated = ids.NO_TOKEN
 
     def is_open(self, index: ids.SliceIndex, token: ids.Token) -> bool:
         """Returns whether a request of a slice may be sent at this moment."""
-        if not self._ports.authority.is_valid() or not self._is_front():
+        if not self._may_front() or not self._is_front():
             return False
         if self._granted.get(index) != token:
             return False
         if not self.settings.checks_fences:
             return True
+        if self._seated != self.front.token:
+            return False
         now_s = self._ports.clock.monotonic_s()
         return now_s < self._term.confirmed_until_s
 
+    def reseat(self, front: cells.FrontState) -> None:
+        """Takes a newer office over, such as with other witnesses."""
+        self.front = front
+        self._sent_grants = None
+        self.changed.notify()
+
+    def is_seated(self) -> bool:
+        """Returns whether the server cannot act for an earlier front."""
+        if self._seated != self.front.token:
+            return False
+        if self.settings.checks_fences:
+            return True
+        return self._ports.clock.monotonic_s() >= self._inherited_until_s
+
     async def wait_open(
         self, index: ids.SliceIndex, token: ids.Token, timeout_s: float
     ) -> bool:
@@ -229,6 +266,8 @@
     async def run(self) -> None:
         """Keeps the lease until it is cancelled."""
         async with anyio.create_task_group() as tasks:
+            if self.front.earlier:
+                tasks.start_soon(self._stop_earlier)
             while True:
                 await self._step(tasks)
                 await self._sleep()
@@ -236,7 +275,7 @@
     async def _step(self, tasks: anyio.abc.TaskGroup) -> None:
         """Does one round: what to grant, whom to ask, one exchange."""
         self._start_asking(tasks)
-        if not self._ports.authority.is_valid():
+        if not self._may_front():
             await anyio.sleep(self.settings.renew_interval_ms / 1_000)
             return
         grants = self._list_wanted()
@@ -261,18 +300,39 @@
         """Returns whether this is still the newest front of the server."""
         return self._ports.cell.fronts.get(self.server) == self.front
 
-    def _find_inherited_end(self) -> float:
-        """Returns when the grants of an earlier front are over."""
-        now_s = self._ports.clock.monotonic_s()
-        if not self.front.inherits:
-            return now_s
+    def _may_front(self) -> bool:
+        """Returns whether this instance's news is fresh enough to act."""
+        return self._ports.authority.may_front(self.front.witnesses)
+
+    async def _stop_earlier(self) -> None:
+        """Waits until no earlier front can act, and notes when all is over.
+
+        An earlier front has stopped if it has read its replacement. One that
+        does not answer stops by itself once no witness confirms it any more.
+        """
+        for earlier in self.front.earlier:
+            while not await self._is_stopped(earlier):
+                await anyio.sleep(_RETRY_S)
         act_ms = self._ports.authority.settings.authority_ms
         act_ms += (
             self.settings.lease_ms
             if self.settings.checks_fences
             else self.settings.max_deadline_ms
         )
-        return now_s + act_ms / 1_000 * (1 + self.settings.clock_drift_ratio)
+        act_s = act_ms / 1_000 * (1 + self.settings.clock_drift_ratio)
+        self._inherited_until_s = self._ports.clock.monotonic_s() + act_s
+        await anyio.sleep(act_s)
+        self.changed.notify()
+
+    async def _is_stopped(self, earlier: cells.EarlierFront) -> bool:
+        """Returns whether an earlier front cannot renew its authority."""
+        offset = ids.Offset(self.front.token)
+        if await self._ports.witnesses.has_read(earlier.front, offset):
+            return True
+        for witness in earlier.witnesses:
+            if not await self._ports.witnesses.has_read(witness, offset):
+                return False
+        return True
 
     def _list_wanted(self) -> list[leases.SliceGrant]:
         """Returns the slices to grant: owned, and free of earlier owners."""
@@ -317,6 +377,7 @@
             self._log.info("lease refused: {}", reply.reason)
             await self._note_miss(reply.reason, sent_s)
             return
+        self._seated = ids.Token(request.front_token)
         self._term.end_exchange(
             echo, reply, sent_s, received_s, settings.lease_ms
         )
@@ -382,7 +443,7 @@
         if not self.settings.checks_fences:
             busy_until_s = self._busy_until_s.get(wanted.slice, 0.0)
             return now_s >= max(self._inherited_until_s, busy_until_s)
-        if now_s >= self._term.over_at_s:
+        if now_s >= max(self._term.over_at_s, self._inherited_until_s):
             return True
         return (
             self._maybe_held is not None
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/leases.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/leases.py
@@ -90,24 +90,22 @@
 class LeaseTerm:
     """What a front knows about the end of one server's lease."""
 
-    def __init__(self, drift_ratio: float, inherited_until_s: float) -> None:
-        """Starts with what an earlier front may have granted.
+    def __init__(self, drift_ratio: float) -> None:
+        """Has granted nothing yet.
 
         Args:
             drift_ratio: By how much the server's clock may run slower than
                 this one, as a ratio.
-            inherited_until_s: The monotonic time at which a lease that an
-                earlier front granted is certainly over.
         """
         self._drift_ratio = drift_ratio
-        self._over_at_s = inherited_until_s
+        self._over_at_s = 0.0
         self._echo: ClockEcho | None = None
         self._echo_received_s = 0.0
         self._confirmed_until_s = 0.0
 
     @property
     def over_at_s(self) -> float:
-        """The monotonic time at which the server certainly has no lease."""
+        """When a lease of this front is certainly over, monotonic."""
         return self._over_at_s
 
     @property
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/planner.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/planner.py
@@ -17,6 +17,7 @@
 
 _IDLE_SHARE = 0.1
 _LEAST_WEIGHT = 1.0
+_WITNESSES = 2
 
 
 class Standing(enum.Enum):
@@ -39,26 +40,34 @@
     balance_moves: int
 
 
+class UnfitFront(NamedTuple):
+    """An instance that cannot reach a server, so that another should try."""
+
+    server: ids.ServerId
+    instance: ids.InstanceId
+
+
 class PlannerView(NamedTuple):
     """What the coordinator knows.
 
+    ``domains`` are the failure domains of servers and instances by name.
     ``loads`` are requests a second by slice; slices without load may be
-    missing. ``unfit_fronts`` are pairs in which the instance cannot reach the
-    server, so that another should try.
+    missing.
     """
 
     cell: cells.Cell
     servers: dict[ids.ServerId, Standing]
     instances: list[ids.InstanceId]
+    domains: dict[str, str]
     loads: dict[ids.SliceIndex, float]
-    unfit_fronts: set[records.ServerFront]
+    unfit_fronts: set[UnfitFront]
 
 
 class Plan(NamedTuple):
     """What should change. ``reason`` is for people."""
 
     moves: dict[ids.SliceIndex, ids.ServerId]
-    fronts: dict[ids.ServerId, ids.InstanceId]
+    fronts: list[records.ServerFront]
     retired: list[ids.ServerId]
     restored: int
     balanced: int
@@ -112,10 +121,9 @@
     restored = len(moves)
     if balance.usable:
         moves |= _rebalance(view, settings, balance, moves)
-    fronts = _plan_fronts(view)
     return Plan(
         moves=moves,
-        fronts=fronts,
+        fronts=_Fronting(view).plan(),
         retired=_list_retired(view),
         restored=restored,
         balanced=len(moves) - restored,
@@ -193,54 +201,102 @@
     return moves
 
 
-def _plan_fronts(
-    view: PlannerView,
-) -> dict[ids.ServerId, ids.InstanceId]:
-    """Gives each server a live front, evenly, with the fewest changes."""
-    if not view.instances:
-        return {}
-    needed = set(view.servers) | view.cell.list_holders()
-    limit = -(-len(needed) // len(view.instances))
-    counts = dict.fromkeys(view.instances, 0)
-    homeless = []
-    for server in sorted(needed):
-        state = view.cell.fronts.get(server)
-        front = state.front if state else None
-        unfit = records.ServerFront(server, front or cells.NO_INSTANCE)
-        is_fit = front in counts and unfit not in view.unfit_fronts
-        if front is not None and is_fit and counts[front] < limit:
-            counts[front] += 1
-        else:
-            homeless.append(server)
-    chosen = {
-        server: _choose_front(server, view, counts, limit)
-        for server in homeless
-    }
-    return {
-        server: front
-        for server, front in chosen.items()
-        if server not in view.cell.fronts
-        or view.cell.fronts[server].front != front
-    }
+class _Fronting:
+    """Chooses fronts and witnesses while a plan is made.
 
+    A front is in another failure domain than its server, and its witnesses
+    in others than the front, as far as there are enough: so the loss of one
+    domain never takes a server together with its front, nor a front together
+    with its witnesses.
+    """
 
-def _choose_front(
-    server: ids.ServerId,
-    view: PlannerView,
-    counts: dict[ids.InstanceId, int],
-    limit: int,
-) -> ids.InstanceId:
-    """Returns the best ranked instance that has room for a server."""
-    ranked = hashing.rank_by_rendezvous(server, view.instances)
-    instances = [ids.InstanceId(name) for name in ranked]
-    fit = [
-        instance
-        for instance in instances
-        if records.ServerFront(server, instance) not in view.unfit_fronts
-    ] or instances
-    chosen = next((i for i in fit if counts[i] < limit), fit[0])
-    counts[chosen] += 1
-    return chosen
+    def __init__(self, view: PlannerView) -> None:
+        self._view = view
+        self._needed = sorted(set(view.servers) | view.cell.list_holders())
+        count = max(len(view.instances), 1)
+        self._limit = -(-len(self._needed) // count)
+        self._counts = dict.fromkeys(view.instances, 0)
+
+    def plan(self) -> list[records.ServerFront]:
+        """Returns the servers whose front or witnesses should change."""
+        if not self._view.instances:
+            return []
+        fronts = self._keep_fronts()
+        for server in self._needed:
+            if server not in fronts:
+                fronts[server] = self._choose_front(server)
+        wanted = [
+            records.ServerFront(
+                server, front, self._choose_witnesses(server, front)
+            )
+            for server, front in fronts.items()
+        ]
+        return [change for change in wanted if self._is_change(change)]
+
+    def _keep_fronts(self) -> dict[ids.ServerId, ids.InstanceId]:
+        """Returns the servers that keep a fit front with room for them."""
+        kept = {}
+        for server in self._needed:
+            state = self._view.cell.fronts.get(server)
+            if state is None or state.front not in self._counts:
+                continue
+            unfit = UnfitFront(server, state.front) in self._view.unfit_fronts
+            if not unfit and self._counts[state.front] < self._limit:
+                self._counts[state.front] += 1
+                kept[server] = state.front
+        return kept
+
+    def _choose_front(self, server: ids.ServerId) -> ids.InstanceId:
+        """Returns the best instance that has room for a server."""
+        ranked = self._rank(server)
+        fit = [
+            instance
+            for instance in ranked
+            if UnfitFront(server, instance) not in self._view.unfit_fronts
+        ] or ranked
+        roomy = [i for i in fit if self._counts[i] < self._limit] or fit
+        apart = [i for i in roomy if self._is_apart(i, server)] or roomy
+        self._counts[apart[0]] += 1
+        return apart[0]
+
+    def _choose_witnesses(
+        self, server: ids.ServerId, front: ids.InstanceId
+    ) -> tuple[ids.InstanceId, ...]:
+        """Returns the witnesses of a front; those that are fit are kept."""
+        state = self._view.cell.fronts.get(server)
+        kept = [
+            witness
+            for witness in (state.witnesses if state else ())
+            if witness in self._counts and witness != front
+        ]
+        others = [
+            instance
+            for instance in self._rank(f"witness of {server}")
+            if instance != front and instance not in kept
+        ]
+        others.sort(key=lambda i: not self._is_apart(i, front))
+        chosen = [*kept, *others][:_WITNESSES]
+        return tuple(sorted(chosen))
+
+    def _rank(self, subject: str) -> list[ids.InstanceId]:
+        """Ranks the instances for a subject."""
+        names = hashing.rank_by_rendezvous(subject, self._view.instances)
+        return [ids.InstanceId(name) for name in names]
+
+    def _is_apart(self, left: str, right: str) -> bool:
+        """Returns whether two names are in different failure domains."""
+        domains = self._view.domains
+        return domains.get(left) != domains.get(right)
+
+    def _is_change(self, wanted: records.ServerFront) -> bool:
+        """Returns whether the log says something else about a server."""
+        state = self._view.cell.fronts.get(wanted.server)
+        if state is None:
+            return True
+        return (state.front, state.witnesses) != (
+            wanted.front,
+            wanted.witnesses,
+        )
 
 
 def _list_retired(view: PlannerView) -> list[ids.ServerId]:
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/records.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/records.py
@@ -40,18 +40,24 @@
 
 
 class ServerFront(NamedTuple):
-    """The instance through which all requests to a server go from now on."""
+    """The instance through which all requests to a server go from now on.
+
+    While the log is silent, the front may go on as long as one of the
+    ``witnesses`` confirms that it has read nothing newer.
+    """
 
     server: ids.ServerId
     front: ids.InstanceId
+    witnesses: tuple[ids.InstanceId, ...]
 
 
 class Assignment(NamedTuple):
     """A change of owners and fronts.
 
     ``base`` is the offset of the claim or assignment that it builds on.
-    ``settled`` are slices whose earlier owners have certainly let go;
-    ``retired`` are servers that need no front any more.
+    ``settled`` are slices whose earlier owners have certainly let go,
+    ``seated`` are servers that have accepted their newest front and so refuse
+    every earlier one, ``retired`` are servers that need no front any more.
     """
 
     service: ids.ServiceName
@@ -60,6 +66,7 @@
     moves: tuple[ServerSlices, ...]
     fronts: tuple[ServerFront, ...]
     settled: tuple[ids.SliceIndex, ...]
+    seated: tuple[ids.ServerId, ...]
     retired: tuple[ids.ServerId, ...]
     reason: str
 
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/reports.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/reports.py
@@ -12,10 +12,15 @@
 
 
 class ServerReport(NamedTuple):
-    """What a front has seen of a server."""
+    """What a front has seen of a server.
+
+    ``seated`` is the front's token if the server has accepted it, else
+    ``NO_TOKEN``.
+    """
 
     server: ids.ServerId
     health: keeping.ServerHealth
+    seated: ids.Token
 
 
 class SliceLoad(NamedTuple):
@@ -83,13 +88,15 @@
         self, server: ids.ServerId, front: ids.InstanceId
     ) -> keeping.ServerHealth:
         """Returns what a server's front last reported of it."""
-        remembered = self._reports.get(front)
-        if remembered is None:
-            return keeping.ServerHealth.UNKNOWN
-        for seen in remembered.report.servers:
-            if seen.server == server:
-                return seen.health
-        return keeping.ServerHealth.UNKNOWN
+        seen = self._find(server, front)
+        return seen.health if seen else keeping.ServerHealth.UNKNOWN
+
+    def is_seated(
+        self, server: ids.ServerId, front: ids.InstanceId, token: ids.Token
+    ) -> bool:
+        """Returns whether a server has accepted its front's token."""
+        seen = self._find(server, front)
+        return seen is not None and seen.seated == token
 
     def list_accusers(self, server: ids.ServerId) -> set[ids.InstanceId]:
         """Returns the fronts that found a server down since it was last up."""
@@ -111,6 +118,18 @@
             for index, count in self._loads.items()
         }
 
+    def _find(
+        self, server: ids.ServerId, front: ids.InstanceId
+    ) -> ServerReport | None:
+        """Returns what a server's front last reported of it."""
+        remembered = self._reports.get(front)
+        if remembered is None:
+            return None
+        for seen in remembered.report.servers:
+            if seen.server == server:
+                return seen
+        return None
+
     def _note_health(
         self, instance: ids.InstanceId, seen: ServerReport
     ) -> None:
--- a/libs/bridgecross-ownership/tests/test_cell.py
+++ b/libs/bridgecross-ownership/tests/test_cell.py
@@ -29,6 +29,7 @@
     *,
     settled: tuple[int, ...] = (),
     fronts: dict[str, str] | None = None,
+    seated: tuple[str, ...] = (),
     retired: tuple[str, ...] = (),
 ) -> records.Assignment:
     return records.Assignment(
@@ -42,10 +43,11 @@
             for server, slices in moves.items()
         ),
         fronts=tuple(
-            records.ServerFront(ids.ServerId(s), ids.InstanceId(f))
+            records.ServerFront(ids.ServerId(s), ids.InstanceId(f), ())
             for s, f in (fronts or {}).items()
         ),
         settled=tuple(map(ids.SliceIndex, settled)),
+        seated=tuple(map(ids.ServerId, seated)),
         retired=tuple(map(ids.ServerId, retired)),
         reason="",
     )
@@ -118,12 +120,20 @@
     assert isinstance(_apply(cell, 6, retire_now), appender.Applied)
 
 
-def test_only_a_change_of_front_inherits():
+def test_earlier_fronts_are_kept_until_seated():
     cell = _claimed()
+    server = ids.ServerId("s1")
     _apply(cell, 1, _assignment(0, 0, {}, fronts={"s1": "a"}))
-    assert not cell.fronts[ids.ServerId("s1")].inherits
+    assert cell.fronts[server].earlier == ()
     _apply(cell, 2, _assignment(0, 1, {}, fronts={"s1": "b"}))
-    assert cell.fronts[ids.ServerId("s1")].inherits
+    _apply(cell, 3, _assignment(0, 2, {}, fronts={"s1": "c"}))
+    earlier = cell.fronts[server].earlier
+    assert [(e.front, e.token) for e in earlier] == [("a", 1), ("b", 2)]
+    nobody = _assignment(0, 3, {}, seated=("s9",))
+    assert isinstance(_apply(cell, 4, nobody), appender.Void)
+    _apply(cell, 5, _assignment(0, 3, {}, seated=("s1",)))
+    assert cell.fronts[server].earlier == ()
+    assert cell.fronts[server].token == 3
 
 
 def test_unknown_slices_and_damaged_bodies_are_void():
@@ -155,6 +165,7 @@
     fronts=st.dictionaries(
         st.sampled_from(["s1", "s2"]), st.sampled_from("ab"), max_size=1
     ),
+    seated=st.lists(st.sampled_from(["s1", "s2"]), max_size=1).map(tuple),
     retired=st.lists(st.sampled_from(["s1", "s2"]), max_size=1).map(tuple),
 )
 
--- a/libs/bridgecross-ownership/tests/test_leases.py
+++ b/libs/bridgecross-ownership/tests/test_leases.py
@@ -41,7 +41,7 @@
 def test_no_delay_lets_a_lease_outlive_what_the_front_expects(exchanges, rate):
     """Requests and replies are delayed, and some replies are lost."""
     server = _Server(rate)
-    term = leases.LeaseTerm(DRIFT_RATIO, 0.0)
+    term = leases.LeaseTerm(DRIFT_RATIO)
     now_s = 100.0
     for there_s, back_s, reply_lost in exchanges:
         echo = term.begin_exchange(LEASE_MS)
@@ -58,7 +58,7 @@
 
 def test_a_first_exchange_renews_nothing():
     server = _Server(1.0)
-    term = leases.LeaseTerm(DRIFT_RATIO, 0.0)
+    term = leases.LeaseTerm(DRIFT_RATIO)
     assert term.begin_exchange(LEASE_MS) is None
     reply = server.exchange(None, 5.0)
     term.end_exchange(None, reply, 5.0, 5.0, LEASE_MS)
@@ -67,7 +67,7 @@
 
 
 def test_another_run_of_the_server_confirms_no_lease():
-    term = leases.LeaseTerm(DRIFT_RATIO, 0.0)
+    term = leases.LeaseTerm(DRIFT_RATIO)
     first = leases.LeaseReply(True, "", leases.ClockEcho("one", 0.0), [], False)
     term.end_exchange(None, first, 1.0, 1.0, LEASE_MS)
     echo = term.begin_exchange(LEASE_MS)
@@ -77,7 +77,7 @@
 
 
 def test_after_forgetting_the_echo_the_lease_ends():
-    term = leases.LeaseTerm(DRIFT_RATIO, 0.0)
+    term = leases.LeaseTerm(DRIFT_RATIO)
     reply = leases.LeaseReply(True, "", leases.ClockEcho("one", 0.0), [], False)
     term.end_exchange(None, reply, 1.0, 1.0, LEASE_MS)
     term.begin_exchange(LEASE_MS)
--- a/libs/bridgecross-ownership/tests/test_planner.py
+++ b/libs/bridgecross-ownership/tests/test_planner.py
@@ -1,7 +1,13 @@
+import collections
+
 from bridgecross_core import ids
 from bridgecross_ownership import cell as cells
 from bridgecross_ownership import planner
-from bridgecross_ownership import records
+
+
+def _other(front: str, instances: str) -> tuple[ids.InstanceId, ...]:
+    return tuple(ids.InstanceId(i) for i in instances if i != front)
+
 
 USABLE = planner.Standing.USABLE
 HELD = planner.Standing.HELD
@@ -11,6 +17,10 @@
 )
 
 
+def _other(front: str, instances: str) -> tuple[ids.InstanceId, ...]:
+    return tuple(ids.InstanceId(i) for i in instances if i != front)
+
+
 def _cell(owners: list[str], fronts: dict[str, str]) -> cells.Cell:
     cell = cells.Cell(ids.ServiceName("rapor"))
     cell.restore(
@@ -26,7 +36,10 @@
             ],
             fronts={
                 ids.ServerId(s): cells.FrontState(
-                    ids.InstanceId(f), ids.Token(1), inherits=False
+                    ids.InstanceId(f),
+                    ids.Token(1),
+                    _other(f, "ab"),
+                    (),
                 )
                 for s, f in fronts.items()
             },
@@ -43,13 +56,15 @@
     instances: tuple[str, ...] = ("a", "b"),
     fronts: dict[str, str] | None = None,
     settings: planner.PlannerSettings = SETTINGS,
-    unfit: set[records.ServerFront] | None = None,
+    unfit: set[planner.UnfitFront] | None = None,
+    domains: dict[str, str] | None = None,
 ) -> planner.Plan:
     spread = {s: instances[i % len(instances)] for i, s in enumerate(servers)}
     view = planner.PlannerView(
         cell=_cell(owners, spread if fronts is None else fronts),
         servers={ids.ServerId(s): st for s, st in servers.items()},
         instances=[ids.InstanceId(i) for i in instances],
+        domains=domains or {},
         loads={ids.SliceIndex(i): v for i, v in (loads or {}).items()},
         unfit_fronts=unfit or set(),
     )
@@ -124,18 +139,47 @@
         instances=("a", "b"),
         fronts=fronts,
     )
-    assert set(plan.fronts) == {s for s, f in fronts.items() if f == "c"}
-    assert set(plan.fronts.values()) == {"a", "b"}
+    changed = {change.server: change.front for change in plan.fronts}
+    assert set(changed) == {s for s, f in fronts.items() if f == "c"}
+    assert set(changed.values()) == {"a", "b"}
 
 
 def test_an_unfit_front_is_replaced_once():
-    unfit = {records.ServerFront(ids.ServerId("s1"), ids.InstanceId("a"))}
+    unfit = {planner.UnfitFront(ids.ServerId("s1"), ids.InstanceId("a"))}
     plan = _plan(["s1"], {"s1": HELD}, fronts={"s1": "a"}, unfit=unfit)
-    assert plan.fronts == {ids.ServerId("s1"): ids.InstanceId("b")}
+    assert [(c.server, c.front) for c in plan.fronts] == [("s1", "b")]
     alone = _plan(
         ["s1"], {"s1": HELD}, fronts={"s1": "a"}, unfit=unfit, instances=("a",)
     )
-    assert alone.is_empty
+    assert all(change.front == "a" for change in alone.fronts)
+
+
+def test_no_domain_holds_a_server_with_its_front_or_a_front_with_witnesses():
+    names = [f"e{i}" for i in range(9)]
+    servers = {f"s{i}": USABLE for i in range(30)}
+    domains = {n: "xyz"[i % 3] for i, n in enumerate([*names, *servers])}
+    plan = _plan(
+        list(servers),
+        servers,
+        instances=tuple(names),
+        fronts={},
+        domains=domains,
+    )
+    assert len(plan.fronts) == 30
+    counts = collections.Counter(change.front for change in plan.fronts)
+    assert max(counts.values()) <= 4
+    for change in plan.fronts:
+        assert domains[change.front] != domains[change.server]
+        assert len(change.witnesses) == 2
+        for witness in change.witnesses:
+            assert domains[witness] != domains[change.front]
+
+
+def test_a_lost_witness_is_replaced_and_the_front_kept():
+    servers = {"s1": USABLE}
+    plan = _plan(["s1"], servers, instances=("a", "c"), fronts={"s1": "a"})
+    (change,) = plan.fronts
+    assert (change.front, change.witnesses) == ("a", ("c",))
 
 
 def test_a_server_that_is_gone_is_retired_once_it_holds_nothing():
