--- a/libs/bridgecross-daemon/src/bridgecross_daemon/__init__.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/__init__.py
@@ -1,7 +1,9 @@
 """bridgecrossd, the entry instance.
 
 * ``main``: the command line of the daemon.
+* ``serving``: an instance behind its HTTP and gRPC servers.
 * ``instance``: puts the parts of an entry instance together.
+* ``ports``: what an instance reaches the outside world through.
 * ``control``: the state that the log's control stream puts in force.
 * ``peering``: what instances and tools say to an instance, over gRPC.
 * ``peer_client`` and ``peer_server``: the two ends of that.
@@ -14,4 +16,6 @@
     "peer_client",
     "peer_server",
     "peering",
+    "ports",
+    "serving",
 ]
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_heartbeats.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_heartbeats.py
@@ -8,8 +8,8 @@
 from bridgecross_core import clock as clocks
 from bridgecross_core import ids
 from bridgecross_daemon import _platform
-from bridgecross_daemon import peer_client
 from bridgecross_daemon import peering
+from bridgecross_daemon import ports
 from bridgecross_ownership import membership as memberships
 
 
@@ -73,7 +73,7 @@
     def __init__(
         self,
         settings: HeartbeatSettings,
-        client: peer_client.PeerClient,
+        client: ports.PeerCaller,
         addresses: _platform.Addresses,
         watcher: PeerWatcher,
         make_heartbeats: Callable[[], dict[ids.InstanceId, peering.Heartbeat]],
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_news.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_news.py
@@ -11,8 +11,8 @@
 from bridgecross_core import ids
 from bridgecross_daemon import _platform
 from bridgecross_daemon import control
-from bridgecross_daemon import peer_client
 from bridgecross_daemon import peering
+from bridgecross_daemon import ports
 from bridgecross_ownership import authority as authorities
 
 _SHARE_OF_AUTHORITY = 5
@@ -27,7 +27,7 @@
         me: ids.InstanceId,
         state: control.ControlState,
         authority: authorities.Authority,
-        client: peer_client.PeerClient,
+        client: ports.PeerCaller,
         addresses: _platform.Addresses,
         clock: clocks.Clock,
     ) -> None:
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_platform.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_platform.py
@@ -7,11 +7,12 @@
 
 from bridgecross_core import codec
 from bridgecross_core import ids
+from bridgecross_daemon import ports
 from bridgecross_ownership import leases
 from bridgecross_ownership import membership as memberships
+from bridgecross_request import runner as runners
 
 _LIST_TIMEOUT_S = 2.0
-_HTTP_OK = 200
 _LEASE_CONNECTIONS = 2
 _HTTP_ERRORS = (
     httpcore.NetworkError,
@@ -24,43 +25,54 @@
     """Reads the instance list again and again."""
 
     def __init__(
-        self, url: str, interval_ms: int, membership: memberships.Membership
+        self,
+        source: ports.ListSource,
+        interval_ms: int,
+        membership: memberships.Membership,
     ) -> None:
         """Reads nothing yet.
 
         Args:
-            url: The list's base URL.
+            source: Where the list is.
             interval_ms: How often it is read.
             membership: Where the newest list goes.
         """
+        self._source = source
         self._interval_s = interval_ms / 1_000
         self._membership = membership
-        self._client = httpx.AsyncClient(
-            base_url=url, timeout=_LIST_TIMEOUT_S, trust_env=False
-        )
 
     async def run(self) -> None:
         """Reads the list until it is cancelled; an outage keeps the old."""
         while True:
             try:
-                await self._read_once()
-            except (httpx.HTTPError, codec.CodecError) as error:
-                loguru.logger.debug("instance list: {!r}", error)
+                self._membership.replace(await self._source.read())
+            except ports.ListUnavailableError as error:
+                loguru.logger.debug("instance list: {}", error)
             await anyio.sleep(self._interval_s)
 
+
+class HttpInstanceList:
+    """The instance list over HTTP: ``GET /instances``."""
+
+    def __init__(self, url: str) -> None:
+        """Opens no connection yet."""
+        self._client = httpx.AsyncClient(
+            base_url=url, timeout=_LIST_TIMEOUT_S, trust_env=False
+        )
+
+    async def read(self) -> list[memberships.Listing]:
+        """Reads the list once; see ``ports.ListSource``."""
+        try:
+            response = await self._client.get("/instances")
+            response.raise_for_status()
+            return codec.from_json(response.content, list[memberships.Listing])
+        except (httpx.HTTPError, codec.CodecError) as error:
+            raise ports.ListUnavailableError(repr(error)) from error
+
     async def aclose(self) -> None:
         """Closes the connections."""
         await self._client.aclose()
 
-    async def _read_once(self) -> None:
-        """Reads the list once."""
-        response = await self._client.get("/instances")
-        if response.status_code == _HTTP_OK:
-            listings = codec.from_json(
-                response.content, list[memberships.Listing]
-            )
-            self._membership.replace(listings)
-
 
 class Addresses:
     """Finds addresses in the instance list.
@@ -100,7 +112,7 @@
     answer is a JSON ``LeaseReply``.
     """
 
-    def __init__(self, addresses: Addresses) -> None:
+    def __init__(self, addresses: runners.AddressBook) -> None:
         """Opens no connection yet."""
         self._addresses = addresses
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
@@ -1,5 +1,6 @@
 """All parts of one service on this instance."""
 
+from collections.abc import Callable
 import random
 from typing import NamedTuple
 
@@ -12,6 +13,7 @@
 from bridgecross_daemon import _translate
 from bridgecross_daemon import peer_client
 from bridgecross_daemon import peering
+from bridgecross_daemon import ports
 from bridgecross_log import appender as appenders
 from bridgecross_ownership import authority as authorities
 from bridgecross_ownership import cell as cells
@@ -41,9 +43,10 @@
     membership: memberships.Membership
     addresses: _platform.Addresses
     peers: coordinators.PeerWatch
-    peer_client: peer_client.PeerClient
+    peer_client: ports.PeerCaller
     lease_transport: leases.LeaseTransport
     news: keeping.WitnessSource
+    make_backend: Callable[[backends.BackendSettings], ports.ServiceBackend]
     control: appenders.Appender
     intents: appenders.Appender
 
@@ -60,8 +63,8 @@
         self.changed = pulse.Pulse()
         self.book = reports.ReportBook(shared.clock)
         self._shared = shared
-        self.backend = backends.HttpBackend(
-            _translate.backend_settings(service.policy), shared.clock
+        self.backend = shared.make_backend(
+            _translate.backend_settings(service.policy)
         )
         self.fronts = front_sets.Fronts(
             _translate.keeper_settings(service.policy), self._keeper_ports()
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
@@ -1,33 +1,22 @@
 """Puts the parts of an entry instance together and runs them."""
 
-from typing import Any
-
 import anyio
 import anyio.abc
-import hypercorn.asyncio
-import hypercorn.config
 import loguru
 
-from bridgecross_core import clock as clocks
 from bridgecross_core import hashing
 from bridgecross_core import ids
 from bridgecross_core import outcomes
-from bridgecross_core import stamps
-from bridgecross_daemon import _admin_api
-from bridgecross_daemon import _caller_api
 from bridgecross_daemon import _heartbeats
-from bridgecross_daemon import _metrics
 from bridgecross_daemon import _news
 from bridgecross_daemon import _platform
 from bridgecross_daemon import _service
 from bridgecross_daemon import _snapshots
 from bridgecross_daemon import control
-from bridgecross_daemon import peer_client
-from bridgecross_daemon import peer_server
 from bridgecross_daemon import peering
+from bridgecross_daemon import ports
 from bridgecross_log import appender as appenders
 from bridgecross_log import follower as followers
-from bridgecross_log import http_service
 from bridgecross_ownership import authority as authorities
 from bridgecross_ownership import cell as cells
 from bridgecross_ownership import keeper as keeping
@@ -61,30 +50,38 @@
 class Instance:
     """One entry instance: all of them are alike."""
 
-    def __init__(self, settings: process.ProcessSettings) -> None:
-        """Builds the parts; ``run`` brings them to life."""
+    def __init__(
+        self,
+        settings: process.ProcessSettings,
+        outside: ports.InstancePorts,
+    ) -> None:
+        """Builds the parts; ``run`` brings them to life.
+
+        Args:
+            settings: What the process was told when it started.
+            outside: What the instance reaches the outside world through.
+        """
         self._settings = settings
+        self._outside = outside
         self._me = ids.InstanceId(settings.instance)
-        self._clock = clocks.SystemClock()
-        self._stamps = stamps.HybridClock(self._clock)
+        self._clock = outside.clock
+        self._stamps = outside.stamps
         self._ring = rings.Ring(
             rings.RingSettings(settings.instance, settings.timeline_events),
             self._stamps,
         )
-        self._log = http_service.HttpLogService(
-            http_service.HttpLogSettings(settings.log_url)
-        )
-        self._control = control.ControlState(self._ring)
+        self._log = outside.log
+        self.control = control.ControlState(self._ring)
         self._control_follower = self._follow(
             name_control_stream(settings.house, settings.place),
-            self._control,
+            self.control,
             wait_ms=_CONTROL_WAIT_MS,
         )
         self._control_appender = self._append_to(
             name_control_stream(settings.house, settings.place)
         )
-        self._control.attach(self._control_appender, self._control_follower)
-        self._control.on_change = self._take_change
+        self.control.attach(self._control_appender, self._control_follower)
+        self.control.on_change = self._take_change
         self._intents = intents.IntentBook(intents.IntentBookSettings())
         # Nobody's authority hangs on this stream, so the log may hold back
         # its answer for long while there is nothing new.
@@ -99,29 +96,27 @@
         self._intents.attach(self._intent_appender)
         self._authority = authorities.Authority(
             authorities.AuthoritySettings(policies.Policy().authority_ms),
-            self._control,
+            self.control,
             self._clock,
         )
         self._membership = memberships.Membership()
         self._addresses = _platform.Addresses(self._membership)
         self._list_reader = _platform.ListReader(
-            settings.instance_list_url,
-            settings.list_interval_ms,
-            self._membership,
+            outside.listing, settings.list_interval_ms, self._membership
         )
         self._watcher = _heartbeats.PeerWatcher(
             self._me, self._membership, self._clock
         )
-        self._peer_client = peer_client.PeerClient(self._stamps)
+        self._peer_client = outside.peers
         self._news = _news.NewsReader(
             self._me,
-            self._control,
+            self.control,
             self._authority,
             self._peer_client,
             self._addresses,
             self._clock,
         )
-        self._leases = _platform.HttpLeaseTransport(self._addresses)
+        self._leases = outside.make_leases(self._addresses)
         self._heartbeats = _heartbeats.HeartbeatSender(
             _heartbeats.HeartbeatSettings(
                 policies.Policy().heartbeat_interval_ms
@@ -135,31 +130,25 @@
             _snapshots.SnapshotSettings(
                 settings.snapshot_records, settings.snapshot_interval_s
             ),
-            self._control,
+            self.control,
             self._control_appender,
             self._clock,
         )
-        self._metrics = _metrics.Metrics()
         self._services: dict[ids.ServiceName, _service.ServiceParts] = {}
         self._applied_version = ids.NO_OFFSET
         self._in_flight = 0
         self._stopping = anyio.Event()
-        self._servers_stop = anyio.Event()
+        self._drained = anyio.Event()
+        self._closing = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
 
     async def run(self) -> None:
         """Runs until a planned stop has ended."""
-        settings = self._settings
-        server = peer_server.PeerServer(
-            settings.peer_address, self, self._stamps
-        )
-        await server.start()
         loguru.logger.info(
-            "{} serves {}/{} on {}",
-            settings.instance,
-            settings.house,
-            settings.place,
-            settings.caller_address,
+            "{} serves {}/{}",
+            self._me,
+            self._settings.house,
+            self._settings.place,
         )
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
@@ -171,29 +160,36 @@
             tasks.start_soon(self._take_snapshots)
             tasks.start_soon(self._news.run)
             tasks.start_soon(self._start_from_peers)
-            async with anyio.create_task_group() as servers:
-                servers.start_soon(
-                    self._serve_http,
-                    settings.caller_address,
-                    _caller_api.CallerApp(self, self._metrics, self._clock),
-                )
-                servers.start_soon(
-                    self._serve_http,
-                    settings.admin_address,
-                    _admin_api.build_admin_app(self, self._metrics),
-                )
-                await self._stopping.wait()
-                await self._drain()
-                self._servers_stop.set()
-            await server.stop(_GRPC_GRACE_S)
+            await self._stopping.wait()
+            await self._drain()
+            self._drained.set()
+            await self._closing.wait()
             tasks.cancel_scope.cancel()
-        await self._aclose()
-        loguru.logger.info("{} has stopped", settings.instance)
+        for parts in self._services.values():
+            await parts.aclose()
+        loguru.logger.info("{} has stopped", self._me)
 
     def stop(self) -> None:
         """Begins a planned stop."""
         self._stopping.set()
 
+    def now_s(self) -> float:
+        """Returns the instance's monotonic time, for deadlines."""
+        return self._clock.monotonic_s()
+
+    async def wait_drained(self) -> None:
+        """Waits until a planned stop has let all requests end."""
+        await self._drained.wait()
+
+    def close(self) -> None:
+        """Ends ``run``, after the servers in front of it have stopped."""
+        self._closing.set()
+
+    def drain_limit_s(self) -> float:
+        """Returns how long a planned stop may take."""
+        policy = self._place_policy()
+        return (policy.drain_notice_ms + policy.drain_ms) / 1_000
+
     # What the callers' application needs.
 
     def list_not_ready(self) -> list[str]:
@@ -204,11 +200,11 @@
 
     def find_house(self) -> tree.House | None:
         """Returns the settings in force."""
-        return self._control.settings.house
+        return self.control.settings.house
 
     def find_place(self) -> tree.Place | None:
         """Returns this instance's place in the settings in force."""
-        house = self._control.settings.house
+        house = self.control.settings.house
         return house.places.get(self._settings.place) if house else None
 
     async def handle(self, request: requests.Request) -> outcomes.Outcome:
@@ -292,7 +288,7 @@
 
     async def owner(self, request: peering.OwnerRequest) -> peering.OwnerReply:
         """Tells who owns a key and why."""
-        cell = self._control.cells.get(request.service)
+        cell = self.control.cells.get(request.service)
         if cell is None or not cell.slices:
             return _NOT_FOUND
         index = hashing.find_slice(request.key, len(cell.slices))
@@ -336,8 +332,8 @@
             failure_domain=self._settings.failure_domain,
             leaving=self._watcher.me_leaving,
             not_ready=missing,
-            settings_version=self._control.settings.offset,
-            log_offset=self._control.next_offset - 1,
+            settings_version=self.control.settings.offset,
+            log_offset=self.control.next_offset - 1,
             log_age_ms=int(age_s * 1_000),
             in_flight=self._in_flight,
             services=[parts.describe() for parts in self._services.values()],
@@ -347,11 +343,11 @@
         """Returns what is missing before requests can be routed."""
         missing = []
         is_read = self._control_follower.caught_up.is_set()
-        if not is_read and self._control.settings.house is None:
+        if not is_read and self.control.settings.house is None:
             missing.append("neither the log nor a peer could be read yet")
-        elif self._control.awaits_snapshot:
+        elif self.control.awaits_snapshot:
             missing.append("older records are gone and no snapshot came yet")
-        house = self._control.settings.house
+        house = self.control.settings.house
         if house is None:
             missing.append("no settings have been published")
         elif self._settings.place not in house.places:
@@ -360,7 +356,7 @@
 
     def _take_change(self) -> None:
         """Brings the services in line with the newest record."""
-        version = self._control.settings.offset
+        version = self.control.settings.offset
         if version != self._applied_version and self._tasks is not None:
             self._applied_version = version
             self._apply_settings()
@@ -368,7 +364,7 @@
             parts.notify()
         self._news.witnesses = {
             witness
-            for cell in self._control.cells.values()
+            for cell in self.control.cells.values()
             for state in cell.fronts.values()
             if state.front == self._me
             for witness in state.witnesses
@@ -382,7 +378,7 @@
                 return
             instances = set(self._membership.list_instances())
             await self._news.start_from_peers(instances)
-            if self._control.settings.house is not None:
+            if self.control.settings.house is not None:
                 return
 
     def _apply_settings(self) -> None:
@@ -403,7 +399,7 @@
                 continue
             parts = _service.ServiceParts(
                 service,
-                self._control.find_cell(service_name),
+                self.control.find_cell(service_name),
                 self._shared_parts(),
             )
             self._services[service_name] = parts
@@ -421,6 +417,7 @@
             peers=self._watcher,
             peer_client=self._peer_client,
             lease_transport=self._leases,
+            make_backend=self._outside.make_backend,
             news=self._news,
             control=self._control_appender,
             intents=self._intent_appender,
@@ -460,23 +457,6 @@
         first = min(self._services)
         return self._services[first].cell.coordinator == self._me
 
-    async def _serve_http(self, address: str, app: Any) -> None:
-        """Serves HTTP until the servers are told to stop."""
-        config = hypercorn.config.Config()
-        config.bind = [address]
-        config.accesslog = None
-        config.errorlog = None
-        config.graceful_timeout = self._drain_limit_s()
-        config.keep_alive_max_requests = 1_000_000
-        await hypercorn.asyncio.serve(
-            app, config, shutdown_trigger=self._servers_stop.wait
-        )
-
-    def _drain_limit_s(self) -> float:
-        """Returns how long a planned stop may take."""
-        policy = self._place_policy()
-        return (policy.drain_notice_ms + policy.drain_ms) / 1_000
-
     def _place_policy(self) -> policies.Policy:
         """Returns what is in effect for this instance's place."""
         place = self.find_place()
@@ -488,7 +468,7 @@
         self._ring.add(events.DrainBegan(self._in_flight))
         loguru.logger.info("draining {} requests", self._in_flight)
         policy = self._place_policy()
-        with anyio.move_on_after(self._drain_limit_s()):
+        with anyio.move_on_after(self.drain_limit_s()):
             await anyio.sleep(policy.drain_notice_ms / 1_000)
             while self._in_flight or self._may_hand_over():
                 await anyio.sleep(_DRAIN_POLL_S)
@@ -518,18 +498,6 @@
         settings = appenders.AppenderSettings(stream, self._settings.instance)
         return appenders.Appender(settings, self._log, self._stamps)
 
-    async def _aclose(self) -> None:
-        """Closes all connections."""
-        closers = [
-            self._log.aclose,
-            self._list_reader.aclose,
-            self._leases.aclose,
-            self._peer_client.aclose,
-            *(parts.aclose for parts in self._services.values()),
-        ]
-        for close in closers:
-            await close()
-
 
 _NOT_FOUND = peering.OwnerReply(
     found=False,
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/main.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/main.py
@@ -10,7 +10,7 @@
 import loguru
 
 from bridgecross_core import findings
-from bridgecross_daemon import instance
+from bridgecross_daemon import serving
 from bridgecross_settings import process
 
 EXIT_OK = 0
@@ -86,15 +86,15 @@
 
 async def _run(settings: process.ProcessSettings) -> None:
     """Runs the instance and turns signals into a planned stop."""
-    entry = instance.Instance(settings)
+    daemon = serving.Daemon(settings)
     async with anyio.create_task_group() as tasks:
-        await tasks.start(_watch_signals, entry)
-        await entry.run()
+        await tasks.start(_watch_signals, daemon)
+        await daemon.run()
         tasks.cancel_scope.cancel()
 
 
 async def _watch_signals(
-    entry: instance.Instance,
+    daemon: serving.Daemon,
     *,
     task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -102,7 +102,7 @@
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
         task_status.started()
         async for _ in received:
-            entry.stop()
+            daemon.stop()
 
 
 if __name__ == "__main__":
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peer_client.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_client.py
@@ -13,6 +13,7 @@
 from bridgecross_core import outcomes
 from bridgecross_core import stamps
 from bridgecross_daemon import peering
+from bridgecross_daemon import ports
 from bridgecross_ownership import cell as cells
 from bridgecross_ownership import keeper as keeping
 from bridgecross_request import requests
@@ -95,7 +96,7 @@
 
     def __init__(
         self,
-        client: PeerClient,
+        client: ports.PeerCaller,
         addresses: PeerAddresses,
         cell: cells.Cell,
         clock: clocks.Clock,
@@ -131,7 +132,9 @@
 class PeerReleaseSource:
     """Asks other instances what their servers have let go of."""
 
-    def __init__(self, client: PeerClient, addresses: PeerAddresses) -> None:
+    def __init__(
+        self, client: ports.PeerCaller, addresses: PeerAddresses
+    ) -> None:
         """Asks nobody yet."""
         self._client = client
         self._addresses = addresses
--- /dev/null
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/serving.py
@@ -0,0 +1,120 @@
+"""Runs an instance behind HTTP and gRPC servers, as the daemon does."""
+
+from typing import Any
+
+import anyio
+import hypercorn.asyncio
+import hypercorn.config
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import stamps
+from bridgecross_daemon import _admin_api
+from bridgecross_daemon import _caller_api
+from bridgecross_daemon import _metrics
+from bridgecross_daemon import _platform
+from bridgecross_daemon import instance
+from bridgecross_daemon import peer_client
+from bridgecross_daemon import peer_server
+from bridgecross_daemon import ports
+from bridgecross_log import http_service
+from bridgecross_request import backends
+from bridgecross_settings import process
+
+_GRPC_GRACE_S = 1.0
+_KEEP_ALIVE_REQUESTS = 1_000_000
+
+
+class Daemon:
+    """An instance with its servers and its connections to the outside."""
+
+    def __init__(self, settings: process.ProcessSettings) -> None:
+        """Opens nothing yet."""
+        self._settings = settings
+        self._clock = clocks.SystemClock()
+        self._stamps = stamps.HybridClock(self._clock)
+        self._log = http_service.HttpLogService(
+            http_service.HttpLogSettings(settings.log_url)
+        )
+        self._listing = _platform.HttpInstanceList(settings.instance_list_url)
+        self._peers = peer_client.PeerClient(self._stamps)
+        self._leases: _platform.HttpLeaseTransport | None = None
+        self._metrics = _metrics.Metrics()
+        self._instance = instance.Instance(settings, self._open_ports())
+        self._stop_servers = anyio.Event()
+
+    def stop(self) -> None:
+        """Begins a planned stop."""
+        self._instance.stop()
+
+    async def run(self) -> None:
+        """Runs until a planned stop has ended.
+
+        Raises:
+            OSError: An HTTP address cannot be bound.
+            RuntimeError: The gRPC address cannot be bound.
+        """
+        settings = self._settings
+        server = peer_server.PeerServer(
+            settings.peer_address, self._instance, self._stamps
+        )
+        await server.start()
+        caller_app = _caller_api.CallerApp(
+            self._instance, self._metrics, self._clock
+        )
+        admin_app = _admin_api.build_admin_app(self._instance, self._metrics)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._instance.run)
+            async with anyio.create_task_group() as servers:
+                servers.start_soon(
+                    self._serve, settings.caller_address, caller_app
+                )
+                servers.start_soon(
+                    self._serve, settings.admin_address, admin_app
+                )
+                await self._instance.wait_drained()
+                self._stop_servers.set()
+            await server.stop(_GRPC_GRACE_S)
+            self._instance.close()
+        await self._aclose()
+
+    def _open_ports(self) -> ports.InstancePorts:
+        """Returns what the instance reaches the outside world through."""
+
+        def make_leases(addresses: Any) -> _platform.HttpLeaseTransport:
+            self._leases = _platform.HttpLeaseTransport(addresses)
+            return self._leases
+
+        def make_backend(
+            settings: backends.BackendSettings,
+        ) -> backends.HttpBackend:
+            return backends.HttpBackend(settings, self._clock)
+
+        return ports.InstancePorts(
+            clock=self._clock,
+            stamps=self._stamps,
+            log=self._log,
+            listing=self._listing,
+            peers=self._peers,
+            make_leases=make_leases,
+            make_backend=make_backend,
+        )
+
+    async def _serve(self, address: str, app: Any) -> None:
+        """Serves HTTP until the servers are told to stop."""
+        config = hypercorn.config.Config()
+        config.bind = [address]
+        config.accesslog = None
+        config.errorlog = None
+        config.graceful_timeout = self._instance.drain_limit_s()
+        config.keep_alive_max_requests = _KEEP_ALIVE_REQUESTS
+        await hypercorn.asyncio.serve(
+            app, config, shutdown_trigger=self._stop_servers.wait
+        )
+
+    async def _aclose(self) -> None:
+        """Closes all connections."""
+        await self._log.aclose()
+        await self._listing.aclose()
+        await self._peers.aclose()
+        if self._leases is not None:
+            await self._leases.aclose()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that span several libraries."""
