Serve the keys of a server that is lost while the log is down

Change: the log names an heir for each server ahead of the loss. The server's front alone renews its lease; once that is certainly over and the log is silent, it hands the slices to the heir's front (a bequest), which serves them under a token between the owner's and the next assignment's. A bequest ends with the slice's token or the lost server's front; whoever follows the server asks its heir as well.

--- a/benchmarks/fold.py
+++ b/benchmarks/fold.py
@@ -69,6 +69,7 @@
                 ids.InstanceId(f"entry-{(n + 1) % 11}"),
                 ids.InstanceId(f"entry-{(n + 2) % 11}"),
             ),
+            _server((n + 1) % servers),
         )
         for n in range(servers)
     )
@@ -221,6 +222,7 @@
             ids.SliceIndex(n): float(n % 50) for n in range(len(cell.slices))
         },
         unfit_fronts=set(),
+        bequeathed=set(),
     )
     settings = planner.PlannerSettings(1.25, 16)
     idle_s = rows.measure_cpu_s(lambda: planner.plan(view, settings))
--- a/benchmarks/wire.py
+++ b/benchmarks/wire.py
@@ -225,6 +225,7 @@
             for n in range(servers)
         ],
         settled=[],
+        bequeathed=[],
         loads=[reports.SliceLoad(ids.SliceIndex(n), 100) for n in range(10)],
     )
     return peering.Heartbeat(ids.InstanceId("entry-1"), False, [report])
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
@@ -112,6 +112,17 @@
         request = requests.from_wire(wire, now_s)
         return peering.wrap_outcome(await self.runner.run(request))
 
+    async def run_inherited(
+        self, wire: requests.WireRequest, bequest: keeping.Bequest
+    ) -> peering.WireOutcome:
+        """Runs a request at the heir of the key's owner."""
+        await self.changed.wait_until(
+            lambda: self.cell.head >= wire.head, _CATCH_UP_S
+        )
+        request = requests.from_wire(wire, self._shared.clock.monotonic_s())
+        outcome = await self.runner.run_inherited(request, bequest)
+        return peering.wrap_outcome(outcome)
+
     def build_report(self) -> reports.ServiceReport:
         """Returns what this instance reports to the coordinator."""
         kept = list(self.fronts.keepers.values())
@@ -133,6 +144,7 @@
                 for k in kept
             ],
             settled=[index for k in kept for index in k.list_settled()],
+            bequeathed=[i for k in kept for i in k.list_bequeathed()],
             loads=loads,
         )
 
@@ -215,6 +227,10 @@
             backend=self.backend,
             addresses=shared.addresses,
             intents=shared.intents,
+            heirs=peer_client.PeerHeirForwarder(
+                shared.peer_client, shared.addresses, self.cell, shared.clock
+            ),
+            me=shared.me,
             clock=shared.clock,
         )
 
@@ -231,7 +247,7 @@
             ),
             clock=shared.clock,
             ring=shared.ring,
-            randomness=random.Random(),
+            randomness=random.Random(f"{shared.me}/{self.cell.service}"),
         )
 
 
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
@@ -238,19 +238,26 @@
         """Runs a request at the front of its key's owner."""
         parts = self._services.get(request.service)
         if parts is None:
-            return peering.wrap_outcome(
-                outcomes.NotRun(
-                    outcomes.NotRunProof.REFUSED_BY_ADMISSION,
-                    f"{self._me} does not know the service yet",
-                    reroute=True,
-                )
-            )
+            return self._describe_unknown_service()
         self._in_flight += 1
         try:
             return await parts.run_forwarded(request)
         finally:
             self._in_flight -= 1
 
+    async def inherit(
+        self, request: peering.InheritRequest
+    ) -> peering.WireOutcome:
+        """Runs a request at the heir of its key's owner."""
+        parts = self._services.get(request.request.service)
+        if parts is None:
+            return self._describe_unknown_service()
+        self._in_flight += 1
+        try:
+            return await parts.run_inherited(request.request, request.bequest)
+        finally:
+            self._in_flight -= 1
+
     async def heartbeat(
         self, request: peering.Heartbeat
     ) -> peering.HeartbeatReply:
@@ -339,6 +346,16 @@
             services=[parts.describe() for parts in self._services.values()],
         )
 
+    def _describe_unknown_service(self) -> peering.WireOutcome:
+        """Returns the outcome of a request whose service is not here yet."""
+        return peering.wrap_outcome(
+            outcomes.NotRun(
+                outcomes.NotRunProof.REFUSED_BY_ADMISSION,
+                f"{self._me} does not know the service yet",
+                reroute=True,
+            )
+        )
+
     def _list_missing(self) -> list[str]:
         """Returns what is missing before requests can be routed."""
         missing = []
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peer_client.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_client.py
@@ -113,11 +113,7 @@
         """Has another instance run a request; see ``routing.Forwarder``."""
         address = self._addresses.find_peer_address(instance)
         if address is None:
-            return outcomes.NotRun(
-                outcomes.NotRunProof.REFUSED_BY_ADMISSION,
-                f"the address of {instance} is not known",
-                reroute=True,
-            )
+            return _describe_unknown_address(instance)
         now_s = self._clock.monotonic_s()
         wire = requests.to_wire(request, now_s, self._cell.head)
         try:
@@ -129,6 +125,46 @@
         return peering.unwrap_outcome(reply)
 
 
+class PeerHeirForwarder:
+    """Takes requests of a lost server's keys to the front of its heir."""
+
+    def __init__(
+        self,
+        client: ports.PeerCaller,
+        addresses: PeerAddresses,
+        cell: cells.Cell,
+        clock: clocks.Clock,
+    ) -> None:
+        """Forwards nothing yet."""
+        self._client = client
+        self._addresses = addresses
+        self._cell = cell
+        self._clock = clock
+
+    async def forward_to_heir(
+        self,
+        instance: ids.InstanceId,
+        request: requests.Request,
+        bequest: keeping.Bequest,
+    ) -> outcomes.Outcome:
+        """Has the heir's front run a request; see ``runner.HeirForwarder``."""
+        address = self._addresses.find_peer_address(instance)
+        if address is None:
+            return _describe_unknown_address(instance)
+        now_s = self._clock.monotonic_s()
+        wire = requests.to_wire(request, now_s, self._cell.head)
+        try:
+            reply = await self._client.call(
+                address,
+                peering.INHERIT,
+                peering.InheritRequest(wire, bequest),
+                request.deadline_s - now_s,
+            )
+        except peering.PeerUnreachableError as error:
+            return _describe_failure(instance, error)
+        return peering.unwrap_outcome(reply)
+
+
 class PeerReleaseSource:
     """Asks other instances what their servers have let go of."""
 
@@ -154,6 +190,15 @@
             return keeping.ReleaseReply([])
 
 
+def _describe_unknown_address(instance: ids.InstanceId) -> outcomes.NotRun:
+    """Returns the outcome of a request whose front cannot be found."""
+    return outcomes.NotRun(
+        outcomes.NotRunProof.REFUSED_BY_ADMISSION,
+        f"the address of {instance} is not known",
+        reroute=True,
+    )
+
+
 def _describe_failure(
     instance: ids.InstanceId, error: peering.PeerUnreachableError
 ) -> outcomes.Outcome:
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peer_server.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_server.py
@@ -33,6 +33,11 @@
     ) -> peering.WireOutcome:
         """Runs a request at the front of its key's owner."""
 
+    async def inherit(
+        self, request: peering.InheritRequest
+    ) -> peering.WireOutcome:
+        """Runs a request at the heir of its key's owner."""
+
     async def heartbeat(
         self, request: peering.Heartbeat
     ) -> peering.HeartbeatReply:
@@ -83,6 +88,7 @@
                     dict(
                         [
                             self._handle(peering.FORWARD, service.forward),
+                            self._handle(peering.INHERIT, service.inherit),
                             self._handle(peering.HEARTBEAT, service.heartbeat),
                             self._handle(
                                 peering.AWAIT_RELEASE, service.await_release
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peering.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peering.py
@@ -34,6 +34,13 @@
     unknown: outcomes.Unknown | None
 
 
+class InheritRequest(NamedTuple):
+    """A request for the heir of a lost server."""
+
+    request: requests.WireRequest
+    bequest: keeping.Bequest
+
+
 class Heartbeat(NamedTuple):
     """What an instance tells the coordinators of its services."""
 
@@ -205,6 +212,9 @@
 FORWARD = Method("Forward", requests.WireRequest, WireOutcome)
 """Runs a request at the front of its key's owner."""
 
+INHERIT = Method("Inherit", InheritRequest, WireOutcome)
+"""Runs a request at the heir of its key's owner."""
+
 HEARTBEAT = Method("Heartbeat", Heartbeat, HeartbeatReply)
 """Reports to a coordinator."""
 
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/cell.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/cell.py
@@ -45,6 +45,7 @@
     front: ids.InstanceId
     token: ids.Token
     witnesses: tuple[ids.InstanceId, ...]
+    heir: ids.ServerId
     earlier: tuple[EarlierFront, ...]
 
 
@@ -205,7 +206,9 @@
     ) -> None:
         """Gives a slice to a server; earlier owners must let go first."""
         old = self.slices[index]
-        prior = {*old.prior, old.server} - {server, NO_SERVER}
+        front = self.fronts.get(old.server)
+        heir = front.heir if front else NO_SERVER
+        prior = {*old.prior, old.server, heir} - {server, NO_SERVER}
         self.slices[index] = SliceState(server, token, tuple(sorted(prior)))
         self._owned.get(old.server, set()).discard(index)
         self._index_owner(index, server)
@@ -225,5 +228,20 @@
             replaced = EarlierFront(old.front, old.token, old.witnesses)
             earlier = (*old.earlier, replaced)
         self.fronts[change.server] = FrontState(
-            change.front, token, change.witnesses, earlier
+            change.front, token, change.witnesses, change.heir, earlier
         )
+        if old is not None and old.front != change.front and old.heir:
+            self._take_back(change.server, old.heir, token)
+
+    def _take_back(
+        self, server: ids.ServerId, heir: ids.ServerId, token: ids.Token
+    ) -> None:
+        """Makes a server follow its heir, which may have acted for it.
+
+        The replaced front may have handed slices to the heir. So the server
+        owns them anew, under a higher token than the heir's, and its new
+        front has to ask the heir first.
+        """
+        for index in self.list_slices_of(server):
+            prior = {*self.slices[index].prior, heir}
+            self.slices[index] = SliceState(server, token, tuple(sorted(prior)))
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/coordinator.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/coordinator.py
@@ -332,6 +332,7 @@
             domains=domains,
             loads=ports.book.list_loads(),
             unfit_fronts=self._disputed,
+            bequeathed=ports.book.list_bequeathed(),
         )
 
     def _list_instances(self) -> list[ids.InstanceId]:
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/keeper.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/keeper.py
@@ -31,11 +31,30 @@
 
 
 class ReleaseQuery(NamedTuple):
-    """Asks whether a server has let go of slices under lower tokens."""
+    """Asks whether a server has let go of slices.
+
+    ``wanted`` are the slices with the tokens that they have in the log, and
+    ``head`` is the newest record that the asker has read: an answer that has
+    read less is worth nothing.
+    """
 
     service: ids.ServiceName
     server: ids.ServerId
     wanted: list[leases.SliceGrant]
+    head: ids.Offset
+
+
+class Bequest(NamedTuple):
+    """A slice of a lost server, handed to its heir while the log is silent.
+
+    ``token`` and ``front_token`` are those of the slice and of the lost
+    server's front: the bequest ends with either of them.
+    """
+
+    slice: ids.SliceIndex
+    owner: ids.ServerId
+    token: ids.Token
+    front_token: ids.Token
 
 
 class ReleaseReply(NamedTuple):
@@ -138,7 +157,12 @@
         self.load: collections.Counter[ids.SliceIndex] = collections.Counter()
         self._ports = ports
         self._log = loguru.logger.bind(server=server)
+        # What the server has accepted, with the tokens that it sees.
         self._granted: dict[ids.SliceIndex, ids.Token] = {}
+        # Slices of this server that its heir serves, and of which token.
+        self._bequeathed: dict[ids.SliceIndex, ids.Token] = {}
+        # Slices of lost servers that this one serves as heir.
+        self._bequests: dict[ids.SliceIndex, Bequest] = {}
         self._freed: dict[ids.SliceIndex, ids.Token] = {}
         self._waiting_on: set[ids.ServerId] = set()
         self._busy: collections.Counter[ids.SliceIndex] = collections.Counter()
@@ -164,9 +188,65 @@
         # The token of this office that the server has accepted.
         self._seated = ids.NO_TOKEN
 
+    def find_grant_token(self, index: ids.SliceIndex) -> ids.Token | None:
+        """Returns the token under which this server should serve a slice.
+
+        Returns:
+            None if it should not: another server owns it, or an heir does.
+        """
+        if not self._is_front():
+            return None
+        state = self._ports.cell.slices[index]
+        if self._has_inherited(index):
+            return leases.make_grant_token(state.token, is_heir=True)
+        if state.server != self.server:
+            return None
+        if self._bequeathed.get(index) == state.token:
+            return None
+        return leases.make_grant_token(state.token, is_heir=False)
+
+    def bequeath(self, index: ids.SliceIndex) -> Bequest | None:
+        """Hands a slice of the lost server to its heir.
+
+        That takes a lost server that certainly cannot act any more, and a
+        log that is silent, so that no assignment can be made. From then on
+        this server does not get the slice back until the log moves it.
+
+        Returns:
+            What the heir's front needs to know, or None if it cannot be.
+        """
+        state = self._ports.cell.slices[index]
+        if state.server != self.server or not self._is_front():
+            return None
+        if self._bequeathed.get(index) != state.token:
+            if not self._may_bequeath(index):
+                return None
+            self._bequeathed[index] = state.token
+        return Bequest(index, self.server, state.token, self.front.token)
+
+    def inherit(self, bequest: Bequest) -> bool:
+        """Takes a slice of a lost server over; returns whether it may."""
+        self._bequests[bequest.slice] = bequest
+        self.changed.notify()
+        return self._has_inherited(bequest.slice)
+
+    def list_bequeathed(self) -> list[ids.SliceIndex]:
+        """Returns the slices that the heir serves."""
+        return [
+            index
+            for index, token in self._bequeathed.items()
+            if self._ports.cell.slices[index].token == token
+            and self._ports.cell.slices[index].server == self.server
+        ]
+
     def is_open(self, index: ids.SliceIndex, token: ids.Token) -> bool:
-        """Returns whether a request of a slice may be sent at this moment."""
-        if not self._may_front() or not self._is_front():
+        """Returns whether a request of a slice may be sent at this moment.
+
+        Args:
+            index: The slice.
+            token: What ``find_grant_token`` returned.
+        """
+        if not self._may_front() or self.find_grant_token(index) != token:
             return False
         if self._granted.get(index) != token:
             return False
@@ -202,18 +282,14 @@
         """
         await self.changed.wait_until(
             lambda: (
-                self.is_open(index, token) or not self.is_owner(index, token)
+                self.is_open(index, token)
+                or self.find_grant_token(index) != token
+                or self._may_bequeath(index)
             ),
             timeout_s,
         )
         return self.is_open(index, token)
 
-    def is_owner(self, index: ids.SliceIndex, token: ids.Token) -> bool:
-        """Returns whether the log still gives the slice to this server."""
-        state = self._ports.cell.slices[index]
-        owned = state.server == self.server and state.token == token
-        return owned and self._is_front()
-
     def enter(self, index: ids.SliceIndex) -> None:
         """Notes that a request of a slice is being sent to the server."""
         self._busy[index] += 1
@@ -241,7 +317,8 @@
             index
             for index, token in self._granted.items()
             if self._ports.cell.slices[index].prior
-            and self._ports.cell.slices[index].token == token
+            and self._ports.cell.slices[index].server == self.server
+            and self.find_grant_token(index) == token
         ]
 
     async def answer_release(self, query: ReleaseQuery) -> ReleaseReply:
@@ -249,6 +326,8 @@
         released: list[ids.SliceIndex] = []
 
         def find() -> bool:
+            if self._ports.cell.head < query.head:
+                return False
             released[:] = [
                 wanted.slice
                 for wanted in query.wanted
@@ -300,6 +379,44 @@
         """Returns whether this is still the newest front of the server."""
         return self._ports.cell.fronts.get(self.server) == self.front
 
+    def _has_inherited(self, index: ids.SliceIndex) -> bool:
+        """Returns whether a bequest of a slice to this server is in force."""
+        bequest = self._bequests.get(index)
+        if bequest is None:
+            return False
+        state = self._ports.cell.slices[index]
+        front = self._ports.cell.fronts.get(bequest.owner)
+        return (
+            front is not None
+            and (state.server, state.token) == (bequest.owner, bequest.token)
+            and (front.token, front.heir) == (bequest.front_token, self.server)
+        )
+
+    def _may_bequeath(self, index: ids.SliceIndex) -> bool:
+        """Returns whether the heir may act for the server now."""
+        state = self._ports.cell.slices[index]
+        return (
+            self.health is ServerHealth.DOWN
+            and bool(self.front.heir)
+            and state.server == self.server
+            and (not state.prior or self._freed.get(index) == state.token)
+            and not self._ports.authority.has_log()
+            and self._may_front()
+            and self._is_front()
+            and self._is_over(index)
+        )
+
+    def _is_over(self, index: ids.SliceIndex) -> bool:
+        """Returns whether the server, not renewed, can act no more."""
+        if self._busy[index]:
+            return False
+        until_s = self._inherited_until_s
+        if self.settings.checks_fences:
+            until_s = max(until_s, self._term.over_at_s)
+        else:
+            until_s = max(until_s, self._busy_until_s.get(index, 0.0))
+        return self._ports.clock.monotonic_s() >= until_s
+
     def _may_front(self) -> bool:
         """Returns whether this instance's news is fresh enough to act."""
         return self._ports.authority.may_front(self.front.witnesses)
@@ -340,10 +457,13 @@
         if not self._is_front():
             return []
         wanted = []
-        for index in cell.list_slices_of(self.server):
+        inherited = [i for i in self._bequests if self._has_inherited(i)]
+        for index in [*cell.list_slices_of(self.server), *inherited]:
             state = cell.slices[index]
-            if not state.prior or self._freed.get(index) == state.token:
-                wanted.append(leases.SliceGrant(index, state.token))
+            token = self.find_grant_token(index)
+            is_free = not state.prior or self._freed.get(index) == state.token
+            if token is not None and (is_free or index in inherited):
+                wanted.append(leases.SliceGrant(index, token))
         return wanted
 
     async def _exchange(self, grants: list[leases.SliceGrant]) -> None:
@@ -437,16 +557,14 @@
         state = self._ports.cell.slices[wanted.slice]
         if state.token < wanted.token or state.server == self.server:
             return False
-        if not self._is_front() or self._busy[wanted.slice]:
+        if not self._is_front() or self._has_inherited(wanted.slice):
             return False
-        now_s = self._ports.clock.monotonic_s()
-        if not self.settings.checks_fences:
-            busy_until_s = self._busy_until_s.get(wanted.slice, 0.0)
-            return now_s >= max(self._inherited_until_s, busy_until_s)
-        if now_s >= max(self._term.over_at_s, self._inherited_until_s):
+        if self._is_over(wanted.slice):
             return True
         return (
-            self._maybe_held is not None
+            self.settings.checks_fences
+            and not self._busy[wanted.slice]
+            and self._maybe_held is not None
             and wanted.slice not in self._maybe_held
         )
 
@@ -506,7 +624,8 @@
         front = self._ports.cell.fronts.get(prior)
         if front is None:
             return set()
-        query = ReleaseQuery(self._ports.cell.service, prior, unfreed)
+        cell = self._ports.cell
+        query = ReleaseQuery(cell.service, prior, unfreed, cell.head)
         reply = await self._ports.releases.await_release(front.front, query)
         return set(reply.released)
 
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/planner.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/planner.py
@@ -52,7 +52,7 @@
 
     ``domains`` are the failure domains of servers and instances by name.
     ``loads`` are requests a second by slice; slices without load may be
-    missing.
+    missing. ``bequeathed`` are slices that an heir serves for their owner.
     """
 
     cell: cells.Cell
@@ -61,6 +61,7 @@
     domains: dict[str, str]
     loads: dict[ids.SliceIndex, float]
     unfit_fronts: set[UnfitFront]
+    bequeathed: set[ids.SliceIndex]
 
 
 class Plan(NamedTuple):
@@ -156,7 +157,7 @@
         if standing is not Standing.UNUSABLE
     }
     for index, state in enumerate(view.cell.slices):
-        if state.server not in keeping:
+        if state.server not in keeping or index in view.bequeathed:
             yield ids.SliceIndex(index)
 
 
@@ -187,7 +188,7 @@
             for index in view.cell.list_slices_of(heaviest)
             if index not in moved
             and index not in moves
-            and not view.cell.slices[index].prior
+            and _is_quick_to_move(view.cell, index)
             and 0 < balance.weigh(index) < gap
         ]
         if not candidates:
@@ -201,6 +202,17 @@
     return moves
 
 
+def _is_quick_to_move(cell: cells.Cell, index: ids.SliceIndex) -> bool:
+    """Returns whether a slice would be let go of at once.
+
+    It would not while an earlier owner may hold it, or while the server may
+    obey an earlier front: then balance is not worth the wait.
+    """
+    state = cell.slices[index]
+    front = cell.fronts.get(state.server)
+    return not state.prior and front is not None and not front.earlier
+
+
 class _Fronting:
     """Chooses fronts and witnesses while a plan is made.
 
@@ -227,7 +239,10 @@
                 fronts[server] = self._choose_front(server)
         wanted = [
             records.ServerFront(
-                server, front, self._choose_witnesses(server, front)
+                server,
+                front,
+                self._choose_witnesses(server, front),
+                self._choose_heir(server),
             )
             for server, front in fronts.items()
         ]
@@ -278,6 +293,23 @@
         chosen = [*kept, *others][:_WITNESSES]
         return tuple(sorted(chosen))
 
+    def _choose_heir(self, server: ids.ServerId) -> ids.ServerId:
+        """Returns a usable server to act for one lost while the log is down.
+
+        The present heir is kept while it is usable.
+        """
+        usable = [
+            other
+            for other, standing in self._view.servers.items()
+            if standing is Standing.USABLE and other != server
+        ]
+        state = self._view.cell.fronts.get(server)
+        if state is not None and (state.heir in usable or not usable):
+            return state.heir
+        ranked = hashing.rank_by_rendezvous(f"heir of {server}", usable)
+        apart = [name for name in ranked if self._is_apart(name, server)]
+        return ids.ServerId(next(iter([*apart, *ranked]), ""))
+
     def _rank(self, subject: str) -> list[ids.InstanceId]:
         """Ranks the instances for a subject."""
         names = hashing.rank_by_rendezvous(subject, self._view.instances)
@@ -293,9 +325,10 @@
         state = self._view.cell.fronts.get(wanted.server)
         if state is None:
             return True
-        return (state.front, state.witnesses) != (
+        return (state.front, state.witnesses, state.heir) != (
             wanted.front,
             wanted.witnesses,
+            wanted.heir,
         )
 
 
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/records.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/records.py
@@ -43,12 +43,15 @@
     """The instance through which all requests to a server go from now on.
 
     While the log is silent, the front may go on as long as one of the
-    ``witnesses`` confirms that it has read nothing newer.
+    ``witnesses`` confirms that it has read nothing newer. If the server is
+    lost in that time, the front may hand its slices to the ``heir``, another
+    server; empty for none.
     """
 
     server: ids.ServerId
     front: ids.InstanceId
     witnesses: tuple[ids.InstanceId, ...]
+    heir: ids.ServerId
 
 
 class Assignment(NamedTuple):
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/reports.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/reports.py
@@ -33,13 +33,15 @@
 class ServiceReport(NamedTuple):
     """What one instance reports about one service.
 
-    ``settled`` are granted slices whose earlier owners have let go; ``loads``
+    ``settled`` are granted slices whose earlier owners have let go,
+    ``bequeathed`` are slices that the heir of a lost server serves; ``loads``
     names only slices that had requests.
     """
 
     service: ids.ServiceName
     servers: list[ServerReport]
     settled: list[ids.SliceIndex]
+    bequeathed: list[ids.SliceIndex]
     loads: list[SliceLoad]
 
 
@@ -110,6 +112,14 @@
             for index in remembered.report.settled
         }
 
+    def list_bequeathed(self) -> set[ids.SliceIndex]:
+        """Returns the slices that heirs serve, which the log should move."""
+        return {
+            index
+            for remembered in self._reports.values()
+            for index in remembered.report.bequeathed
+        }
+
     def list_loads(self) -> dict[ids.SliceIndex, float]:
         """Returns requests a second by slice, over the last seconds."""
         self._decay_loads(self._clock.monotonic_s())
--- a/libs/bridgecross-request/src/bridgecross_request/runner.py
+++ b/libs/bridgecross-request/src/bridgecross_request/runner.py
@@ -43,6 +43,18 @@
         """Returns a server's ``host:port``, or None if it is unknown."""
 
 
+class HeirForwarder(Protocol):
+    """Takes requests to the fronts of heirs on other instances."""
+
+    async def forward_to_heir(
+        self,
+        instance: ids.InstanceId,
+        request: requests.Request,
+        bequest: keeping.Bequest,
+    ) -> outcomes.Outcome:
+        """Has another instance run a request at the heir that it fronts."""
+
+
 class RunnerPorts(NamedTuple):
     """What a runner works with."""
 
@@ -51,6 +63,8 @@
     backend: backends.Backend
     addresses: AddressBook
     intents: appenders.Appender
+    heirs: HeirForwarder
+    me: ids.InstanceId
     clock: clocks.Clock
 
 
@@ -93,12 +107,50 @@
         keeper = self._ports.fronts.find(state.server)
         if keeper is None:
             return _stale("this instance does not front the key's owner")
-        attempt = _Attempt(request, keeper, index, state.token)
-        if not await keeper.wait_open(
-            index, state.token, self._left_s(request)
-        ):
-            return self._describe_closed(attempt)
-        return await self._run_queued(attempt)
+        token = keeper.find_grant_token(index)
+        if token is None:
+            return await self._run_at_heir(request, keeper, index)
+        attempt = _Attempt(request, keeper, index, token)
+        if await keeper.wait_open(index, token, self._left_s(request)):
+            return await self._run_queued(attempt)
+        return await self._run_at_heir(request, keeper, index)
+
+    async def run_inherited(
+        self, request: requests.Request, bequest: keeping.Bequest
+    ) -> outcomes.Outcome:
+        """Runs a request at the heir of its key's owner, fronted here."""
+        front = self._ports.cell.fronts.get(bequest.owner)
+        keeper = self._ports.fronts.find(front.heir) if front else None
+        if keeper is None or not keeper.inherit(bequest):
+            return _stale("this instance knows of no such heir")
+        index = bequest.slice
+        token = keeper.find_grant_token(index)
+        if token is None:
+            return _stale("the heir may not act any more")
+        attempt = _Attempt(request, keeper, index, token)
+        if await keeper.wait_open(index, token, self._left_s(request)):
+            return await self._run_queued(attempt)
+        return self._describe_closed(attempt)
+
+    async def _run_at_heir(
+        self,
+        request: requests.Request,
+        keeper: keeping.Keeper,
+        index: ids.SliceIndex,
+    ) -> outcomes.Outcome:
+        """Has the heir of a server that cannot act run a request."""
+        bequest = keeper.bequeath(index)
+        front = self._ports.cell.fronts.get(keeper.front.heir)
+        if bequest is None or front is None:
+            token = keeper.find_grant_token(index)
+            return self._describe_closed(
+                _Attempt(request, keeper, index, token or ids.NO_TOKEN)
+            )
+        if front.front == self._ports.me:
+            return await self.run_inherited(request, bequest)
+        return await self._ports.heirs.forward_to_heir(
+            front.front, request, bequest
+        )
 
     async def _run_queued(self, attempt: _Attempt) -> outcomes.Outcome:
         """Waits for a slot of the owner and runs the request in it."""
@@ -159,7 +211,7 @@
 
     def _describe_closed(self, attempt: _Attempt) -> outcomes.NotRun:
         """Returns the outcome when the owner did not become able to serve."""
-        if not attempt.keeper.is_owner(attempt.slice, attempt.token):
+        if attempt.keeper.find_grant_token(attempt.slice) != attempt.token:
             return _stale("the owner changed while the request waited")
         return outcomes.NotRun(
             outcomes.NotRunProof.REFUSED_BY_ADMISSION,
--- a/tests/matrix/cases.py
+++ b/tests/matrix/cases.py
@@ -171,6 +171,37 @@
     strike.server.frozen = False
 
 
+async def _slow_server_cut_off(strike: Strike) -> None:
+    strike.server.service_s = 0.9
+    await anyio.sleep(0.3)
+    strike.actor.unreachable = {strike.server.name}
+    await anyio.sleep(6.0)
+    strike.server.service_s = 0.005
+    strike.actor.unreachable = set()
+
+
+async def _slow_server_loses_front(strike: Strike) -> None:
+    server = next(iter(strike.house.servers.values()))
+    server.service_s = 0.9
+    front = strike.house.find_front(server.name)
+    await anyio.sleep(0.4)
+    front.link.lost = True
+    strike.house.list_one(server.name, membership.ListedState.LEAVING)
+    await anyio.sleep(4.0)
+    server.service_s = 0.005
+
+
+async def _isolated_front_and_leaving_server(strike: Strike) -> None:
+    server = next(iter(strike.house.servers.values()))
+    link = strike.house.find_front(server.name).link
+    link.log = False
+    link.peers = False
+    strike.house.list_one(server.name, membership.ListedState.LEAVING)
+    await anyio.sleep(8.0)
+    link.log = True
+    link.peers = True
+
+
 async def _lag_list(strike: Strike) -> None:
     strike.house.listing.lag_s = 8.0
     await anyio.sleep(8.0)
@@ -214,6 +245,9 @@
     "appends delayed": _delay_appends,
     "server lost": _lose_server_now,
     "server frozen": _freeze_server,
+    "slow server cut off": _slow_server_cut_off,
+    "slow server loses its front": _slow_server_loses_front,
+    "front isolated, server leaves": _isolated_front_and_leaving_server,
     "list lags": _lag_list,
     "operators race": _race_operators,
     "instance starts": _start_instance,
