--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
@@ -22,6 +22,7 @@
 from bridgecross_ownership import keeper as keeping
 from bridgecross_ownership import leases
 from bridgecross_ownership import membership as memberships
+from bridgecross_ownership import releases
 from bridgecross_ownership import reports
 from bridgecross_request import backends
 from bridgecross_request import requests
@@ -45,7 +46,7 @@
     peers: coordinators.PeerWatch
     peer_client: ports.PeerCaller
     lease_transport: leases.LeaseTransport
-    news: keeping.WitnessSource
+    news: releases.WitnessSource
     make_backend: Callable[[backends.BackendSettings], ports.ServiceBackend]
     control: appenders.Appender
     intents: appenders.Appender
@@ -113,7 +114,7 @@
         return peering.wrap_outcome(await self.runner.run(request))
 
     async def run_inherited(
-        self, wire: requests.WireRequest, bequest: keeping.Bequest
+        self, wire: requests.WireRequest, bequest: releases.Bequest
     ) -> peering.WireOutcome:
         """Runs a request at the heir of the key's owner."""
         await self.changed.wait_until(
@@ -265,8 +266,8 @@
         self._parts = parts
 
     async def await_release(
-        self, front: ids.InstanceId, query: keeping.ReleaseQuery
-    ) -> keeping.ReleaseReply:
+        self, front: ids.InstanceId, query: releases.ReleaseQuery
+    ) -> releases.ReleaseReply:
         """Asks a front; see ``keeper.ReleaseSource``."""
         if front == self._me:
             return await self._parts.fronts.answer_release(query)
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
@@ -19,8 +19,8 @@
 from bridgecross_log import follower as followers
 from bridgecross_ownership import authority as authorities
 from bridgecross_ownership import cell as cells
-from bridgecross_ownership import keeper as keeping
 from bridgecross_ownership import membership as memberships
+from bridgecross_ownership import releases
 from bridgecross_request import intents
 from bridgecross_request import requests
 from bridgecross_settings import policy as policies
@@ -275,12 +275,12 @@
         )
 
     async def await_release(
-        self, request: keeping.ReleaseQuery
-    ) -> keeping.ReleaseReply:
+        self, request: releases.ReleaseQuery
+    ) -> releases.ReleaseReply:
         """Waits until a server has let go of slices."""
         parts = self._services.get(request.service)
         if parts is None:
-            return keeping.ReleaseReply([])
+            return releases.ReleaseReply([])
         return await parts.fronts.answer_release(request)
 
     async def news(self, request: peering.NewsRequest) -> peering.NewsReply:
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peer_client.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_client.py
@@ -15,7 +15,7 @@
 from bridgecross_daemon import peering
 from bridgecross_daemon import ports
 from bridgecross_ownership import cell as cells
-from bridgecross_ownership import keeper as keeping
+from bridgecross_ownership import releases
 from bridgecross_request import requests
 
 Q = TypeVar("Q")
@@ -145,7 +145,7 @@
         self,
         instance: ids.InstanceId,
         request: requests.Request,
-        bequest: keeping.Bequest,
+        bequest: releases.Bequest,
     ) -> outcomes.Outcome:
         """Has the heir's front run a request; see ``runner.HeirForwarder``."""
         address = self._addresses.find_peer_address(instance)
@@ -176,18 +176,18 @@
         self._addresses = addresses
 
     async def await_release(
-        self, front: ids.InstanceId, query: keeping.ReleaseQuery
-    ) -> keeping.ReleaseReply:
+        self, front: ids.InstanceId, query: releases.ReleaseQuery
+    ) -> releases.ReleaseReply:
         """Asks a front; see ``keeper.ReleaseSource``."""
         address = self._addresses.find_peer_address(front)
         if address is None:
-            return keeping.ReleaseReply([])
+            return releases.ReleaseReply([])
         try:
             return await self._client.call(
                 address, peering.AWAIT_RELEASE, query, _RELEASE_TIMEOUT_S
             )
         except peering.PeerUnreachableError:
-            return keeping.ReleaseReply([])
+            return releases.ReleaseReply([])
 
 
 def _describe_unknown_address(instance: ids.InstanceId) -> outcomes.NotRun:
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peer_server.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_server.py
@@ -12,7 +12,7 @@
 from bridgecross_core import codec
 from bridgecross_core import stamps
 from bridgecross_daemon import peering
-from bridgecross_ownership import keeper as keeping
+from bridgecross_ownership import releases
 from bridgecross_request import requests
 
 Q = TypeVar("Q")
@@ -44,8 +44,8 @@
         """Takes the report of an instance."""
 
     async def await_release(
-        self, request: keeping.ReleaseQuery
-    ) -> keeping.ReleaseReply:
+        self, request: releases.ReleaseQuery
+    ) -> releases.ReleaseReply:
         """Waits until a server has let go of slices."""
 
     async def news(self, request: peering.NewsRequest) -> peering.NewsReply:
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peering.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peering.py
@@ -14,7 +14,7 @@
 from bridgecross_core import stamps
 from bridgecross_log import service as log_service
 from bridgecross_log import snapshot as snapshots
-from bridgecross_ownership import keeper as keeping
+from bridgecross_ownership import releases
 from bridgecross_ownership import reports
 from bridgecross_request import requests
 from bridgecross_timeline import events
@@ -38,7 +38,7 @@
     """A request for the heir of a lost server."""
 
     request: requests.WireRequest
-    bequest: keeping.Bequest
+    bequest: releases.Bequest
 
 
 class Heartbeat(NamedTuple):
@@ -219,7 +219,7 @@
 """Reports to a coordinator."""
 
 AWAIT_RELEASE = Method(
-    "AwaitRelease", keeping.ReleaseQuery, keeping.ReleaseReply
+    "AwaitRelease", releases.ReleaseQuery, releases.ReleaseReply
 )
 """Waits until a server has let go of slices."""
 
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/__init__.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/__init__.py
@@ -11,6 +11,7 @@
 * ``keeper``: keeps the lease of one server and opens its slices to requests.
 * ``fronts``: the keepers of all servers that this instance fronts.
 * ``authority``: how long an instance may act without news from the log.
+* ``releases``: what fronts ask before something changes hands.
 * ``reports``: what the instances tell the coordinator.
 * ``membership``: the instances and servers that the platform lists.
 """
@@ -25,5 +26,6 @@
     "membership",
     "planner",
     "records",
+    "releases",
     "reports",
 ]
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/fronts.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/fronts.py
@@ -6,6 +6,7 @@
 from bridgecross_core import ids
 from bridgecross_core import pulse
 from bridgecross_ownership import keeper as keeping
+from bridgecross_ownership import releases
 from bridgecross_timeline import events
 
 _RECONCILE_S = 0.5
@@ -50,15 +51,15 @@
             keeper.settings = settings
 
     async def answer_release(
-        self, query: keeping.ReleaseQuery
-    ) -> keeping.ReleaseReply:
+        self, query: releases.ReleaseQuery
+    ) -> releases.ReleaseReply:
         """Answers another front that asks what a server has let go of."""
         await self._changed.wait_until(
             lambda: self.find(query.server) is not None, _UNKNOWN_FRONT_WAIT_S
         )
         keeper = self.find(query.server)
         if keeper is None:
-            return keeping.ReleaseReply([])
+            return releases.ReleaseReply([])
         return await keeper.answer_release(query)
 
     async def run(self) -> None:
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/keeper.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/keeper.py
@@ -9,9 +9,7 @@
 import collections
 import dataclasses
 import enum
-import math
 from typing import NamedTuple
-from typing import Protocol
 
 import anyio
 import anyio.abc
@@ -20,75 +18,16 @@
 from bridgecross_core import clock as clocks
 from bridgecross_core import ids
 from bridgecross_core import pulse
+from bridgecross_ownership import _earlier_fronts
+from bridgecross_ownership import _prior_owners
 from bridgecross_ownership import authority as authorities
 from bridgecross_ownership import cell as cells
 from bridgecross_ownership import leases
+from bridgecross_ownership import releases
 from bridgecross_timeline import events
 from bridgecross_timeline import ring as rings
 
 _RELEASE_WAIT_S = 1.0
-_RETRY_S = 0.05
-
-
-class ReleaseQuery(NamedTuple):
-    """Asks whether a server has let go of slices.
-
-    ``wanted`` are the slices with the tokens that they have in the log, and
-    ``head`` is the newest record that the asker has read: an answer that has
-    read less is worth nothing.
-    """
-
-    service: ids.ServiceName
-    server: ids.ServerId
-    wanted: list[leases.SliceGrant]
-    head: ids.Offset
-
-
-class Bequest(NamedTuple):
-    """A slice of a lost server, handed to its heir while the log is silent.
-
-    ``token`` and ``front_token`` are those of the slice and of the lost
-    server's front: the bequest ends with either of them.
-    """
-
-    slice: ids.SliceIndex
-    owner: ids.ServerId
-    token: ids.Token
-    front_token: ids.Token
-
-
-class ReleaseReply(NamedTuple):
-    """The slices that the server has certainly let go of."""
-
-    released: list[ids.SliceIndex]
-
-
-class ReleaseSource(Protocol):
-    """Asks the front of a server what the server has let go of."""
-
-    async def await_release(
-        self, front: ids.InstanceId, query: ReleaseQuery
-    ) -> ReleaseReply:
-        """Waits a short while for slices to be let go of.
-
-        Returns:
-            What has been let go of; nothing if the front cannot be reached.
-        """
-
-
-class WitnessSource(Protocol):
-    """Asks other instances how far they have read the log."""
-
-    async def has_read(
-        self, instance: ids.InstanceId, offset: ids.Offset
-    ) -> bool:
-        """Returns whether an instance has certainly read a record.
-
-        Args:
-            instance: The run of an instance that is meant; a later run of it
-                does not count.
-            offset: The record.
-        """
 
 
 class ServerHealth(enum.Enum):
@@ -125,8 +64,8 @@
     cell: cells.Cell
     authority: authorities.Authority
     transport: leases.LeaseTransport
-    releases: ReleaseSource
-    witnesses: WitnessSource
+    releases: releases.ReleaseSource
+    witnesses: releases.WitnessSource
     clock: clocks.Clock
     ring: rings.Ring
 
@@ -162,9 +101,7 @@
         # Slices of this server that its heir serves, and of which token.
         self._bequeathed: dict[ids.SliceIndex, ids.Token] = {}
         # Slices of lost servers that this one serves as heir.
-        self._bequests: dict[ids.SliceIndex, Bequest] = {}
-        self._freed: dict[ids.SliceIndex, ids.Token] = {}
-        self._waiting_on: set[ids.ServerId] = set()
+        self._bequests: dict[ids.SliceIndex, releases.Bequest] = {}
         self._busy: collections.Counter[ids.SliceIndex] = collections.Counter()
         self._release_waiters = 0
         # When requests that were never answered have passed their deadline.
@@ -172,14 +109,13 @@
         self._misses = 0
         self._sequence = 0
         self._sent_grants: list[leases.SliceGrant] | None = None
-        self._let_go_by: collections.defaultdict[
-            leases.SliceGrant, set[ids.ServerId]
-        ] = collections.defaultdict(set)
-        # When everything that earlier fronts may have granted or sent is
-        # over; infinite until none of them can act any more.
-        self._inherited_until_s = (
-            math.inf if front.earlier else ports.clock.monotonic_s()
+        self._prior = _prior_owners.PriorOwners(
+            server,
+            _prior_owners.PriorOwnersPorts(
+                ports.cell, ports.releases, self.changed
+            ),
         )
+        self._earlier = self._expect_earlier(front)
         self._term = leases.LeaseTerm(settings.clock_drift_ratio)
         # The slices that the server may hold; None while nothing is known.
         self._maybe_held: set[ids.SliceIndex] | None = (
@@ -205,7 +141,7 @@
             return None
         return leases.make_grant_token(state.token, is_heir=False)
 
-    def bequeath(self, index: ids.SliceIndex) -> Bequest | None:
+    def bequeath(self, index: ids.SliceIndex) -> releases.Bequest | None:
         """Hands a slice of the lost server to its heir.
 
         That takes a lost server that certainly cannot act any more, and a
@@ -222,9 +158,11 @@
             if not self._may_bequeath(index):
                 return None
             self._bequeathed[index] = state.token
-        return Bequest(index, self.server, state.token, self.front.token)
+        return releases.Bequest(
+            index, self.server, state.token, self.front.token
+        )
 
-    def inherit(self, bequest: Bequest) -> bool:
+    def inherit(self, bequest: releases.Bequest) -> bool:
         """Takes a slice of a lost server over; returns whether it may."""
         self._bequests[bequest.slice] = bequest
         self.changed.notify()
@@ -269,7 +207,7 @@
             return False
         if self.settings.checks_fences:
             return True
-        return self._ports.clock.monotonic_s() >= self._inherited_until_s
+        return self._ports.clock.monotonic_s() >= self._earlier.over_at_s
 
     async def wait_open(
         self, index: ids.SliceIndex, token: ids.Token, timeout_s: float
@@ -321,7 +259,9 @@
             and self.find_grant_token(index) == token
         ]
 
-    async def answer_release(self, query: ReleaseQuery) -> ReleaseReply:
+    async def answer_release(
+        self, query: releases.ReleaseQuery
+    ) -> releases.ReleaseReply:
         """Waits a short while until the server has let go of some slice."""
         released: list[ids.SliceIndex] = []
 
@@ -340,26 +280,27 @@
             await self.changed.wait_until(find, _RELEASE_WAIT_S)
         finally:
             self._release_waiters -= 1
-        return ReleaseReply(released)
+        return releases.ReleaseReply(released)
 
     async def run(self) -> None:
         """Keeps the lease until it is cancelled."""
         async with anyio.create_task_group() as tasks:
-            if self.front.earlier:
-                tasks.start_soon(self._stop_earlier)
+            tasks.start_soon(self._earlier.run)
             while True:
                 await self._step(tasks)
                 await self._sleep()
 
     async def _step(self, tasks: anyio.abc.TaskGroup) -> None:
         """Does one round: what to grant, whom to ask, one exchange."""
-        self._start_asking(tasks)
+        if self._is_front():
+            self._prior.start_asking(tasks)
         if not self._may_front():
             await anyio.sleep(self.settings.renew_interval_ms / 1_000)
             return
         grants = self._list_wanted()
         await self._exchange(grants)
-        if not self.settings.checks_fences:
+        is_up = self.health is not ServerHealth.DOWN
+        if is_up and not self.settings.checks_fences:
             self._granted = {grant.slice: grant.token for grant in grants}
         self._note_lapse()
         self.changed.notify()
@@ -370,11 +311,32 @@
         await self.changed.wait_until(
             lambda: (
                 self._list_wanted() != self._sent_grants
-                or self._has_unasked_prior()
+                or (self._is_front() and self._prior.has_unasked())
             ),
             interval_s,
         )
 
+    def _expect_earlier(
+        self, front: cells.FrontState
+    ) -> _earlier_fronts.EarlierFronts:
+        """Returns what waits for the earlier fronts of an office."""
+        settings = self.settings
+        return _earlier_fronts.EarlierFronts(
+            front,
+            _earlier_fronts.EarlierFrontsSettings(
+                settings.lease_ms
+                if settings.checks_fences
+                else settings.max_deadline_ms,
+                settings.clock_drift_ratio,
+            ),
+            _earlier_fronts.EarlierFrontsPorts(
+                self._ports.authority,
+                self._ports.witnesses,
+                self._ports.clock,
+                self.changed,
+            ),
+        )
+
     def _is_front(self) -> bool:
         """Returns whether this is still the newest front of the server."""
         return self._ports.cell.fronts.get(self.server) == self.front
@@ -399,7 +361,7 @@
             self.health is ServerHealth.DOWN
             and bool(self.front.heir)
             and state.server == self.server
-            and (not state.prior or self._freed.get(index) == state.token)
+            and self._prior.is_free(index)
             and not self._ports.authority.has_log()
             and self._may_front()
             and self._is_front()
@@ -410,7 +372,7 @@
         """Returns whether the server, not renewed, can act no more."""
         if self._busy[index]:
             return False
-        until_s = self._inherited_until_s
+        until_s = self._earlier.over_at_s
         if self.settings.checks_fences:
             until_s = max(until_s, self._term.over_at_s)
         else:
@@ -421,36 +383,6 @@
         """Returns whether this instance's news is fresh enough to act."""
         return self._ports.authority.may_front(self.front.witnesses)
 
-    async def _stop_earlier(self) -> None:
-        """Waits until no earlier front can act, and notes when all is over.
-
-        An earlier front has stopped if it has read its replacement. One that
-        does not answer stops by itself once no witness confirms it any more.
-        """
-        for earlier in self.front.earlier:
-            while not await self._is_stopped(earlier):
-                await anyio.sleep(_RETRY_S)
-        act_ms = self._ports.authority.settings.authority_ms
-        act_ms += (
-            self.settings.lease_ms
-            if self.settings.checks_fences
-            else self.settings.max_deadline_ms
-        )
-        act_s = act_ms / 1_000 * (1 + self.settings.clock_drift_ratio)
-        self._inherited_until_s = self._ports.clock.monotonic_s() + act_s
-        await anyio.sleep(act_s)
-        self.changed.notify()
-
-    async def _is_stopped(self, earlier: cells.EarlierFront) -> bool:
-        """Returns whether an earlier front cannot renew its authority."""
-        offset = ids.Offset(self.front.token)
-        if await self._ports.witnesses.has_read(earlier.front, offset):
-            return True
-        for witness in earlier.witnesses:
-            if not await self._ports.witnesses.has_read(witness, offset):
-                return False
-        return True
-
     def _list_wanted(self) -> list[leases.SliceGrant]:
         """Returns the slices to grant: owned, and free of earlier owners."""
         cell = self._ports.cell
@@ -459,10 +391,9 @@
         wanted = []
         inherited = [i for i in self._bequests if self._has_inherited(i)]
         for index in [*cell.list_slices_of(self.server), *inherited]:
-            state = cell.slices[index]
             token = self.find_grant_token(index)
-            is_free = not state.prior or self._freed.get(index) == state.token
-            if token is not None and (is_free or index in inherited):
+            is_free = index in inherited or self._prior.is_free(index)
+            if token is not None and is_free:
                 wanted.append(leases.SliceGrant(index, token))
         return wanted
 
@@ -567,91 +498,3 @@
             and self._maybe_held is not None
             and wanted.slice not in self._maybe_held
         )
-
-    def _list_unfreed(self, prior: ids.ServerId) -> list[leases.SliceGrant]:
-        """Returns owned slices that an earlier owner may still hold."""
-        cell = self._ports.cell
-        return [
-            leases.SliceGrant(index, cell.slices[index].token)
-            for index in cell.list_slices_of(self.server)
-            if prior in self._list_blockers(index)
-        ]
-
-    def _list_priors(self) -> set[ids.ServerId]:
-        """Returns the earlier owners that must let go of something."""
-        cell = self._ports.cell
-        return {
-            prior
-            for index in cell.list_slices_of(self.server)
-            for prior in self._list_blockers(index)
-        }
-
-    def _list_blockers(self, index: ids.SliceIndex) -> set[ids.ServerId]:
-        """Returns the earlier owners that have not let go of a slice yet."""
-        state = self._ports.cell.slices[index]
-        if not state.prior or self._freed.get(index) == state.token:
-            return set()
-        grant = leases.SliceGrant(index, state.token)
-        return set(state.prior) - self._let_go_by.get(grant, set())
-
-    def _has_unasked_prior(self) -> bool:
-        """Returns whether an earlier owner is not being asked yet."""
-        return self._is_front() and bool(self._list_priors() - self._waiting_on)
-
-    def _start_asking(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Starts one task for each earlier owner that must let go."""
-        if not self._is_front():
-            return
-        for prior in self._list_priors() - self._waiting_on:
-            self._waiting_on.add(prior)
-            tasks.start_soon(self._ask_prior, prior)
-
-    async def _ask_prior(self, prior: ids.ServerId) -> None:
-        """Asks the front of an earlier owner until all is let go of."""
-        try:
-            while unfreed := self._list_unfreed(prior):
-                released = await self._ask_once(prior, unfreed)
-                self._note_released(prior, unfreed, released)
-                if not released:
-                    await anyio.sleep(_RETRY_S)
-        finally:
-            self._waiting_on.discard(prior)
-
-    async def _ask_once(
-        self, prior: ids.ServerId, unfreed: list[leases.SliceGrant]
-    ) -> set[ids.SliceIndex]:
-        """Asks once; returns the slices that were let go of."""
-        front = self._ports.cell.fronts.get(prior)
-        if front is None:
-            return set()
-        cell = self._ports.cell
-        query = ReleaseQuery(cell.service, prior, unfreed, cell.head)
-        reply = await self._ports.releases.await_release(front.front, query)
-        return set(reply.released)
-
-    def _note_released(
-        self,
-        prior: ids.ServerId,
-        asked: list[leases.SliceGrant],
-        released: set[ids.SliceIndex],
-    ) -> None:
-        """Frees the slices that their last earlier owner let go of."""
-        for grant in asked:
-            if grant.slice not in released:
-                continue
-            state = self._ports.cell.slices[grant.slice]
-            if state.token == grant.token:
-                self._note_one_released(prior, grant, state)
-        self.changed.notify()
-
-    def _note_one_released(
-        self,
-        prior: ids.ServerId,
-        grant: leases.SliceGrant,
-        state: cells.SliceState,
-    ) -> None:
-        """Notes that one earlier owner let go of one slice."""
-        self._let_go_by[grant].add(prior)
-        if self._let_go_by[grant].issuperset(state.prior):
-            self._freed[grant.slice] = grant.token
-            del self._let_go_by[grant]
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/planner.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/planner.py
@@ -205,12 +205,15 @@
 def _is_quick_to_move(cell: cells.Cell, index: ids.SliceIndex) -> bool:
     """Returns whether a slice would be let go of at once.
 
-    It would not while an earlier owner may hold it, or while the server may
-    obey an earlier front: then balance is not worth the wait.
+    It would not while an earlier owner may hold it, or while the server or
+    its heir may obey an earlier front: balance is not worth that wait.
     """
     state = cell.slices[index]
     front = cell.fronts.get(state.server)
-    return not state.prior and front is not None and not front.earlier
+    if state.prior or front is None:
+        return False
+    heirs_front = cell.fronts.get(front.heir)
+    return not front.earlier and not (heirs_front and heirs_front.earlier)
 
 
 class _Fronting:
--- a/libs/bridgecross-request/src/bridgecross_request/runner.py
+++ b/libs/bridgecross-request/src/bridgecross_request/runner.py
@@ -12,6 +12,7 @@
 from bridgecross_ownership import cell as cells
 from bridgecross_ownership import fronts as front_sets
 from bridgecross_ownership import keeper as keeping
+from bridgecross_ownership import releases
 from bridgecross_request import backends
 from bridgecross_request import intents
 from bridgecross_request import queueing
@@ -50,7 +51,7 @@
         self,
         instance: ids.InstanceId,
         request: requests.Request,
-        bequest: keeping.Bequest,
+        bequest: releases.Bequest,
     ) -> outcomes.Outcome:
         """Has another instance run a request at the heir that it fronts."""
 
@@ -116,7 +117,7 @@
         return await self._run_at_heir(request, keeper, index)
 
     async def run_inherited(
-        self, request: requests.Request, bequest: keeping.Bequest
+        self, request: requests.Request, bequest: releases.Bequest
     ) -> outcomes.Outcome:
         """Runs a request at the heir of its key's owner, fronted here."""
         front = self._ports.cell.fronts.get(bequest.owner)
