--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,8 @@
 	$(BIN)/bridgecross-demo
 
 test: setup
-	PYTHONHASHSEED=0 $(BIN)/pytest
+	PYTHONHASHSEED=0 $(BIN)/pytest libs tests/matrix
+	$(BIN)/pytest --numprocesses 2 tests/test_house.py
 
 check: setup
 	$(BIN)/ruff format --check .
--- a/libs/bridgecross-core/src/bridgecross_core/__init__.py
+++ b/libs/bridgecross-core/src/bridgecross_core/__init__.py
@@ -9,6 +9,7 @@
 * ``hashing``: keys to slices, and rendezvous ranking.
 * ``outcomes``: what became of a request.
 * ``pulse``: wakes the tasks that wait for a change.
+* ``signals``: turns the signals to stop into a call.
 * ``stamps``: a clock that orders events over all processes.
 """
 
@@ -20,5 +21,6 @@
     "ids",
     "outcomes",
     "pulse",
+    "signals",
     "stamps",
 ]
--- /dev/null
+++ b/libs/bridgecross-core/src/bridgecross_core/signals.py
@@ -0,0 +1,24 @@
+"""Turns the signals that ask a process to stop into a call."""
+
+from collections.abc import Callable
+import signal
+
+import anyio
+import anyio.abc
+
+
+async def watch_stop(
+    stop: Callable[[], None],
+    *,
+    task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Calls a function at each SIGTERM or SIGINT, until cancelled.
+
+    Args:
+        stop: Begins a planned stop; it may be called more than once.
+        task_status: Told once the signals are being watched.
+    """
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        task_status.started()
+        async for _ in received:
+            stop()
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
@@ -64,6 +64,9 @@
         self.changed = pulse.Pulse()
         self.book = reports.ReportBook(shared.clock)
         self._shared = shared
+        self._forwarder = peer_client.PeerForwarder(
+            shared.peer_client, shared.addresses, cell, shared.clock
+        )
         self.backend = shared.make_backend(
             _translate.backend_settings(service.policy)
         )
@@ -228,9 +231,7 @@
             backend=self.backend,
             addresses=shared.addresses,
             intents=shared.intents,
-            heirs=peer_client.PeerHeirForwarder(
-                shared.peer_client, shared.addresses, self.cell, shared.clock
-            ),
+            heirs=self._forwarder,
             me=shared.me,
             clock=shared.clock,
         )
@@ -243,9 +244,7 @@
             cell=self.cell,
             changed=self.changed,
             runner=self.runner,
-            forwarder=peer_client.PeerForwarder(
-                shared.peer_client, shared.addresses, self.cell, shared.clock
-            ),
+            forwarder=self._forwarder,
             clock=shared.clock,
             ring=shared.ring,
             randomness=random.Random(f"{shared.me}/{self.cell.service}"),
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/main.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/main.py
@@ -2,14 +2,13 @@
 
 import argparse
 import pathlib
-import signal
 import sys
 
 import anyio
-import anyio.abc
 import loguru
 
 from bridgecross_core import findings
+from bridgecross_core import signals
 from bridgecross_daemon import serving
 from bridgecross_settings import process
 
@@ -88,22 +87,10 @@
     """Runs the instance and turns signals into a planned stop."""
     daemon = serving.Daemon(settings)
     async with anyio.create_task_group() as tasks:
-        await tasks.start(_watch_signals, daemon)
+        await tasks.start(signals.watch_stop, daemon.stop)
         await daemon.run()
         tasks.cancel_scope.cancel()
 
 
-async def _watch_signals(
-    daemon: serving.Daemon,
-    *,
-    task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
-) -> None:
-    """Begins a planned stop at the first signal."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        task_status.started()
-        async for _ in received:
-            daemon.stop()
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peer_client.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_client.py
@@ -1,5 +1,6 @@
 """Calls other instances over gRPC."""
 
+from collections.abc import Callable
 from typing import Any
 from typing import Protocol
 from typing import TypeVar
@@ -111,35 +112,9 @@
         self, instance: ids.InstanceId, request: requests.Request
     ) -> outcomes.Outcome:
         """Has another instance run a request; see ``routing.Forwarder``."""
-        address = self._addresses.find_peer_address(instance)
-        if address is None:
-            return _describe_unknown_address(instance)
-        now_s = self._clock.monotonic_s()
-        wire = requests.to_wire(request, now_s, self._cell.head)
-        try:
-            reply = await self._client.call(
-                address, peering.FORWARD, wire, request.deadline_s - now_s
-            )
-        except peering.PeerUnreachableError as error:
-            return _describe_failure(instance, error)
-        return peering.unwrap_outcome(reply)
-
-
-class PeerHeirForwarder:
-    """Takes requests of a lost server's keys to the front of its heir."""
-
-    def __init__(
-        self,
-        client: ports.PeerCaller,
-        addresses: PeerAddresses,
-        cell: cells.Cell,
-        clock: clocks.Clock,
-    ) -> None:
-        """Forwards nothing yet."""
-        self._client = client
-        self._addresses = addresses
-        self._cell = cell
-        self._clock = clock
+        return await self._call(
+            instance, request, peering.FORWARD, lambda wire: wire
+        )
 
     async def forward_to_heir(
         self,
@@ -148,17 +123,33 @@
         bequest: releases.Bequest,
     ) -> outcomes.Outcome:
         """Has the heir's front run a request; see ``runner.HeirForwarder``."""
+        return await self._call(
+            instance,
+            request,
+            peering.INHERIT,
+            lambda wire: peering.InheritRequest(wire, bequest),
+        )
+
+    async def _call(
+        self,
+        instance: ids.InstanceId,
+        request: requests.Request,
+        method: peering.Method[Q, peering.WireOutcome],
+        wrap: Callable[[requests.WireRequest], Q],
+    ) -> outcomes.Outcome:
+        """Sends a request to another instance and waits for its outcome."""
         address = self._addresses.find_peer_address(instance)
         if address is None:
-            return _describe_unknown_address(instance)
+            return outcomes.NotRun(
+                outcomes.NotRunProof.REFUSED_BY_ADMISSION,
+                f"the address of {instance} is not known",
+                reroute=True,
+            )
         now_s = self._clock.monotonic_s()
         wire = requests.to_wire(request, now_s, self._cell.head)
         try:
             reply = await self._client.call(
-                address,
-                peering.INHERIT,
-                peering.InheritRequest(wire, bequest),
-                request.deadline_s - now_s,
+                address, method, wrap(wire), request.deadline_s - now_s
             )
         except peering.PeerUnreachableError as error:
             return _describe_failure(instance, error)
@@ -190,15 +181,6 @@
             return releases.ReleaseReply([])
 
 
-def _describe_unknown_address(instance: ids.InstanceId) -> outcomes.NotRun:
-    """Returns the outcome of a request whose front cannot be found."""
-    return outcomes.NotRun(
-        outcomes.NotRunProof.REFUSED_BY_ADMISSION,
-        f"the address of {instance} is not known",
-        reroute=True,
-    )
-
-
 def _describe_failure(
     instance: ids.InstanceId, error: peering.PeerUnreachableError
 ) -> outcomes.Outcome:
--- a/libs/bridgecross-standins/src/bridgecross_standins/main.py
+++ b/libs/bridgecross-standins/src/bridgecross_standins/main.py
@@ -1,14 +1,13 @@
 """The command line of a single stand-in."""
 
 import argparse
-import signal
 import sys
 from typing import Any
 
 import anyio
-import anyio.abc
 
 from bridgecross_core import codec
+from bridgecross_core import signals
 from bridgecross_standins import backend_standin
 from bridgecross_standins import list_standin
 from bridgecross_standins import log_standin
@@ -53,22 +52,10 @@
     """Serves until a signal comes."""
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
-        await tasks.start(_watch_signals, stop)
+        await tasks.start(signals.watch_stop, stop.set)
         await serving.serve(address, app, stop)
         tasks.cancel_scope.cancel()
 
 
-async def _watch_signals(
-    stop: anyio.Event,
-    *,
-    task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
-) -> None:
-    """Sets an event at the first signal."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        task_status.started()
-        async for _ in received:
-            stop.set()
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/libs/bridgecross-timeline/tests/test_timeline.py
@@ -0,0 +1,54 @@
+import dataclasses
+import typing
+
+import pytest
+
+from bridgecross_core import clock
+from bridgecross_core import codec
+from bridgecross_core import stamps
+from bridgecross_timeline import events
+from bridgecross_timeline import render
+from bridgecross_timeline import ring
+
+DETAILS = typing.get_args(events.Detail)
+
+
+def _make(detail_type):
+    values = {
+        field.name: "<x>" if field.type is str else 7
+        for field in dataclasses.fields(detail_type)
+    }
+    return detail_type(**values)
+
+
+@pytest.mark.parametrize("detail_type", DETAILS)
+def test_every_event_survives_the_wire(detail_type):
+    event = events.Event(stamps.Stamp(5, 1), "entry-1", _make(detail_type))
+    wires = codec.Codec(events.WireEvent)
+    sent = wires.decode(wires.encode(events.to_wire(event)))
+    assert events.from_wire(sent) == event
+    assert event.kind in events.KINDS
+
+
+def test_a_ring_forgets_the_oldest():
+    settings = ring.RingSettings("entry-1", capacity=3)
+    remembered = ring.Ring(settings, stamps.HybridClock(clock.SystemClock()))
+    for number in range(5):
+        remembered.add(events.DrainBegan(number))
+    kept = [event.detail for event in remembered.list_events()]
+    assert kept == [events.DrainBegan(n) for n in (2, 3, 4)]
+
+
+def test_lanes_merge_in_causal_order_and_render():
+    lanes = [
+        [events.Event(stamps.Stamp(t, 0), name, _make(DETAILS[t % 3]))]
+        for t, name in ((3, "entry-1"), (1, "entry-2"), (2, "<entry-3>"))
+    ]
+    timeline = render.merge(lanes)
+    assert [event.stamp.wall_us for event in timeline] == [1, 2, 3]
+    assert len(render.render_text(timeline).splitlines()) == 3
+    page = render.render_html(timeline)
+    assert page.count("<circle") == 3
+    assert "<entry-3>" not in page
+    assert "&lt;entry-3&gt;" in page
+    assert render.render_html([]).startswith("<!doctype html>")
