Show in status and demo how many requests wait by tier

Requests that wait for an owner able to serve are counted with those that wait for a slot; the demo prints the most that waited at one time.

--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
@@ -155,11 +155,8 @@
     def describe(self) -> peering.ServiceStatus:
         """Returns how this instance sees the service."""
         queues = self.runner.queues
-        waiting: dict[str, int] = {}
         served: dict[str, int] = {}
         for queue in queues.values():
-            for tier, count in queue.waiting.items():
-                waiting[tier] = waiting.get(tier, 0) + count
             for tier, count in queue.served.items():
                 served[tier] = served.get(tier, 0) + count
         return peering.ServiceStatus(
@@ -179,7 +176,7 @@
                 )
                 for keeper in self.fronts.keepers.values()
             ],
-            waiting=waiting,
+            waiting=dict(self.runner.waiting),
             served=served,
         )
 
--- a/libs/bridgecross-request/src/bridgecross_request/runner.py
+++ b/libs/bridgecross-request/src/bridgecross_request/runner.py
@@ -1,5 +1,6 @@
 """Runs a request on the instance that fronts the key's owner."""
 
+import collections
 import dataclasses
 from typing import NamedTuple
 from typing import Protocol
@@ -91,6 +92,8 @@
         self._settings = settings
         self._ports = ports
         self.queues: dict[ids.ServerId, queueing.TierQueue] = {}
+        # Requests by tier that wait for an owner able to serve or for a slot.
+        self.waiting: collections.Counter[str] = collections.Counter()
 
     def replace_settings(self, settings: RunnerSettings) -> None:
         """Puts new settings into force, in existing queues as well."""
@@ -112,7 +115,7 @@
         if token is None:
             return await self._run_at_heir(request, keeper, index)
         attempt = _Attempt(request, keeper, index, token)
-        if await keeper.wait_open(index, token, self._left_s(request)):
+        if await self._wait_open(attempt):
             return await self._run_queued(attempt)
         return await self._run_at_heir(request, keeper, index)
 
@@ -129,10 +132,21 @@
         if token is None:
             return _stale("the heir may not act any more")
         attempt = _Attempt(request, keeper, index, token)
-        if await keeper.wait_open(index, token, self._left_s(request)):
+        if await self._wait_open(attempt):
             return await self._run_queued(attempt)
         return self._describe_closed(attempt)
 
+    async def _wait_open(self, attempt: _Attempt) -> bool:
+        """Waits until the owner may serve; returns whether it may."""
+        request = attempt.request
+        self.waiting[request.tier] += 1
+        try:
+            return await attempt.keeper.wait_open(
+                attempt.slice, attempt.token, self._left_s(request)
+            )
+        finally:
+            self.waiting[request.tier] -= 1
+
     async def _run_at_heir(
         self,
         request: requests.Request,
@@ -158,7 +172,11 @@
         request = attempt.request
         queue = self._find_queue(attempt.keeper.server)
         place = self._find_place(request.tier)
-        answer = await queue.acquire(place, request.deadline_s)
+        self.waiting[request.tier] += 1
+        try:
+            answer = await queue.acquire(place, request.deadline_s)
+        finally:
+            self.waiting[request.tier] -= 1
         if isinstance(answer, queueing.Refused):
             return outcomes.NotRun(
                 outcomes.NotRunProof.REFUSED_BY_ADMISSION,
--- a/libs/bridgecross-standins/src/bridgecross_standins/demo.py
+++ b/libs/bridgecross-standins/src/bridgecross_standins/demo.py
@@ -33,6 +33,7 @@
 _AFTER_S = 6.0
 _RATE_PER_S = 15.0
 _WATCH_PER_KEY_S = 10.0
+_WATCH_WAITING_S = 0.2
 _KEYS = 60
 _REASONS = 6
 _DEADLINE_MS = 1_500
@@ -135,6 +136,7 @@
         self._house = house
         self._probers: dict[str, probing.Prober] = {}
         self._lost_keys: set[str] = set()
+        self._most_waiting: collections.Counter[str] = collections.Counter()
 
     async def run(self) -> int:
         """Runs all steps and prints the summary."""
@@ -146,6 +148,7 @@
         )
         async with anyio.create_task_group() as tasks:
             await tasks.start(chooser.run)
+            tasks.start_soon(self._watch_waiting)
             async with anyio.create_task_group() as load:
                 for prober in self._make_probers(chooser):
                     load.start_soon(prober.run)
@@ -159,6 +162,18 @@
         print(f"time line of {len(timeline)} events: {page}")
         return self._report(lost_at_s, timeline)
 
+    async def _watch_waiting(self) -> None:
+        """Notes the most requests of each tier that wait at one time."""
+        while True:
+            statuses = await house_tools.read_statuses(self._house)
+            now: collections.Counter[str] = collections.Counter()
+            for status in statuses.values():
+                for service in status.services:
+                    for tier, count in service.waiting.items():
+                        now[f"{service.service}/{tier}"] += count
+            self._most_waiting |= now
+            await anyio.sleep(_WATCH_WAITING_S)
+
     def _make_probers(self, chooser: balancer.Balancer) -> list[probing.Prober]:
         """Returns a prober for each service and tier that it sells."""
         place = self._house.place
@@ -236,7 +251,8 @@
     def _print_tiers(self) -> None:
         """Prints what became of the requests of each tier."""
         print(f"\n{'service/tier':<28}{'sent':>6}{'answered':>10}", end="")
-        print(f"{'not run':>9}{'unknown':>9}{'p50 ms':>8}{'p99 ms':>8}")
+        print(f"{'not run':>9}{'unknown':>9}{'p50 ms':>8}{'p99 ms':>8}", end="")
+        print(f"{'most waiting':>14}")
         for name, prober in self._probers.items():
             counts = collections.Counter(p.outcome for p in prober.probes)
             took_ms = sorted(
@@ -250,6 +266,7 @@
                 f"{counts['unknown'] + counts['none']:>9}"
                 f"{_percentile(took_ms, 0.5):>8.1f}"
                 f"{_percentile(took_ms, 0.99):>8.1f}"
+                f"{self._most_waiting[name]:>14}"
             )
 
     def _print_reasons(self) -> None:
