Choose heirs and witnesses without looking at every pair

Change: the list is made once, an heir is found by walking on from a place that the server's hash gives, and witnesses are ranked only if one is missing.

--- a/libs/bridgecross-ownership/src/bridgecross_ownership/planner.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/planner.py
@@ -231,6 +231,12 @@
         count = max(len(view.instances), 1)
         self._limit = -(-len(self._needed) // count)
         self._counts = dict.fromkeys(view.instances, 0)
+        self._usable = sorted(
+            server
+            for server, standing in view.servers.items()
+            if standing is Standing.USABLE
+        )
+        self._usable_set = set(self._usable)
 
     def plan(self) -> list[records.ServerFront]:
         """Returns the servers whose front or witnesses should change."""
@@ -287,6 +293,8 @@
             for witness in (state.witnesses if state else ())
             if witness in self._counts and witness != front
         ]
+        if len(kept) >= _WITNESSES:
+            return tuple(sorted(kept[:_WITNESSES]))
         others = [
             instance
             for instance in self._rank(f"witness of {server}")
@@ -299,19 +307,26 @@
     def _choose_heir(self, server: ids.ServerId) -> ids.ServerId:
         """Returns a usable server to act for one lost while the log is down.
 
-        The present heir is kept while it is usable.
+        The present heir is kept while it is usable. A new one is found by
+        walking on from a place in the list that the server's hash gives, so
+        that a plan does not look at every pair of servers.
         """
-        usable = [
-            other
-            for other, standing in self._view.servers.items()
-            if standing is Standing.USABLE and other != server
-        ]
         state = self._view.cell.fronts.get(server)
-        if state is not None and (state.heir in usable or not usable):
+        if state is not None and (
+            state.heir in self._usable_set or not self._usable
+        ):
             return state.heir
-        ranked = hashing.rank_by_rendezvous(f"heir of {server}", usable)
-        apart = [name for name in ranked if self._is_apart(name, server)]
-        return ids.ServerId(next(iter([*apart, *ranked]), ""))
+        start = hashing.hash_key(f"heir of {server}")
+        count = len(self._usable)
+        fallback = cells.NO_SERVER
+        for step in range(count):
+            other = self._usable[(start + step) % count]
+            if other == server:
+                continue
+            if self._is_apart(other, server):
+                return other
+            fallback = fallback or other
+        return fallback
 
     def _rank(self, subject: str) -> list[ids.InstanceId]:
         """Ranks the instances for a subject."""
