Take out what the change had made dead, and one twin

Found by reading the whole change once more: - claims still carried members, for a majority that was weighed and left out; nothing read them, and their comment described a mechanism that is not there.

--- a/benchmarks/fold.py
+++ b/benchmarks/fold.py
@@ -52,7 +52,7 @@
 def list_records(servers: int, slices: int) -> list[log_service.StoredRecord]:
     """Returns a claim and the assignment of all slices."""
     claim = records.Claim(
-        SERVICE, ids.Term(-1), ids.InstanceId("entry-1"), (), slices
+        SERVICE, ids.Term(-1), ids.InstanceId("entry-1"), slices
     )
     moves = tuple(
         records.ServerSlices(
--- a/libs/bridgecross-cli/src/bridgecross_cli/_commands.py
+++ b/libs/bridgecross-cli/src/bridgecross_cli/_commands.py
@@ -131,7 +131,10 @@
 async def show_timeline(options: argparse.Namespace) -> int:
     """Shows the events of all processes in causal order."""
     connection = reach.read_connection(options.connect)
-    timeline = await read_timeline(connection)
+    gathered = await reach.gather_timeline(connection)
+    for answer in gathered.unreachable:
+        print(f"{answer.instance}: {answer.problem}", file=sys.stderr)
+    timeline = gathered.events
     if options.kind:
         timeline = [event for event in timeline if event.kind in options.kind]
     if options.html:
@@ -145,29 +148,6 @@
     return EXIT_OK
 
 
-async def read_timeline(
-    connection: process.ProcessSettings,
-) -> list[events.Event]:
-    """Returns the events that all reachable instances remember.
-
-    Raises:
-        reach.ReachError: The instance list did not answer.
-    """
-    answers = await reach.call_instances(
-        await reach.list_instances(connection),
-        peering.TIMELINE,
-        peering.TimelineRequest(),
-    )
-    for answer in answers:
-        if answer.problem:
-            print(f"{answer.instance}: {answer.problem}", file=sys.stderr)
-    return render.merge(
-        [events.from_wire(wire) for wire in answer.reply.events]
-        for answer in answers
-        if answer.reply
-    )
-
-
 def _show_effective(options: argparse.Namespace, house: tree.House) -> int:
     """Shows the fields in effect at a node and who set them."""
     try:
--- a/libs/bridgecross-cli/src/bridgecross_cli/reach.py
+++ b/libs/bridgecross-cli/src/bridgecross_cli/reach.py
@@ -24,6 +24,8 @@
 from bridgecross_log import http_service
 from bridgecross_ownership import membership as memberships
 from bridgecross_settings import process
+from bridgecross_timeline import events
+from bridgecross_timeline import render
 from bridgecross_timeline import ring as rings
 
 Q = TypeVar("Q")
@@ -121,6 +123,34 @@
     return sorted(answers, key=lambda answer: answer.instance)
 
 
+class GatheredTimeline(NamedTuple):
+    """The events of all instances in causal order, and who did not answer."""
+
+    events: list[events.Event]
+    unreachable: list[Answer]
+
+
+async def gather_timeline(
+    connection: process.ProcessSettings,
+) -> GatheredTimeline:
+    """Returns the events that the listed instances remember.
+
+    Raises:
+        ReachError: The instance list did not answer.
+    """
+    answers = await call_instances(
+        await list_instances(connection),
+        peering.TIMELINE,
+        peering.TimelineRequest(),
+    )
+    merged = render.merge(
+        [events.from_wire(wire) for wire in answer.reply.events]
+        for answer in answers
+        if answer.reply
+    )
+    return GatheredTimeline(merged, [a for a in answers if a.problem])
+
+
 class ControlReader(NamedTuple):
     """The folded control stream of a place, and a way to append to it."""
 
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_news.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_news.py
@@ -44,12 +44,14 @@
         """Asks the witnesses while the log is silent, until cancelled."""
         while True:
             if self._authority.needs_witnesses():
-                await self._ask_all(self.witnesses)
+                await self.take_news(self.witnesses)
             await anyio.sleep(self._interval_s())
 
-    async def start_from_peers(self, instances: set[ids.InstanceId]) -> None:
-        """Takes the state over from peers, once, if the log is silent."""
-        await self._ask_all(instances)
+    async def take_news(self, instances: set[ids.InstanceId]) -> None:
+        """Asks several instances at the same time and takes their news in."""
+        async with anyio.create_task_group() as tasks:
+            for instance in instances - {self._me}:
+                tasks.start_soon(self._take_news_of, instance)
 
     async def has_read(
         self, instance: ids.InstanceId, offset: ids.Offset
@@ -78,13 +80,7 @@
             self._authority.settings.authority_ms / 1_000 / _SHARE_OF_AUTHORITY
         )
 
-    async def _ask_all(self, instances: set[ids.InstanceId]) -> None:
-        """Asks several instances at the same time."""
-        async with anyio.create_task_group() as tasks:
-            for instance in instances - {self._me}:
-                tasks.start_soon(self._take_news, instance)
-
-    async def _take_news(self, instance: ids.InstanceId) -> None:
+    async def _take_news_of(self, instance: ids.InstanceId) -> None:
         """Asks one instance and takes its news in."""
         sent_s = self._clock.monotonic_s()
         reply = await self._ask(instance, self._state.next_offset)
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_translate.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_translate.py
@@ -42,7 +42,6 @@
     return runners.RunnerSettings(
         slots_per_server=policy.slots_per_server,
         starvation_share_ratio=policy.starvation_share_ratio,
-        checks_fences=policy.checks_fences,
         places={
             tier.name: queueing.TierPlace(
                 tier.name, tier.priority, tier.policy.queue_requests
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
@@ -394,7 +394,7 @@
             if self._control_follower.caught_up.is_set():
                 return
             instances = set(self._membership.list_instances())
-            await self._news.start_from_peers(instances)
+            await self._news.take_news(instances)
             if self.control.settings.house is not None:
                 return
 
--- a/libs/bridgecross-daemon/tests/test_control.py
+++ b/libs/bridgecross-daemon/tests/test_control.py
@@ -40,9 +40,7 @@
 
 
 def _claim(offset: int, supersedes: int) -> service.StoredRecord:
-    claim = ownership.Claim(
-        RAPOR, ids.Term(supersedes), ids.InstanceId("a"), (), 4
-    )
+    claim = ownership.Claim(RAPOR, ids.Term(supersedes), ids.InstanceId("a"), 4)
     return _store(offset, ownership.CLAIM_KIND, ownership.CLAIMS.encode(claim))
 
 
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/cell.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/cell.py
@@ -55,7 +55,6 @@
     service: ids.ServiceName
     term: ids.Term
     coordinator: ids.InstanceId
-    members: tuple[ids.InstanceId, ...]
     head: ids.Offset
     slices: list[SliceState]
     fronts: dict[ids.ServerId, FrontState]
@@ -72,7 +71,6 @@
         self.service = service
         self.term = ids.Term(ids.NO_OFFSET)
         self.coordinator = NO_INSTANCE
-        self.members: tuple[ids.InstanceId, ...] = ()
         self.head = ids.NO_OFFSET
         self.slices: list[SliceState] = []
         self.fronts: dict[ids.ServerId, FrontState] = {}
@@ -84,7 +82,6 @@
             return
         self.term = snapshot.term
         self.coordinator = snapshot.coordinator
-        self.members = snapshot.members
         self.head = snapshot.head
         self.slices = list(snapshot.slices)
         self.fronts = dict(snapshot.fronts)
@@ -98,7 +95,6 @@
             service=self.service,
             term=self.term,
             coordinator=self.coordinator,
-            members=self.members,
             head=self.head,
             slices=self.slices,
             fronts=self.fronts,
@@ -160,7 +156,6 @@
         self.term = ids.Term(offset)
         self.head = offset
         self.coordinator = claim.coordinator
-        self.members = claim.members
         return appender.Applied(offset)
 
     def _apply_assignment(
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/coordinator.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/coordinator.py
@@ -185,7 +185,6 @@
             service=ports.cell.service,
             supersedes=ports.cell.term,
             coordinator=ports.me,
-            members=tuple(sorted(ports.membership.list_instances())),
             slice_count=self.settings.slice_count,
         )
         outcome = await ports.appender.append(
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/records.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/records.py
@@ -21,14 +21,12 @@
     """An instance makes itself the coordinator of a service.
 
     ``supersedes`` is the term that the claim ends, ``NO_OFFSET`` for the
-    first. ``members`` are the instances that may be asked for a majority
-    while the log is down. ``slice_count`` counts in the first claim only.
+    first. ``slice_count`` counts in the first claim only.
     """
 
     service: ids.ServiceName
     supersedes: ids.Term
     coordinator: ids.InstanceId
-    members: tuple[ids.InstanceId, ...]
     slice_count: int
 
 
--- a/libs/bridgecross-ownership/tests/test_cell.py
+++ b/libs/bridgecross-ownership/tests/test_cell.py
@@ -17,7 +17,6 @@
         SERVICE,
         ids.Term(supersedes),
         ids.InstanceId(coordinator),
-        (),
         SLICES,
     )
 
--- a/libs/bridgecross-ownership/tests/test_planner.py
+++ b/libs/bridgecross-ownership/tests/test_planner.py
@@ -32,7 +32,6 @@
             service=cell.service,
             term=ids.Term(0),
             coordinator=ids.InstanceId("a"),
-            members=(),
             head=ids.Offset(1),
             slices=[
                 cells.SliceState(ids.ServerId(o), ids.Token(1), ())
--- a/libs/bridgecross-request/src/bridgecross_request/runner.py
+++ b/libs/bridgecross-request/src/bridgecross_request/runner.py
@@ -32,8 +32,6 @@
     slots_per_server: int
     # The share of slots that goes to the lowest waiting tier.
     starvation_share_ratio: float
-    # Whether the servers refuse a wrong token or a lease that is over.
-    checks_fences: bool
     # How each tier stands in the queue, by the tier's name.
     places: dict[str, queueing.TierPlace]
 
--- a/libs/bridgecross-standins/src/bridgecross_standins/house_tools.py
+++ b/libs/bridgecross-standins/src/bridgecross_standins/house_tools.py
@@ -13,7 +13,6 @@
 from bridgecross_settings import process
 from bridgecross_standins import processes
 from bridgecross_timeline import events
-from bridgecross_timeline import render
 
 _PUBLISH_TIMEOUT_S = 20.0
 _ASSIGN_TIMEOUT_S = 20.0
@@ -71,17 +70,8 @@
 
 async def read_timeline(house: processes.House) -> list[events.Event]:
     """Returns the events of all instances that answer, in causal order."""
-    connection = read_connection(house)
-    answers = await reach.call_instances(
-        await reach.list_instances(connection),
-        peering.TIMELINE,
-        peering.TimelineRequest(),
-    )
-    return render.merge(
-        [events.from_wire(wire) for wire in answer.reply.events]
-        for answer in answers
-        if answer.reply is not None
-    )
+    gathered = await reach.gather_timeline(read_connection(house))
+    return gathered.events
 
 
 async def _publish(house: processes.House) -> ids.Offset:
