--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/__init__.py
@@ -0,0 +1,18 @@
+"""An entry instance: between callers and backend servers of a platform.
+
+* ``model``: what an instance believes, decoded by an adapter.
+* ``attempts``: requests, and how one attempt at a backend server ends.
+* ``exchange``: HTTP/1.1 exchanges over kept connections.
+* ``routes``: host and path to route, route to service.
+* ``servers``: backend servers with what this instance saw of them.
+* ``retry_budget``: retries over a sliding window, shared by all instances.
+* ``dispatch``: the life of a request.
+* ``edge``: the listener towards callers.
+* ``log``: the platform's log, and how its topics are followed.
+* ``keymap``: which server owns which range of keys.
+* ``planner``: chooses which ranges move.
+* ``leases``: leases of ranges, renewed and moved by one instance.
+* ``peers``: what instances tell one another.
+* ``journal``: bounded structured logs.
+* ``runtime``: puts an instance together.
+"""
--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
@@ -0,0 +1,141 @@
+"""How one attempt at one backend server ended, as tagged dataclasses."""
+
+import dataclasses
+from typing import Protocol
+
+from bridgecross_core import ids
+from bridgecross_core import outcomes
+from bridgecross_entry import model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryRequest:
+    """A caller's request, as an entry instance takes it in."""
+
+    # Names this attempt of the caller; never used twice.
+    request_id: str
+    method: bytes
+    # Path and query, as the caller sent them.
+    target: bytes
+    # The path alone, for the choice of a route.
+    path: str
+    host: str
+    # Headers to pass on; none that concern one connection only.
+    headers: tuple[outcomes.Header, ...]
+    body: bytes
+    # The key, for services whose backend servers own keys.
+    key: int | None
+    # When its head had been read, on the monotonic clock.
+    received_s: float
+    # How long the caller waits for the answer.
+    patience_ms: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shed:
+    """The backend server refused it for lack of room; it did not run."""
+
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotOwner:
+    """The backend server does not own the key, or is another one."""
+
+    # The server that answered; empty if it did not say.
+    answered_by: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSent:
+    """Not one byte reached the server."""
+
+    reason: str
+    # Whether the address refused the connection: no process listens there.
+    refused: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Interrupted:
+    """It was sent, and no whole answer came: it may have run."""
+
+    reason: str
+
+
+Attempt = outcomes.Answered | Shed | NotOwner | NotSent | Interrupted
+"""The ways in which one attempt ends."""
+
+
+class BackendClient(Protocol):
+    """Sends requests to backend servers."""
+
+    async def send(
+        self, server: model.BackendServer, request: EntryRequest, left_ms: float
+    ) -> Attempt:
+        """Sends one request; cancelling it tells the server to stop."""
+
+    def forget(self, server: model.BackendServer) -> None:
+        """Closes what is kept open to a server that is gone."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Granted:
+    """The server holds the range until the lease runs out."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Released:
+    """The server has stopped all work on the range."""
+
+    # Makes the next owner start warm; empty if there is none.
+    handover: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outranked:
+    """The server has seen a higher fencing token on one of the keys."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gone:
+    """The run of the server that was meant has ended."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoReply:
+    """No usable answer came; the order may or may not have been taken."""
+
+    reason: str
+
+
+GrantResult = Granted | Outranked | Gone | NoReply
+ReleaseResult = Released | Gone | NoReply
+
+
+class LeaseClient(Protocol):
+    """Gives ranges of keys to backend servers and takes them back."""
+
+    async def grant(
+        self,
+        server: model.BackendServer,
+        first_key: int,
+        last_key: int,
+        token: int,
+        lease_ms: float,
+        handover: str,
+    ) -> GrantResult:
+        """Gives or renews a range; both ends are inside."""
+
+    async def reach(self, server: model.BackendServer) -> bool:
+        """Returns whether a connection can be made; gives no order."""
+
+    async def release(
+        self,
+        server: model.BackendServer,
+        first_key: int,
+        last_key: int,
+        token: int,
+    ) -> ReleaseResult:
+        """Takes a range back; answered once nothing runs on it any more."""
--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -0,0 +1,443 @@
+"""The life of a request: route, service, server, attempts, outcome.
+
+What is told is the truth: ``NotRun`` only if no attempt may have run,
+``Unknown`` otherwise. A request is given up at once when it cannot be
+served in time; it is never held back.
+"""
+
+import dataclasses
+
+import anyio
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import ids
+from bridgecross_core import outcomes
+from bridgecross_entry import attempts
+from bridgecross_entry import journal as journals
+from bridgecross_entry import keymap
+from bridgecross_entry import load
+from bridgecross_entry import metrics as metrics_lib
+from bridgecross_entry import model
+from bridgecross_entry import retry_budget
+from bridgecross_entry import routes
+from bridgecross_entry import servers as servers_lib
+from bridgecross_request import queueing
+
+_FIRST_ERROR_STATUS = 500
+_QUEUE_MAX_COUNT = 64
+"""Requests of one priority that wait for one server at one instance."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DispatchSettings:
+    """How requests are tried."""
+
+    # How long a request waits for its key to get an owner. A move lasts as
+    # long as the longest request that runs on its keys; most take 0.1 s.
+    owner_wait_s: float = 0.35
+    # After this, the owner is tried although nobody told that it holds the
+    # key: the news may be lost.
+    settle_wait_s: float = 0.25
+    # The pause after a server denied owning a key, unless a newer map comes.
+    denied_pause_s: float = 0.05
+    # Attempts beyond those allowed to run, for answers that prove that
+    # nothing ran.
+    extra_attempts: int = 2
+    # When to come back after a refusal that has no better estimate.
+    retry_after_ms: int = 100
+
+
+@dataclasses.dataclass(slots=True)
+class _Life:
+    """What has become of a request so far."""
+
+    request: attempts.EntryRequest
+    route: model.Route
+    service: ids.ServiceName
+    deadline_s: float
+    configuration_version: int
+    # Attempts that reached a server, whatever came of them.
+    arrivals: int = 0
+    # Attempts that ran or may have run.
+    runs: int = 0
+    # Whether an attempt that was sent has no answer yet.
+    in_flight: bool = False
+    tried: set[ids.ServerId] = dataclasses.field(default_factory=set)
+    # What happened, in order; for the journal.
+    trail: list[str] = dataclasses.field(default_factory=list)
+    # The last failure that a server gave as its answer.
+    failure: outcomes.Answered | None = None
+
+
+class Dispatcher:
+    """Takes requests to backend servers."""
+
+    def __init__(
+        self,
+        settings: DispatchSettings,
+        instance: model.InstanceSettings,
+        book: servers_lib.ServerBook,
+        table: keymap.KeyTable,
+        client: attempts.BackendClient,
+        journal: journals.Journal,
+        metrics: metrics_lib.Metrics,
+        clock: clocks.Clock,
+    ) -> None:
+        """Refuses everything until there is a configuration."""
+        self.routes: routes.RouteTable | None = None
+        # How many instances take requests, this one included.
+        self.instance_count = 1
+        self.loads: dict[ids.ServiceName, load.LoadCounter] = {}
+        self.in_flight_count = 0
+        self._settings = settings
+        self._instance = instance
+        self._book = book
+        self._table = table
+        self._client = client
+        self._journal = journal
+        self._metrics = metrics
+        self._clock = clock
+        self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
+
+    def configure(self, configuration: model.Configuration) -> None:
+        """Takes a configuration in force."""
+        self.routes = routes.RouteTable(configuration, self.routes)
+
+    async def run(self, request: attempts.EntryRequest) -> outcomes.Outcome:
+        """Runs a request and returns what became of it.
+
+        Cancelling it, as when the caller leaves, stops the server's work.
+        """
+        self.in_flight_count += 1
+        try:
+            return await self._run(request)
+        finally:
+            self.in_flight_count -= 1
+
+    async def _run(self, request: attempts.EntryRequest) -> outcomes.Outcome:
+        """Finds the route, and tries within its time."""
+        if self.routes is None:
+            return self._refuse("no configuration has been read yet")
+        route = self.routes.find(request.host, request.path)
+        if route is None:
+            self._metrics.requests.inc({"service": "", "outcome": "no-route"})
+            self._journal.decision(
+                "no_route",
+                request=request.request_id,
+                host=request.host,
+                path=request.path,
+                configuration=self.routes.configuration.version,
+            )
+            return _not_run("no route leads there", status=404)
+        life = self._begin(request, route)
+        left_s = life.deadline_s - self._clock.monotonic_s()
+        outcome: outcomes.Outcome | None = None
+        try:
+            with anyio.move_on_after(left_s):
+                outcome = await self._try(life)
+        except BaseException:
+            self._report(life, "caller left")
+            raise
+        if outcome is None:
+            outcome = self._time_out(life)
+        self._report(life, "", outcome)
+        return outcome
+
+    def _begin(
+        self, request: attempts.EntryRequest, route: model.Route
+    ) -> _Life:
+        """Picks the service and counts the request."""
+        assert self.routes is not None  # by the caller
+        service = self.routes.pick_service(route)
+        hold_ms = route.timeout_ms
+        if request.patience_ms is not None:
+            hold_ms = min(hold_ms, request.patience_ms)
+        self._budget(service).count_request(self._clock.monotonic_s())
+        return _Life(
+            request,
+            route,
+            service,
+            request.received_s + hold_ms / 1_000,
+            self.routes.configuration.version,
+        )
+
+    async def _try(self, life: _Life) -> outcomes.Outcome:
+        """Tries servers until one answers or none is left to try."""
+        assert self.routes is not None  # by the caller
+        policy = self.routes.configuration.services.get(life.service)
+        keyed = policy is not None and policy.keyed
+        if keyed:
+            if life.request.key is None:
+                return _not_run("the service needs a key", status=400)
+            self._load(life.service).count_key(life.request.key)
+        while True:
+            if keyed:
+                chosen = await self._choose_owner(life)
+            else:
+                chosen = self._choose_any(life)
+            if isinstance(chosen, outcomes.NotRun):
+                return self._conclude(life, chosen)
+            outcome = await self._attempt(life, chosen, keyed=keyed)
+            if outcome is not None:
+                return outcome
+
+    def _choose_any(
+        self, life: _Life
+    ) -> servers_lib.Server | outcomes.NotRun:
+        """Returns the server that would answer soonest."""
+        now_s = self._clock.monotonic_s()
+        usable = [
+            s
+            for s in self._book.of_service(life.service)
+            if self._book.may_use(s, now_s)
+        ]
+        if not usable:
+            return self._refuse("no server of the service is known")
+        staying = [s for s in usable if self._book.is_staying(s, now_s)]
+        pool = staying or usable
+        ready = [s for s in pool if s.paused_until_s <= now_s]
+        pool = ready or pool
+        fresh = [s for s in pool if s.listed.server_id not in life.tried]
+        domain = self._instance.failure_domain
+        return min(fresh or pool, key=lambda s: s.cost_s(domain, now_s))
+
+    async def _choose_owner(
+        self, life: _Life
+    ) -> servers_lib.Server | outcomes.NotRun:
+        """Returns the owner of the request's key once it has one."""
+        assert life.request.key is not None  # by the caller
+        key = life.request.key
+        begun_s = self._clock.monotonic_s()
+        while True:
+            now_s = self._clock.monotonic_s()
+            waited_s = now_s - begun_s
+            owner = self._table.find(life.service, key)
+            server = owner and self._book.get(owner.server_id)
+            if (
+                owner
+                and server
+                and self._book.may_use(server, now_s)
+                and (owner.settled or waited_s > self._settings.settle_wait_s)
+            ):
+                return server
+            left_s = self._settings.owner_wait_s - waited_s
+            if left_s <= 0:
+                life.trail.append(f"key {key} has no owner")
+                return self._refuse("the key has no owner at present")
+            await self._table.changed.wait(min(left_s, 0.05))
+
+    async def _attempt(
+        self, life: _Life, server: servers_lib.Server, *, keyed: bool
+    ) -> outcomes.Outcome | None:
+        """Tries one server; None means that another try is allowed."""
+        request = life.request
+        now_s = self._clock.monotonic_s()
+        if life.arrivals and not self._budget(life.service).spend(now_s):
+            life.trail.append("no retry left in the budget")
+            return self._conclude(life, self._refuse("the budget is spent"))
+        place = queueing.TierPlace(
+            str(life.route.priority), life.route.priority, _QUEUE_MAX_COUNT
+        )
+        slot = await server.queue.acquire(place, life.deadline_s)
+        started_s = self._clock.monotonic_s()
+        labels = {"service": life.service}
+        self._metrics.queue_seconds.observe(labels, started_s - now_s)
+        if isinstance(slot, queueing.Refused):
+            life.trail.append(f"{server.listed.server_id}: {slot.reason}")
+            refusal = self._refuse(slot.reason, slot.retry_after_ms)
+            return self._conclude(life, refusal)
+        try:
+            if not self._still_right(life, server, started_s, keyed=keyed):
+                life.trail.append(f"{server.listed.server_id}: left meanwhile")
+                return None
+            left_ms = (life.deadline_s - started_s) * 1_000
+            life.in_flight = True
+            life.tried.add(server.listed.server_id)
+            result = await self._client.send(server.listed, request, left_ms)
+            life.in_flight = False
+        finally:
+            held_s = self._clock.monotonic_s() - started_s
+            server.queue.release(held_s)
+        self._metrics.attempt_seconds.observe(labels, held_s)
+        kind = type(result).__name__
+        self._metrics.attempts.inc({"service": life.service, "result": kind})
+        return await self._weigh(life, server, result, held_s)
+
+    def _still_right(
+        self,
+        life: _Life,
+        server: servers_lib.Server,
+        now_s: float,
+        *,
+        keyed: bool,
+    ) -> bool:
+        """Whether the choice still stands after waiting for a slot."""
+        if not self._book.may_use(server, now_s):
+            return False
+        if not keyed or life.request.key is None:
+            return True
+        owner = self._table.find(life.service, life.request.key)
+        return owner is not None and owner.server_id == server.listed.server_id
+
+    async def _weigh(
+        self,
+        life: _Life,
+        server: servers_lib.Server,
+        result: attempts.Attempt,
+        held_s: float,
+    ) -> outcomes.Outcome | None:
+        """Decides what an attempt's end means for the request."""
+        server_id = server.listed.server_id
+        now_s = self._clock.monotonic_s()
+        if not isinstance(result, attempts.NotSent):
+            life.arrivals += 1
+        if isinstance(result, outcomes.Answered):
+            return self._weigh_answer(life, server, result, held_s)
+        if isinstance(result, attempts.Interrupted):
+            life.runs += 1
+            server.note_unreachable(now_s)
+            life.trail.append(f"{server_id}: interrupted: {result.reason}")
+            if life.route.idempotent and self._may_retry(life):
+                return None
+            return self._conclude(life, self._refuse(result.reason))
+        if isinstance(result, attempts.NotSent):
+            server.note_unreachable(now_s)
+            life.trail.append(f"{server_id}: not sent: {result.reason}")
+            if result.refused:
+                self._book.end(server_id, "its address refuses connections")
+        elif isinstance(result, attempts.Shed):
+            server.note_answer(held_s, failed=True)
+            life.trail.append(f"{server_id}: shed with {result.status}")
+        else:
+            life.trail.append(f"{server_id}: not the owner")
+            if result.answered_by and result.answered_by != server_id:
+                self._book.end(
+                    server_id, f"{result.answered_by} has its address"
+                )
+            else:
+                await self._table.changed.wait(self._settings.denied_pause_s)
+        if self._may_retry(life):
+            return None
+        return self._conclude(life, self._refuse("no server took it"))
+
+    def _weigh_answer(
+        self,
+        life: _Life,
+        server: servers_lib.Server,
+        answer: outcomes.Answered,
+        held_s: float,
+    ) -> outcomes.Outcome | None:
+        """Passes an answer on, unless trying again does no harm."""
+        failed = answer.status >= _FIRST_ERROR_STATUS
+        server_id = server.listed.server_id
+        server.note_answer(held_s, failed=failed)
+        life.runs += 1
+        if not failed:
+            self._load(life.service).count_answer(server_id, held_s)
+            life.trail.append(f"{server_id}: {answer.status}")
+            return answer
+        life.trail.append(f"{server_id}: failed with {answer.status}")
+        life.failure = answer
+        if life.route.idempotent and self._may_retry(life):
+            return None
+        return answer
+
+    def _may_retry(self, life: _Life) -> bool:
+        """Whether another attempt is allowed and can still end in time."""
+        sent = len(life.trail)
+        allowed = life.route.max_attempts + self._settings.extra_attempts
+        left_s = life.deadline_s - self._clock.monotonic_s()
+        return life.runs < life.route.max_attempts and (
+            sent < allowed and left_s > 0
+        )
+
+    def _conclude(
+        self, life: _Life, refusal: outcomes.NotRun
+    ) -> outcomes.Outcome:
+        """Returns the truth for a request that is given up."""
+        if life.failure is not None:
+            return life.failure
+        if life.runs:
+            return outcomes.Unknown(refusal.reason, 502)
+        return refusal
+
+    def _time_out(self, life: _Life) -> outcomes.Outcome:
+        """Returns the truth for a request whose time is over."""
+        life.trail.append("out of time")
+        if life.in_flight or life.runs:
+            return outcomes.Unknown("no answer came in time", 504)
+        return self._refuse("no server had room in time")
+
+    def _refuse(
+        self, reason: str, retry_after_ms: int | None = None
+    ) -> outcomes.NotRun:
+        """Returns a refusal that says when to come back."""
+        if retry_after_ms is None:
+            retry_after_ms = self._settings.retry_after_ms
+        return _not_run(reason, retry_after_ms=retry_after_ms)
+
+    def _report(
+        self,
+        life: _Life,
+        left: str,
+        outcome: outcomes.Outcome | None = None,
+    ) -> None:
+        """Writes the request's line and counts it."""
+        now_s = self._clock.monotonic_s()
+        took_s = now_s - life.request.received_s
+        kind = left or type(outcome).__name__
+        self._metrics.requests.inc({"service": life.service, "outcome": kind})
+        labels = {"service": life.service}
+        self._metrics.request_seconds.observe(labels, took_s)
+        plain = (
+            isinstance(outcome, outcomes.Answered)
+            and outcome.status < _FIRST_ERROR_STATUS
+            and len(life.trail) == 1
+            and took_s * 1_000 <= life.route.target_latency_ms
+        )
+        write = self._journal.routine if plain else self._journal.decision
+        write(
+            "request",
+            request=life.request.request_id,
+            route=life.route.name,
+            service=life.service,
+            key=life.request.key,
+            configuration=life.configuration_version,
+            outcome=kind,
+            status=getattr(outcome, "status", None),
+            trail=life.trail,
+            took_ms=round(took_s * 1_000, 1),
+            left_ms=round((life.deadline_s - now_s) * 1_000, 1),
+        )
+
+    def _budget(self, service: ids.ServiceName) -> retry_budget.RetryBudget:
+        """Returns a service's retry budget."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self._instance.bounds
+            settings = retry_budget.RetryBudgetSettings(
+                bounds.retry_ratio,
+                bounds.retry_window_ms / 1_000,
+                bounds.retry_slack,
+            )
+            budget = retry_budget.RetryBudget(
+                settings, lambda: self.instance_count
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def _load(self, service: ids.ServiceName) -> load.LoadCounter:
+        """Returns a service's load counter."""
+        return self.loads.setdefault(service, load.LoadCounter())
+
+
+def _not_run(
+    reason: str, *, status: int = 503, retry_after_ms: int = 0
+) -> outcomes.NotRun:
+    """Returns a refusal by this instance."""
+    return outcomes.NotRun(
+        outcomes.NotRunProof.REFUSED_BY_ADMISSION,
+        reason,
+        status,
+        retry_after_ms,
+    )
--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/edge.py
@@ -0,0 +1,187 @@
+"""The entrance for callers, and the small ones beside it."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+from typing import Protocol
+
+import anyio
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import outcomes
+from bridgecross_entry import attempts
+from bridgecross_entry import dispatch
+from bridgecross_entry import journal as journals
+from bridgecross_entry import listener
+from bridgecross_entry import metrics as metrics_lib
+from bridgecross_entry import peers
+
+_BODY_MAX_BYTES = 64 * 1024 * 1024
+"""For bodies before a configuration names a limit."""
+
+_PEER_BODY_MAX_BYTES = 1024 * 1024
+"""For messages of peers; a key map of 2,000 ranges has 100 KB."""
+
+
+class BadRequest(NamedTuple):
+    """A request that cannot be understood."""
+
+    reason: str
+
+
+class CallerAnswer(NamedTuple):
+    """An answer as it goes to the caller."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class CallerCodec(Protocol):
+    """Reads requests of callers and writes answers to them."""
+
+    def read(
+        self, scope: listener.Scope, body: bytes, received_s: float
+    ) -> attempts.EntryRequest | BadRequest:
+        """Returns the request of an ASGI scope."""
+
+    def write(
+        self, request_id: str, outcome: outcomes.Outcome
+    ) -> CallerAnswer:
+        """Returns the answer that tells an outcome."""
+
+
+class Edge:
+    """Takes in the requests of callers."""
+
+    def __init__(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        codec: CallerCodec,
+        journal: journals.Journal,
+        clock: clocks.Clock,
+    ) -> None:
+        """Serves at once."""
+        # Whether answers ask callers to close their connections.
+        self.draining = False
+        # Requests that have been read and not yet answered.
+        self.open_count = 0
+        self._dispatcher = dispatcher
+        self._codec = codec
+        self._journal = journal
+        self._clock = clock
+
+    async def serve(
+        self,
+        scope: listener.Scope,
+        receive: listener.Receive,
+        send: listener.Send,
+    ) -> None:
+        """Serves one request, as an ASGI application."""
+        received_s = self._clock.monotonic_s()
+        self.open_count += 1
+        try:
+            try:
+                body = await listener.read_body(receive, self._max_body())
+            except ValueError as error:
+                await self._refuse(send, 413, str(error))
+                return
+            if body is not None:
+                await self._serve_whole(scope, body, received_s, send)
+        finally:
+            self.open_count -= 1
+
+    async def _serve_whole(
+        self,
+        scope: listener.Scope,
+        body: bytes,
+        received_s: float,
+        send: listener.Send,
+    ) -> None:
+        """Serves a request whose body has come."""
+        request = self._codec.read(scope, body, received_s)
+        if isinstance(request, BadRequest):
+            await self._refuse(send, 400, request.reason)
+            return
+        outcome: outcomes.Outcome | None = None
+        with anyio.CancelScope() as life:
+            scope["state"][listener.ON_DISCONNECT] = life.cancel
+            outcome = await self._dispatcher.run(request)
+        if outcome is None:
+            return
+        answer = self._codec.write(request.request_id, outcome)
+        if self.draining:
+            answer.headers.append((b"connection", b"close"))
+        await listener.respond(send, *answer)
+
+    def _max_body(self) -> int:
+        """Returns the largest body that a caller may send, in bytes."""
+        table = self._dispatcher.routes
+        if table is None:
+            return _BODY_MAX_BYTES
+        return table.configuration.limits.max_body_bytes
+
+    async def _refuse(
+        self, send: listener.Send, status: int, reason: str
+    ) -> None:
+        """Refuses a request that cannot be read, and ends the connection."""
+        self._journal.decision(
+            "request_unreadable", status=status, reason=reason
+        )
+        headers = [
+            (b"content-type", b"text/plain"),
+            (b"connection", b"close"),
+        ]
+        await listener.respond(send, status, headers, reason.encode())
+
+
+def make_readiness_app(is_ready: Callable[[], bool]) -> listener.App:
+    """Returns an application that answers 200 while the instance is ready."""
+
+    async def serve(
+        scope: listener.Scope,
+        receive: listener.Receive,
+        send: listener.Send,
+    ) -> None:
+        del scope, receive  # Every path asks the same.
+        status = 200 if is_ready() else 503
+        await listener.respond(send, status, [], b"")
+
+    return serve
+
+
+def make_metrics_app(
+    metrics: metrics_lib.Metrics, refresh: Callable[[], None]
+) -> listener.App:
+    """Returns an application that answers with the figures."""
+
+    async def serve(
+        scope: listener.Scope,
+        receive: listener.Receive,
+        send: listener.Send,
+    ) -> None:
+        del scope, receive  # Every path asks the same.
+        refresh()
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+        await listener.respond(send, 200, headers, metrics.render())
+
+    return serve
+
+
+def make_peer_app(server: peers.PeerServer) -> listener.App:
+    """Returns an application that answers other instances."""
+
+    async def serve(
+        scope: listener.Scope,
+        receive: listener.Receive,
+        send: listener.Send,
+    ) -> None:
+        try:
+            body = await listener.read_body(receive, _PEER_BODY_MAX_BYTES)
+        except ValueError:
+            await listener.respond(send, 413, [], b"")
+            return
+        if body is not None:
+            status, reply = server.answer(scope["raw_path"], body)
+            await listener.respond(send, status, [], reply)
+
+    return serve
--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -0,0 +1,337 @@
+"""HTTP/1.1 exchanges with one address over kept connections.
+
+The parser is ``httptools``; this module adds what a router must know exactly
+and what general clients keep to themselves: whether a byte of a request was
+written, whether an answer is whole, and whether a connection may be used
+again. A connection that saw anything unusual is closed, never used again.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import socket
+from typing import NamedTuple
+from typing import cast
+
+import httptools
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import outcomes
+from bridgecross_entry import model
+
+_NO_BODY_STATUSES = frozenset({204, 304})
+_FIRST_FINAL_STATUS = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionSettings:
+    """How connections to one address are made and kept."""
+
+    # Connecting takes under 2 ms inside a place; a lost opening packet is
+    # sent again after a second, and another try is quicker than that.
+    connect_timeout_s: float = 0.25
+    # Unacknowledged bytes break a connection after this time: a peer behind
+    # a partition says nothing, and the kernel would try for minutes.
+    unacknowledged_timeout_s: float = 3.0
+    # An idle connection is closed after this time, unless the server named a
+    # shorter one. Servers seen so far close theirs after 10 s.
+    idle_timeout_s: float = 8.0
+    # A request on a connection that the server is about to close is lost, so
+    # a connection is given up this much before the time the server named.
+    idle_margin_s: float = 1.0
+    # Larger answers break the exchange; memory is 300 MB an instance.
+    max_body_bytes: int = 64 * 1024 * 1024
+
+
+class Reply(NamedTuple):
+    """A whole answer."""
+
+    status: int
+    # Names in lower case.
+    headers: tuple[outcomes.Header, ...]
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns the value of the first header of a name, in lower case."""
+        for header in self.headers:
+            if header.name == name:
+                return header.value
+        return None
+
+
+class Unsent(NamedTuple):
+    """Not one byte of the request was written."""
+
+    reason: str
+    # Whether the address refused the connection.
+    refused: bool
+
+
+class Broken(NamedTuple):
+    """Bytes were written, and no whole answer came."""
+
+    reason: str
+
+
+Result = Reply | Unsent | Broken
+Accepts = Callable[[Reply], bool]
+"""Tells whether an answer belongs to the request that was sent."""
+
+
+class _Connection(asyncio.Protocol):
+    """One connection, on which one exchange runs at a time."""
+
+    def __init__(self, settings: ConnectionSettings) -> None:
+        """Waits for the transport."""
+        self._settings = settings
+        self._parser = httptools.HttpResponseParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._result: asyncio.Future[Reply | Broken] | None = None
+        self._accepts: Accepts | None = None
+        self._headers: list[outcomes.Header] = []
+        self._body: list[bytes] = []
+        self._body_size_bytes = 0
+        self._status = 0
+        self._framed = False
+        self._in_answer = False
+        self.reusable = True
+        self.idle_limit_s = settings.idle_timeout_s
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport and bounds silence of the peer."""
+        # uvloop's transports have the methods without being of the class.
+        self._transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            timeout_ms = int(self._settings.unacknowledged_timeout_s * 1_000)
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
+            )
+
+    @property
+    def usable(self) -> bool:
+        """Whether another exchange may start here."""
+        transport = self._transport
+        return (
+            self.reusable
+            and transport is not None
+            and not transport.is_closing()
+        )
+
+    def abort(self) -> None:
+        """Closes the connection at once, dropping unsent bytes."""
+        self.reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def exchange(
+        self, request: bytes, accepts: Accepts
+    ) -> Reply | Broken:
+        """Sends a request and returns its answer.
+
+        Cancelling it closes the connection, which tells the server to stop.
+        """
+        assert self._transport is not None  # by the pool
+        self._result = asyncio.get_running_loop().create_future()
+        self._accepts = accepts
+        self._transport.write(request)
+        try:
+            return await self._result
+        except asyncio.CancelledError:
+            self.abort()
+            raise
+        finally:
+            self._result = None
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser; bytes that nobody waits for end the connection."""
+        if self._result is None or self._result.done():
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._break("the server switched protocols")
+        except httptools.HttpParserError as error:
+            self._break(f"the answer is not HTTP: {error}")
+
+    def eof_received(self) -> bool:
+        """Ends an answer that has no length, and the connection."""
+        if self._in_answer and self._status and not self._framed:
+            self._finish()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Breaks the exchange that waits, if there is one."""
+        self.reusable = False
+        self._break(f"the connection ended: {error or 'closed by the server'}")
+
+    def on_message_begin(self) -> None:
+        """Begins an answer; a surplus one spoils the connection."""
+        if self._result is None or self._result.done():
+            self.reusable = False
+        self._headers = []
+        self._body = []
+        self._body_size_bytes = 0
+        self._status = 0
+        self._framed = False
+        self._in_answer = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keeps one header."""
+        lowered = name.lower()
+        if lowered in {b"content-length", b"transfer-encoding"}:
+            self._framed = True
+        self._headers.append(outcomes.Header(lowered, value.strip(b" \t")))
+
+    def on_headers_complete(self) -> None:
+        """Reads the status and whether the connection goes on."""
+        self._status = self._parser.get_status_code()
+        if self._status in _NO_BODY_STATUSES:
+            self._framed = True
+        if not self._parser.should_keep_alive():
+            self.reusable = False
+        for header in self._headers:
+            if header.name == b"keep-alive":
+                self._read_keep_alive(header.value)
+
+    def on_body(self, body: bytes) -> None:
+        """Keeps a piece of the body."""
+        self._body_size_bytes += len(body)
+        if self._body_size_bytes > self._settings.max_body_bytes:
+            self._break("the answer is too large")
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hands the answer over."""
+        if self._status < _FIRST_FINAL_STATUS:
+            return
+        self._finish()
+
+    def _finish(self) -> None:
+        """Ends an answer: hands it over if it is the one waited for."""
+        self._in_answer = False
+        if self._result is None or self._result.done():
+            return
+        reply = Reply(self._status, tuple(self._headers), b"".join(self._body))
+        if self._accepts is not None and not self._accepts(reply):
+            # An answer to an earlier request, come late; ours may follow.
+            self.reusable = False
+            return
+        if self._transport is None or self._transport.get_write_buffer_size():
+            self.reusable = False
+        self._result.set_result(reply)
+
+    def _break(self, reason: str) -> None:
+        """Ends the exchange without an answer."""
+        if self._result is not None and not self._result.done():
+            self._result.set_result(Broken(reason))
+        self.abort()
+
+    def _read_keep_alive(self, value: bytes) -> None:
+        """Shortens the idle time to what the server named."""
+        for part in value.split(b","):
+            name, _, number = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and number.strip().isdigit():
+                named_s = float(number) - self._settings.idle_margin_s
+                self.idle_limit_s = min(self.idle_limit_s, max(named_s, 0.0))
+
+
+class _Idle(NamedTuple):
+    """A connection that waits for its next exchange."""
+
+    connection: _Connection
+    since_s: float
+
+
+class Pool:
+    """The connections of this process to one address."""
+
+    def __init__(
+        self,
+        address: model.Address,
+        settings: ConnectionSettings,
+        clock: clocks.Clock,
+    ) -> None:
+        """Opens nothing yet."""
+        self.address = address
+        self.opened_count = 0
+        self._settings = settings
+        self._clock = clock
+        self._idle: list[_Idle] = []
+
+    async def exchange(self, request: bytes, accepts: Accepts) -> Result:
+        """Sends one request; the caller bounds the time by cancelling."""
+        connection = self._take_idle()
+        if connection is None:
+            opened = await self._open()
+            if isinstance(opened, Unsent):
+                return opened
+            connection = opened
+        result = await connection.exchange(request, accepts)
+        if isinstance(result, Reply) and connection.usable:
+            now_s = self._clock.monotonic_s()
+            self._idle.append(_Idle(connection, now_s))
+        else:
+            connection.abort()
+        return result
+
+    async def reach(self) -> bool:
+        """Returns whether a connection can be made, and keeps it."""
+        opened = await self._open()
+        if isinstance(opened, Unsent):
+            return False
+        self._idle.append(_Idle(opened, self._clock.monotonic_s()))
+        return True
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        for idle in self._idle:
+            idle.connection.abort()
+        self._idle.clear()
+
+    def close_idle(self) -> None:
+        """Closes connections that have been idle for too long."""
+        now_s = self._clock.monotonic_s()
+        kept = []
+        for idle in self._idle:
+            if self._is_fresh(idle, now_s):
+                kept.append(idle)
+            else:
+                idle.connection.abort()
+        self._idle = kept
+
+    def _is_fresh(self, idle: _Idle, now_s: float) -> bool:
+        """Whether a connection may carry another request."""
+        age_s = now_s - idle.since_s
+        return idle.connection.usable and age_s < idle.connection.idle_limit_s
+
+    def _take_idle(self) -> _Connection | None:
+        """Returns the connection that was used last, if one is fresh."""
+        now_s = self._clock.monotonic_s()
+        while self._idle:
+            idle = self._idle.pop()
+            if self._is_fresh(idle, now_s):
+                return idle.connection
+            idle.connection.abort()
+        return None
+
+    async def _open(self) -> _Connection | Unsent:
+        """Connects."""
+        loop = asyncio.get_running_loop()
+        self.opened_count += 1
+        try:
+            async with asyncio.timeout(self._settings.connect_timeout_s):
+                _, connection = await loop.create_connection(
+                    lambda: _Connection(self._settings),
+                    self.address.host,
+                    self.address.port,
+                )
+        except TimeoutError:
+            return Unsent("connecting took too long", refused=False)
+        except ConnectionRefusedError as error:
+            return Unsent(f"connection refused: {error}", refused=True)
+        except OSError as error:
+            return Unsent(f"cannot connect: {error}", refused=False)
+        return connection
--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/keymap.py
@@ -0,0 +1,208 @@
+"""Which backend server owns which range of keys.
+
+One record a service, in a topic that is compacted by key. A record replaces
+the one before it; it is appended on condition that nothing was appended in
+between, so versions rise by one and each builds on the one before.
+"""
+
+import bisect
+from collections.abc import Iterable
+import dataclasses
+from typing import NamedTuple
+
+from bridgecross_core import codec
+from bridgecross_core import ids
+from bridgecross_core import pulse
+from bridgecross_entry import journal as journals
+from bridgecross_entry import model
+
+FIRST_KEY = 0
+LAST_KEY = 65_535
+"""The highest key; keys are numbers from 0."""
+
+NO_SERVER = ids.ServerId("")
+"""Stands for no server."""
+
+
+class KeyRange(NamedTuple):
+    """A range of keys and who owns it."""
+
+    # Both ends are inside.
+    first_key: int
+    last_key: int
+    owner: ids.ServerId
+    # The fencing token under which the owner holds it.
+    token: int
+    # Who held it before and may still do so; NO_SERVER once the owner is
+    # known to hold it.
+    prior_owner: ids.ServerId = NO_SERVER
+
+    @property
+    def size(self) -> int:
+        """The number of keys."""
+        return self.last_key - self.first_key + 1
+
+
+class KeyMap(NamedTuple):
+    """All ranges of one service, in order and without gaps."""
+
+    service: ids.ServiceName
+    version: int
+    # The instance that may change it, and where it listens.
+    coordinator: ids.InstanceId
+    coordinator_address: model.Address
+    ranges: tuple[KeyRange, ...]
+
+
+_CODEC = codec.Codec(KeyMap)
+
+
+def encode(key_map: KeyMap) -> bytes:
+    """Returns a map as bytes."""
+    return _CODEC.encode(key_map)
+
+
+def decode(data: bytes) -> KeyMap:
+    """Returns the map that bytes hold.
+
+    Raises:
+        codec.CodecError: The bytes hold no map, or one with gaps.
+    """
+    key_map = _CODEC.decode(data)
+    expected = FIRST_KEY
+    for key_range in key_map.ranges:
+        if key_range.first_key != expected or key_range.size < 1:
+            raise codec.CodecError(
+                f"key map of {key_map.service}: a range starts at "
+                f"{key_range.first_key} instead of {expected}"
+            )
+        expected = key_range.last_key + 1
+    if expected != LAST_KEY + 1:
+        raise codec.CodecError(
+            f"key map of {key_map.service}: it ends at {expected - 1}"
+        )
+    return key_map
+
+
+def merge_neighbours(ranges: Iterable[KeyRange]) -> tuple[KeyRange, ...]:
+    """Returns ranges with neighbours that differ in nothing made one."""
+    merged: list[KeyRange] = []
+    for key_range in ranges:
+        if merged and merged[-1][2:] == key_range[2:]:
+            last = merged.pop()
+            key_range = last._replace(last_key=key_range.last_key)
+        merged.append(key_range)
+    return tuple(merged)
+
+
+def assign(
+    ranges: Iterable[KeyRange],
+    first_key: int,
+    last_key: int,
+    owner: ids.ServerId,
+    token: int,
+) -> tuple[KeyRange, ...]:
+    """Returns ranges with some keys given to another owner.
+
+    Keys that already belong to it are left as they are. Only one prior owner
+    is kept, so a range whose last move is still under way must not be moved
+    again before its prior owner is known to hold it no longer.
+    """
+    result: list[KeyRange] = []
+    for key_range in ranges:
+        first = max(first_key, key_range.first_key)
+        last = min(last_key, key_range.last_key)
+        if first > last or key_range.owner == owner:
+            result.append(key_range)
+            continue
+        if key_range.first_key < first:
+            result.append(key_range._replace(last_key=first - 1))
+        result.append(KeyRange(first, last, owner, token, key_range.owner))
+        if last < key_range.last_key:
+            result.append(key_range._replace(first_key=last + 1))
+    return merge_neighbours(result)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Owner:
+    """Who owns a key, as far as this instance knows."""
+
+    server_id: ids.ServerId
+    token: int
+    # Whether the server is known to hold the key; while it is not, the move
+    # may still be under way.
+    settled: bool
+
+
+class _ServiceTable:
+    """The newest map of one service, ready for look-up."""
+
+    def __init__(self, key_map: KeyMap) -> None:
+        """Indexes the ranges."""
+        self.key_map = key_map
+        self._starts = [r.first_key for r in key_map.ranges]
+
+    def find(self, key: int) -> KeyRange:
+        """Returns the range that holds a key."""
+        return self.key_map.ranges[bisect.bisect_right(self._starts, key) - 1]
+
+
+class KeyTable:
+    """The newest map of each service, from the log and from peers."""
+
+    def __init__(self, journal: journals.Journal) -> None:
+        """Knows no map yet."""
+        self.changed = pulse.Pulse()
+        self._journal = journal
+        self._tables: dict[ids.ServiceName, _ServiceTable] = {}
+        # Tokens of moves that are known to have ended, by service.
+        self._settled: dict[ids.ServiceName, set[tuple[int, int]]] = {}
+
+    def newest(self, service: ids.ServiceName) -> KeyMap | None:
+        """Returns the newest map of a service."""
+        table = self._tables.get(service)
+        return table.key_map if table else None
+
+    def services(self) -> tuple[ids.ServiceName, ...]:
+        """Returns the services that have a map."""
+        return tuple(self._tables)
+
+    def put(self, key_map: KeyMap, source: str) -> bool:
+        """Takes in a map unless a newer one is known; returns whether."""
+        known = self._tables.get(key_map.service)
+        if known is not None and known.key_map.version >= key_map.version:
+            return False
+        self._tables[key_map.service] = _ServiceTable(key_map)
+        moving = [r for r in key_map.ranges if r.prior_owner]
+        settled = self._settled.get(key_map.service, set())
+        present = {(r.token, r.first_key) for r in moving}
+        self._settled[key_map.service] = settled & present
+        self._journal.decision(
+            "key_map",
+            service=key_map.service,
+            version=key_map.version,
+            coordinator=key_map.coordinator,
+            source=source,
+            ranges=len(key_map.ranges),
+            moving=len(moving),
+        )
+        self.changed.notify()
+        return True
+
+    def settle(
+        self, service: ids.ServiceName, token: int, first_key: int
+    ) -> None:
+        """Takes in that the owner of a range holds it."""
+        self._settled.setdefault(service, set()).add((token, first_key))
+        self.changed.notify()
+
+    def find(self, service: ids.ServiceName, key: int) -> Owner | None:
+        """Returns the owner of a key; None while there is no map."""
+        table = self._tables.get(service)
+        if table is None:
+            return None
+        key_range = table.find(key)
+        settled = not key_range.prior_owner or (
+            (key_range.token, key_range.first_key) in self._settled[service]
+        )
+        return Owner(key_range.owner, key_range.token, settled)
--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -0,0 +1,616 @@
+"""Leases of key ranges: granted, renewed and moved by one instance a service.
+
+Which instance that is, the log's group membership says. What it may do, the
+log's order says: a key map is appended before any order follows from it, and
+only on top of the one that it builds on. Its version is the fencing token of
+the ranges that it moves, so a backend server refuses orders of a coordinator
+that is out of date.
+
+A range goes to a new owner only after its old one has released it, or has
+ended, or has lost every lease that it may have been given.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+
+import anyio
+import anyio.abc
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import ids
+from bridgecross_core import pulse
+from bridgecross_entry import attempts
+from bridgecross_entry import journal as journals
+from bridgecross_entry import keymap
+from bridgecross_entry import load_view
+from bridgecross_entry import log as logs
+from bridgecross_entry import metrics as metrics_lib
+from bridgecross_entry import model
+from bridgecross_entry import planner
+from bridgecross_entry import servers as servers_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseSettings:
+    """How leases are kept."""
+
+    # A server that falls silent keeps others from its keys for this long, so
+    # it is short. It must outlast the change of a coordinator: 1.0 s until
+    # the log drops the old one, 0.4 s until the next one hears of it, 0.2 s
+    # to claim, after a renewal that is up to 0.6 s old.
+    lease_ms: float = 2_500.0
+    renew_interval_s: float = 0.6
+    # A backend server's clock may run 2% slow.
+    drift_ratio: float = 1.02
+    # Covers the time from our sending to the server's receipt.
+    expiry_margin_s: float = 0.15
+    # An order is answered within 2 ms, or after what runs has ended.
+    grant_timeout_s: float = 0.5
+    release_timeout_s: float = 1.5
+    # The pause before an order without an answer is given again.
+    order_pause_s: float = 0.1
+    # Grants of a range to its new owner before that one counts as silent.
+    give_tries: int = 3
+    # How often moves are considered: a hot range is seen after 0.5 s.
+    plan_interval_s: float = 0.5
+    # The first plan waits until no server has joined for this long: servers
+    # that start together list themselves over some heartbeats of 0.9 s.
+    list_quiet_s: float = 1.5
+    # But no longer than this, counted from the claim.
+    list_wait_max_s: float = 5.0
+    # Longer gaps between two steps mean that the process stood still; then
+    # nothing is ordered before the log has confirmed the membership.
+    standstill_s: float = 1.0
+
+
+class Coordinator:
+    """Keeps the leases of one service while this instance coordinates it."""
+
+    def __init__(
+        self,
+        service: ids.ServiceName,
+        settings: LeaseSettings,
+        plan_settings: planner.PlanSettings,
+        instance: model.InstanceSettings,
+        log: logs.PlatformLog,
+        topic: str,
+        follower: logs.Follower,
+        client: attempts.LeaseClient,
+        book: servers_lib.ServerBook,
+        table: keymap.KeyTable,
+        loads: load_view.LoadView,
+        publish_map: Callable[[keymap.KeyMap], Awaitable[None]],
+        publish_settled: Callable[[keymap.KeyRange], Awaitable[None]],
+        journal: journals.Journal,
+        metrics: metrics_lib.Metrics,
+        clock: clocks.Clock,
+    ) -> None:
+        """Does nothing before ``run``.
+
+        Args:
+            service: The service whose keys are looked after.
+            settings: How leases are kept.
+            plan_settings: When keys move.
+            instance: This instance.
+            log: The platform's log.
+            topic: The topic of key maps.
+            follower: Follows that topic at this instance.
+            client: Gives orders to backend servers.
+            book: The backend servers.
+            table: The key maps that this instance uses.
+            loads: The load of the service.
+            publish_map: Tells the other instances of a new map.
+            publish_settled: Tells them that a move has ended.
+            journal: Told of each decision.
+            metrics: Counts orders and moves.
+            clock: For leases.
+        """
+        self._service = service
+        self._settings = settings
+        self._plan_settings = plan_settings
+        self._instance = instance
+        self._log = log
+        self._topic = topic
+        self._follower = follower
+        self._client = client
+        self._book = book
+        self._table = table
+        self._loads = loads
+        self._publish_map = publish_map
+        self._publish_settled = publish_settled
+        self._journal = journal
+        self._metrics = metrics
+        self._clock = clock
+        self._version = 0
+        self._ranges: tuple[keymap.KeyRange, ...] = ()
+        self._wake = pulse.Pulse()
+        # Until when a server may hold keys that it was given.
+        self._held_until_s: dict[ids.ServerId, float] = {}
+        # Servers that did not answer the last renewal.
+        self._silent: set[ids.ServerId] = set()
+        # Ranges whose move is under way, by first key.
+        self._moving: set[int] = set()
+        # Servers that refused a token as too low.
+        self._outranked: set[ids.ServerId] = set()
+        self._stepped_s = 0.0
+        self._superseded = False
+
+    async def run(self) -> None:
+        """Coordinates the service until cancelled or superseded."""
+        self._journal.lifecycle("coordinator_begins", service=self._service)
+        try:
+            if not await self._claim():
+                return
+            async with anyio.create_task_group() as tasks:
+                self._resume_moves(tasks)
+                tasks.start_soon(self._watch_list)
+                await self._renew_and_plan(tasks)
+                tasks.cancel_scope.cancel()
+        finally:
+            self._journal.lifecycle(
+                "coordinator_ends",
+                service=self._service,
+                version=self._version,
+                superseded=self._superseded,
+            )
+
+    # Claiming.
+
+    async def _claim(self) -> bool:
+        """Writes a map with this instance as coordinator."""
+        begun_s = self._clock.monotonic_s()
+        while True:
+            await self._follower.catch_up()
+            newest = self._table.newest(self._service)
+            if newest is not None:
+                self._adopt(newest)
+                if await self._append(self._ranges):
+                    return True
+            elif self._list_is_complete(begun_s) and await self._found():
+                return True
+            if self._superseded:
+                return False
+            await anyio.sleep(self._settings.order_pause_s)
+
+    def _list_is_complete(self, begun_s: float) -> bool:
+        """Whether the list of servers seems to be all there."""
+        now_s = self._clock.monotonic_s()
+        joined_s = [
+            server.joined_s for server in self._book.of_service(self._service)
+        ]
+        if not joined_s:
+            return False
+        if now_s - begun_s > self._settings.list_wait_max_s:
+            return True
+        return now_s - max(joined_s) > self._settings.list_quiet_s
+
+    def _adopt(self, newest: keymap.KeyMap) -> None:
+        """Goes on from a map that another coordinator wrote."""
+        now_s = self._clock.monotonic_s()
+        self._version = newest.version
+        self._ranges = newest.ranges
+        until_s = now_s + self._lease_s()
+        for key_range in newest.ranges:
+            self._held_until_s[key_range.owner] = until_s
+            self._held_until_s[key_range.prior_owner] = until_s
+
+    async def _found(self) -> bool:
+        """Writes the first map of the service."""
+        rooms = self._rooms()
+        if not rooms:
+            return False
+        ranges: tuple[keymap.KeyRange, ...] = (
+            keymap.KeyRange(
+                keymap.FIRST_KEY, keymap.LAST_KEY, keymap.NO_SERVER, 0
+            ),
+        )
+        version = self._version + 1
+        for move in planner.plan_first(rooms):
+            ranges = keymap.assign(ranges, *move, version)
+        return await self._append(ranges)
+
+    # Writing.
+
+    async def _append(self, ranges: tuple[keymap.KeyRange, ...]) -> bool:
+        """Puts a new map into force; returns whether it is in the log."""
+        expected_end = self._follower.next_offset
+        if expected_end is None:
+            return False
+        new = keymap.KeyMap(
+            self._service,
+            self._version + 1,
+            ids.InstanceId(self._instance.name),
+            self._instance.peer_address,
+            keymap.merge_neighbours(ranges),
+        )
+        record = logs.KeyedRecord(self._service, keymap.encode(new))
+        result = await self._log.append(self._topic, record, expected_end)
+        if isinstance(result, logs.Appended):
+            self._version = new.version
+            self._ranges = new.ranges
+            self._follower.note_own_append(result.offset)
+            self._table.put(new, "written")
+            await self._publish_map(new)
+            return True
+        self._journal.decision(
+            "key_map_not_written",
+            service=self._service,
+            version=new.version,
+            expected_end=expected_end,
+            result=type(result).__name__,
+            reason=getattr(result, "reason", ""),
+        )
+        if not isinstance(result, logs.Unreachable):
+            await self._catch_up()
+        return False
+
+    async def _catch_up(self) -> None:
+        """Reads what is in the log after an append that did not go well."""
+        await self._follower.catch_up()
+        newest = self._table.newest(self._service)
+        if newest is None or newest.version <= self._version:
+            return
+        if newest.coordinator == self._instance.name:
+            # Our own append, whose answer was lost.
+            self._version = newest.version
+            self._ranges = newest.ranges
+            return
+        self._superseded = True
+
+    # Renewing and planning.
+
+    async def _renew_and_plan(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Renews leases and moves keys until superseded."""
+        planned_s = float("-inf")
+        renewed_s = float("-inf")
+        self._stepped_s = self._clock.monotonic_s()
+        while not self._superseded:
+            now_s = self._clock.monotonic_s()
+            if now_s - self._stepped_s > self._settings.standstill_s:
+                await self._check_after_standstill(now_s)
+                now_s = self._clock.monotonic_s()
+            self._stepped_s = now_s
+            newest = self._table.newest(self._service)
+            if newest is not None and newest.version > self._version:
+                await self._catch_up()
+                continue
+            if now_s - renewed_s >= self._settings.renew_interval_s:
+                renewed_s = now_s
+                for server_id in self._owners():
+                    tasks.start_soon(self._renew_server, server_id)
+            relief_due = now_s - planned_s >= self._settings.plan_interval_s
+            await self._plan(tasks, with_relief=relief_due)
+            if relief_due:
+                planned_s = now_s
+            await self._wake.wait(0.1)
+
+    async def _watch_list(self) -> None:
+        """Wakes the planning when the list of servers changes."""
+        while True:
+            await self._book.changed.wait(60)
+            self._wake.notify()
+
+    async def _check_after_standstill(self, now_s: float) -> None:
+        """Hears from the log before anything is ordered again."""
+        self._journal.lifecycle(
+            "standstill",
+            service=self._service,
+            for_s=round(now_s - self._stepped_s, 3),
+        )
+        while not await self._follower.catch_up():
+            await anyio.sleep(self._settings.order_pause_s)
+        await self._catch_up()
+
+    def _owners(self) -> set[ids.ServerId]:
+        """Returns the servers that hold ranges for sure."""
+        return {
+            r.owner
+            for r in self._ranges
+            if r.owner and r.first_key not in self._moving
+        }
+
+    async def _renew_server(self, server_id: ids.ServerId) -> None:
+        """Renews all ranges of a server, unless it is silent."""
+        server = self._book.get(server_id)
+        if server is None:
+            return
+        if server_id in self._silent and not await self._hear_again(server):
+            # Each further order could prolong the lease of a server that
+            # nobody reaches; its keys go elsewhere sooner without.
+            return
+        for key_range in self._ranges:
+            if key_range.owner != server_id:
+                continue
+            if key_range.prior_owner or key_range.first_key in self._moving:
+                continue
+            if not await self._renew_range(server, key_range):
+                return
+
+    async def _hear_again(self, server: servers_lib.Server) -> bool:
+        """Returns whether a silent server can be reached again."""
+        reached = False
+        with anyio.move_on_after(self._settings.grant_timeout_s):
+            reached = await self._client.reach(server.listed)
+        if reached:
+            self._silent.discard(server.listed.server_id)
+            self._journal.decision(
+                "server_heard", server=server.listed.server_id
+            )
+        return reached
+
+    async def _renew_range(
+        self, server: servers_lib.Server, key_range: keymap.KeyRange
+    ) -> bool:
+        """Renews one range; returns whether the server goes on."""
+        server_id = server.listed.server_id
+        result = await self._grant(server, key_range, "")
+        if isinstance(result, attempts.NoReply):
+            # One lost packet is no reason to give a server up.
+            result = await self._grant(server, key_range, "")
+        if isinstance(result, attempts.Granted):
+            return True
+        if isinstance(result, attempts.Gone):
+            self._book.end(server_id, result.reason)
+        elif isinstance(result, attempts.Outranked):
+            self._outranked.add(server_id)
+            self._journal.decision(
+                "token_outranked",
+                service=self._service,
+                server=server_id,
+                token=key_range.token,
+            )
+        else:
+            self._note_silent(server_id, result.reason)
+        return False
+
+    def _note_silent(self, server_id: ids.ServerId, reason: str) -> None:
+        """Stops orders to a server until it is reached again."""
+        if server_id not in self._silent:
+            self._silent.add(server_id)
+            self._journal.decision(
+                "server_silent", server=server_id, reason=reason
+            )
+
+    async def _grant(
+        self,
+        server: servers_lib.Server,
+        key_range: keymap.KeyRange,
+        handover: str,
+    ) -> attempts.GrantResult:
+        """Gives or renews one range."""
+        lease_ms = min(
+            self._settings.lease_ms, self._instance.bounds.lease_max_ms
+        )
+        result: attempts.GrantResult = attempts.NoReply("no answer in time")
+        with anyio.move_on_after(self._settings.grant_timeout_s):
+            result = await self._client.grant(
+                server.listed,
+                key_range.first_key,
+                key_range.last_key,
+                key_range.token,
+                lease_ms,
+                handover,
+            )
+        # An order without an answer may still arrive until it timed out.
+        server_id = server.listed.server_id
+        until_s = self._clock.monotonic_s() + self._lease_s()
+        self._held_until_s[server_id] = until_s
+        self._metrics.grants.inc(
+            {
+                "service": self._service,
+                "order": "grant",
+                "result": type(result).__name__,
+            }
+        )
+        return result
+
+    def _lease_s(self) -> float:
+        """Returns how long a lease may last from its sending."""
+        lease_s = self._settings.lease_ms / 1_000
+        return lease_s * self._settings.drift_ratio + (
+            self._settings.expiry_margin_s
+        )
+
+    def _rooms(self) -> dict[ids.ServerId, float]:
+        """Returns the room of each server that can take keys."""
+        now_s = self._clock.monotonic_s()
+        return {
+            server.listed.server_id: self._loads.room_of(server)
+            for server in self._book.of_service(self._service)
+            if self._book.is_staying(server, now_s)
+            and not self._is_lost(server.listed.server_id, now_s)
+        }
+
+    def _is_lost(self, server_id: ids.ServerId, now_s: float) -> bool:
+        """Whether a server has been silent until its lease ran out."""
+        return server_id in self._silent and now_s >= self._held_until_s.get(
+            server_id, 0.0
+        )
+
+    async def _plan(
+        self, tasks: anyio.abc.TaskGroup, *, with_relief: bool
+    ) -> None:
+        """Moves keys away from servers that leave, and off busy ones."""
+        rooms = self._rooms()
+        if not rooms:
+            return
+        still = tuple(
+            r for r in self._ranges if r.first_key not in self._moving
+        )
+        self._loads.decay(self._clock.monotonic_s())
+        orphaned = any(r.owner not in rooms for r in still)
+        if not (orphaned or self._outranked or with_relief):
+            return
+        key_load = self._loads.key_load()
+        moves = planner.plan_evacuation(still, key_load, rooms)
+        moves = tuple(m for m in moves if self._may_move_now(m))
+        reason = "owner leaves or is gone"
+        if not moves and with_relief and not self._moving:
+            moves = planner.plan_relief(
+                self._ranges, key_load, rooms, self._plan_settings
+            )
+            reason = "owner is busier than others"
+        if moves or self._outranked:
+            await self._move(tasks, moves, reason)
+
+    def _may_move_now(self, move: planner.Move) -> bool:
+        """Whether nothing that is under way stands against a move."""
+        return not any(
+            r.first_key in self._moving
+            for r in self._ranges
+            if r.first_key <= move.last_key and move.first_key <= r.last_key
+        )
+
+    # Moving.
+
+    async def _move(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        moves: tuple[planner.Move, ...],
+        reason: str,
+    ) -> None:
+        """Writes moves into the log, and carries them out after that."""
+        version = self._version + 1
+        ranges = self._ranges
+        for move in moves:
+            ranges = keymap.assign(ranges, *move, version)
+        outranked = set(self._outranked)
+        ranges = tuple(
+            r._replace(token=version, prior_owner=r.owner)
+            if r.owner in outranked and r.first_key not in self._moving
+            else r
+            for r in ranges
+        )
+        if not await self._append(ranges):
+            return
+        self._outranked -= outranked
+        for move in moves:
+            self._journal.decision(
+                "keys_move",
+                service=self._service,
+                first_key=move.first_key,
+                last_key=move.last_key,
+                to=move.owner,
+                version=version,
+                reason=reason,
+            )
+        for key_range in self._ranges:
+            if key_range.token == version and key_range.prior_owner:
+                self._start_move(tasks, key_range)
+            elif key_range.token == version:
+                self._start_move(tasks, key_range)
+
+    def _resume_moves(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Carries out the moves of a map that was adopted or founded."""
+        for key_range in self._ranges:
+            if key_range.prior_owner or key_range.token == self._version:
+                self._start_move(tasks, key_range)
+
+    def _start_move(
+        self, tasks: anyio.abc.TaskGroup, key_range: keymap.KeyRange
+    ) -> None:
+        """Starts the task that carries one move out."""
+        if not key_range.owner:
+            return
+        self._moving.add(key_range.first_key)
+        tasks.start_soon(self._carry_out, key_range)
+
+    async def _carry_out(self, key_range: keymap.KeyRange) -> None:
+        """Takes a range from its old owner and gives it to the new one."""
+        begun_s = self._clock.monotonic_s()
+        try:
+            handover = ""
+            prior = key_range.prior_owner
+            if prior and prior != key_range.owner:
+                handover = await self._take_back(prior, key_range)
+            granted = await self._give(key_range, handover)
+        finally:
+            self._moving.discard(key_range.first_key)
+            self._wake.notify()
+        self._metrics.keys_moved.add(
+            {"service": self._service}, key_range.size
+        )
+        self._journal.decision(
+            "keys_moved",
+            service=self._service,
+            first_key=key_range.first_key,
+            last_key=key_range.last_key,
+            prior=prior,
+            to=key_range.owner,
+            token=key_range.token,
+            warm=bool(handover),
+            granted=granted,
+            took_ms=round((self._clock.monotonic_s() - begun_s) * 1_000),
+        )
+        if granted:
+            await self._publish_settled(key_range)
+
+    async def _take_back(
+        self, prior: ids.ServerId, key_range: keymap.KeyRange
+    ) -> str:
+        """Waits until a server holds a range no longer.
+
+        Returns:
+            What makes the next owner start warm; empty if there is nothing.
+        """
+        while True:
+            server = self._book.get(prior)
+            now_s = self._clock.monotonic_s()
+            if server is None or now_s >= self._held_until_s.get(prior, 0.0):
+                return ""
+            result: attempts.ReleaseResult = attempts.NoReply("too slow")
+            with anyio.move_on_after(self._settings.release_timeout_s):
+                result = await self._client.release(
+                    server.listed,
+                    key_range.first_key,
+                    key_range.last_key,
+                    key_range.token,
+                )
+            self._metrics.grants.inc(
+                {
+                    "service": self._service,
+                    "order": "release",
+                    "result": type(result).__name__,
+                }
+            )
+            if isinstance(result, attempts.Released):
+                return result.handover
+            if isinstance(result, attempts.Gone):
+                self._book.end(prior, result.reason)
+                return ""
+            await anyio.sleep(self._settings.order_pause_s)
+
+    async def _give(self, key_range: keymap.KeyRange, handover: str) -> bool:
+        """Grants a range to its new owner; returns whether it holds it."""
+        for _ in range(self._settings.give_tries):
+            server = self._book.get(key_range.owner)
+            if server is None:
+                return False
+            result = await self._grant(server, key_range, handover)
+            if isinstance(result, attempts.Granted):
+                self._settle(key_range)
+                return True
+            if isinstance(result, attempts.Gone):
+                self._book.end(key_range.owner, result.reason)
+                return False
+            if isinstance(result, attempts.Outranked):
+                self._outranked.add(key_range.owner)
+                return False
+            if server.unlisted or self._superseded:
+                break
+            await anyio.sleep(self._settings.order_pause_s)
+        self._note_silent(key_range.owner, "it does not take a range")
+        return False
+
+    def _settle(self, key_range: keymap.KeyRange) -> None:
+        """Keeps that the owner of a range holds it."""
+        self._ranges = tuple(
+            r._replace(prior_owner=keymap.NO_SERVER)
+            if r.first_key == key_range.first_key and r.token == key_range.token
+            else r
+            for r in self._ranges
+        )
+        self._table.settle(
+            self._service, key_range.token, key_range.first_key
+        )
--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/log.py
@@ -0,0 +1,240 @@
+"""The platform's log as the product sees it, and how a topic is followed.
+
+Topics that are compacted by key keep the newest record of each key for good,
+so they replace snapshots and retention work: a follower starts from the
+newest records and reads on from there.
+"""
+
+from collections.abc import Callable
+import dataclasses
+from typing import NamedTuple
+from typing import Protocol
+
+import anyio
+
+from bridgecross_core import clock as clocks
+from bridgecross_entry import journal as journals
+
+
+class KeyedRecord(NamedTuple):
+    """The newest value of a key."""
+
+    key: str
+    # Empty if the key was removed.
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Newest:
+    """The newest record of each key of a topic."""
+
+    records: tuple[KeyedRecord, ...]
+    # The offset to read on from; later changes may already be in.
+    end: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """Records from an offset on, in order."""
+
+    records: tuple[KeyedRecord, ...]
+    # The offset after the last of the records.
+    next_offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forgotten:
+    """The log no longer keeps records from that offset on."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreachable:
+    """The log did not answer, or turned the call away."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Appended:
+    """The record is in the log."""
+
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """Nothing was appended: the topic does not end where it was expected."""
+
+    end: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Uncertain:
+    """The record may be in the log, or come to be in it later."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Membership:
+    """This member's place in a group."""
+
+    # Rises with each change of the group.
+    generation: int
+    # The partitions that the log dealt to this member.
+    partitions: frozenset[int]
+
+
+class PlatformLog(Protocol):
+    """The calls of the platform's log that the product uses."""
+
+    async def read_newest(self, topic: str) -> Newest | Unreachable:
+        """Returns the newest record of each key."""
+
+    async def read(
+        self, topic: str, offset: int, wait_ms: float
+    ) -> Batch | Forgotten | Unreachable:
+        """Returns records from an offset on, waiting for one if need be."""
+
+    async def append(
+        self, topic: str, record: KeyedRecord, expected_end: int
+    ) -> Appended | Conflict | Uncertain | Unreachable:
+        """Appends a record if the topic still ends at an offset."""
+
+    async def join(
+        self, group: str, member: str, ttl_ms: float, generation: int
+    ) -> Membership | Unreachable:
+        """Joins a group or stays in it."""
+
+    async def leave(self, group: str, member: str) -> None:
+        """Leaves a group at once."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FollowSettings:
+    """How a topic is followed."""
+
+    topic: str
+    # How long a read may wait in the log for a record; 0 returns at once.
+    wait_ms: float
+    # The pause between reads. With a wait it only bounds the rate.
+    pause_s: float
+    # The pause after a failed read: under the 2 s that a change may take.
+    retry_pause_s: float = 0.3
+
+
+class Follower:
+    """Follows one topic and hands its records over.
+
+    One task; ``run`` goes on until it is cancelled.
+    """
+
+    def __init__(
+        self,
+        settings: FollowSettings,
+        log: PlatformLog,
+        take_all: Callable[[tuple[KeyedRecord, ...]], None],
+        take_changes: Callable[[tuple[KeyedRecord, ...]], None],
+        journal: journals.Journal,
+        clock: clocks.Clock,
+    ) -> None:
+        """Reads nothing yet.
+
+        Args:
+            settings: Which topic, and how often.
+            log: The platform's log.
+            take_all: Takes the newest record of every key.
+            take_changes: Takes the records that followed.
+            journal: Told when the log is lost and regained.
+            clock: For the age of what was read.
+        """
+        self._settings = settings
+        self._log = log
+        self._take_all = take_all
+        self._take_changes = take_changes
+        self._journal = journal
+        self._clock = clock
+        # The offset to read on from; None before the first read.
+        self.next_offset: int | None = None
+        # When the log was last heard of this topic; None if never.
+        self.heard_s: float | None = None
+        # Since when the log has been silent; None while it answers.
+        self.lost_since_s: float | None = None
+        # When the log last came back after it had been silent.
+        self.regained_s = float("-inf")
+
+    async def run(self) -> None:
+        """Follows the topic until cancelled."""
+        while True:
+            heard = await self._step(self._settings.wait_ms)
+            if heard:
+                await anyio.sleep(self._settings.pause_s)
+            else:
+                await anyio.sleep(self._settings.retry_pause_s)
+
+    async def catch_up(self) -> bool:
+        """Reads what is there by now; returns whether the log answered."""
+        return await self._step(0)
+
+    async def _step(self, wait_ms: float) -> bool:
+        """Reads once; returns whether the log answered."""
+        if self.next_offset is None:
+            return await self._start()
+        if self.lost_since_s is not None:
+            wait_ms = 0
+        result = await self._log.read(
+            self._settings.topic, self.next_offset, wait_ms
+        )
+        if isinstance(result, Unreachable):
+            self._note_lost(result.reason)
+            return False
+        if isinstance(result, Forgotten):
+            self._journal.lifecycle(
+                "history_forgotten",
+                topic=self._settings.topic,
+                offset=self.next_offset,
+            )
+            self.next_offset = None
+            return await self._start()
+        self._note_heard()
+        self.next_offset = max(self.next_offset or 0, result.next_offset)
+        if result.records:
+            self._take_changes(result.records)
+        return True
+
+    def note_own_append(self, offset: int) -> None:
+        """Moves past a record that this process appended itself."""
+        if self.next_offset == offset:
+            self.next_offset = offset + 1
+
+    async def _start(self) -> bool:
+        """Reads the newest record of every key."""
+        result = await self._log.read_newest(self._settings.topic)
+        if isinstance(result, Unreachable):
+            self._note_lost(result.reason)
+            return False
+        self._note_heard()
+        self.next_offset = result.end
+        self._take_all(result.records)
+        return True
+
+    def _note_lost(self, reason: str) -> None:
+        """Keeps since when the log has been silent."""
+        if self.lost_since_s is None:
+            self.lost_since_s = self._clock.monotonic_s()
+            self._journal.lifecycle(
+                "log_lost", topic=self._settings.topic, reason=reason
+            )
+
+    def _note_heard(self) -> None:
+        """Keeps when the log was heard."""
+        now_s = self._clock.monotonic_s()
+        self.heard_s = now_s
+        if self.lost_since_s is not None:
+            self._journal.lifecycle(
+                "log_regained",
+                topic=self._settings.topic,
+                silent_s=round(now_s - self.lost_since_s, 3),
+            )
+            self.lost_since_s = None
+            self.regained_s = now_s
--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
@@ -0,0 +1,73 @@
+"""Counters and latency histograms of one instance."""
+
+import aioprometheus
+import aioprometheus.renderer
+
+# Upper ends in seconds; the routes' targets lie between 0.15 and 6 s.
+_LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2, 5, 15]
+
+
+class Metrics:
+    """The figures of one process; every label has a bounded set of values."""
+
+    def __init__(self) -> None:
+        """Registers all figures."""
+        self.registry = aioprometheus.Registry()
+        self.requests = aioprometheus.Counter(
+            "bridgecross_requests_total",
+            "Requests by service, outcome and reason.",
+            registry=self.registry,
+        )
+        self.attempts = aioprometheus.Counter(
+            "bridgecross_attempts_total",
+            "Attempts at backend servers by service and result.",
+            registry=self.registry,
+        )
+        self.log_calls = aioprometheus.Counter(
+            "bridgecross_log_calls_total",
+            "Calls to the platform's log by call and result.",
+            registry=self.registry,
+        )
+        self.grants = aioprometheus.Counter(
+            "bridgecross_grants_total",
+            "Lease orders by service, order and result.",
+            registry=self.registry,
+        )
+        self.keys_moved = aioprometheus.Counter(
+            "bridgecross_keys_moved_total",
+            "Keys given to another owner, by service.",
+            registry=self.registry,
+        )
+        self.request_seconds = aioprometheus.Histogram(
+            "bridgecross_request_seconds",
+            "Time from the head of a request to its outcome, by service.",
+            registry=self.registry,
+            buckets=_LATENCY_BUCKETS_S,
+        )
+        self.queue_seconds = aioprometheus.Histogram(
+            "bridgecross_queue_seconds",
+            "Time that a request waited for a slot, by service.",
+            registry=self.registry,
+            buckets=_LATENCY_BUCKETS_S,
+        )
+        self.attempt_seconds = aioprometheus.Histogram(
+            "bridgecross_attempt_seconds",
+            "Time of one attempt at a backend server, by service.",
+            registry=self.registry,
+            buckets=_LATENCY_BUCKETS_S,
+        )
+        self.beliefs = aioprometheus.Gauge(
+            "bridgecross_beliefs",
+            "What the instance believes: versions, ages in seconds, counts.",
+            registry=self.registry,
+        )
+        self.journal_dropped = aioprometheus.Gauge(
+            "bridgecross_journal_dropped_lines",
+            "Log lines that were not written.",
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Returns all figures as text."""
+        text, _ = aioprometheus.renderer.render(self.registry, ["text/plain"])
+        return bytes(text)
--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/model.py
@@ -0,0 +1,165 @@
+"""What an entry instance believes about the world around it.
+
+These types are what adapters decode into; nothing in here knows how they are
+spelled on any wire.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+from typing import NamedTuple
+
+from bridgecross_core import ids
+
+
+class Address(NamedTuple):
+    """Where a process listens."""
+
+    # An IP number.
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Renders ``host:port``."""
+        return f"{self.host}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendServer:
+    """One run of a backend server, as the platform lists it."""
+
+    # Names this run; a restart of the same server gets another one.
+    server_id: ids.ServerId
+    # The service that it belongs to.
+    service: ids.ServiceName
+    # Where it takes requests; may belong to another server later.
+    address: Address
+    # The failure domain that it runs in.
+    failure_domain: str
+    # Requests that it works on at the same time.
+    slots: int
+    # Whether it has said that it will end soon.
+    leaving: bool
+    # How much longer it is slow, counted from its start.
+    warmup_left_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightedService:
+    """A service and its share of a route's requests."""
+
+    service: ids.ServiceName
+    # Relative to the weights of the route's other services.
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """How requests to one host and path prefix are treated."""
+
+    name: str
+    host: str
+    # Starts and ends with a slash.
+    path_prefix: str
+    # Whether running a request twice does no harm.
+    idempotent: bool
+    # The longest time for which a request may be held.
+    timeout_ms: float
+    # Answers later than this are worth less to the caller.
+    target_latency_ms: float
+    # 0 goes first.
+    priority: int
+    # The services among which requests are divided.
+    shares: tuple[WeightedService, ...]
+    # Backend servers that one request may be sent to.
+    max_attempts: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """What holds for all backend servers of a service."""
+
+    name: ids.ServiceName
+    # Connections that a backend server takes from all instances together.
+    max_connections: int
+    # Whether its backend servers own ranges of keys exclusively.
+    keyed: bool
+    # How long keys are slow if they come without state of the old owner.
+    warm_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send, and how long it may rest."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """What the operator wants; replaced as a whole."""
+
+    # Rises with each change, in uneven steps.
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[ids.ServiceName, Service]
+    limits: CallerLimits
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """What the platform promises and asks for, in time and counts."""
+
+    # After this a leaving backend server must get no new requests.
+    drain_ms: float
+    # Between the signal to stop and the kill.
+    grace_ms: float
+    # Retries allowed to a service, as a share of its requests.
+    retry_ratio: float
+    # The sliding window in which retries are counted.
+    retry_window_ms: float
+    # Retries allowed in each window beyond the share.
+    retry_slack: float
+    # The longest lease that a backend server accepts.
+    lease_max_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceSettings:
+    """What an instance learns from the platform when it starts."""
+
+    # The name of the instance.
+    name: str
+    # The failure domain that it runs in.
+    failure_domain: str
+    # Where callers connect.
+    caller_address: Address
+    # Where the platform asks for readiness.
+    ready_address: Address
+    # Where the other instances reach this one.
+    peer_address: Address
+    # Where metrics are served.
+    metrics_address: Address
+    # Where the platform's log answers.
+    log_address: Address
+    # The shortest membership lease that the platform's log accepts.
+    member_ttl_min_ms: float
+    # Partitions of a topic in the platform's log.
+    partitions: int
+    bounds: Bounds
+
+
+def parse_address(text: str) -> Address:
+    """Returns the address that ``host:port`` names.
+
+    Raises:
+        ValueError: There is no port, or it is not a number from 1 to 65535.
+    """
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit():
+        raise ValueError(f"{text!r} is not of the form host:port")
+    if not 1 <= int(port) <= 65535:  # noqa: PLR2004 (the range of TCP ports)
+        raise ValueError(f"{text!r} has a port outside 1 to 65535")
+    return Address(host, int(port))
--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/planner.py
@@ -0,0 +1,241 @@
+"""Chooses which ranges of keys move to which server.
+
+Pure functions of what was measured: the load of each key, and the room of
+each server. Keys of servers that are gone or leaving go first; after that
+the fewest and smallest pieces that bring the busiest server down.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import itertools
+from typing import NamedTuple
+
+from bridgecross_core import ids
+from bridgecross_entry import keymap
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlanSettings:
+    """When keys move."""
+
+    # A server is relieved once it is this much busier than the mean. Load
+    # is counted over some seconds and is off by 15% at 35 requests/s.
+    imbalance_ratio: float = 1.35
+    # A server under this utilization is not relieved: below it requests
+    # seldom wait for a slot, and a move itself makes some wait.
+    busy_ratio: float = 0.5
+    # Moves in one plan. Each holds requests for its keys for the longest
+    # request that runs on them.
+    moves_max_count: int = 4
+
+
+class Move(NamedTuple):
+    """A range that gets another owner."""
+
+    # Both ends are inside.
+    first_key: int
+    last_key: int
+    owner: ids.ServerId
+
+
+@dataclasses.dataclass(slots=True)
+class _Bin:
+    """A server while a plan is made."""
+
+    server_id: ids.ServerId
+    # Work that it can do in a second, in the unit of the load.
+    room: float
+    # Load of the keys that it owns.
+    load: float = 0.0
+
+    @property
+    def utilization(self) -> float:
+        """The part of its room that is taken."""
+        return self.load / self.room
+
+
+class KeyLoad:
+    """The load of each key, as prefix sums."""
+
+    def __init__(self, weights: Mapping[int, float]) -> None:
+        """Sums up.
+
+        Args:
+            weights: The load of keys; keys without any may be left out.
+        """
+        each = [0.0] * (keymap.LAST_KEY + 1)
+        for key, weight in weights.items():
+            each[key] = weight
+        self._sums = [0.0, *itertools.accumulate(each)]
+
+    def of(self, first_key: int, last_key: int) -> float:
+        """Returns the load of a range; both ends are inside."""
+        return self._sums[last_key + 1] - self._sums[first_key]
+
+    def cut(self, first_key: int, last_key: int, load: float) -> int:
+        """Returns the last key of the longest prefix under a load.
+
+        The prefix holds one key at least and leaves one at least, unless the
+        range has a single key.
+        """
+        low, high = first_key, max(first_key, last_key - 1)
+        while low < high:
+            middle = (low + high + 1) // 2
+            if self.of(first_key, middle) <= load:
+                low = middle
+            else:
+                high = middle - 1
+        return low
+
+
+def plan_first(servers: Mapping[ids.ServerId, float]) -> tuple[Move, ...]:
+    """Returns moves that divide all keys evenly by the servers' room."""
+    total = sum(servers.values())
+    moves = []
+    done = 0.0
+    first_key = keymap.FIRST_KEY
+    for server_id, room in servers.items():
+        done += room
+        last_key = round(done / total * (keymap.LAST_KEY + 1)) - 1
+        if last_key >= first_key:
+            moves.append(Move(first_key, last_key, server_id))
+        first_key = last_key + 1
+    return tuple(moves)
+
+
+def plan_evacuation(
+    ranges: tuple[keymap.KeyRange, ...],
+    load: KeyLoad,
+    servers: Mapping[ids.ServerId, float],
+) -> tuple[Move, ...]:
+    """Returns moves that give every key a server that stays.
+
+    Args:
+        ranges: The present ranges.
+        load: The load of each key.
+        servers: The room of each server that stays.
+    """
+    bins = _fill(ranges, load, servers)
+    if not bins:
+        return ()
+    orphans = [r for r in ranges if r.owner not in servers]
+    orphans.sort(key=lambda r: -load.of(r.first_key, r.last_key))
+    moves = []
+    for orphan in _split_large(orphans, load, bins):
+        weight = load.of(orphan.first_key, orphan.last_key)
+        # Keys without load count a little, so that they spread as well.
+        weight += 1e-6 * orphan.size
+        best = min(bins, key=lambda b: (b.load + weight) / b.room)
+        best.load += weight
+        moves.append(Move(orphan.first_key, orphan.last_key, best.server_id))
+    return tuple(moves)
+
+
+def plan_relief(
+    ranges: tuple[keymap.KeyRange, ...],
+    load: KeyLoad,
+    servers: Mapping[ids.ServerId, float],
+    settings: PlanSettings,
+) -> tuple[Move, ...]:
+    """Returns moves that relieve the busiest servers.
+
+    Ranges whose last move is still under way are left alone.
+    """
+    bins = _fill(ranges, load, servers)
+    if len(bins) < 2:  # noqa: PLR2004 (one server cannot be relieved)
+        return ()
+    mean = sum(b.load for b in bins) / sum(b.room for b in bins)
+    moves: list[Move] = []
+    while len(moves) < settings.moves_max_count:
+        busiest = max(bins, key=lambda b: b.utilization)
+        idlest = min(bins, key=lambda b: b.utilization)
+        limit = max(mean * settings.imbalance_ratio, settings.busy_ratio)
+        if busiest.utilization <= limit:
+            break
+        excess = (busiest.utilization - mean) * busiest.room
+        space = (mean - idlest.utilization) * idlest.room
+        piece = _choose_piece(ranges, load, busiest, min(excess, space))
+        if piece is None:
+            break
+        weight = load.of(*piece)
+        if (idlest.load + weight) / idlest.room >= busiest.utilization:
+            break
+        busiest.load -= weight
+        idlest.load += weight
+        moves.append(Move(*piece, idlest.server_id))
+        ranges = keymap.assign(ranges, *piece, idlest.server_id, -1)
+    return tuple(moves)
+
+
+def _fill(
+    ranges: tuple[keymap.KeyRange, ...],
+    load: KeyLoad,
+    servers: Mapping[ids.ServerId, float],
+) -> list[_Bin]:
+    """Returns the servers that stay with the load that they have."""
+    bins = {s: _Bin(s, room) for s, room in servers.items()}
+    for key_range in ranges:
+        owner = bins.get(key_range.owner)
+        if owner is not None:
+            owner.load += load.of(key_range.first_key, key_range.last_key)
+            owner.load += 1e-6 * key_range.size
+    return list(bins.values())
+
+
+def _split_large(
+    orphans: list[keymap.KeyRange], load: KeyLoad, bins: list[_Bin]
+) -> list[keymap.KeyRange]:
+    """Returns ranges with those cut that one server should not take whole."""
+    total = sum(b.load for b in bins) + sum(
+        load.of(r.first_key, r.last_key) for r in orphans
+    )
+    piece_load = total / max(len(bins), 1) / 3
+    piece_size = keymap.LAST_KEY // max(2 * len(bins), 1) + 1
+    pieces = []
+    for orphan in orphans:
+        rest = orphan
+        while True:
+            weight = load.of(rest.first_key, rest.last_key)
+            if weight <= piece_load and rest.size <= piece_size:
+                break
+            if rest.size == 1:
+                break
+            cut = load.cut(rest.first_key, rest.last_key, piece_load)
+            cut = min(cut, rest.first_key + piece_size - 1)
+            pieces.append(rest._replace(last_key=cut))
+            rest = rest._replace(first_key=cut + 1)
+        pieces.append(rest)
+    return pieces
+
+
+def _choose_piece(
+    ranges: tuple[keymap.KeyRange, ...],
+    load: KeyLoad,
+    busiest: _Bin,
+    wanted: float,
+) -> tuple[int, int] | None:
+    """Returns the keys of a server that come closest to a load."""
+    owned = [
+        r
+        for r in ranges
+        if r.owner == busiest.server_id and not r.prior_owner
+    ]
+    best: tuple[int, int] | None = None
+    best_gap = float("inf")
+    for key_range in owned:
+        first, last = key_range.first_key, key_range.last_key
+        weight = load.of(first, last)
+        candidates = [(first, last)]
+        if weight > wanted and key_range.size > 1:
+            cut = load.cut(first, last, wanted)
+            candidates = [(first, cut)]
+            tail = load.cut(first, last, weight - wanted)
+            candidates.append((tail + 1, last))
+        for candidate in candidates:
+            piece = load.of(*candidate)
+            if piece <= 0 or piece > wanted * 1.2:
+                continue
+            gap = abs(wanted - piece)
+            if gap < best_gap:
+                best, best_gap = candidate, gap
+    return best
--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -0,0 +1,289 @@
+"""The backend servers, with what this instance saw of each.
+
+A server that vanishes from the platform's list without a word may be one
+that is leaving, or one whose entry lapsed while the log was away. It is kept
+for a short while as a last resort.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import math
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import ids
+from bridgecross_core import pulse
+from bridgecross_entry import journal as journals
+from bridgecross_entry import model
+from bridgecross_request import queueing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerSettings:
+    """How servers are judged from what is seen of them."""
+
+    # The part of the platform's drain bound in which a server that has left
+    # the list may still be used. The rest covers the age of what we read:
+    # polls are 0.7 s apart.
+    drain_use_ratio: float = 0.4
+    # How long entries that lapsed while the log was away may take to return.
+    # The platform promises about two seconds.
+    lapse_grace_s: float = 2.0
+    # Weight of the newest observation in moving averages: about the last
+    # twenty requests count, which at 5 requests/s a server is 4 s.
+    smoothing_ratio: float = 0.05
+    # A share of failures of 1.0 makes a server look this many times slower.
+    # With 20, one that fails a third of its requests gets under a tenth of
+    # the traffic of a sound one.
+    failure_penalty: float = 20.0
+    # The first pause after a server could not be reached; it doubles.
+    first_pause_s: float = 0.1
+    # The longest such pause: a server that is back is noticed within it.
+    longest_pause_s: float = 1.0
+    # The share by which a server in another failure domain looks slower; the
+    # hop adds 1 ms to 60 ms and more of work, and its bytes are priced.
+    distance_penalty_ratio: float = 0.1
+    # What a request is taken to need before one has been seen.
+    first_guess_s: float = 0.1
+    # How many times its even share of a server's room an instance may use:
+    # callers are spread unevenly over instances.
+    room_spread: float = 2.2
+    # Requests that may wait at a server beyond those that it works on. The
+    # platform's servers queue up to 16 before they turn requests away.
+    server_queue_count: int = 8
+    # Requests that an instance may have at a server however many there are:
+    # with one, two callers of the same instance would wait for each other.
+    least_room_count: int = 2
+    # How many instances there are, as long as no coordinator has told: the
+    # users run 8 to 11.
+    first_instance_count: int = 8
+
+
+class Server:
+    """One backend server as this instance sees it."""
+
+    def __init__(
+        self,
+        listed: model.BackendServer,
+        queue: queueing.TierQueue,
+        settings: ServerSettings,
+        now_s: float,
+    ) -> None:
+        """Knows nothing yet but what the list says."""
+        self.listed = listed
+        self.queue = queue
+        self.latency_s = settings.first_guess_s
+        self.failure_ratio = 0.0
+        self.joined_s = now_s
+        # When it was first seen to be leaving, or gone from the list.
+        self.leaving_since_s: float | None = None
+        # Whether it is gone from the list.
+        self.unlisted = False
+        # Whether its run has certainly ended.
+        self.ended = False
+        self.paused_until_s = 0.0
+        self._pause_s = settings.first_pause_s
+        self._settings = settings
+
+    def note_answer(self, latency_s: float, *, failed: bool) -> None:
+        """Counts an answer."""
+        ratio = self._settings.smoothing_ratio
+        if not failed:
+            self.latency_s += ratio * (latency_s - self.latency_s)
+        target = 1.0 if failed else 0.0
+        self.failure_ratio += 2 * ratio * (target - self.failure_ratio)
+        self._pause_s = self._settings.first_pause_s
+
+    def note_unreachable(self, now_s: float) -> None:
+        """Counts an attempt that found nobody, and pauses the server."""
+        ratio = self._settings.smoothing_ratio
+        self.failure_ratio += 2 * ratio * (1.0 - self.failure_ratio)
+        self.paused_until_s = now_s + self._pause_s
+        self._pause_s = min(
+            2 * self._pause_s, self._settings.longest_pause_s
+        )
+
+    def cost_s(self, domain: str, now_s: float) -> float:
+        """Returns how long a request sent here now would about take."""
+        waiting = self.queue.busy + self.queue.waiting.total()
+        cost_s = self.latency_s * (1.0 + waiting)
+        cost_s *= 1.0 + self._settings.failure_penalty * self.failure_ratio
+        if self.listed.failure_domain != domain:
+            cost_s *= 1.0 + self._settings.distance_penalty_ratio
+        warm_in_s = self.joined_s + self.listed.warmup_left_ms / 1_000 - now_s
+        if warm_in_s > 0:
+            cost_s *= 2.0
+        return cost_s
+
+
+class ServerBook:
+    """All backend servers that this instance knows."""
+
+    def __init__(
+        self,
+        settings: ServerSettings,
+        bounds: model.Bounds,
+        journal: journals.Journal,
+        clock: clocks.Clock,
+    ) -> None:
+        """Knows no server yet."""
+        self.settings = settings
+        self.changed = pulse.Pulse()
+        self._instance_count = settings.first_instance_count
+        self._bounds = bounds
+        self._journal = journal
+        self._clock = clock
+        self._servers: dict[ids.ServerId, Server] = {}
+        self._by_service: dict[ids.ServiceName, dict[ids.ServerId, Server]] = {}
+
+    def get(self, server_id: ids.ServerId) -> Server | None:
+        """Returns a server that is known and may be running."""
+        return self._servers.get(server_id)
+
+    def of_service(self, service: ids.ServiceName) -> Iterable[Server]:
+        """Returns the known servers of a service."""
+        return self._by_service.get(service, {}).values()
+
+    def put(self, listed: model.BackendServer) -> None:
+        """Takes in what the list says of a server."""
+        known = self._servers.get(listed.server_id)
+        if known is None:
+            self._add(listed)
+            return
+        returned = known.unlisted
+        known.unlisted = False
+        if known.listed == listed and not returned:
+            return
+        if known.listed.service != listed.service:
+            self.end(listed.server_id, "its service changed")
+            self._add(listed)
+            return
+        known.listed = listed
+        if listed.leaving:
+            self._note_leaving(known, "it says that it is leaving")
+        elif returned:
+            known.leaving_since_s = None
+            self._journal.decision("server_returned", server=listed.server_id)
+        self.changed.notify()
+
+    def remove(self, server_id: ids.ServerId, *, log_was_away: bool) -> None:
+        """Takes in that a server is gone from the list.
+
+        Args:
+            server_id: Which server.
+            log_was_away: Whether its entry may have lapsed only because the
+                log was away; it is then given time to return.
+        """
+        known = self._servers.get(server_id)
+        if known is None or known.unlisted:
+            return
+        known.unlisted = True
+        if log_was_away and known.leaving_since_s is None:
+            self._journal.decision("server_lapsed", server=server_id)
+            known.leaving_since_s = (
+                self._clock.monotonic_s() + self.settings.lapse_grace_s
+            )
+            return
+        self._note_leaving(known, "it is gone from the list")
+        self.changed.notify()
+
+    def replace_all(
+        self, listed: Iterable[model.BackendServer], *, log_was_away: bool
+    ) -> None:
+        """Takes in the whole list."""
+        listed = list(listed)
+        present = {server.server_id for server in listed}
+        for server_id in list(self._servers):
+            if server_id not in present:
+                self.remove(server_id, log_was_away=log_was_away)
+        for server in listed:
+            self.put(server)
+
+    def end(self, server_id: ids.ServerId, reason: str) -> None:
+        """Forgets a server whose run has certainly ended."""
+        known = self._servers.pop(server_id, None)
+        if known is None:
+            return
+        known.ended = True
+        del self._by_service[known.listed.service][server_id]
+        self._journal.decision(
+            "server_ended",
+            server=server_id,
+            service=known.listed.service,
+            reason=reason,
+        )
+        self.changed.notify()
+
+    def drop_stale(self) -> None:
+        """Forgets servers that have been gone from the list for long.
+
+        By then no lease that one may have been given runs any more.
+        """
+        now_s = self._clock.monotonic_s()
+        keep_s = (self._bounds.drain_ms + self._bounds.lease_max_ms) / 1_000
+        for server_id, server in list(self._servers.items()):
+            since_s = server.leaving_since_s
+            if not server.unlisted or since_s is None:
+                continue
+            if now_s > since_s + keep_s:
+                self.end(server_id, "it has been off the list for long")
+
+    def may_use(self, server: Server, now_s: float) -> bool:
+        """Whether new requests may be sent to a server at all."""
+        since_s = server.leaving_since_s
+        if server.ended:
+            return False
+        if since_s is None:
+            return True
+        use_s = self._bounds.drain_ms / 1_000 * self.settings.drain_use_ratio
+        return now_s < since_s + use_s
+
+    def is_staying(self, server: Server, now_s: float) -> bool:
+        """Whether a server is expected to stay."""
+        since_s = server.leaving_since_s
+        return not server.ended and (since_s is None or since_s > now_s)
+
+    def set_instances(self, count: int) -> None:
+        """Divides the servers' room among the instances."""
+        self._instance_count = max(count, 1)
+        for server in self._servers.values():
+            server.queue.settings = self._queue_settings(server.listed)
+
+    def _queue_settings(
+        self, listed: model.BackendServer
+    ) -> queueing.QueueSettings:
+        """Returns how many requests may be at a server at a time."""
+        room = listed.slots + self.settings.server_queue_count
+        share = self.settings.room_spread * room / self._instance_count
+        least = self.settings.least_room_count
+        return queueing.QueueSettings(max(least, math.ceil(share)), 0.0)
+
+    def _add(self, listed: model.BackendServer) -> None:
+        """Adds a server that was not known."""
+        now_s = self._clock.monotonic_s()
+        queue = queueing.TierQueue(self._queue_settings(listed), self._clock)
+        server = Server(listed, queue, self.settings, now_s)
+        self._servers[listed.server_id] = server
+        of_service = self._by_service.setdefault(listed.service, {})
+        of_service[listed.server_id] = server
+        if listed.leaving:
+            server.leaving_since_s = now_s
+        self._journal.decision(
+            "server_joined",
+            server=listed.server_id,
+            service=listed.service,
+            address=str(listed.address),
+            leaving=listed.leaving,
+        )
+        self.changed.notify()
+
+    def _note_leaving(self, server: Server, reason: str) -> None:
+        """Keeps since when a server has been leaving."""
+        now_s = self._clock.monotonic_s()
+        if server.leaving_since_s is None or server.leaving_since_s > now_s:
+            server.leaving_since_s = now_s
+            self._journal.decision(
+                "server_leaving",
+                server=server.listed.server_id,
+                service=server.listed.service,
+                reason=reason,
+            )
