--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-LIBS := core log settings timeline ownership request daemon cli standins
+LIBS := core log settings timeline ownership request entry daemon cli standins
 
 .PHONY: demo test check setup bench
 
--- /dev/null
+++ b/libs/bridgecross-entry/tests/support.py
@@ -0,0 +1,105 @@
+"""What the tests of this library share."""
+
+import os
+
+from bridgecross_core import ids
+from bridgecross_entry import journal
+from bridgecross_entry import model
+
+
+class ManualClock:
+    """A clock that moves only when told."""
+
+    def __init__(self) -> None:
+        self.now_s = 1_000.0
+
+    def monotonic_s(self) -> float:
+        return self.now_s
+
+    def wall_s(self) -> float:
+        return self.now_s
+
+
+BOUNDS = model.Bounds(
+    drain_ms=2_000,
+    grace_ms=6_000,
+    retry_ratio=0.2,
+    retry_window_ms=10_000,
+    retry_slack=62,
+    lease_max_ms=10_000,
+)
+
+INSTANCE = model.InstanceSettings(
+    name="entry-1",
+    failure_domain="hall-1",
+    caller_address=model.Address("127.0.0.1", 1),
+    ready_address=model.Address("127.0.0.1", 2),
+    peer_address=model.Address("127.0.0.1", 3),
+    metrics_address=model.Address("127.0.0.1", 4),
+    log_address=model.Address("127.0.0.1", 5),
+    member_ttl_min_ms=1_000,
+    partitions=24,
+    bounds=BOUNDS,
+)
+
+
+def make_journal(clock: ManualClock) -> journal.Journal:
+    """Returns a journal that nobody reads."""
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    return journal.Journal("entry-1", journal.JournalSettings(), clock, descriptor)
+
+
+def make_server(
+    name: str,
+    service: str = "rapor",
+    *,
+    leaving: bool = False,
+    domain: str = "hall-1",
+    port: int = 9,
+) -> model.BackendServer:
+    """Returns a listed server."""
+    return model.BackendServer(
+        ids.ServerId(name),
+        ids.ServiceName(service),
+        model.Address("127.0.0.1", port),
+        domain,
+        4,
+        leaving,
+        0.0,
+    )
+
+
+def make_route(
+    prefix: str = "/a/",
+    *,
+    host: str = "h.example",
+    idempotent: bool = True,
+    services: tuple[tuple[str, float], ...] = (("rapor", 1.0),),
+    timeout_ms: float = 500,
+    max_attempts: int = 2,
+) -> model.Route:
+    """Returns a route."""
+    return model.Route(
+        name=f"route{prefix}",
+        host=host,
+        path_prefix=prefix,
+        idempotent=idempotent,
+        timeout_ms=timeout_ms,
+        target_latency_ms=200,
+        priority=1,
+        shares=tuple(
+            model.WeightedService(ids.ServiceName(name), weight)
+            for name, weight in services
+        ),
+        max_attempts=max_attempts,
+    )
+
+
+def make_configuration(
+    *routes: model.Route, version: int = 1, keyed: bool = False
+) -> model.Configuration:
+    """Returns a configuration whose services are those of the routes."""
+    names = {share.service for route in routes for share in route.shares}
+    services = {n: model.Service(n, 130, keyed, 0) for n in names}
+    limits = model.CallerLimits(16_384, 65_536, 3_000, 15_000)
+    return model.Configuration(version, routes, services, limits)
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_exchange.py
@@ -0,0 +1,155 @@
+import asyncio
+import contextlib
+import socket
+import struct
+
+import pytest
+
+from bridgecross_core import clock
+from bridgecross_entry import exchange
+from bridgecross_entry import model
+
+pytestmark = pytest.mark.anyio
+
+OK = b"HTTP/1.1 200 OK\r\nrequest-id: %s\r\ncontent-length: 2\r\n\r\nok"
+
+
+@contextlib.asynccontextmanager
+async def _serving(*scripts: list[bytes | None]):
+    """Serves connections by script: each request gets the next bytes.
+
+    None resets the connection and an empty text closes it, both without
+    waiting for a request. Otherwise it stays open, in silence.
+    """
+    left = list(scripts)
+    used = []
+
+    async def serve(reader, writer):
+        script = left.pop(0)
+        number = len(used)
+        used.append(0)
+        for answer in script:
+            if answer is None:
+                await asyncio.sleep(0.02)
+                sock = writer.get_extra_info("socket")
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+                return
+            if not answer:
+                await asyncio.sleep(0.02)
+                writer.close()
+                return
+            await reader.readuntil(b"\r\n\r\n")
+            used[number] += 1
+            writer.write(answer)
+            await writer.drain()
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = model.Address(*server.sockets[0].getsockname()[:2])
+    pool = exchange.Pool(
+        address, exchange.ConnectionSettings(), clock.SystemClock()
+    )
+    try:
+        yield pool, used
+    finally:
+        pool.close()
+        server.close()
+
+
+async def _ask(pool: exchange.Pool, name: bytes = b"1") -> exchange.Result:
+    def accepts(reply: exchange.Reply) -> bool:
+        return reply.header(b"request-id") in {None, name}
+
+    async with asyncio.timeout(2):
+        return await pool.exchange(b"GET / HTTP/1.1\r\n\r\n", accepts)
+
+
+async def test_a_whole_answer_is_returned_and_the_connection_used_again():
+    async with _serving([OK % b"1", OK % b"1"]) as (pool, used):
+        for _ in range(2):
+            reply = await _ask(pool)
+            assert isinstance(reply, exchange.Reply)
+            assert reply.body == b"ok"
+        assert used == [2]
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        pytest.param([OK[:-1] % b"1", b""], id="cut short"),
+        pytest.param([b"HTTP/1.1 200 OK\r\ncontent-le", b""], id="head cut"),
+        pytest.param([b"", b""], id="closed without an answer"),
+        pytest.param([None], id="reset"),
+        pytest.param([b"no such protocol\r\n\r\n"], id="no HTTP"),
+        pytest.param(
+            [b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab", b""],
+            id="chunks cut",
+        ),
+    ],
+)
+async def test_what_is_not_whole_is_no_answer(script):
+    async with _serving(script) as (pool, _):
+        assert isinstance(await _ask(pool), exchange.Broken)
+
+
+async def test_an_answer_without_length_ends_with_its_connection():
+    async with _serving([b"HTTP/1.1 200 OK\r\n\r\nwhole", b""]) as (pool, _):
+        reply = await _ask(pool)
+        assert isinstance(reply, exchange.Reply)
+        assert reply.body == b"whole"
+
+
+async def test_an_answer_without_length_that_is_reset_is_not_whole():
+    async with _serving([b"HTTP/1.1 200 OK\r\n\r\npart", None]) as (pool, _):
+        assert isinstance(await _ask(pool), exchange.Broken)
+
+
+async def test_a_late_answer_to_another_request_is_passed_over():
+    late_then_right = OK % b"0" + OK % b"1"
+    async with _serving([late_then_right], [OK % b"2"]) as (pool, used):
+        reply = await _ask(pool)
+        assert isinstance(reply, exchange.Reply)
+        assert reply.header(b"request-id") == b"1"
+        await _ask(pool, b"2")
+        assert used == [1, 1]
+
+
+async def test_a_connection_with_a_surplus_answer_is_not_used_again():
+    twice = OK % b"1" + OK % b"1"
+    async with _serving([twice], [OK % b"2"]) as (pool, used):
+        assert isinstance(await _ask(pool), exchange.Reply)
+        reply = await _ask(pool, b"2")
+        assert isinstance(reply, exchange.Reply)
+        assert used == [1, 1]
+
+
+async def test_a_server_that_asks_to_close_is_heeded():
+    closing = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+    async with _serving([closing], [OK % b"1"]) as (pool, used):
+        await _ask(pool)
+        await _ask(pool)
+        assert used == [1, 1]
+
+
+async def test_a_cancelled_exchange_closes_its_connection():
+    async with _serving([], [OK % b"1"]) as (pool, used):
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.05):
+                await pool.exchange(b"GET / HTTP/1.1\r\n\r\n", lambda r: True)
+        assert isinstance(await _ask(pool), exchange.Reply)
+        assert used == [0, 1]
+
+
+async def test_a_refused_connection_is_told_as_such():
+    server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+    address = model.Address(*server.sockets[0].getsockname()[:2])
+    server.close()
+    pool = exchange.Pool(
+        address, exchange.ConnectionSettings(), clock.SystemClock()
+    )
+    result = await _ask(pool)
+    assert isinstance(result, exchange.Unsent)
+    assert result.refused
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_planner.py
@@ -0,0 +1,62 @@
+from bridgecross_core import ids
+from bridgecross_entry import keymap
+from bridgecross_entry import planner
+
+A, B, C = ids.ServerId("a"), ids.ServerId("b"), ids.ServerId("c")
+HALF = 32_767
+HALVES = (
+    keymap.KeyRange(0, HALF, A, 1),
+    keymap.KeyRange(HALF + 1, keymap.LAST_KEY, B, 1),
+)
+SETTINGS = planner.PlanSettings()
+
+
+def _loads(ranges, load, owner):
+    return sum(
+        load.of(r.first_key, r.last_key) for r in ranges if r.owner == owner
+    )
+
+
+def test_the_first_plan_covers_all_keys_by_room():
+    moves = planner.plan_first({A: 1.0, B: 3.0})
+    assert moves[0] == planner.Move(0, 16_383, A)
+    assert moves[1] == planner.Move(16_384, keymap.LAST_KEY, B)
+
+
+def test_every_key_of_a_lost_server_gets_one_that_stays():
+    load = planner.KeyLoad({100: 5.0, 200: 5.0, 40_000: 1.0})
+    moves = planner.plan_evacuation(HALVES, load, {B: 10.0, C: 10.0})
+    ranges = HALVES
+    for move in moves:
+        ranges = keymap.assign(ranges, *move, 2)
+    assert {r.owner for r in ranges} == {B, C}
+    assert _loads(ranges, load, C) >= 5.0
+
+
+def test_nothing_moves_while_nobody_is_busy():
+    load = planner.KeyLoad({100: 4.0})
+    assert planner.plan_relief(HALVES, load, {A: 10.0, B: 10.0}, SETTINGS) == ()
+
+
+def test_hot_neighbours_are_split_between_servers():
+    load = planner.KeyLoad({key: 0.1 for key in range(1_000, 1_200)})
+    moves = planner.plan_relief(HALVES, load, {A: 10.0, B: 10.0}, SETTINGS)
+    ranges = HALVES
+    for move in moves:
+        ranges = keymap.assign(ranges, *move, 2)
+    assert 7 <= _loads(ranges, load, B) <= 13
+    moved = sum(move.last_key - move.first_key + 1 for move in moves)
+    assert moved < keymap.LAST_KEY / 2
+
+
+def test_a_single_hot_key_stays_and_its_neighbours_go():
+    load = planner.KeyLoad({500: 20.0, 10: 3.0, 900: 3.0})
+    moves = planner.plan_relief(HALVES, load, {A: 20.0, B: 20.0}, SETTINGS)
+    assert moves
+    assert not any(m.first_key <= 500 <= m.last_key for m in moves)
+
+
+def test_a_range_on_the_move_is_left_alone():
+    moving = (HALVES[0]._replace(prior_owner=C), HALVES[1])
+    load = planner.KeyLoad({key: 0.1 for key in range(1_000, 1_200)})
+    assert planner.plan_relief(moving, load, {A: 10.0, B: 10.0}, SETTINGS) == ()
