Wait out the leases of servers that a coordinator does not know

An owner missing from that list counted as ended, so its keys were given on while its lease ran. Ruled out: late grants, a frozen coordinator, two terms (tokens and map versions were in order).

Change: a run counts as ended only by proof (refused connection, another run at its address); anything else waits for the lease. A coordinator begins and moves only by a list of at most 1.6 s of age. Reads for configurations wait 1.2 s. An append found again after a lost answer carries its moves out.

--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -80,6 +80,7 @@
         book: servers_lib.ServerBook,
         table: keymap.KeyTable,
         loads: load_view.LoadView,
+        list_is_fresh: Callable[[], bool],
         publish_map: Callable[[keymap.KeyMap], Awaitable[None]],
         publish_settled: Callable[[keymap.KeyRange], Awaitable[None]],
         journal: journals.Journal,
@@ -100,6 +101,7 @@
             book: The backend servers.
             table: The key maps that this instance uses.
             loads: The load of the service.
+            list_is_fresh: Whether the list of servers was read just now.
             publish_map: Tells the other instances of a new map.
             publish_settled: Tells them that a move has ended.
             journal: Told of each decision.
@@ -117,6 +119,7 @@
         self._book = book
         self._table = table
         self._loads = loads
+        self._list_is_fresh = list_is_fresh
         self._publish_map = publish_map
         self._publish_settled = publish_settled
         self._journal = journal
@@ -163,7 +166,9 @@
         while True:
             await self._follower.catch_up()
             newest = self._table.newest(self._service)
-            if newest is not None:
+            if not self._list_is_fresh():
+                pass
+            elif newest is not None:
                 self._adopt(newest)
                 if await self._append(self._ranges):
                     return True
@@ -241,9 +246,10 @@
             result=type(result).__name__,
             reason=getattr(result, "reason", ""),
         )
-        if not isinstance(result, logs.Unreachable):
-            await self._catch_up()
-        return False
+        if isinstance(result, logs.Unreachable):
+            return False
+        await self._catch_up()
+        return self._version == new.version
 
     async def _catch_up(self) -> None:
         """Reads what is in the log after an append that did not go well."""
@@ -274,6 +280,9 @@
             newest = self._table.newest(self._service)
             if newest is not None and newest.version > self._version:
                 await self._catch_up()
+                if not self._superseded:
+                    # Our own append, done after its answer was given up.
+                    self._resume_moves(tasks)
                 continue
             if now_s - renewed_s >= self._settings.renew_interval_s:
                 renewed_s = now_s
@@ -433,7 +442,7 @@
     ) -> None:
         """Moves keys away from servers that leave, and off busy ones."""
         rooms = self._rooms()
-        if not rooms:
+        if not rooms or not self._list_is_fresh():
             return
         still = tuple(
             r for r in self._ranges if r.first_key not in self._moving
@@ -555,10 +564,16 @@
             What makes the next owner start warm; empty if there is nothing.
         """
         while True:
-            server = self._book.get(prior)
             now_s = self._clock.monotonic_s()
-            if server is None or now_s >= self._held_until_s.get(prior, 0.0):
+            if self._book.has_ended(prior):
                 return ""
+            if now_s >= self._held_until_s.get(prior, 0.0):
+                return ""
+            server = self._book.get(prior)
+            if server is None:
+                # Not on our list, which may be old: it may run all the same.
+                await anyio.sleep(self._settings.order_pause_s)
+                continue
             result: attempts.ReleaseResult = attempts.NoReply("too slow")
             with anyio.move_on_after(self._settings.release_timeout_s):
                 result = await self._client.release(
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -47,8 +47,13 @@
     # in the log returns at once; this bounds the age of the list well under
     # the drain bound of 2 s.
     list_pause_s: float = 0.7
-    # Configurations and key maps change seldom: one read waits this long.
+    # Key maps change seldom, and their coordinator pushes them: one read of
+    # them waits this long.
     quiet_wait_ms: float = 5_000.0
+    # A read that arrives while a record is being appended has been seen to
+    # wait on although the record was there, until its time was over. So for
+    # configurations, in force within 2 s, the time is shorter.
+    configuration_wait_ms: float = 1_200.0
     # Bounds the rate of reads while changes come in quick succession.
     quiet_pause_s: float = 0.05
     # The log drops a member that is silent for this long. The least that the
@@ -64,6 +69,9 @@
     drain_accept_ratio: float = 0.5
     # What is left of that time when the process ends at the latest.
     drain_margin_s: float = 0.5
+    # A list of servers older than this is not acted upon: two polls, so that
+    # one that takes long does not stop the work.
+    list_fresh_s: float = 1.6
     # How often lists are swept and figures refreshed.
     sweep_interval_s: float = 1.0
 
@@ -179,7 +187,7 @@
         self._configuration_follower = self._make_follower(
             logs.FollowSettings(
                 self._adapter.configuration_topic,
-                settings.quiet_wait_ms,
+                settings.configuration_wait_ms,
                 settings.quiet_pause_s,
             ),
             self._take_configurations,
@@ -332,6 +340,14 @@
             self._journal.decision("entry_unreadable", reason=str(error))
             return None
 
+    def _list_is_fresh(self) -> bool:
+        """Whether the list of servers was read just now."""
+        heard_s = self._servers_follower.heard_s
+        if heard_s is None:
+            return False
+        age_s = self._clock.monotonic_s() - heard_s
+        return age_s < self._settings.list_fresh_s
+
     def _log_was_away(self) -> bool:
         """Whether entries may have lapsed only for want of the log."""
         follower = self._servers_follower
@@ -532,6 +548,7 @@
             self._book,
             self._table,
             self._view(service),
+            self._list_is_fresh,
             self._publish_map,
             lambda key_range: self._publish_settled(service, key_range),
             self._journal,
--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -133,18 +133,26 @@
         self._journal = journal
         self._clock = clock
         self._servers: dict[ids.ServerId, Server] = {}
+        # Runs that have certainly ended; they never come back.
+        self._ended: set[ids.ServerId] = set()
         self._by_service: dict[ids.ServiceName, dict[ids.ServerId, Server]] = {}
 
     def get(self, server_id: ids.ServerId) -> Server | None:
         """Returns a server that is known and may be running."""
         return self._servers.get(server_id)
 
+    def has_ended(self, server_id: ids.ServerId) -> bool:
+        """Whether a run has certainly ended; one not known may go on."""
+        return server_id in self._ended
+
     def of_service(self, service: ids.ServiceName) -> Iterable[Server]:
         """Returns the known servers of a service."""
         return self._by_service.get(service, {}).values()
 
     def put(self, listed: model.BackendServer) -> None:
         """Takes in what the list says of a server."""
+        if listed.server_id in self._ended:
+            return
         known = self._servers.get(listed.server_id)
         if known is None:
             self._add(listed)
@@ -154,7 +162,7 @@
         if known.listed == listed and not returned:
             return
         if known.listed.service != listed.service:
-            self.end(listed.server_id, "its service changed")
+            self._forget(listed.server_id, "its service changed")
             self._add(listed)
             return
         known.listed = listed
@@ -199,7 +207,12 @@
             self.put(server)
 
     def end(self, server_id: ids.ServerId, reason: str) -> None:
-        """Forgets a server whose run has certainly ended."""
+        """Takes in that the run of a server has certainly ended."""
+        self._ended.add(server_id)
+        self._forget(server_id, reason)
+
+    def _forget(self, server_id: ids.ServerId, reason: str) -> None:
+        """Takes a server out."""
         known = self._servers.pop(server_id, None)
         if known is None:
             return
@@ -225,7 +238,7 @@
             if not server.unlisted or since_s is None:
                 continue
             if now_s > since_s + keep_s:
-                self.end(server_id, "it has been off the list for long")
+                self._forget(server_id, "it has been off the list for long")
 
     def may_use(self, server: Server, now_s: float) -> bool:
         """Whether new requests may be sent to a server at all."""
--- /dev/null
+++ b/libs/bridgecross-entry/tests/fakes.py
@@ -0,0 +1,215 @@
+"""A log and servers in memory, for tests of decisions."""
+
+import collections
+import dataclasses
+import time
+
+import anyio
+
+from bridgecross_core import clock
+from bridgecross_core import ids
+from bridgecross_entry import attempts
+from bridgecross_entry import keymap
+from bridgecross_entry import leases
+from bridgecross_entry import load_view
+from bridgecross_entry import log
+from bridgecross_entry import metrics
+from bridgecross_entry import planner
+from bridgecross_entry import servers
+
+from . import support
+
+SERVICE = ids.ServiceName("rapor")
+TOPIC = "keys"
+
+
+class MemoryLog:
+    """A ``log.PlatformLog`` of one process."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, list[log.KeyedRecord]]
+        self.records = collections.defaultdict(list)
+        self.away = False
+        # Whether the next append is done without an answer.
+        self.lose_answer = False
+
+    async def read_newest(self, topic):
+        if self.away:
+            return log.Unreachable("away")
+        newest = {record.key: record for record in self.records[topic]}
+        return log.Newest(tuple(newest.values()), len(self.records[topic]))
+
+    async def read(self, topic, offset, wait_ms):
+        await anyio.sleep(0)
+        if self.away:
+            return log.Unreachable("away")
+        records = tuple(self.records[topic][offset:])
+        return log.Batch(records, offset + len(records))
+
+    async def append(self, topic, record, expected_end):
+        if self.away:
+            return log.Unreachable("away")
+        end = len(self.records[topic])
+        if end != expected_end:
+            return log.Conflict(end)
+        self.records[topic].append(record)
+        if self.lose_answer:
+            self.lose_answer = False
+            return log.Uncertain("the answer was lost")
+        return log.Appended(end)
+
+    async def join(self, group, member, ttl_ms, generation):
+        return log.Membership(1, frozenset(range(24)))
+
+    async def leave(self, group, member):
+        return
+
+
+class Grant:
+    """A range that a server was given."""
+
+    def __init__(self, server, first, last, token, until_s) -> None:
+        self.server = server
+        self.first = first
+        self.last = last
+        self.token = token
+        self.until_s = until_s
+
+
+class LeaseServers:
+    """An ``attempts.LeaseClient`` that keeps who holds what."""
+
+    def __init__(self) -> None:
+        self.grants: list[Grant] = []
+        self.orders: list[tuple[str, str, int, int, int]] = []
+        self.overlaps: list[str] = []
+        # Servers that say nothing, and those whose process has ended.
+        self.silent: set[str] = set()
+        self.ended: set[str] = set()
+        self.fences: dict[str, int] = collections.defaultdict(lambda: -1)
+
+    async def grant(self, server, first_key, last_key, token, lease_ms, handover):
+        name = server.server_id
+        self.orders.append(("grant", name, first_key, last_key, token))
+        if name in self.ended:
+            return attempts.Gone("ended")
+        if name in self.silent:
+            await anyio.sleep_forever()
+        now_s = time.monotonic()
+        until_s = now_s + lease_ms / 1_000
+        for held in self.grants:
+            crosses = held.first <= last_key and first_key <= held.last
+            if crosses and held.until_s > now_s and held.server != name:
+                self.overlaps.append(f"{held.server} and {name}")
+        self.grants = [
+            g
+            for g in self.grants
+            if (g.server, g.first, g.last) != (name, first_key, last_key)
+        ]
+        self.grants.append(Grant(name, first_key, last_key, token, until_s))
+        return attempts.Granted()
+
+    async def release(self, server, first_key, last_key, token):
+        name = server.server_id
+        self.orders.append(("release", name, first_key, last_key, token))
+        if name in self.ended:
+            return attempts.Gone("ended")
+        if name in self.silent:
+            await anyio.sleep_forever()
+        kept = []
+        for held in self.grants:
+            if held.server != name or held.last < first_key:
+                kept.append(held)
+            elif held.first > last_key:
+                kept.append(held)
+            else:
+                args = (held.token, held.until_s)
+                if held.first < first_key:
+                    kept.append(Grant(name, held.first, first_key - 1, *args))
+                if held.last > last_key:
+                    kept.append(Grant(name, last_key + 1, held.last, *args))
+        self.grants = kept
+        return attempts.Released("state")
+
+    async def reach(self, server):
+        return server.server_id not in self.silent | self.ended
+
+    def holder(self, key: int) -> str | None:
+        """Returns who holds a key at this moment."""
+        now_s = time.monotonic()
+        for grant in self.grants:
+            if grant.first <= key <= grant.last and grant.until_s > now_s:
+                return grant.server
+        return None
+
+
+LEASES = leases.LeaseSettings(
+    lease_ms=200.0,
+    renew_interval_s=0.05,
+    expiry_margin_s=0.02,
+    grant_timeout_s=0.03,
+    release_timeout_s=0.05,
+    order_pause_s=0.01,
+    plan_interval_s=0.05,
+    list_quiet_s=0.0,
+)
+
+
+class Bench:
+    """One coordinator with its surroundings."""
+
+    def __init__(
+        self,
+        platform_log: MemoryLog,
+        lease_servers: LeaseServers,
+        name: str = "entry-1",
+    ) -> None:
+        real = clock.SystemClock()
+        journal = support.make_journal(real)
+        self.book = servers.ServerBook(
+            servers.ServerSettings(), support.BOUNDS, journal, real
+        )
+        self.table = keymap.KeyTable(journal)
+        self.loads = load_view.LoadView(load_view.LoadSettings())
+        self.list_is_fresh = True
+        self.follower = log.Follower(
+            log.FollowSettings(TOPIC, 0, 0.01),
+            platform_log,
+            self._take,
+            self._take,
+            journal,
+            real,
+        )
+        self.coordinator = leases.Coordinator(
+            SERVICE,
+            LEASES,
+            planner.PlanSettings(),
+            dataclasses.replace(support.INSTANCE, name=name),
+            platform_log,
+            TOPIC,
+            self.follower,
+            lease_servers,
+            self.book,
+            self.table,
+            self.loads,
+            lambda: self.list_is_fresh,
+            self._ignore,
+            self._ignore,
+            journal,
+            metrics.Metrics(),
+            real,
+        )
+
+    def _take(self, records) -> None:
+        for record in records:
+            self.table.put(keymap.decode(record.value), "log")
+
+    async def _ignore(self, _) -> None:
+        return
+
+
+async def until(condition, timeout_s: float = 3.0) -> None:
+    """Waits until a condition holds."""
+    with anyio.fail_after(timeout_s):
+        while not condition():
+            await anyio.sleep(0.005)
