--- a/Makefile
+++ b/Makefile
@@ -9,18 +9,19 @@
 
 setup: $(VENV)/installed
 
-$(VENV)/installed: requirements.lock $(wildcard libs/*/pyproject.toml)
+$(VENV)/installed: requirements.lock $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements.lock
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
-	  $(foreach lib,$(LIBS),--editable libs/bridgecross-$(lib))
+	  $(foreach lib,$(LIBS),--editable libs/bridgecross-$(lib)) \
+	  --editable platform
 	touch $@
 
 demo: setup
 	$(BIN)/bridgecross-demo
 
 test: setup
-	PYTHONHASHSEED=0 $(BIN)/pytest libs tests/matrix
+	PYTHONHASHSEED=0 $(BIN)/pytest libs platform tests/matrix
 	$(BIN)/pytest --numprocesses 2 tests/test_house.py
 
 check: setup
--- a/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
@@ -3,7 +3,6 @@
 import dataclasses
 from typing import Protocol
 
-from bridgecross_core import ids
 from bridgecross_core import outcomes
 from bridgecross_entry import model
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -181,9 +181,7 @@
             if outcome is not None:
                 return outcome
 
-    def _choose_any(
-        self, life: _Life
-    ) -> servers_lib.Server | outcomes.NotRun:
+    def _choose_any(self, life: _Life) -> servers_lib.Server | outcomes.NotRun:
         """Returns the server that would answer soonest."""
         now_s = self._clock.monotonic_s()
         usable = [
--- a/libs/bridgecross-entry/src/bridgecross_entry/edge.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/edge.py
@@ -44,9 +44,7 @@
     ) -> attempts.EntryRequest | BadRequest:
         """Returns the request of an ASGI scope."""
 
-    def write(
-        self, request_id: str, outcome: outcomes.Outcome
-    ) -> CallerAnswer:
+    def write(self, request_id: str, outcome: outcomes.Outcome) -> CallerAnswer:
         """Returns the answer that tells an outcome."""
 
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/keymap.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/keymap.py
@@ -89,9 +89,9 @@
     merged: list[KeyRange] = []
     for key_range in ranges:
         if merged and merged[-1][2:] == key_range[2:]:
-            last = merged.pop()
-            key_range = last._replace(last_key=key_range.last_key)
-        merged.append(key_range)
+            merged[-1] = merged[-1]._replace(last_key=key_range.last_key)
+        else:
+            merged.append(key_range)
     return tuple(merged)
 
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -505,9 +505,7 @@
                 reason=reason,
             )
         for key_range in self._ranges:
-            if key_range.token == version and key_range.prior_owner:
-                self._start_move(tasks, key_range)
-            elif key_range.token == version:
+            if key_range.token == version:
                 self._start_move(tasks, key_range)
 
     def _resume_moves(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -537,9 +535,7 @@
         finally:
             self._moving.discard(key_range.first_key)
             self._wake.notify()
-        self._metrics.keys_moved.add(
-            {"service": self._service}, key_range.size
-        )
+        self._metrics.keys_moved.add({"service": self._service}, key_range.size)
         self._journal.decision(
             "keys_moved",
             service=self._service,
@@ -626,6 +622,4 @@
             else r
             for r in self._ranges
         )
-        self._table.settle(
-            self._service, key_range.token, key_range.first_key
-        )
+        self._table.settle(self._service, key_range.token, key_range.first_key)
--- a/libs/bridgecross-entry/src/bridgecross_entry/listener.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/listener.py
@@ -68,7 +68,7 @@
         """Listens to nothing yet."""
         self._address = address
         self._config = uvicorn.Config(
-            app,  # type: ignore[arg-type]
+            app,
             http=_Protocol,
             interface="asgi3",
             ws="none",
--- a/libs/bridgecross-entry/src/bridgecross_entry/load.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/load.py
@@ -13,14 +13,14 @@
     """Requests for one key."""
 
     key: int
-    count: int
+    requests: int
 
 
 class ServerCount(NamedTuple):
     """Answers of one server."""
 
     server_id: ids.ServerId
-    count: int
+    answers: int
     # The sum over the answers of the time from sending to answer.
     busy_s: float
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/load_view.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/load_view.py
@@ -34,7 +34,8 @@
         """Starts without any load."""
         self._settings = settings
         self._keys: dict[int, float] = {}
-        self._counts: collections.Counter[ids.ServerId] = collections.Counter()
+        self._answers: collections.defaultdict[ids.ServerId, float]
+        self._answers = collections.defaultdict(float)
         self._busy_s: collections.defaultdict[ids.ServerId, float]
         self._busy_s = collections.defaultdict(float)
         self._decayed_s = 0.0
@@ -48,7 +49,7 @@
         for key, count in keys:
             self._keys[key] = self._keys.get(key, 0.0) + count
         for server_id, count, busy_s in servers:
-            self._counts[server_id] += count  # type: ignore[assignment]
+            self._answers[server_id] += count
             self._busy_s[server_id] += busy_s
 
     def decay(self, now_s: float) -> None:
@@ -63,8 +64,8 @@
             if weight * keep > least
         }
         keep = math.exp(-passed_s / self._settings.server_window_s)
-        for server_id in list(self._counts):
-            self._counts[server_id] *= keep  # type: ignore[assignment]
+        for server_id in list(self._answers):
+            self._answers[server_id] *= keep
             self._busy_s[server_id] *= keep
 
     def key_load(self) -> planner.KeyLoad:
@@ -77,12 +78,12 @@
     def room_of(self, server: servers_lib.Server) -> float:
         """Returns the requests a second that a server can work on."""
         settings = self._settings
-        total = sum(self._counts.values())
+        total = sum(self._answers.values())
         mean_s = settings.first_guess_s
         if total > settings.prior_count:
             mean_s = sum(self._busy_s.values()) / total
         server_id = server.listed.server_id
-        count = self._counts[server_id]
+        count = self._answers[server_id]
         busy_s = self._busy_s[server_id]
         prior = settings.prior_count
         latency_s = (busy_s + prior * mean_s) / (count + prior)
--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -132,9 +132,7 @@
         """Pauses calls to a peer that did not answer."""
         now_s = self._clock.monotonic_s()
         self._paused_until_s[address] = now_s + self._settings.pause_s
-        self._journal.decision(
-            "peer_lost", address=str(address), reason=reason
-        )
+        self._journal.decision("peer_lost", address=str(address), reason=reason)
 
 
 TakeLoad = Callable[[load.LoadReport], int]
--- a/libs/bridgecross-entry/src/bridgecross_entry/planner.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/planner.py
@@ -216,9 +216,7 @@
 ) -> tuple[int, int] | None:
     """Returns the keys of a server that come closest to a load."""
     owned = [
-        r
-        for r in ranges
-        if r.owner == busiest.server_id and not r.prior_owner
+        r for r in ranges if r.owner == busiest.server_id and not r.prior_owner
     ]
     best: tuple[int, int] | None = None
     best_gap = float("inf")
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -1,12 +1,13 @@
 """Puts an entry instance together and runs it until it is told to stop."""
 
-from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 import dataclasses
 import math
 import resource
 import signal
 import time
+from typing import Any
 from typing import Protocol
 
 import anyio
@@ -103,9 +104,7 @@
     def make_caller_codec(self) -> edge.CallerCodec:
         """Returns what reads callers' requests."""
 
-    def decode_server(
-        self, record: logs.KeyedRecord
-    ) -> model.BackendServer:
+    def decode_server(self, record: logs.KeyedRecord) -> model.BackendServer:
         """Returns the backend server of an entry.
 
         Raises:
@@ -454,9 +453,7 @@
     ) -> None:
         """Tells one coordinator."""
         key_map = self._table.newest(service)
-        counter = self._dispatcher.loads.setdefault(
-            service, load.LoadCounter()
-        )
+        counter = self._dispatcher.loads.setdefault(service, load.LoadCounter())
         keys, servers = counter.take()
         if key_map is None:
             return
@@ -577,7 +574,7 @@
         )
 
     async def _tell_peers(
-        self, tell: Callable[[model.Address], Awaitable[None]]
+        self, tell: Callable[[model.Address], Coroutine[Any, Any, None]]
     ) -> None:
         """Calls every peer at the same time."""
         self._count_instances()
--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -98,9 +98,7 @@
         ratio = self._settings.smoothing_ratio
         self.failure_ratio += 2 * ratio * (1.0 - self.failure_ratio)
         self.paused_until_s = now_s + self._pause_s
-        self._pause_s = min(
-            2 * self._pause_s, self._settings.longest_pause_s
-        )
+        self._pause_s = min(2 * self._pause_s, self._settings.longest_pause_s)
 
     def cost_s(self, domain: str, now_s: float) -> float:
         """Returns how long a request sent here now would about take."""
--- a/libs/bridgecross-entry/tests/fakes.py
+++ b/libs/bridgecross-entry/tests/fakes.py
@@ -5,6 +5,7 @@
 import time
 
 import anyio
+import anyio.lowlevel
 
 from bridgecross_core import clock
 from bridgecross_core import ids
@@ -40,7 +41,7 @@
         return log.Newest(tuple(newest.values()), len(self.records[topic]))
 
     async def read(self, topic, offset, wait_ms):
-        await anyio.sleep(0)
+        await anyio.lowlevel.checkpoint()
         if self.away:
             return log.Unreachable("away")
         records = tuple(self.records[topic][offset:])
@@ -88,7 +89,9 @@
         self.ended: set[str] = set()
         self.fences: dict[str, int] = collections.defaultdict(lambda: -1)
 
-    async def grant(self, server, first_key, last_key, token, lease_ms, handover):
+    async def grant(
+        self, server, first_key, last_key, token, lease_ms, handover
+    ):
         name = server.server_id
         self.orders.append(("grant", name, first_key, last_key, token))
         if name in self.ended:
@@ -118,9 +121,8 @@
             await anyio.sleep_forever()
         kept = []
         for held in self.grants:
-            if held.server != name or held.last < first_key:
-                kept.append(held)
-            elif held.first > last_key:
+            outside = held.last < first_key or held.first > last_key
+            if held.server != name or outside:
                 kept.append(held)
             else:
                 args = (held.token, held.until_s)
--- a/libs/bridgecross-entry/tests/support.py
+++ b/libs/bridgecross-entry/tests/support.py
@@ -46,7 +46,9 @@
 def make_journal(clock: ManualClock) -> journal.Journal:
     """Returns a journal that nobody reads."""
     descriptor = os.open(os.devnull, os.O_WRONLY)
-    return journal.Journal("entry-1", journal.JournalSettings(), clock, descriptor)
+    return journal.Journal(
+        "entry-1", journal.JournalSettings(), clock, descriptor
+    )
 
 
 def make_server(
--- a/libs/bridgecross-entry/tests/test_exchange.py
+++ b/libs/bridgecross-entry/tests/test_exchange.py
@@ -85,7 +85,10 @@
         pytest.param([None], id="reset"),
         pytest.param([b"no such protocol\r\n\r\n"], id="no HTTP"),
         pytest.param(
-            [b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab", b""],
+            [
+                b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab",
+                b"",
+            ],
             id="chunks cut",
         ),
     ],
@@ -127,7 +130,9 @@
 
 
 async def test_a_server_that_asks_to_close_is_heeded():
-    closing = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+    closing = (
+        b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+    )
     async with _serving([closing], [OK % b"1"]) as (pool, used):
         await _ask(pool)
         await _ask(pool)
--- a/libs/bridgecross-entry/tests/test_leases.py
+++ b/libs/bridgecross-entry/tests/test_leases.py
@@ -6,6 +6,7 @@
 
 from bridgecross_core import ids
 from bridgecross_entry import keymap
+from bridgecross_entry import load
 from bridgecross_entry import log
 
 from . import fakes
@@ -26,7 +27,9 @@
         tasks.cancel_scope.cancel()
 
 
-def _make(*names: str) -> tuple[fakes.MemoryLog, fakes.LeaseServers, fakes.Bench]:
+def _make(
+    *names: str,
+) -> tuple[fakes.MemoryLog, fakes.LeaseServers, fakes.Bench]:
     platform_log = fakes.MemoryLog()
     lease_servers = fakes.LeaseServers()
     bench = fakes.Bench(platform_log, lease_servers)
@@ -130,8 +133,6 @@
 
 
 async def test_a_hot_range_is_split_without_two_owners():
-    from bridgecross_entry import load
-
     _, lease_servers, bench = _make("a", "b")
     async with _running(bench):
         await fakes.until(lambda: lease_servers.holder(KEY) == "a")
@@ -175,7 +176,11 @@
                         len(platform_log.records[fakes.TOPIC]) + 1,
                         ids.InstanceId("i"),
                         support.INSTANCE.peer_address,
-                        (keymap.KeyRange(0, keymap.LAST_KEY, ids.ServerId("a"), 1),),
+                        (
+                            keymap.KeyRange(
+                                0, keymap.LAST_KEY, ids.ServerId("a"), 1
+                            ),
+                        ),
                     )
                 ),
             )
--- a/libs/bridgecross-entry/tests/test_planner.py
+++ b/libs/bridgecross-entry/tests/test_planner.py
@@ -39,7 +39,7 @@
 
 
 def test_hot_neighbours_are_split_between_servers():
-    load = planner.KeyLoad({key: 0.1 for key in range(1_000, 1_200)})
+    load = planner.KeyLoad(dict.fromkeys(range(1000, 1200), 0.1))
     moves = planner.plan_relief(HALVES, load, {A: 10.0, B: 10.0}, SETTINGS)
     ranges = HALVES
     for move in moves:
@@ -58,5 +58,5 @@
 
 def test_a_range_on_the_move_is_left_alone():
     moving = (HALVES[0]._replace(prior_owner=C), HALVES[1])
-    load = planner.KeyLoad({key: 0.1 for key in range(1_000, 1_200)})
+    load = planner.KeyLoad(dict.fromkeys(range(1000, 1200), 0.1))
     assert planner.plan_relief(moving, load, {A: 10.0, B: 10.0}, SETTINGS) == ()
--- a/libs/bridgecross-entry/tests/test_routes.py
+++ b/libs/bridgecross-entry/tests/test_routes.py
@@ -30,7 +30,9 @@
     route = support.make_route(services=(("rapor", 90), ("cizim", 10)))
     table = routes.RouteTable(support.make_configuration(route))
     for _ in range(3):
-        picks = collections.Counter(table.pick_service(route) for _ in range(20))
+        picks = collections.Counter(
+            table.pick_service(route) for _ in range(20)
+        )
         assert picks == {"rapor": 18, "cizim": 2}
 
 
