--- a/libs/bridgecross-entry/src/bridgecross_entry/__init__.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/__init__.py
@@ -9,10 +9,14 @@
 * ``dispatch``: the life of a request.
 * ``edge``: the listener towards callers.
 * ``log``: the platform's log, and how its topics are followed.
+* ``beliefs``: servers, configuration and key maps, read or told.
+* ``membership``: which instance does what for all.
 * ``keymap``: which server owns which range of keys.
+* ``load``, ``load_view``: the load of keys and servers, told and summed up.
 * ``planner``: chooses which ranges move.
 * ``leases``: leases of ranges, renewed and moved by one instance.
 * ``peers``: what instances tell one another.
-* ``journal``: bounded structured logs.
+* ``journal``, ``metrics``: bounded structured logs, and figures.
+* ``listener``: HTTP towards callers and peers.
 * ``runtime``: puts an instance together.
 """
--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -0,0 +1,355 @@
+"""What an instance believes: servers, configuration and key maps.
+
+All of it comes from topics of the platform's log. One instance reads them and
+tells the others; each reads for itself when it is not told.
+"""
+
+from collections.abc import Callable
+import dataclasses
+from typing import NamedTuple
+from typing import Protocol
+
+import anyio.abc
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import codec as codecs
+from bridgecross_core import findings
+from bridgecross_core import ids
+from bridgecross_entry import journal as journals
+from bridgecross_entry import keymap
+from bridgecross_entry import log as logs
+from bridgecross_entry import model
+from bridgecross_entry import servers as servers_lib
+
+KEY_TOPIC = "keyed.bridgecross-keys"
+"""Key maps, one record a service."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BeliefSettings:
+    """How often the log is read."""
+
+    # Servers write their entries several times a second together, so waiting
+    # in the log returns at once; this bounds the age of the list well under
+    # the drain bound of 2 s.
+    list_pause_s: float = 0.7
+    # A read that arrives while a record is being appended has been seen to
+    # wait on although the record was there, until its time was over. So for
+    # configurations, in force within 2 s, the time is short.
+    configuration_wait_ms: float = 1_200.0
+    # Key maps are pushed by their coordinator; the log is the second way.
+    key_wait_ms: float = 5_000.0
+    # Bounds the rate of reads while changes come in quick succession.
+    quiet_pause_s: float = 0.05
+    # The same for key maps, which change several times a second when load
+    # shifts and have come by another way by then.
+    key_pause_s: float = 0.7
+    # A list of servers older than this is not acted upon: two polls, so that
+    # one that takes long does not stop the work.
+    list_fresh_s: float = 1.6
+
+
+class TopicBatch(NamedTuple):
+    """What was read of one topic."""
+
+    topic: str
+    # The offset from which was read, and the one to read on from.
+    first_offset: int
+    next_offset: int
+    # Records that changed something.
+    records: tuple[logs.KeyedRecord, ...]
+
+
+class Decoder(Protocol):
+    """Reads records of the platform."""
+
+    @property
+    def server_topic(self) -> str:
+        """The topic that lists the backend servers."""
+
+    @property
+    def configuration_topic(self) -> str:
+        """The topic of the operator's configuration."""
+
+    def decode_server(self, record: logs.KeyedRecord) -> model.BackendServer:
+        """Returns the backend server of an entry.
+
+        Raises:
+            findings.FindingsError: The entry makes no sense.
+        """
+
+    def decode_configuration(
+        self, record: logs.KeyedRecord
+    ) -> model.Configuration | None:
+        """Returns a configuration; None if the record holds none.
+
+        Raises:
+            findings.FindingsError: The configuration makes no sense.
+        """
+
+
+class _Feed:
+    """A follower, and what it took in since it was last told to others."""
+
+    def __init__(self, topic: str) -> None:
+        """Has taken in nothing."""
+        self.topic = topic
+        self.follower: logs.Follower
+        self.told_offset: int | None = None
+        self.news: list[logs.KeyedRecord] = []
+
+    def take_news(self) -> TopicBatch | None:
+        """Returns what to tell others; None before the first read."""
+        next_offset = self.follower.next_offset
+        if next_offset is None:
+            return None
+        first = next_offset if self.told_offset is None else self.told_offset
+        batch = TopicBatch(self.topic, first, next_offset, tuple(self.news))
+        self.told_offset = next_offset
+        self.news = []
+        return batch
+
+
+class Beliefs:
+    """Follows the log's topics and keeps what they say."""
+
+    def __init__(
+        self,
+        settings: BeliefSettings,
+        log: logs.PlatformLog,
+        decoder: Decoder,
+        book: servers_lib.ServerBook,
+        table: keymap.KeyTable,
+        configure: Callable[[model.Configuration], None],
+        journal: journals.Journal,
+        clock: clocks.Clock,
+    ) -> None:
+        """Reads nothing yet.
+
+        Args:
+            settings: How often to read.
+            log: The platform's log.
+            decoder: Reads its records.
+            book: Takes in the servers.
+            table: Takes in the key maps.
+            configure: Called with each newer configuration.
+            journal: Told of changes, and of what cannot be read.
+            clock: For ages.
+        """
+        self.configuration: model.Configuration | None = None
+        self._settings = settings
+        self._log = log
+        self._decoder = decoder
+        self._book = book
+        self._table = table
+        self._configure = configure
+        self._journal = journal
+        self._clock = clock
+        self._listed: dict[str, model.BackendServer] = {}
+        self._servers = _Feed(decoder.server_topic)
+        self._configurations = _Feed(decoder.configuration_topic)
+        self._keys = _Feed(KEY_TOPIC)
+        self._feeds = (self._servers, self._configurations, self._keys)
+        self._attach(
+            self._servers,
+            (0, settings.list_pause_s),
+            self._take_all_servers,
+            self._take_servers,
+        )
+        self._attach(
+            self._configurations,
+            (settings.configuration_wait_ms, settings.quiet_pause_s),
+            self._take_configurations,
+            self._take_configurations,
+        )
+        self._attach(
+            self._keys,
+            (settings.key_wait_ms, settings.key_pause_s),
+            self._take_maps,
+            self._take_maps,
+        )
+
+    def _attach(
+        self,
+        feed: _Feed,
+        pace: tuple[float, float],
+        take_all: Callable[[tuple[logs.KeyedRecord, ...]], None],
+        take_changes: Callable[[tuple[logs.KeyedRecord, ...]], None],
+    ) -> None:
+        """Gives a feed its follower."""
+        feed.follower = logs.Follower(
+            logs.FollowSettings(feed.topic, *pace),
+            self._log,
+            take_all,
+            take_changes,
+            self._journal,
+            self._clock,
+        )
+
+    @property
+    def key_follower(self) -> logs.Follower:
+        """Follows the key maps."""
+        return self._keys.follower
+
+    @property
+    def list_heard_s(self) -> float | None:
+        """When the list of servers was last heard of."""
+        return self._servers.follower.heard_s
+
+    @property
+    def list_is_fresh(self) -> bool:
+        """Whether the list of servers was read just now."""
+        heard_s = self.list_heard_s
+        if heard_s is None:
+            return False
+        age_s = self._clock.monotonic_s() - heard_s
+        return age_s < self._settings.list_fresh_s
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether there is enough to route requests by."""
+        return self.configuration is not None and self.list_heard_s is not None
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts to follow all topics."""
+        for feed in self._feeds:
+            tasks.start_soon(feed.follower.run)
+
+    # Telling others.
+
+    def take_news(self) -> tuple[TopicBatch, ...]:
+        """Returns what was read since the last call."""
+        batches = [feed.take_news() for feed in self._feeds]
+        return tuple(batch for batch in batches if batch is not None)
+
+    def take_relayed(self, batches: tuple[TopicBatch, ...]) -> None:
+        """Takes in what another instance read."""
+        for batch in batches:
+            feed = next(
+                (f for f in self._feeds if f.topic == batch.topic), None
+            )
+            if feed is None:
+                continue
+            records = feed.follower.take_relayed(
+                batch.first_offset, logs.Batch(batch.records, batch.next_offset)
+            )
+            if records:
+                self._take(feed, records)
+
+    def _take(self, feed: _Feed, records: tuple[logs.KeyedRecord, ...]) -> None:
+        """Takes in changes of one topic."""
+        if feed is self._servers:
+            self._take_servers(records)
+        elif feed is self._configurations:
+            self._take_configurations(records)
+        else:
+            self._take_maps(records)
+
+    # Servers.
+
+    def _take_all_servers(self, records: tuple[logs.KeyedRecord, ...]) -> None:
+        """Takes in the whole list of backend servers."""
+        self._listed = {
+            server.server_id: server
+            for server in map(self._decode_server, records)
+            if server is not None
+        }
+        self._servers.news += records
+        self._book.replace_all(
+            self._listed.values(), log_was_away=self._log_was_away()
+        )
+
+    def _take_servers(self, records: tuple[logs.KeyedRecord, ...]) -> None:
+        """Takes in changes of the list; most change nothing."""
+        newest = {record.key: record for record in records}
+        for record in newest.values():
+            server = self._decode_server(record)
+            if server is not None:
+                if self._listed.get(record.key) != server:
+                    self._servers.news.append(record)
+                self._listed[record.key] = server
+                self._book.put(server)
+            elif not record.value:
+                self._servers.news.append(record)
+                self._listed.pop(record.key, None)
+                self._book.remove(
+                    ids.ServerId(record.key),
+                    log_was_away=self._log_was_away(),
+                )
+
+    def _decode_server(
+        self, record: logs.KeyedRecord
+    ) -> model.BackendServer | None:
+        """Returns the server of an entry; None if it makes no sense."""
+        if not record.value:
+            return None
+        try:
+            return self._decoder.decode_server(record)
+        except findings.FindingsError as error:
+            self._journal.decision("entry_unreadable", reason=str(error))
+            return None
+
+    def _log_was_away(self) -> bool:
+        """Whether entries may have lapsed only for want of the log."""
+        follower = self._servers.follower
+        now_s = self._clock.monotonic_s()
+        grace_s = self._book.settings.lapse_grace_s
+        return (
+            follower.lost_since_s is not None
+            or now_s < follower.regained_s + grace_s
+        )
+
+    # Configurations.
+
+    def _take_configurations(
+        self, records: tuple[logs.KeyedRecord, ...]
+    ) -> None:
+        """Takes the newest configuration, never an older one."""
+        self._configurations.news += records
+        for record in records:
+            try:
+                new = self._decoder.decode_configuration(record)
+            except findings.FindingsError as error:
+                self._journal.lifecycle(
+                    "configuration_unreadable", reason=str(error)
+                )
+                continue
+            if new is not None:
+                self._take_configuration(new)
+
+    def _take_configuration(self, new: model.Configuration) -> None:
+        """Puts a configuration in force if it is newer."""
+        current = self.configuration
+        version = current.version if current else None
+        if version is not None and new.version <= version:
+            if new.version < version:
+                self._journal.lifecycle(
+                    "configuration_is_older",
+                    version=new.version,
+                    current=version,
+                )
+            return
+        self.configuration = new
+        self._configure(new)
+        self._journal.lifecycle(
+            "configuration_in_force",
+            version=new.version,
+            previous=version,
+            routes=len(new.routes),
+            services=len(new.services),
+        )
+
+    # Key maps.
+
+    def _take_maps(self, records: tuple[logs.KeyedRecord, ...]) -> None:
+        """Takes key maps."""
+        self._keys.news += records
+        for record in records:
+            try:
+                self._table.put(keymap.decode(record.value), "log")
+            except codecs.CodecError as error:
+                self._journal.lifecycle(
+                    "key_map_unreadable",
+                    service=record.key,
+                    reason=str(error),
+                )
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -236,7 +236,13 @@
         place = queueing.TierPlace(
             str(life.route.priority), life.route.priority, _QUEUE_MAX_COUNT
         )
-        slot = await server.queue.acquire(place, life.deadline_s)
+        # An answer after the target is worth less to its caller, and others
+        # behind it would be late as well: who cannot make it is told at once.
+        target_s = request.received_s + life.route.target_latency_ms / 1_000
+        due_s = min(life.deadline_s, target_s)
+        if due_s < now_s:
+            due_s = life.deadline_s
+        slot = await server.queue.acquire(place, due_s)
         started_s = self._clock.monotonic_s()
         labels = {"service": life.service}
         self._metrics.queue_seconds.observe(labels, started_s - now_s)
@@ -293,7 +299,8 @@
             return self._weigh_answer(life, server, result, held_s)
         if isinstance(result, attempts.Interrupted):
             life.runs += 1
-            server.note_unreachable(now_s)
+            server.note_interrupted()
+            server.shrink_room(now_s)
             life.trail.append(f"{server_id}: interrupted: {result.reason}")
             if life.route.idempotent and self._may_retry(life):
                 return None
@@ -305,6 +312,7 @@
                 self._book.end(server_id, "its address refuses connections")
         elif isinstance(result, attempts.Shed):
             server.note_answer(held_s, failed=True)
+            server.shrink_room(now_s)
             life.trail.append(f"{server_id}: shed with {result.status}")
         else:
             life.trail.append(f"{server_id}: not the owner")
@@ -331,6 +339,7 @@
         server.note_answer(held_s, failed=failed)
         life.runs += 1
         if not failed:
+            server.grow_room()
             self._load(life.service).count_answer(server_id, held_s)
             life.trail.append(f"{server_id}: {answer.status}")
             return answer
--- a/libs/bridgecross-entry/src/bridgecross_entry/edge.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/edge.py
@@ -179,7 +179,7 @@
             await listener.respond(send, 413, [], b"")
             return
         if body is not None:
-            status, reply = server.answer(scope["raw_path"], body)
-            await listener.respond(send, status, [], reply)
+            status = server.answer(scope["raw_path"], body)
+            await listener.respond(send, status, [], b"")
 
     return serve
--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -52,8 +52,8 @@
     order_pause_s: float = 0.1
     # Grants of a range to its new owner before that one counts as silent.
     give_tries: int = 3
-    # How often moves are considered: a hot range is seen after 0.5 s.
-    plan_interval_s: float = 0.5
+    # How often moves are considered. A plan over all keys takes 5 ms.
+    plan_interval_s: float = 0.25
     # The first plan waits until no server has joined for this long: servers
     # that start together list themselves over some heartbeats of 0.9 s.
     list_quiet_s: float = 1.5
@@ -424,12 +424,12 @@
     def _rooms(self) -> dict[ids.ServerId, float]:
         """Returns the room of each server that can take keys."""
         now_s = self._clock.monotonic_s()
-        return {
-            server.listed.server_id: self._loads.room_of(server)
+        return self._loads.rooms(
+            server
             for server in self._book.of_service(self._service)
             if self._book.is_staying(server, now_s)
             and not self._is_lost(server.listed.server_id, now_s)
-        }
+        )
 
     def _is_lost(self, server_id: ids.ServerId, now_s: float) -> bool:
         """Whether a server has been silent until its lease ran out."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/load.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/load.py
@@ -29,9 +29,6 @@
     """The load of one service at one instance, since its last report."""
 
     instance: ids.InstanceId
-    # Where the instance hears of changes.
-    host: str
-    port: int
     service: ids.ServiceName
     window_s: float
     keys: tuple[KeyCount, ...]
--- a/libs/bridgecross-entry/src/bridgecross_entry/log.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/log.py
@@ -85,6 +85,13 @@
     partitions: frozenset[int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Roster:
+    """The members of a group that hold partitions."""
+
+    members: tuple[str, ...]
+
+
 class PlatformLog(Protocol):
     """The calls of the platform's log that the product uses."""
 
@@ -106,6 +113,9 @@
     ) -> Membership | Unreachable:
         """Joins a group or stays in it."""
 
+    async def read_roster(self, group: str) -> Roster | Unreachable:
+        """Returns the members of a group."""
+
     async def leave(self, group: str, member: str) -> None:
         """Leaves a group at once."""
 
@@ -121,6 +131,12 @@
     pause_s: float
     # The pause after a failed read: under the 2 s that a change may take.
     retry_pause_s: float = 0.3
+    # While another instance tells what it reads, this one reads nothing
+    # itself. Its word comes every 0.7 s; one that is this old is no longer
+    # waited for, so that a change is known within 2 s all the same.
+    relay_fresh_s: float = 1.1
+    # How often that is looked at.
+    relay_look_s: float = 0.1
 
 
 class Follower:
@@ -162,16 +178,48 @@
         self.lost_since_s: float | None = None
         # When the log last came back after it had been silent.
         self.regained_s = float("-inf")
+        # When another instance last told what it read.
+        self.relayed_s = float("-inf")
 
     async def run(self) -> None:
         """Follows the topic until cancelled."""
         while True:
+            if self._is_relayed():
+                await anyio.sleep(self._settings.relay_look_s)
+                continue
             heard = await self._step(self._settings.wait_ms)
             if heard:
                 await anyio.sleep(self._settings.pause_s)
             else:
                 await anyio.sleep(self._settings.retry_pause_s)
 
+    def take_relayed(
+        self, first_offset: int, batch: Batch
+    ) -> tuple[KeyedRecord, ...] | None:
+        """Takes what another instance read, if it leaves no gap.
+
+        Args:
+            first_offset: The offset from which it read.
+            batch: What it read; records that change nothing may be left out.
+
+        Returns:
+            The records to take in; None if some are missing in between, or
+            if nothing was read here before.
+        """
+        if self.next_offset is None or first_offset > self.next_offset:
+            return None
+        self.relayed_s = self._clock.monotonic_s()
+        self._note_heard()
+        if batch.next_offset <= self.next_offset:
+            return ()
+        self.next_offset = batch.next_offset
+        return batch.records
+
+    def _is_relayed(self) -> bool:
+        """Whether another instance reads for this one."""
+        age_s = self._clock.monotonic_s() - self.relayed_s
+        return age_s < self._settings.relay_fresh_s
+
     async def catch_up(self) -> bool:
         """Reads what is there by now; returns whether the log answered."""
         return await self._step(0)
--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -5,7 +5,6 @@
 later, but for the load.
 """
 
-from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 from typing import NamedTuple
@@ -15,6 +14,7 @@
 from bridgecross_core import clock as clocks
 from bridgecross_core import codec
 from bridgecross_core import ids
+from bridgecross_entry import beliefs
 from bridgecross_entry import exchange
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
@@ -25,6 +25,7 @@
 _LOAD_PATH = b"/load"
 _MAP_PATH = b"/map"
 _SETTLED_PATH = b"/settled"
+_RELAY_PATH = b"/relay"
 
 
 class Settled(NamedTuple):
@@ -35,17 +36,22 @@
     first_key: int
 
 
-class LoadReply(NamedTuple):
-    """Answers a load report."""
+class Relay(NamedTuple):
+    """What the instance that reads the log for all has read.
 
-    # Instances that report to this coordinator, itself included.
-    instance_count: int
+    It comes at short intervals also when nothing changed, since it says that
+    what the receiver believes is up to date.
+    """
+
+    # Where all instances listen, the sender included.
+    instances: tuple[model.Address, ...]
+    batches: tuple[beliefs.TopicBatch, ...]
 
 
 _LOADS = codec.Codec(load.LoadReport)
 _MAPS = codec.Codec(keymap.KeyMap)
 _SETTLED = codec.Codec(Settled)
-_LOAD_REPLIES = codec.Codec(LoadReply)
+_RELAYS = codec.Codec(Relay)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,16 +83,13 @@
 
     async def report_load(
         self, address: model.Address, report: load.LoadReport
-    ) -> LoadReply | None:
-        """Tells a coordinator of load; None if it did not take it."""
-        body = await self._call(address, _LOAD_PATH, _LOADS.encode(report))
-        if not body:
-            return None
-        try:
-            return _LOAD_REPLIES.decode(body)
-        except codec.CodecError as error:
-            self._note_lost(address, str(error))
-            return None
+    ) -> None:
+        """Tells a coordinator of load."""
+        await self._call(address, _LOAD_PATH, _LOADS.encode(report))
+
+    async def relay(self, address: model.Address, relay: bytes) -> None:
+        """Tells a peer what was read; see ``encode_relay``."""
+        await self._call(address, _RELAY_PATH, relay)
 
     async def push_map(
         self, address: model.Address, key_map: keymap.KeyMap
@@ -102,11 +105,11 @@
 
     async def _call(
         self, address: model.Address, path: bytes, body: bytes
-    ) -> bytes | None:
-        """Posts a message; returns the answer's body, or None."""
+    ) -> None:
+        """Posts a message; a peer that does not take it is paused."""
         now_s = self._clock.monotonic_s()
         if now_s < self._paused_until_s.get(address, 0.0):
-            return None
+            return
         pool = self._pools.get(address)
         if pool is None:
             pool = exchange.Pool(
@@ -119,26 +122,20 @@
         with anyio.move_on_after(self._settings.timeout_s):
             result = await pool.exchange(request, lambda reply: True)
         if isinstance(result, exchange.Reply) and result.status == _HTTP_OK:
-            return result.body
+            return
         reason = (
             f"status {result.status}"
             if isinstance(result, exchange.Reply)
             else result.reason
         )
-        self._note_lost(address, reason)
-        return None
-
-    def _note_lost(self, address: model.Address, reason: str) -> None:
-        """Pauses calls to a peer that did not answer."""
         now_s = self._clock.monotonic_s()
         self._paused_until_s[address] = now_s + self._settings.pause_s
         self._journal.decision("peer_lost", address=str(address), reason=reason)
 
 
-TakeLoad = Callable[[load.LoadReport], int]
-TakeMap = Callable[[keymap.KeyMap], None]
-TakeSettled = Callable[[Settled], None]
-Respond = Callable[[int, bytes], Awaitable[None]]
+def encode_relay(relay: Relay) -> bytes:
+    """Returns a relay as bytes, made once for all peers."""
+    return _RELAYS.encode(relay)
 
 
 class PeerServer:
@@ -146,41 +143,41 @@
 
     def __init__(
         self,
-        take_load: TakeLoad,
-        take_map: TakeMap,
-        take_settled: TakeSettled,
+        take_load: Callable[[load.LoadReport], None],
+        take_map: Callable[[keymap.KeyMap], None],
+        take_settled: Callable[[Settled], None],
+        take_relay: Callable[[Relay], None],
         journal: journals.Journal,
     ) -> None:
         """Keeps who takes what.
 
         Args:
-            take_load: Takes a report; returns how many instances report.
+            take_load: Takes a load report.
             take_map: Takes a key map.
             take_settled: Takes the end of a move.
+            take_relay: Takes what another instance read.
             journal: Told of messages that cannot be read.
         """
-        self._take_load = take_load
-        self._take_map = take_map
-        self._take_settled = take_settled
+        self._takers: dict[bytes, Callable[[bytes], None]] = {
+            _LOAD_PATH: lambda body: take_load(_LOADS.decode(body)),
+            _MAP_PATH: lambda body: take_map(_MAPS.decode(body)),
+            _SETTLED_PATH: lambda body: take_settled(_SETTLED.decode(body)),
+            _RELAY_PATH: lambda body: take_relay(_RELAYS.decode(body)),
+        }
         self._journal = journal
 
-    def answer(self, path: bytes, body: bytes) -> tuple[int, bytes]:
-        """Returns status and body for a message."""
+    def answer(self, path: bytes, body: bytes) -> int:
+        """Takes a message; returns the status of the answer."""
+        take = self._takers.get(path)
+        if take is None:
+            return 404
         try:
-            if path == _LOAD_PATH:
-                count = self._take_load(_LOADS.decode(body))
-                return 200, _LOAD_REPLIES.encode(LoadReply(count))
-            if path == _MAP_PATH:
-                self._take_map(_MAPS.decode(body))
-                return 200, b""
-            if path == _SETTLED_PATH:
-                self._take_settled(_SETTLED.decode(body))
-                return 200, b""
+            take(body)
         except codec.CodecError as error:
             self._journal.decision(
                 "peer_message_unreadable",
                 path=path.decode("ascii", "replace"),
                 reason=str(error),
             )
-            return 400, b""
-        return 404, b""
+            return 400
+        return 200
--- a/libs/bridgecross-entry/src/bridgecross_entry/planner.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/planner.py
@@ -27,6 +27,10 @@
     # Moves in one plan. Each holds requests for its keys for the longest
     # request that runs on them.
     moves_max_count: int = 4
+    # A single key with more than this part of its owner's room goes to the
+    # server with the most room, if that has so many times the owner's.
+    hot_key_ratio: float = 0.5
+    hot_key_gain_ratio: float = 1.25
 
 
 class Move(NamedTuple):
@@ -67,6 +71,8 @@
         for key, weight in weights.items():
             each[key] = weight
         self._sums = [0.0, *itertools.accumulate(each)]
+        # The key with the most load; None if none has any.
+        self.hottest_key = max(weights, key=weights.__getitem__, default=None)
 
     def of(self, first_key: int, last_key: int) -> float:
         """Returns the load of a range; both ends are inside."""
@@ -146,6 +152,10 @@
         return ()
     mean = sum(b.load for b in bins) / sum(b.room for b in bins)
     moves: list[Move] = []
+    hot = _place_hottest(ranges, load, bins, settings)
+    if hot is not None:
+        moves.append(hot)
+        ranges = keymap.assign(ranges, *hot, -1)
     while len(moves) < settings.moves_max_count:
         busiest = max(bins, key=lambda b: b.utilization)
         idlest = min(bins, key=lambda b: b.utilization)
@@ -167,6 +177,35 @@
     return tuple(moves)
 
 
+def _place_hottest(
+    ranges: tuple[keymap.KeyRange, ...],
+    load: KeyLoad,
+    bins: list[_Bin],
+    settings: PlanSettings,
+) -> Move | None:
+    """Returns the move of a single hot key to the server with most room.
+
+    One key cannot be split; the other keys of that server go elsewhere when
+    it is relieved in turn.
+    """
+    key = load.hottest_key
+    if key is None:
+        return None
+    holder = next(r for r in ranges if r.first_key <= key <= r.last_key)
+    owner = next((b for b in bins if b.server_id == holder.owner), None)
+    if owner is None or holder.prior_owner:
+        return None
+    weight = load.of(key, key)
+    if weight <= settings.hot_key_ratio * owner.room:
+        return None
+    roomiest = max(bins, key=lambda b: b.room)
+    if roomiest.room < settings.hot_key_gain_ratio * owner.room:
+        return None
+    owner.load -= weight
+    roomiest.load += weight
+    return Move(key, key, roomiest.server_id)
+
+
 def _fill(
     ranges: tuple[keymap.KeyRange, ...],
     load: KeyLoad,
--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -53,6 +53,13 @@
     # Requests that an instance may have at a server however many there are:
     # with one, two callers of the same instance would wait for each other.
     least_room_count: int = 2
+    # A server that turns requests away has its room at this instance cut by
+    # this ratio, at most once in the pause below; each answer gives a part
+    # of a request's room back. With 11 instances and 9 answers/s each, room
+    # for one more takes 2 s to come back.
+    shrink_ratio: float = 0.7
+    shrink_pause_s: float = 0.15
+    grow_per_answer: float = 0.05
     # How many instances there are, as long as no coordinator has told: the
     # users run 8 to 11.
     first_instance_count: int = 8
@@ -81,6 +88,11 @@
         # Whether its run has certainly ended.
         self.ended = False
         self.paused_until_s = 0.0
+        # Requests that this instance may have at the server at a time, and
+        # the most that this may grow to.
+        self._room = float(queue.settings.slots)
+        self._room_max = float(queue.settings.slots)
+        self._shrunk_s = float("-inf")
         self._pause_s = settings.first_pause_s
         self._settings = settings
 
@@ -93,13 +105,43 @@
         self.failure_ratio += 2 * ratio * (target - self.failure_ratio)
         self._pause_s = self._settings.first_pause_s
 
+    def set_room_max(self, room_max: int) -> None:
+        """Sets the most room that this instance may use."""
+        was_full = self._room >= self._room_max
+        self._room_max = float(room_max)
+        if was_full or self._room > self._room_max:
+            self._set_room(self._room_max)
+
+    def grow_room(self) -> None:
+        """Gives a part of a request's room back."""
+        if self._room < self._room_max:
+            grown = self._room + self._settings.grow_per_answer
+            self._set_room(min(grown, self._room_max))
+
+    def shrink_room(self, now_s: float) -> None:
+        """Cuts the room of a server that turned a request away."""
+        if now_s - self._shrunk_s < self._settings.shrink_pause_s:
+            return
+        self._shrunk_s = now_s
+        self._set_room(max(self._room * self._settings.shrink_ratio, 1.0))
+
+    def _set_room(self, room: float) -> None:
+        """Sets the room; the queue takes whole requests."""
+        self._room = room
+        if int(room) != self.queue.settings.slots:
+            self.queue.settings = queueing.QueueSettings(int(room), 0.0)
+
     def note_unreachable(self, now_s: float) -> None:
         """Counts an attempt that found nobody, and pauses the server."""
-        ratio = self._settings.smoothing_ratio
-        self.failure_ratio += 2 * ratio * (1.0 - self.failure_ratio)
+        self.note_interrupted()
         self.paused_until_s = now_s + self._pause_s
         self._pause_s = min(2 * self._pause_s, self._settings.longest_pause_s)
 
+    def note_interrupted(self) -> None:
+        """Counts an attempt without a whole answer."""
+        ratio = self._settings.smoothing_ratio
+        self.failure_ratio += 2 * ratio * (1.0 - self.failure_ratio)
+
     def cost_s(self, domain: str, now_s: float) -> float:
         """Returns how long a request sent here now would about take."""
         waiting = self.queue.busy + self.queue.waiting.total()
@@ -257,7 +299,7 @@
         """Divides the servers' room among the instances."""
         self._instance_count = max(count, 1)
         for server in self._servers.values():
-            server.queue.settings = self._queue_settings(server.listed)
+            server.set_room_max(self._queue_settings(server.listed).slots)
 
     def _queue_settings(
         self, listed: model.BackendServer
--- a/libs/bridgecross-entry/tests/fakes.py
+++ b/libs/bridgecross-entry/tests/entry_fakes.py
@@ -6,6 +6,7 @@
 
 import anyio
 import anyio.lowlevel
+import entry_support as support
 
 from bridgecross_core import clock
 from bridgecross_core import ids
@@ -18,8 +19,6 @@
 from bridgecross_entry import planner
 from bridgecross_entry import servers
 
-from . import support
-
 SERVICE = ids.ServiceName("rapor")
 TOPIC = "keys"
 
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_beliefs.py
@@ -0,0 +1,136 @@
+import entry_fakes as fakes
+import entry_support as support
+import pytest
+
+from bridgecross_core import clock
+from bridgecross_core import findings
+from bridgecross_core import ids
+from bridgecross_entry import beliefs
+from bridgecross_entry import keymap
+from bridgecross_entry import log
+from bridgecross_entry import servers
+
+pytestmark = pytest.mark.anyio
+
+
+class Decoder:
+    """Reads records whose value is a list of words."""
+
+    server_topic = "servers"
+    configuration_topic = "configuration"
+
+    def decode_server(self, record):
+        service, *words = record.value.decode().split()
+        if service == "bad":
+            place = findings.Place(record.key)
+            raise findings.FindingsError([findings.Finding(place, "bad")])
+        return support.make_server(
+            record.key, service, leaving="leaving" in words
+        )
+
+    def decode_configuration(self, record):
+        version = int(record.value)
+        return support.make_configuration(support.make_route(), version=version)
+
+
+class Reader:
+    """One instance's beliefs."""
+
+    def __init__(self, platform_log: fakes.MemoryLog) -> None:
+        real = clock.SystemClock()
+        journal = support.make_journal(real)
+        self.book = servers.ServerBook(
+            servers.ServerSettings(), support.BOUNDS, journal, real
+        )
+        self.versions: list[int] = []
+        self.beliefs = beliefs.Beliefs(
+            beliefs.BeliefSettings(),
+            platform_log,
+            Decoder(),
+            self.book,
+            keymap.KeyTable(journal),
+            lambda new: self.versions.append(new.version),
+            journal,
+            real,
+        )
+
+    async def read(self) -> None:
+        for feed in self.beliefs._feeds:
+            await feed.follower.catch_up()
+
+    def knows(self, name: str) -> bool:
+        return self.book.get(ids.ServerId(name)) is not None
+
+
+@pytest.fixture
+def platform_log():
+    filled = fakes.MemoryLog()
+    filled.records["servers"] = [log.KeyedRecord("a", b"rapor")]
+    filled.records["configuration"] = [log.KeyedRecord("config", b"1")]
+    return filled
+
+
+def _add(platform_log, topic, key, value):
+    platform_log.records[topic].append(log.KeyedRecord(key, value))
+
+
+async def test_a_configuration_never_goes_back(platform_log):
+    reader = Reader(platform_log)
+    await reader.read()
+    _add(platform_log, "configuration", "config", b"5")
+    _add(platform_log, "configuration", "config", b"3")
+    await reader.read()
+    assert reader.versions == [1, 5]
+
+
+async def test_an_entry_that_cannot_be_read_changes_nothing(platform_log):
+    reader = Reader(platform_log)
+    await reader.read()
+    _add(platform_log, "servers", "a", b"bad")
+    await reader.read()
+    assert reader.knows("a")
+
+
+async def test_what_one_reads_the_others_are_told(platform_log):
+    reader, told = Reader(platform_log), Reader(platform_log)
+    await reader.read()
+    await told.read()
+    reader.beliefs.take_news()
+    _add(platform_log, "servers", "b", b"rapor")
+    _add(platform_log, "servers", "a", b"rapor")
+    _add(platform_log, "configuration", "config", b"2")
+    await reader.read()
+    news = reader.beliefs.take_news()
+    listed = next(batch for batch in news if batch.topic == "servers")
+    assert [record.key for record in listed.records] == ["b"]
+    told.beliefs.take_relayed(news)
+    assert told.knows("b")
+    assert told.versions == [1, 2]
+
+
+async def test_news_with_a_gap_are_not_taken(platform_log):
+    reader, told = Reader(platform_log), Reader(platform_log)
+    await reader.read()
+    await told.read()
+    reader.beliefs.take_news()
+    for name in "bc":
+        _add(platform_log, "servers", name, b"rapor")
+        await reader.read()
+        news = reader.beliefs.take_news()
+    told.beliefs.take_relayed(news)
+    assert not told.knows("c")
+    await told.read()
+    assert told.knows("b")
+    assert told.knows("c")
+
+
+async def test_an_instance_that_is_told_nothing_reads_for_itself(platform_log):
+    reader, told = Reader(platform_log), Reader(platform_log)
+    await reader.read()
+    await told.read()
+    reader.beliefs.take_news()
+    told.beliefs.take_relayed(reader.beliefs.take_news())
+    follower = told.beliefs.key_follower
+    assert follower._is_relayed()
+    follower.relayed_s -= 1.2
+    assert not follower._is_relayed()
--- a/libs/bridgecross-entry/tests/test_keymap.py
+++ b/libs/bridgecross-entry/tests/test_keymap.py
@@ -1,3 +1,4 @@
+import entry_support as support
 import pytest
 
 from bridgecross_core import codec
@@ -5,8 +6,6 @@
 from bridgecross_entry import keymap
 from bridgecross_entry import model
 
-from . import support
-
 A, B = ids.ServerId("a"), ids.ServerId("b")
 SERVICE = ids.ServiceName("rapor")
 
--- a/libs/bridgecross-entry/tests/test_leases.py
+++ b/libs/bridgecross-entry/tests/test_leases.py
@@ -2,6 +2,8 @@
 import time
 
 import anyio
+import entry_fakes as fakes
+import entry_support as support
 import pytest
 
 from bridgecross_core import ids
@@ -9,9 +11,6 @@
 from bridgecross_entry import load
 from bridgecross_entry import log
 
-from . import fakes
-from . import support
-
 pytestmark = pytest.mark.anyio
 
 KEY = 100
--- a/libs/bridgecross-entry/tests/test_planner.py
+++ b/libs/bridgecross-entry/tests/test_planner.py
@@ -60,3 +60,17 @@
     moving = (HALVES[0]._replace(prior_owner=C), HALVES[1])
     load = planner.KeyLoad(dict.fromkeys(range(1000, 1200), 0.1))
     assert planner.plan_relief(moving, load, {A: 10.0, B: 10.0}, SETTINGS) == ()
+
+
+def test_a_single_hot_key_goes_to_the_server_with_most_room():
+    load = planner.KeyLoad({500: 9.0, 10: 1.0, 40_000: 3.0})
+    rooms = {A: 10.0, B: 10.0, C: 20.0}
+    ranges = keymap.assign(HALVES, 60_000, keymap.LAST_KEY, C, 1)
+    ranges = tuple(r._replace(prior_owner=keymap.NO_SERVER) for r in ranges)
+    moves = planner.plan_relief(ranges, load, rooms, SETTINGS)
+    assert planner.Move(500, 500, C) in moves
+
+
+def test_a_single_hot_key_stays_where_no_server_has_more_room():
+    load = planner.KeyLoad({500: 9.0})
+    assert not planner.plan_relief(HALVES, load, {A: 10.0, B: 10.0}, SETTINGS)
--- a/libs/bridgecross-entry/tests/test_routes.py
+++ b/libs/bridgecross-entry/tests/test_routes.py
@@ -1,11 +1,10 @@
 import collections
 
+import entry_support as support
 import pytest
 
 from bridgecross_entry import routes
 
-from . import support
-
 
 @pytest.mark.parametrize(
     ("host", "path", "expected"),
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_servers.py
@@ -0,0 +1,88 @@
+import entry_support as support
+import pytest
+
+from bridgecross_core import ids
+from bridgecross_entry import servers
+
+NAME = ids.ServerId("a")
+
+
+@pytest.fixture
+def clock():
+    return support.ManualClock()
+
+
+@pytest.fixture
+def book(clock):
+    return servers.ServerBook(
+        servers.ServerSettings(),
+        support.BOUNDS,
+        support.make_journal(clock),
+        clock,
+    )
+
+
+def _server(book: servers.ServerBook) -> servers.Server:
+    server = book.get(NAME)
+    assert server is not None
+    return server
+
+
+def test_a_leaving_server_is_used_only_within_the_bound(book, clock):
+    book.put(support.make_server("a"))
+    book.put(support.make_server("a", leaving=True))
+    server = _server(book)
+    assert book.may_use(server, clock.now_s)
+    assert not book.is_staying(server, clock.now_s)
+    assert not book.may_use(server, clock.now_s + 1.0)
+
+
+def test_an_entry_that_lapsed_with_the_log_gets_time_to_return(book, clock):
+    book.put(support.make_server("a"))
+    book.remove(NAME, log_was_away=True)
+    assert book.is_staying(_server(book), clock.now_s + 1.9)
+    assert not book.is_staying(_server(book), clock.now_s + 2.1)
+    book.put(support.make_server("a"))
+    assert book.is_staying(_server(book), clock.now_s + 60)
+
+
+def test_an_ended_run_never_comes_back(book):
+    book.put(support.make_server("a"))
+    book.end(NAME, "refused")
+    book.put(support.make_server("a"))
+    assert book.get(NAME) is None
+    assert book.has_ended(NAME)
+
+
+def test_a_server_off_the_list_is_forgotten_but_has_not_ended(book, clock):
+    book.put(support.make_server("a"))
+    book.remove(NAME, log_was_away=False)
+    clock.now_s += 60
+    book.drop_stale()
+    assert book.get(NAME) is None
+    assert not book.has_ended(NAME)
+
+
+def test_room_shrinks_when_requests_are_turned_away_and_grows_back(book, clock):
+    book.put(support.make_server("a"))
+    book.set_instances(4)
+    server = _server(book)
+    most = server.queue.settings.slots
+    for _ in range(10):
+        clock.now_s += 1
+        server.shrink_room(clock.now_s)
+    assert server.queue.settings.slots == 1
+    for _ in range(1_000):
+        server.grow_room()
+    assert server.queue.settings.slots == most
+
+
+def test_failures_make_a_server_look_slower(book, clock):
+    for name in ("a", "b"):
+        book.put(support.make_server(name))
+    failing, sound = _server(book), book.get(ids.ServerId("b"))
+    for _ in range(10):
+        failing.note_answer(0.01, failed=True)
+        sound.note_answer(0.1, failed=False)
+    cost = [s.cost_s("hall-1", clock.now_s) for s in (failing, sound)]
+    assert cost[0] > 2 * cost[1]
