Tell others only what changed, start to coordinate at once, write ended moves

Change: news start when telling starts and hold changes only; relays follow each read of the list; addresses are told when they change; a configuration makes an instance look at its partitions; ended moves are written after 1.5 s of quiet.

Tests (failed before): history forgotten, no news kept by those who are told, ended moves in the log.

--- a/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 from typing import NamedTuple
 from typing import Protocol
@@ -15,6 +16,7 @@
 from bridgecross_core import codec as codecs
 from bridgecross_core import findings
 from bridgecross_core import ids
+from bridgecross_core import pulse
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
 from bridgecross_entry import log as logs
@@ -98,15 +100,31 @@
         self.told_offset: int | None = None
         self.news: list[logs.KeyedRecord] = []
 
+    def begin(self) -> None:
+        """Starts to keep news, from here on."""
+        self.told_offset = self.follower.next_offset
+        self.news = []
+
+    def end(self) -> None:
+        """Keeps no more news."""
+        self.told_offset = None
+        self.news = []
+
+    def keep(self, records: Iterable[logs.KeyedRecord]) -> None:
+        """Keeps records to tell others, if it is for this one to tell."""
+        if self.told_offset is not None:
+            self.news += records
+
     def take_news(self) -> TopicBatch | None:
-        """Returns what to tell others; None before the first read."""
+        """Returns what to tell others; None if there is nothing to say."""
         next_offset = self.follower.next_offset
-        if next_offset is None:
+        if self.told_offset is None or next_offset is None:
+            self.begin()
             return None
-        first = next_offset if self.told_offset is None else self.told_offset
-        batch = TopicBatch(self.topic, first, next_offset, tuple(self.news))
-        self.told_offset = next_offset
-        self.news = []
+        batch = TopicBatch(
+            self.topic, self.told_offset, next_offset, tuple(self.news)
+        )
+        self.begin()
         return batch
 
 
@@ -137,6 +155,8 @@
             clock: For ages.
         """
         self.configuration: model.Configuration | None = None
+        # Notified when there is something to tell others.
+        self.news = pulse.Pulse()
         self._settings = settings
         self._log = log
         self._decoder = decoder
@@ -177,6 +197,7 @@
         take_changes: Callable[[tuple[logs.KeyedRecord, ...]], None],
     ) -> None:
         """Gives a feed its follower."""
+        on_read = self.news.notify if feed is self._servers else None
         feed.follower = logs.Follower(
             logs.FollowSettings(feed.topic, *pace),
             self._log,
@@ -184,6 +205,7 @@
             take_changes,
             self._journal,
             self._clock,
+            on_read,
         )
 
     @property
@@ -217,8 +239,13 @@
 
     # Telling others.
 
+    def stop_telling(self) -> None:
+        """Keeps no news any more, since another instance tells."""
+        for feed in self._feeds:
+            feed.end()
+
     def take_news(self) -> tuple[TopicBatch, ...]:
-        """Returns what was read since the last call."""
+        """Returns what was read since the last call, from the second on."""
         batches = [feed.take_news() for feed in self._feeds]
         return tuple(batch for batch in batches if batch is not None)
 
@@ -249,12 +276,21 @@
 
     def _take_all_servers(self, records: tuple[logs.KeyedRecord, ...]) -> None:
         """Takes in the whole list of backend servers."""
+        before = self._listed
         self._listed = {
             server.server_id: server
             for server in map(self._decode_server, records)
             if server is not None
         }
-        self._servers.news += records
+        self._servers.keep(
+            record
+            for record in records
+            if self._listed.get(record.key) != before.get(record.key)
+        )
+        self._servers.keep(
+            logs.KeyedRecord(server_id, b"")
+            for server_id in before.keys() - self._listed.keys()
+        )
         self._book.replace_all(
             self._listed.values(), log_was_away=self._log_was_away()
         )
@@ -266,11 +302,11 @@
             server = self._decode_server(record)
             if server is not None:
                 if self._listed.get(record.key) != server:
-                    self._servers.news.append(record)
+                    self._servers.keep([record])
                 self._listed[record.key] = server
                 self._book.put(server)
             elif not record.value:
-                self._servers.news.append(record)
+                self._servers.keep([record])
                 self._listed.pop(record.key, None)
                 self._book.remove(
                     ids.ServerId(record.key),
@@ -305,7 +341,8 @@
         self, records: tuple[logs.KeyedRecord, ...]
     ) -> None:
         """Takes the newest configuration, never an older one."""
-        self._configurations.news += records
+        self._configurations.keep(records)
+        self.news.notify()
         for record in records:
             try:
                 new = self._decoder.decode_configuration(record)
@@ -343,7 +380,7 @@
 
     def _take_maps(self, records: tuple[logs.KeyedRecord, ...]) -> None:
         """Takes key maps."""
-        self._keys.news += records
+        self._keys.keep(records)
         for record in records:
             try:
                 self._table.put(keymap.decode(record.value), "log")
--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -52,6 +52,10 @@
     order_pause_s: float = 0.1
     # Grants of a range to its new owner before that one counts as silent.
     give_tries: int = 3
+    # Moves that have ended are written down after this time without others:
+    # a write costs as much as serving a request, and most moves come in
+    # groups.
+    settled_rest_s: float = 1.5
     # How often moves are considered. A plan over all keys takes 5 ms.
     plan_interval_s: float = 0.25
     # The first plan waits until no server has joined for this long: servers
@@ -136,6 +140,9 @@
         self._moving: set[int] = set()
         # Servers that refused a token as too low.
         self._outranked: set[ids.ServerId] = set()
+        # Since when the log has not been told that moves have ended; None if
+        # it has.
+        self._unwritten_since_s: float | None = None
         # When a hot key was last moved, and servers relieved without hurry.
         self._hot_moved_s = float("-inf")
         self._relieved_s = float("-inf")
@@ -463,6 +470,21 @@
             reason = "owner is busier than others"
         if moves or self._outranked:
             await self._move(tasks, moves, reason)
+        elif self._unwritten_since_s is not None and not self._moving:
+            await self._write_settled()
+
+    async def _write_settled(self) -> None:
+        """Writes down that moves have ended, once things are quiet.
+
+        An instance that starts later need not ask itself who holds the keys,
+        and a coordinator that follows need not carry the moves out again.
+        """
+        now_s = self._clock.monotonic_s()
+        since_s = self._unwritten_since_s
+        if since_s is None or now_s - since_s < self._settings.settled_rest_s:
+            return
+        if await self._append(self._ranges):
+            self._unwritten_since_s = None
 
     def _plan_relief(
         self, rooms: dict[ids.ServerId, float]
@@ -649,4 +671,6 @@
             else r
             for r in self._ranges
         )
+        if key_range.prior_owner:
+            self._unwritten_since_s = self._clock.monotonic_s()
         self._table.settle(self._service, key_range.token, key_range.first_key)
--- a/libs/bridgecross-entry/src/bridgecross_entry/log.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/log.py
@@ -153,6 +153,7 @@
         take_changes: Callable[[tuple[KeyedRecord, ...]], None],
         journal: journals.Journal,
         clock: clocks.Clock,
+        on_read: Callable[[], None] | None = None,
     ) -> None:
         """Reads nothing yet.
 
@@ -163,6 +164,7 @@
             take_changes: Takes the records that followed.
             journal: Told when the log is lost and regained.
             clock: For the age of what was read.
+            on_read: Called after each read that the log answered.
         """
         self._settings = settings
         self._log = log
@@ -170,6 +172,7 @@
         self._take_changes = take_changes
         self._journal = journal
         self._clock = clock
+        self._on_read = on_read
         # The offset to read on from; None before the first read.
         self.next_offset: int | None = None
         # When the log was last heard of this topic; None if never.
@@ -248,6 +251,8 @@
         self.next_offset = max(self.next_offset or 0, result.next_offset)
         if result.records:
             self._take_changes(result.records)
+        if self._on_read is not None:
+            self._on_read()
         return True
 
     def note_own_append(self, offset: int) -> None:
--- a/libs/bridgecross-entry/src/bridgecross_entry/membership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/membership.py
@@ -85,16 +85,21 @@
             self._on_change()
             await anyio.sleep(self._settings.join_interval_s)
 
-    async def refresh_peers(self) -> None:
-        """Reads who the others are, if the group has changed."""
+    async def refresh_peers(self) -> bool:
+        """Reads who the others are, if the group has changed.
+
+        Returns:
+            Whether others may have come or gone.
+        """
         generation = self._place.generation
         if generation == self._peers_generation:
-            return
+            return False
         roster = await self._log.read_roster(GROUP)
         if isinstance(roster, logs.Unreachable):
-            return
+            return False
         self._peers_generation = generation
         self.set_peers(self._parse(member) for member in roster.members)
+        return True
 
     def set_peers(self, addresses: Iterable[model.Address | None]) -> None:
         """Sets where the other instances listen."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -43,7 +43,8 @@
     what the receiver believes is up to date.
     """
 
-    # Where all instances listen, the sender included.
+    # Where all instances listen, the sender included; empty if nothing has
+    # changed since the last time.
     instances: tuple[model.Address, ...]
     batches: tuple[beliefs.TopicBatch, ...]
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 import dataclasses
+import itertools
 import math
 import resource
 import signal
@@ -41,9 +42,11 @@
     # How often load is reported: a hot key is seen after two reports, and a
     # report costs about 1 ms at both ends.
     report_interval_s: float = 0.25
-    # How often the instance that reads the log tells the others. The age of
-    # what they believe grows by this at most.
-    relay_interval_s: float = 0.35
+    # The instance that reads the log tells the others after each read of the
+    # list; this is only how long it waits for one.
+    relay_wait_s: float = 1.0
+    # Every so many times it tells them where all instances listen.
+    roster_interval_count: int = 10
     # The part of the time between the signal to stop and the kill in which
     # connections are still taken: the platform goes on sending some for up
     # to 2 s after readiness is gone.
@@ -238,23 +241,26 @@
         self._dispatcher.configure(new)
         idle_s = new.limits.idle_timeout_ms / 1_000
         self._caller_listener.set_idle_timeout(idle_s)
+        self._match_coordinators()
 
     # Telling and hearing.
 
     async def _relay(self) -> None:
         """Tells the others what was read, while it is for this one to read."""
-        while True:
-            await anyio.sleep(self._settings.relay_interval_s)
+        for count in itertools.count():
+            await self._beliefs.news.wait(self._settings.relay_wait_s)
             if not self._membership.is_reader or self._stopping:
+                self._beliefs.stop_telling()
                 continue
-            await self._membership.refresh_peers()
+            changed = await self._membership.refresh_peers()
             self._set_instances()
             if not self._beliefs.list_is_fresh:
                 continue
-            own = self._platform.peer_address
-            relay = peers.Relay(
-                (own, *self._membership.peers), self._beliefs.take_news()
-            )
+            instances: tuple[model.Address, ...] = ()
+            if changed or count % self._settings.roster_interval_count == 0:
+                own = self._platform.peer_address
+                instances = (own, *self._membership.peers)
+            relay = peers.Relay(instances, self._beliefs.take_news())
             await self._relay_to_peers(peers.encode_relay(relay))
 
     async def _relay_to_peers(self, encoded: bytes) -> None:
@@ -267,8 +273,9 @@
         """Takes what another instance read for all."""
         if self._membership.is_reader:
             return
-        self._membership.set_peers(relay.instances)
-        self._set_instances()
+        if relay.instances:
+            self._membership.set_peers(relay.instances)
+            self._set_instances()
         self._beliefs.take_relayed(relay.batches)
 
     def _set_instances(self) -> None:
--- a/libs/bridgecross-entry/tests/entry_fakes.py
+++ b/libs/bridgecross-entry/tests/entry_fakes.py
@@ -153,6 +153,7 @@
     order_pause_s=0.01,
     plan_interval_s=0.05,
     list_quiet_s=0.0,
+    settled_rest_s=0.1,
 )
 
 
--- a/libs/bridgecross-entry/tests/test_beliefs.py
+++ b/libs/bridgecross-entry/tests/test_beliefs.py
@@ -134,3 +134,27 @@
     assert follower._is_relayed()
     follower.relayed_s -= 1.2
     assert not follower._is_relayed()
+
+
+async def test_only_what_changes_is_told_after_history_was_forgotten(
+    platform_log,
+):
+    reader = Reader(platform_log)
+    await reader.read()
+    reader.beliefs.take_news()
+    _add(platform_log, "servers", "b", b"rapor")
+    reader.beliefs._servers.follower.next_offset = None
+    await reader.read()
+    news = reader.beliefs.take_news()
+    listed = next(batch for batch in news if batch.topic == "servers")
+    assert [record.key for record in listed.records] == ["b"]
+
+
+async def test_nothing_is_kept_to_tell_while_another_instance_tells(
+    platform_log,
+):
+    reader = Reader(platform_log)
+    await reader.read()
+    _add(platform_log, "servers", "b", b"rapor")
+    await reader.read()
+    assert not reader.beliefs._servers.news
--- a/libs/bridgecross-entry/tests/test_leases.py
+++ b/libs/bridgecross-entry/tests/test_leases.py
@@ -188,3 +188,17 @@
     newest = bench.table.newest(fakes.SERVICE)
     assert newest is not None
     assert newest.version == 3
+
+
+async def test_ended_moves_are_written_down():
+    platform_log, lease_servers, bench = _make("a", "b")
+    async with _running(bench):
+        await fakes.until(lambda: lease_servers.holder(KEY) == "a")
+        bench.book.put(support.make_server("a", leaving=True))
+
+        def is_written() -> bool:
+            newest = keymap.decode(platform_log.records[fakes.TOPIC][-1].value)
+            moved = all(r.owner == "b" for r in newest.ranges)
+            return moved and not any(r.prior_owner for r in newest.ranges)
+
+        await fakes.until(is_written)
