Lead by claims in the log, with the leader's word as heartbeat

Every follower also went on asking a log that was away, three topics each.

Change: the leader is who made the newest claim, appended on condition; its relay after each read of the list is its heartbeat. Others claim in turn, by rendezvous rank, after 1.1 s of silence. Instances list themselves in a compacted topic; the leader takes lost ones off. Failed reads back off to 1.2 s. Group membership and its calls are gone.

Ruled out: longer memberships (a dead holder would keep its partition for as long), a vote among peers (no lasting decision outside the log).

Tests: seven of leadership (one of many, silence, resignation, log away, restart, lost answer, earlier term).

--- a/libs/bridgecross-entry/src/bridgecross_entry/__init__.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/__init__.py
@@ -10,7 +10,7 @@
 * ``edge``: the listener towards callers.
 * ``log``: the platform's log, and how its topics are followed.
 * ``beliefs``: servers, configuration and key maps, read or told.
-* ``membership``: which instance does what for all.
+* ``leadership``: which instance reads and coordinates for all.
 * ``keymap``: which server owns which range of keys.
 * ``load``, ``load_view``: the load of keys and servers, told and summed up.
 * ``planner``: chooses which ranges move.
--- a/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -26,6 +26,9 @@
 KEY_TOPIC = "keyed.bridgecross-keys"
 """Key maps, one record a service."""
 
+INSTANCE_TOPIC = "keyed.bridgecross-instances"
+"""Where the instances listen; the address is the key."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BeliefSettings:
@@ -39,6 +42,8 @@
     # wait on although the record was there, until its time was over. So for
     # configurations, in force within 2 s, the time is short.
     configuration_wait_ms: float = 1_200.0
+    # A new instance waits for the leader's word until this one has read of it.
+    instance_wait_ms: float = 1_200.0
     # Key maps are pushed by their coordinator; the log is the second way.
     key_wait_ms: float = 5_000.0
     # Bounds the rate of reads while changes come in quick succession.
@@ -155,6 +160,8 @@
             clock: For ages.
         """
         self.configuration: model.Configuration | None = None
+        # Where the instances listen, this one included.
+        self.instances: set[model.Address] = set()
         # Notified when there is something to tell others.
         self.news = pulse.Pulse()
         self._settings = settings
@@ -169,7 +176,19 @@
         self._servers = _Feed(decoder.server_topic)
         self._configurations = _Feed(decoder.configuration_topic)
         self._keys = _Feed(KEY_TOPIC)
-        self._feeds = (self._servers, self._configurations, self._keys)
+        self._instances = _Feed(INSTANCE_TOPIC)
+        self._feeds = (
+            self._servers,
+            self._configurations,
+            self._keys,
+            self._instances,
+        )
+        self._takers = {
+            self._servers.topic: self._take_servers,
+            self._configurations.topic: self._take_configurations,
+            self._keys.topic: self._take_maps,
+            self._instances.topic: self._take_instances,
+        }
         self._attach(
             self._servers,
             (0, settings.list_pause_s),
@@ -188,6 +207,12 @@
             self._take_maps,
             self._take_maps,
         )
+        self._attach(
+            self._instances,
+            (settings.instance_wait_ms, settings.quiet_pause_s),
+            self._take_instances,
+            self._take_instances,
+        )
 
     def _attach(
         self,
@@ -227,6 +252,11 @@
         age_s = self._clock.monotonic_s() - heard_s
         return age_s < self._settings.list_fresh_s
 
+    @property
+    def knows_instances(self) -> bool:
+        """Whether the list of instances has been read."""
+        return self._instances.follower.next_offset is not None
+
     @property
     def is_complete(self) -> bool:
         """Whether there is enough to route requests by."""
@@ -261,16 +291,7 @@
                 batch.first_offset, logs.Batch(batch.records, batch.next_offset)
             )
             if records:
-                self._take(feed, records)
-
-    def _take(self, feed: _Feed, records: tuple[logs.KeyedRecord, ...]) -> None:
-        """Takes in changes of one topic."""
-        if feed is self._servers:
-            self._take_servers(records)
-        elif feed is self._configurations:
-            self._take_configurations(records)
-        else:
-            self._take_maps(records)
+                self._takers[feed.topic](records)
 
     # Servers.
 
@@ -390,3 +411,22 @@
                     service=record.key,
                     reason=str(error),
                 )
+
+    # Instances.
+
+    def _take_instances(self, records: tuple[logs.KeyedRecord, ...]) -> None:
+        """Takes in where instances listen, or no longer do."""
+        self._instances.keep(records)
+        self.news.notify()
+        for record in records:
+            try:
+                address = model.parse_address(record.key)
+            except ValueError as error:
+                self._journal.lifecycle(
+                    "instance_unreadable", reason=str(error)
+                )
+                continue
+            if record.value:
+                self.instances.add(address)
+            else:
+                self.instances.discard(address)
--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -0,0 +1,221 @@
+"""Which instance reads the log for all and coordinates the services.
+
+It is whoever made the newest claim, a record that is appended on condition
+that no other came in between. Nothing is paid for holding on to it: the
+leader's word, which it gives after each read of the log, is its heartbeat.
+Once it has been silent for long enough, another instance claims. Two that
+take themselves for the leader do no harm: key maps build on one another, and
+reading twice costs only calls.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+from typing import NamedTuple
+
+import anyio
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import codec
+from bridgecross_core import hashing
+from bridgecross_entry import journal as journals
+from bridgecross_entry import log as logs
+from bridgecross_entry import model
+
+TOPIC = "keyed.bridgecross-leader"
+"""Claims, under one key."""
+
+_KEY = "leader"
+
+
+class Claim(NamedTuple):
+    """An instance takes the lead."""
+
+    # Rises by one with each claim.
+    term: int
+    instance: str
+
+
+_CLAIMS = codec.Codec(Claim)
+_NO_CLAIM = Claim(-1, "")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeadershipSettings:
+    """When an instance claims."""
+
+    # The leader speaks every 0.7 s; this is one and a half times that.
+    silence_s: float = 1.1
+    # An instance that has just started has not heard the leader yet, which
+    # learns of it from the log within 1.2 s.
+    first_silence_s: float = 2.0
+    # Instances claim one after the other, so that one is enough. A claim
+    # takes 10 ms until the others hear of it.
+    turn_s: float = 0.12
+    # The last of them do not wait for all before them, who may be gone.
+    turns_max_count: int = 10
+    # The pause after a claim that the log did not take.
+    retry_pause_s: float = 1.0
+    # How often an instance looks whether it should claim.
+    look_interval_s: float = 0.1
+
+
+class Leadership:
+    """This instance's view of who leads."""
+
+    def __init__(
+        self,
+        settings: LeadershipSettings,
+        instance: model.InstanceSettings,
+        log: logs.PlatformLog,
+        addresses: Callable[[], Iterable[model.Address]],
+        on_change: Callable[[], None],
+        journal: journals.Journal,
+        clock: clocks.Clock,
+    ) -> None:
+        """Knows of no leader yet.
+
+        Args:
+            settings: When to claim.
+            instance: This instance.
+            log: The platform's log.
+            addresses: Where all instances listen, for whose turn it is.
+            on_change: Called when this instance takes or loses the lead.
+            journal: Told of changes.
+            clock: For silence.
+        """
+        self.is_leader = False
+        self._settings = settings
+        self._instance = instance
+        self._log = log
+        self._addresses = addresses
+        self._on_change = on_change
+        self._journal = journal
+        self._clock = clock
+        self._claim = _NO_CLAIM
+        # Until when nobody need claim for lack of the leader's word.
+        self._patient_until_s = 0.0
+        self._resigned = False
+
+    @property
+    def term(self) -> int:
+        """The term of the newest claim that is known."""
+        return self._claim.term
+
+    async def run(self) -> None:
+        """Claims whenever the leader is silent, until cancelled."""
+        await self._look_up_first()
+        while True:
+            now_s = self._clock.monotonic_s()
+            if not self.is_leader and not self._resigned:
+                turn_s = self._turn() * self._settings.turn_s
+                if now_s >= self._patient_until_s + turn_s:
+                    await self._try_claim()
+            await anyio.sleep(self._settings.look_interval_s)
+
+    def hear(self, claim: Claim) -> bool:
+        """Takes the word of a leader.
+
+        Returns:
+            Whether it counts: that of an earlier term does not.
+        """
+        if claim.term < self._claim.term:
+            return False
+        self._follow(claim, self._settings.silence_s)
+        return claim.instance != self._instance.name
+
+    def hear_resignation(self, claim: Claim) -> None:
+        """Takes the last word of a leader that leaves."""
+        if claim.term >= self._claim.term:
+            self._patient_until_s = self._clock.monotonic_s()
+
+    def resign(self) -> Claim:
+        """Claims no more; returns the claim under which it led."""
+        self._resigned = True
+        return self._claim
+
+    @property
+    def claim(self) -> Claim:
+        """The newest claim that is known."""
+        return self._claim
+
+    def _turn(self) -> int:
+        """Returns how many instances claim before this one."""
+        own = str(self._instance.peer_address)
+        ranked = hashing.rank_by_rendezvous(
+            str(self.term), [own, *map(str, self._addresses())]
+        )
+        return min(ranked.index(own), self._settings.turns_max_count)
+
+    async def _look_up_first(self) -> None:
+        """Reads who leads, when this instance starts."""
+        while True:
+            newest = await self._log.read_newest(TOPIC)
+            if isinstance(newest, logs.Newest):
+                break
+            await anyio.sleep(self._settings.retry_pause_s)
+        claim = self._read(newest.records)
+        if claim == _NO_CLAIM or claim.instance == self._instance.name:
+            # Nobody leads, or this instance did in its earlier run.
+            self._claim = claim
+            self._patient_until_s = self._clock.monotonic_s()
+            if claim != _NO_CLAIM:
+                await self._try_claim()
+            return
+        if claim.term > self._claim.term:
+            self._follow(claim, self._settings.first_silence_s)
+
+    async def _try_claim(self) -> None:
+        """Claims, unless another did so in the meantime."""
+        self._patient_until_s = (
+            self._clock.monotonic_s() + self._settings.retry_pause_s
+        )
+        newest = await self._log.read_newest(TOPIC)
+        if isinstance(newest, logs.Unreachable):
+            return
+        seen = self._read(newest.records)
+        if seen.term > self._claim.term:
+            self._follow(seen, self._settings.silence_s)
+            if seen.instance != self._instance.name:
+                return
+        claim = Claim(seen.term + 1, self._instance.name)
+        record = logs.KeyedRecord(_KEY, _CLAIMS.encode(claim))
+        result = await self._log.append(TOPIC, record, newest.end)
+        if not isinstance(result, logs.Appended):
+            # A claim without an answer is found when it is read the next
+            # time, and counts from then on.
+            self._journal.decision(
+                "claim_not_made",
+                term=claim.term,
+                result=type(result).__name__,
+            )
+            return
+        self._claim = claim
+        self.is_leader = True
+        self._journal.lifecycle("leads", term=claim.term)
+        self._on_change()
+
+    def _follow(self, claim: Claim, patience_s: float) -> None:
+        """Follows a claim for a while."""
+        self._patient_until_s = self._clock.monotonic_s() + patience_s
+        if claim.term == self._claim.term:
+            return
+        self._claim = claim
+        self._journal.decision(
+            "follows", term=claim.term, leader=claim.instance
+        )
+        if self.is_leader:
+            self.is_leader = False
+            self._journal.lifecycle("leads_no_more", term=claim.term)
+            self._on_change()
+
+    def _read(self, records: tuple[logs.KeyedRecord, ...]) -> Claim:
+        """Returns the newest claim."""
+        for record in records:
+            if record.key != _KEY:
+                continue
+            try:
+                return _CLAIMS.decode(record.value)
+            except codec.CodecError as error:
+                self._journal.lifecycle("claim_unreadable", reason=str(error))
+        return _NO_CLAIM
--- a/libs/bridgecross-entry/src/bridgecross_entry/listener.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/listener.py
@@ -75,6 +75,7 @@
             lifespan="off",
             access_log=False,
             log_config=None,
+            proxy_headers=False,
             server_header=False,
             date_header=False,
         )
--- a/libs/bridgecross-entry/src/bridgecross_entry/log.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/log.py
@@ -75,23 +75,6 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Membership:
-    """This member's place in a group."""
-
-    # Rises with each change of the group.
-    generation: int
-    # The partitions that the log dealt to this member.
-    partitions: frozenset[int]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Roster:
-    """The members of a group that hold partitions."""
-
-    members: tuple[str, ...]
-
-
 class PlatformLog(Protocol):
     """The calls of the platform's log that the product uses."""
 
@@ -108,16 +91,8 @@
     ) -> Appended | Conflict | Uncertain | Unreachable:
         """Appends a record if the topic still ends at an offset."""
 
-    async def join(
-        self, group: str, member: str, ttl_ms: float, generation: int
-    ) -> Membership | Unreachable:
-        """Joins a group or stays in it."""
-
-    async def read_roster(self, group: str) -> Roster | Unreachable:
-        """Returns the members of a group."""
-
-    async def leave(self, group: str, member: str) -> None:
-        """Leaves a group at once."""
+    async def put(self, topic: str, record: KeyedRecord) -> bool:
+        """Appends a record whatever came before; returns whether it is in."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,8 +104,11 @@
     wait_ms: float
     # The pause between reads. With a wait it only bounds the rate.
     pause_s: float
-    # The pause after a failed read: under the 2 s that a change may take.
+    # The pause after a failed read, and the longest to which it doubles.
+    # While the log is away for all, each further call costs and finds
+    # nothing; once it is back, changes are due within 3 s and more.
     retry_pause_s: float = 0.3
+    retry_pause_max_s: float = 1.2
     # While another instance tells what it reads, this one reads nothing
     # itself. Its word comes every 0.7 s; one that is this old is no longer
     # waited for, so that a change is known within 2 s all the same.
@@ -186,15 +164,17 @@
 
     async def run(self) -> None:
         """Follows the topic until cancelled."""
+        retry_s = self._settings.retry_pause_s
         while True:
             if self._is_relayed():
                 await anyio.sleep(self._settings.relay_look_s)
                 continue
-            heard = await self._step(self._settings.wait_ms)
-            if heard:
+            if await self._step(self._settings.wait_ms):
+                retry_s = self._settings.retry_pause_s
                 await anyio.sleep(self._settings.pause_s)
             else:
-                await anyio.sleep(self._settings.retry_pause_s)
+                await anyio.sleep(retry_s)
+                retry_s = min(2 * retry_s, self._settings.retry_pause_max_s)
 
     def take_relayed(
         self, first_offset: int, batch: Batch
--- a/libs/bridgecross-entry/src/bridgecross_entry/model.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/model.py
@@ -144,10 +144,6 @@
     metrics_address: Address
     # Where the platform's log answers.
     log_address: Address
-    # The shortest membership lease that the platform's log accepts.
-    member_ttl_min_ms: float
-    # Partitions of a topic in the platform's log.
-    partitions: int
     bounds: Bounds
 
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -18,6 +18,7 @@
 from bridgecross_entry import exchange
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
+from bridgecross_entry import leadership
 from bridgecross_entry import load
 from bridgecross_entry import model
 
@@ -43,9 +44,10 @@
     what the receiver believes is up to date.
     """
 
-    # Where all instances listen, the sender included; empty if nothing has
-    # changed since the last time.
-    instances: tuple[model.Address, ...]
+    # Under which claim the sender leads.
+    claim: leadership.Claim
+    # Whether this is the sender's last word, since it leaves.
+    resigns: bool
     batches: tuple[beliefs.TopicBatch, ...]
 
 
@@ -81,6 +83,8 @@
         self._clock = clock
         self._pools: dict[model.Address, exchange.Pool] = {}
         self._paused_until_s: dict[model.Address, float] = {}
+        # Since when a peer has not answered.
+        self._lost_since_s: dict[model.Address, float] = {}
 
     async def report_load(
         self, address: model.Address, report: load.LoadReport
@@ -104,6 +108,11 @@
         """Tells a peer of a move that has ended."""
         await self._call(address, _SETTLED_PATH, _SETTLED.encode(settled))
 
+    def lost_for_s(self, address: model.Address) -> float:
+        """Returns for how long a peer has not answered; 0 if it does."""
+        now_s = self._clock.monotonic_s()
+        return now_s - self._lost_since_s.get(address, now_s)
+
     async def _call(
         self, address: model.Address, path: bytes, body: bytes
     ) -> None:
@@ -123,6 +132,7 @@
         with anyio.move_on_after(self._settings.timeout_s):
             result = await pool.exchange(request, lambda reply: True)
         if isinstance(result, exchange.Reply) and result.status == _HTTP_OK:
+            self._lost_since_s.pop(address, None)
             return
         reason = (
             f"status {result.status}"
@@ -131,6 +141,7 @@
         )
         now_s = self._clock.monotonic_s()
         self._paused_until_s[address] = now_s + self._settings.pause_s
+        self._lost_since_s.setdefault(address, now_s)
         self._journal.decision("peer_lost", address=str(address), reason=reason)
 
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 import dataclasses
-import itertools
 import math
 import resource
 import signal
@@ -22,12 +21,12 @@
 from bridgecross_entry import edge
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
+from bridgecross_entry import leadership
 from bridgecross_entry import leases
 from bridgecross_entry import listener
 from bridgecross_entry import load
 from bridgecross_entry import load_view
 from bridgecross_entry import log as logs
-from bridgecross_entry import membership
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import model
 from bridgecross_entry import peers
@@ -45,8 +44,11 @@
     # The instance that reads the log tells the others after each read of the
     # list; this is only how long it waits for one.
     relay_wait_s: float = 1.0
-    # Every so many times it tells them where all instances listen.
-    roster_interval_count: int = 10
+    # How often an instance looks whether it is on the list of instances.
+    register_interval_s: float = 0.5
+    # An instance that has not answered the leader for this long is taken off
+    # the list; restarts take about a second, cuts some.
+    peer_lost_s: float = 20.0
     # The part of the time between the signal to stop and the kill in which
     # connections are still taken: the platform goes on sending some for up
     # to 2 s after readiness is gone.
@@ -130,12 +132,14 @@
             journal,
             clock,
         )
-        self._membership = membership.Membership(
-            membership.MembershipSettings(),
+        self._leadership = leadership.Leadership(
+            leadership.LeadershipSettings(),
             self._platform,
             self._log,
+            lambda: self._beliefs.instances,
             self._match_coordinators,
             journal,
+            clock,
         )
         self._make_listeners()
         self._views: dict[ids.ServiceName, load_view.LoadView] = {}
@@ -188,7 +192,8 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             self._beliefs.start(tasks)
-            tasks.start_soon(self._membership.run)
+            tasks.start_soon(self._leadership.run)
+            tasks.start_soon(self._keep_registered)
             tasks.start_soon(self._relay)
             tasks.start_soon(self._report_load)
             tasks.start_soon(self._sweep)
@@ -247,40 +252,65 @@
 
     async def _relay(self) -> None:
         """Tells the others what was read, while it is for this one to read."""
-        for count in itertools.count():
+        while True:
             await self._beliefs.news.wait(self._settings.relay_wait_s)
-            if not self._membership.is_reader or self._stopping:
-                self._beliefs.stop_telling()
-                continue
-            changed = await self._membership.refresh_peers()
             self._set_instances()
-            if not self._beliefs.list_is_fresh:
-                continue
-            instances: tuple[model.Address, ...] = ()
-            if changed or count % self._settings.roster_interval_count == 0:
-                own = self._platform.peer_address
-                instances = (own, *self._membership.peers)
-            relay = peers.Relay(instances, self._beliefs.take_news())
-            await self._relay_to_peers(peers.encode_relay(relay))
-
-    async def _relay_to_peers(self, encoded: bytes) -> None:
+            if not self._leadership.is_leader:
+                self._beliefs.stop_telling()
+            elif self._beliefs.list_is_fresh:
+                news = self._beliefs.take_news()
+                claim = self._leadership.claim
+                relay = peers.Relay(claim, resigns=False, batches=news)
+                await self._relay_to_peers(relay)
+
+    async def _relay_to_peers(self, relay: peers.Relay) -> None:
         """Tells every peer what was read."""
+        encoded = peers.encode_relay(relay)
         await self._tell_peers(
             lambda peer: self._peer_client.relay(peer, encoded)
         )
 
     def _take_relay(self, relay: peers.Relay) -> None:
         """Takes what another instance read for all."""
-        if self._membership.is_reader:
-            return
-        if relay.instances:
-            self._membership.set_peers(relay.instances)
-            self._set_instances()
-        self._beliefs.take_relayed(relay.batches)
+        if relay.resigns:
+            self._leadership.hear_resignation(relay.claim)
+        elif self._leadership.hear(relay.claim):
+            self._beliefs.take_relayed(relay.batches)
+
+    async def _keep_registered(self) -> None:
+        """Keeps this instance on the list, and those that are gone off it."""
+        own = self._platform.peer_address
+        record = logs.KeyedRecord(str(own), self._platform.name.encode())
+        while not self._stopping:
+            known = self._beliefs.knows_instances
+            missing = known and own not in self._beliefs.instances
+            if missing and await self._log.put(beliefs.INSTANCE_TOPIC, record):
+                self._beliefs.instances.add(own)
+            if self._leadership.is_leader:
+                await self._drop_lost_peers()
+            await anyio.sleep(self._settings.register_interval_s)
+
+    async def _drop_lost_peers(self) -> None:
+        """Takes instances off the list that have been gone for long."""
+        for peer in self._peers():
+            lost_s = self._peer_client.lost_for_s(peer)
+            if lost_s < self._settings.peer_lost_s:
+                continue
+            self._journal.decision(
+                "instance_dropped", address=str(peer), lost_s=round(lost_s, 1)
+            )
+            gone = logs.KeyedRecord(str(peer), b"")
+            if await self._log.put(beliefs.INSTANCE_TOPIC, gone):
+                self._beliefs.instances.discard(peer)
+
+    def _peers(self) -> tuple[model.Address, ...]:
+        """Returns where the other instances listen."""
+        own = self._platform.peer_address
+        return tuple(sorted(self._beliefs.instances - {own}))
 
     def _set_instances(self) -> None:
         """Divides among instances what all of them share."""
-        count = len(self._membership.peers) + 1
+        count = len(self._peers()) + 1
         if count != self._dispatcher.instance_count:
             self._dispatcher.instance_count = count
             self._book.set_instances(count)
@@ -329,14 +359,14 @@
     # Coordination.
 
     def _match_coordinators(self) -> None:
-        """Starts and stops coordinators as the membership says."""
+        """Starts and stops coordinators as this instance leads or not."""
         configuration = self._beliefs.configuration
         if configuration is None or not self._beliefs.is_complete:
             return
         wanted = {
             service.name
             for service in configuration.services.values()
-            if service.keyed and self._membership.coordinates(service.name)
+            if service.keyed and self._leadership.is_leader
         }
         for service in wanted - self._coordinators.keys():
             scope = anyio.CancelScope()
@@ -346,10 +376,15 @@
             self._coordinators[service].cancel()
 
     async def _give_up_duties(self) -> None:
-        """Lets other instances coordinate and read."""
-        await self._membership.leave()
-        for scope in self._coordinators.values():
-            scope.cancel()
+        """Lets another instance lead; goes on coordinating until it does."""
+        if self._leadership.is_leader:
+            claim = self._leadership.resign()
+            await self._relay_to_peers(
+                peers.Relay(claim, resigns=True, batches=())
+            )
+        own = str(self._platform.peer_address)
+        gone = logs.KeyedRecord(own, b"")
+        await self._log.put(beliefs.INSTANCE_TOPIC, gone)
 
     async def _coordinate(
         self, service: ids.ServiceName, scope: anyio.CancelScope
@@ -399,9 +434,9 @@
         self, tell: Callable[[model.Address], Coroutine[Any, Any, None]]
     ) -> None:
         """Calls every peer at the same time."""
-        async with anyio.create_task_group() as tasks:
-            for peer in self._membership.peers:
-                tasks.start_soon(tell, peer)
+        async with anyio.create_task_group() as calls:
+            for peer in self._peers():
+                calls.start_soon(tell, peer)
 
     # Upkeep.
 
--- a/libs/bridgecross-entry/tests/entry_fakes.py
+++ b/libs/bridgecross-entry/tests/entry_fakes.py
@@ -58,11 +58,11 @@
             return log.Uncertain("the answer was lost")
         return log.Appended(end)
 
-    async def join(self, group, member, ttl_ms, generation):
-        return log.Membership(1, frozenset(range(24)))
-
-    async def leave(self, group, member):
-        return
+    async def put(self, topic, record):
+        if self.away:
+            return False
+        self.records[topic].append(record)
+        return True
 
 
 class Grant:
--- a/libs/bridgecross-entry/tests/entry_support.py
+++ b/libs/bridgecross-entry/tests/entry_support.py
@@ -37,8 +37,6 @@
     peer_address=model.Address("127.0.0.1", 3),
     metrics_address=model.Address("127.0.0.1", 4),
     log_address=model.Address("127.0.0.1", 5),
-    member_ttl_min_ms=1_000,
-    partitions=24,
     bounds=BOUNDS,
 )
 
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_leadership.py
@@ -0,0 +1,130 @@
+import contextlib
+import dataclasses
+
+import anyio
+import entry_fakes as fakes
+import entry_support as support
+import pytest
+
+from bridgecross_core import clock
+from bridgecross_entry import leadership
+from bridgecross_entry import model
+
+pytestmark = pytest.mark.anyio
+
+SETTINGS = leadership.LeadershipSettings(
+    silence_s=0.15,
+    first_silence_s=0.2,
+    turn_s=0.02,
+    retry_pause_s=0.05,
+    look_interval_s=0.01,
+)
+
+
+class Member:
+    """One instance, which tells the others while it leads."""
+
+    def __init__(self, platform_log: fakes.MemoryLog, number: int) -> None:
+        self.address = model.Address("127.0.0.1", 7_000 + number)
+        self.others: list[Member] = []
+        self.heard_by: list[Member] = []
+        self.leadership = leadership.Leadership(
+            SETTINGS,
+            dataclasses.replace(
+                support.INSTANCE,
+                name=f"entry-{number}",
+                peer_address=self.address,
+            ),
+            platform_log,
+            lambda: [other.address for other in self.others],
+            lambda: None,
+            support.make_journal(clock.SystemClock()),
+            clock.SystemClock(),
+        )
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.leadership.run)
+            while True:
+                await anyio.sleep(0.04)
+                if self.leadership.is_leader:
+                    for other in self.heard_by:
+                        other.leadership.hear(self.leadership.claim)
+
+
+@contextlib.asynccontextmanager
+async def _running(count: int, platform_log: fakes.MemoryLog):
+    members = [Member(platform_log, number) for number in range(count)]
+    for member in members:
+        member.others = [m for m in members if m is not member]
+        member.heard_by = list(member.others)
+    async with anyio.create_task_group() as tasks:
+        for member in members:
+            tasks.start_soon(member.run)
+        yield members
+        tasks.cancel_scope.cancel()
+
+
+def _leaders(members):
+    return [m for m in members if m.leadership.is_leader]
+
+
+async def test_one_of_many_leads():
+    async with _running(5, fakes.MemoryLog()) as members:
+        await fakes.until(lambda: len(_leaders(members)) == 1)
+        first = _leaders(members)
+        await anyio.sleep(0.4)
+        assert _leaders(members) == first
+
+
+async def test_another_leads_once_the_leader_is_silent():
+    async with _running(5, fakes.MemoryLog()) as members:
+        await fakes.until(lambda: len(_leaders(members)) == 1)
+        (first,) = _leaders(members)
+        first.heard_by = []
+        await fakes.until(lambda: len(_leaders(first.others)) == 1)
+        await fakes.until(lambda: not first.leadership.is_leader)
+
+
+async def test_a_leader_that_resigns_is_followed_at_once():
+    async with _running(3, fakes.MemoryLog()) as members:
+        await fakes.until(lambda: len(_leaders(members)) == 1)
+        await anyio.sleep(0.1)
+        (first,) = _leaders(members)
+        claim = first.leadership.resign()
+        first.heard_by = []
+        for other in first.others:
+            other.leadership.hear_resignation(claim)
+        await fakes.until(lambda: _leaders(first.others), 0.12)
+
+
+async def test_nobody_claims_while_the_log_is_away_and_one_does_after():
+    platform_log = fakes.MemoryLog()
+    platform_log.away = True
+    async with _running(3, platform_log) as members:
+        await anyio.sleep(0.3)
+        assert not _leaders(members)
+        platform_log.away = False
+        await fakes.until(lambda: len(_leaders(members)) == 1)
+
+
+async def test_a_leader_that_restarts_leads_again_at_once():
+    platform_log = fakes.MemoryLog()
+    async with _running(1, platform_log) as (first,):
+        await fakes.until(lambda: first.leadership.is_leader)
+    async with _running(1, platform_log) as (again,):
+        await fakes.until(lambda: again.leadership.is_leader, 0.1)
+        assert again.leadership.term == 1
+
+
+async def test_a_claim_whose_answer_is_lost_is_found_again():
+    platform_log = fakes.MemoryLog()
+    platform_log.lose_answer = True
+    async with _running(2, platform_log) as members:
+        await fakes.until(lambda: len(_leaders(members)) == 1)
+
+
+async def test_the_word_of_an_earlier_term_does_not_count():
+    member = Member(fakes.MemoryLog(), 1)
+    assert member.leadership.hear(leadership.Claim(5, "entry-2"))
+    assert not member.leadership.hear(leadership.Claim(4, "entry-3"))
