Split leases from coordination and duties from the runtime; confirm the lead

Cause (found by reading): a coordinator stops when it reads of another's map. That may be the map of an earlier leader whose append was done late, as the log does when answers are lost; then the leader went on leading without a coordinator, and leases would have lapsed. And a list of ranges made before the renewals of a server could have renewed one that moved in between.

--- a/libs/bridgecross-entry/src/bridgecross_entry/__init__.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/__init__.py
@@ -14,9 +14,12 @@
 * ``keymap``: which server owns which range of keys.
 * ``load``, ``load_view``: the load of keys and servers, told and summed up.
 * ``planner``: chooses which ranges move.
-* ``leases``: leases of ranges, renewed and moved by one instance.
+* ``leases``: orders about ranges to servers, and how long they last.
+* ``coordinator``: who owns which keys of a service, decided by one instance.
 * ``peers``: what instances tell one another.
 * ``journal``, ``metrics``: bounded structured logs, and figures.
 * ``listener``: HTTP towards callers and peers.
+* ``duties``: what instances do for one another.
+* ``tasks``: tasks of the background that outlive their faults.
 * ``runtime``: puts an instance together.
 """
--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -118,6 +118,15 @@
                     await self._try_claim()
             await anyio.sleep(self._settings.look_interval_s)
 
+    async def confirm(self) -> None:
+        """Looks in the log whether another has claimed since."""
+        newest = await self._log.read_newest(TOPIC)
+        if isinstance(newest, logs.Newest):
+            claim = self._read(newest.records)
+            if claim.term > self._claim.term:
+                self._follow(claim, self._settings.silence_s)
+        await anyio.sleep(self._settings.look_interval_s)
+
     def hear(self, claim: Claim) -> bool:
         """Takes the word of a leader.
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -1,33 +1,23 @@
-"""Leases of key ranges: granted, renewed and moved by one instance a service.
+"""Orders to backend servers about ranges of keys, and how long they last.
 
-Which instance that is, the log's group membership says. What it may do, the
-log's order says: a key map is appended before any order follows from it, and
-only on top of the one that it builds on. Its version is the fencing token of
-the ranges that it moves, so a backend server refuses orders of a coordinator
-that is out of date.
-
-A range goes to a new owner only after its old one has released it, or has
-ended, or has lost every lease that it may have been given.
+A server may hold a range for one lease after the last order that it may have
+been given, answered or not. Nobody else gets the range before that, unless the
+server has released it or its run has certainly ended.
 """
 
-from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 
 import anyio
-import anyio.abc
 
 from bridgecross_core import clock as clocks
 from bridgecross_core import ids
-from bridgecross_core import pulse
 from bridgecross_entry import attempts
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
-from bridgecross_entry import load_view
-from bridgecross_entry import log as logs
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import model
-from bridgecross_entry import planner
 from bridgecross_entry import servers as servers_lib
 
 
@@ -36,11 +26,10 @@
     """How leases are kept."""
 
     # A server that falls silent keeps others from its keys for this long, so
-    # it is short. It must outlast the change of a coordinator: 1.0 s until
-    # the log drops the old one, 0.4 s until the next one hears of it, 0.2 s
-    # to claim, after a renewal that is up to 0.6 s old.
+    # it is short. It must outlast the change of a coordinator: 1.1 s until
+    # others claim, 0.2 s for their turn, 0.2 s to write a map, after a
+    # renewal that is up to 0.6 s old.
     lease_ms: float = 2_500.0
-    renew_interval_s: float = 0.6
     # A backend server's clock may run 2% slow.
     drift_ratio: float = 1.02
     # Covers the time from our sending to the server's receipt.
@@ -52,285 +41,63 @@
     order_pause_s: float = 0.1
     # Grants of a range to its new owner before that one counts as silent.
     give_tries: int = 3
-    # Moves that have ended are written down after this time without others:
-    # a write costs as much as serving a request, and most moves come in
-    # groups.
-    settled_rest_s: float = 1.5
-    # How often moves are considered. A plan over all keys takes 5 ms.
-    plan_interval_s: float = 0.25
-    # The first plan waits until no server has joined for this long: servers
-    # that start together list themselves over some heartbeats of 0.9 s.
-    list_quiet_s: float = 1.5
-    # But no longer than this, counted from the claim.
-    list_wait_max_s: float = 5.0
-    # Longer gaps between two steps mean that the process stood still; then
-    # nothing is ordered before the log has confirmed the membership.
-    standstill_s: float = 1.0
 
 
-class Coordinator:
-    """Keeps the leases of one service while this instance coordinates it."""
+class LeaseKeeper:
+    """Gives orders about the keys of one service."""
 
     def __init__(
         self,
         service: ids.ServiceName,
         settings: LeaseSettings,
-        plan_settings: planner.PlanSettings,
-        instance: model.InstanceSettings,
-        log: logs.PlatformLog,
-        topic: str,
-        follower: logs.Follower,
+        bounds: model.Bounds,
         client: attempts.LeaseClient,
         book: servers_lib.ServerBook,
-        table: keymap.KeyTable,
-        loads: load_view.LoadView,
-        list_is_fresh: Callable[[], bool],
-        publish_map: Callable[[keymap.KeyMap], Awaitable[None]],
-        publish_settled: Callable[[keymap.KeyRange], None],
         journal: journals.Journal,
         metrics: metrics_lib.Metrics,
         clock: clocks.Clock,
     ) -> None:
-        """Does nothing before ``run``.
-
-        Args:
-            service: The service whose keys are looked after.
-            settings: How leases are kept.
-            plan_settings: When keys move.
-            instance: This instance.
-            log: The platform's log.
-            topic: The topic of key maps.
-            follower: Follows that topic at this instance.
-            client: Gives orders to backend servers.
-            book: The backend servers.
-            table: The key maps that this instance uses.
-            loads: The load of the service.
-            list_is_fresh: Whether the list of servers was read just now.
-            publish_map: Tells the other instances of a new map.
-            publish_settled: Tells them that a move has ended.
-            journal: Told of each decision.
-            metrics: Counts orders and moves.
-            clock: For leases.
-        """
+        """Has given no order yet."""
+        # Servers that refused a token as too low.
+        self.outranked: set[ids.ServerId] = set()
         self._service = service
         self._settings = settings
-        self._plan_settings = plan_settings
-        self._instance = instance
-        self._log = log
-        self._topic = topic
-        self._follower = follower
+        self._bounds = bounds
         self._client = client
         self._book = book
-        self._table = table
-        self._loads = loads
-        self._list_is_fresh = list_is_fresh
-        self._publish_map = publish_map
-        self._publish_settled = publish_settled
         self._journal = journal
         self._metrics = metrics
         self._clock = clock
-        self._version = 0
-        self._ranges: tuple[keymap.KeyRange, ...] = ()
-        self._wake = pulse.Pulse()
         # Until when a server may hold keys that it was given.
         self._held_until_s: dict[ids.ServerId, float] = {}
-        # Servers that did not answer the last renewal.
+        # Servers that did not answer the last orders.
         self._silent: set[ids.ServerId] = set()
-        # Ranges whose move is under way, by first key.
-        self._moving: set[int] = set()
-        # Servers that refused a token as too low.
-        self._outranked: set[ids.ServerId] = set()
-        # Since when the log has not been told that moves have ended; None if
-        # it has.
-        self._unwritten_since_s: float | None = None
-        # When a hot key was last moved, and servers relieved without hurry.
-        self._hot_moved_s = float("-inf")
-        self._relieved_s = float("-inf")
-        self._stepped_s = 0.0
-        self._superseded = False
-
-    async def run(self) -> None:
-        """Coordinates the service until cancelled or superseded."""
-        self._journal.lifecycle("coordinator_begins", service=self._service)
-        try:
-            if not await self._claim():
-                return
-            async with anyio.create_task_group() as tasks:
-                self._resume_moves(tasks)
-                tasks.start_soon(self._watch_list)
-                await self._renew_and_plan(tasks)
-                tasks.cancel_scope.cancel()
-        finally:
-            self._journal.lifecycle(
-                "coordinator_ends",
-                service=self._service,
-                version=self._version,
-                superseded=self._superseded,
-            )
-
-    # Claiming.
-
-    async def _claim(self) -> bool:
-        """Writes a map with this instance as coordinator."""
-        begun_s = self._clock.monotonic_s()
-        while True:
-            await self._follower.catch_up()
-            newest = self._table.newest(self._service)
-            if not self._list_is_fresh():
-                pass
-            elif newest is not None:
-                self._adopt(newest)
-                if await self._append(self._ranges):
-                    return True
-            elif self._list_is_complete(begun_s) and await self._found():
-                return True
-            if self._superseded:
-                return False
-            await anyio.sleep(self._settings.order_pause_s)
-
-    def _list_is_complete(self, begun_s: float) -> bool:
-        """Whether the list of servers seems to be all there."""
-        now_s = self._clock.monotonic_s()
-        joined_s = [
-            server.joined_s for server in self._book.of_service(self._service)
-        ]
-        if not joined_s:
-            return False
-        if now_s - begun_s > self._settings.list_wait_max_s:
-            return True
-        return now_s - max(joined_s) > self._settings.list_quiet_s
 
-    def _adopt(self, newest: keymap.KeyMap) -> None:
-        """Goes on from a map that another coordinator wrote."""
-        now_s = self._clock.monotonic_s()
-        self._version = newest.version
-        self._ranges = newest.ranges
-        until_s = now_s + self._lease_s()
-        for key_range in newest.ranges:
+    def assume_held(self, ranges: Iterable[keymap.KeyRange]) -> None:
+        """Takes it that another coordinator has just renewed all leases."""
+        until_s = self._clock.monotonic_s() + self._lease_s()
+        for key_range in ranges:
             self._held_until_s[key_range.owner] = until_s
             self._held_until_s[key_range.prior_owner] = until_s
 
-    async def _found(self) -> bool:
-        """Writes the first map of the service."""
-        rooms = self._loads.rooms(self._takers())
-        if not rooms:
-            return False
-        ranges: tuple[keymap.KeyRange, ...] = (
-            keymap.KeyRange(
-                keymap.FIRST_KEY, keymap.LAST_KEY, keymap.NO_SERVER, 0
-            ),
-        )
-        version = self._version + 1
-        for move in planner.plan_first(rooms):
-            ranges = keymap.assign(ranges, *move, version)
-        return await self._append(ranges)
-
-    # Writing.
-
-    async def _append(self, ranges: tuple[keymap.KeyRange, ...]) -> bool:
-        """Puts a new map into force; returns whether it is in the log."""
-        expected_end = self._follower.next_offset
-        if expected_end is None:
-            return False
-        new = keymap.KeyMap(
-            self._service,
-            self._version + 1,
-            ids.InstanceId(self._instance.name),
-            self._instance.peer_address,
-            keymap.merge_neighbours(ranges),
-        )
-        record = logs.KeyedRecord(self._service, keymap.encode(new))
-        result = await self._log.append(self._topic, record, expected_end)
-        if isinstance(result, logs.Appended):
-            self._version = new.version
-            self._ranges = new.ranges
-            self._follower.note_own_append(result.offset)
-            self._table.put(new, "written")
-            await self._publish_map(new)
-            return True
-        self._journal.decision(
-            "key_map_not_written",
-            service=self._service,
-            version=new.version,
-            expected_end=expected_end,
-            result=type(result).__name__,
-            reason=getattr(result, "reason", ""),
-        )
-        if isinstance(result, logs.Unreachable):
-            return False
-        await self._catch_up()
-        return self._version == new.version
-
-    async def _catch_up(self) -> None:
-        """Reads what is in the log after an append that did not go well."""
-        await self._follower.catch_up()
-        newest = self._table.newest(self._service)
-        if newest is None or newest.version <= self._version:
-            return
-        if newest.coordinator == self._instance.name:
-            # Our own append, whose answer was lost.
-            self._version = newest.version
-            self._ranges = newest.ranges
-            return
-        self._superseded = True
-
-    # Renewing and planning.
-
-    async def _renew_and_plan(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Renews leases and moves keys until superseded."""
-        planned_s = float("-inf")
-        renewed_s = float("-inf")
-        self._stepped_s = self._clock.monotonic_s()
-        while not self._superseded:
-            now_s = self._clock.monotonic_s()
-            if now_s - self._stepped_s > self._settings.standstill_s:
-                await self._check_after_standstill(now_s)
-                now_s = self._clock.monotonic_s()
-            self._stepped_s = now_s
-            newest = self._table.newest(self._service)
-            if newest is not None and newest.version > self._version:
-                await self._catch_up()
-                if not self._superseded:
-                    # Our own append, done after its answer was given up.
-                    self._resume_moves(tasks)
-                continue
-            if now_s - renewed_s >= self._settings.renew_interval_s:
-                renewed_s = now_s
-                for server_id in self._owners():
-                    tasks.start_soon(self._renew_server, server_id)
-            relief_due = now_s - planned_s >= self._settings.plan_interval_s
-            await self._plan(tasks, with_relief=relief_due)
-            if relief_due:
-                planned_s = now_s
-            await self._wake.wait(0.1)
-
-    async def _watch_list(self) -> None:
-        """Wakes the planning when the list of servers changes."""
-        while True:
-            await self._book.changed.wait(60)
-            self._wake.notify()
-
-    async def _check_after_standstill(self, now_s: float) -> None:
-        """Hears from the log before anything is ordered again."""
-        self._journal.lifecycle(
-            "standstill",
-            service=self._service,
-            for_s=round(now_s - self._stepped_s, 3),
-        )
-        while not await self._follower.catch_up():
-            await anyio.sleep(self._settings.order_pause_s)
-        await self._catch_up()
+    def is_lost(self, server_id: ids.ServerId) -> bool:
+        """Whether a server has been silent until its lease ran out."""
+        return server_id in self._silent and self._may_hold_no_more(server_id)
 
-    def _owners(self) -> set[ids.ServerId]:
-        """Returns the servers that hold ranges for sure."""
-        return {
-            r.owner
-            for r in self._ranges
-            if r.owner and r.first_key not in self._moving
-        }
+    async def renew(
+        self,
+        server_id: ids.ServerId,
+        ranges: Iterable[keymap.KeyRange],
+        still_holds: Callable[[keymap.KeyRange], bool],
+    ) -> None:
+        """Renews ranges of a server, unless it is silent.
 
-    async def _renew_server(self, server_id: ids.ServerId) -> None:
-        """Renews all ranges of a server, unless it is silent."""
+        Args:
+            server_id: The server.
+            ranges: What it holds.
+            still_holds: Asked before each order, since a range may have been
+                moved while the orders before it were answered.
+        """
         server = self._book.get(server_id)
         if server is None:
             return
@@ -338,14 +105,65 @@
             # Each further order could prolong the lease of a server that
             # nobody reaches; its keys go elsewhere sooner without.
             return
-        for key_range in self._ranges:
-            if key_range.owner != server_id:
-                continue
-            if key_range.prior_owner or key_range.first_key in self._moving:
+        for key_range in ranges:
+            if not still_holds(key_range):
                 continue
-            if not await self._renew_range(server, key_range):
+            if not await self._renew_range(server, key_range, still_holds):
                 return
 
+    async def take_back(
+        self, prior: ids.ServerId, key_range: keymap.KeyRange
+    ) -> str:
+        """Waits until a server holds a range no longer.
+
+        Returns:
+            What makes the next owner start warm; empty if there is nothing.
+        """
+        while True:
+            if self._book.has_ended(prior) or self._may_hold_no_more(prior):
+                return ""
+            server = self._book.get(prior)
+            if server is None:
+                # Not on our list, which may be old: it may run all the same.
+                await anyio.sleep(self._settings.order_pause_s)
+                continue
+            result: attempts.ReleaseResult = attempts.NoReply("too slow")
+            with anyio.move_on_after(self._settings.release_timeout_s):
+                result = await self._client.release(
+                    server.listed,
+                    key_range.first_key,
+                    key_range.last_key,
+                    key_range.token,
+                )
+            self._count("release", result)
+            if isinstance(result, attempts.Released):
+                return result.handover
+            if isinstance(result, attempts.Gone):
+                self._book.end(prior, result.reason)
+                return ""
+            await anyio.sleep(self._settings.order_pause_s)
+
+    async def give(self, key_range: keymap.KeyRange, handover: str) -> bool:
+        """Grants a range to its new owner; returns whether it holds it."""
+        for _ in range(self._settings.give_tries):
+            server = self._book.get(key_range.owner)
+            if server is None:
+                return False
+            result = await self._grant(server, key_range, handover)
+            if isinstance(result, attempts.Granted):
+                return True
+            if isinstance(result, attempts.Gone):
+                self._book.end(key_range.owner, result.reason)
+                return False
+            if isinstance(result, attempts.Outranked):
+                self.outranked.add(key_range.owner)
+                return False
+            if server.unlisted:
+                break
+            await anyio.sleep(self._settings.order_pause_s)
+        self._note_silent(key_range.owner, "it does not take a range")
+        return False
+
     async def _hear_again(self, server: servers_lib.Server) -> bool:
         """Returns whether a silent server can be reached again."""
         reached = False
@@ -359,12 +177,15 @@
         return reached
 
     async def _renew_range(
-        self, server: servers_lib.Server, key_range: keymap.KeyRange
+        self,
+        server: servers_lib.Server,
+        key_range: keymap.KeyRange,
+        still_holds: Callable[[keymap.KeyRange], bool],
     ) -> bool:
         """Renews one range; returns whether the server goes on."""
         server_id = server.listed.server_id
         result = await self._grant(server, key_range, "")
-        if isinstance(result, attempts.NoReply):
+        if isinstance(result, attempts.NoReply) and still_holds(key_range):
             # One lost packet is no reason to give a server up.
             result = await self._grant(server, key_range, "")
         if isinstance(result, attempts.Granted):
@@ -372,7 +193,7 @@
         if isinstance(result, attempts.Gone):
             self._book.end(server_id, result.reason)
         elif isinstance(result, attempts.Outranked):
-            self._outranked.add(server_id)
+            self.outranked.add(server_id)
             self._journal.decision(
                 "token_outranked",
                 service=self._service,
@@ -398,9 +219,7 @@
         handover: str,
     ) -> attempts.GrantResult:
         """Gives or renews one range."""
-        lease_ms = min(
-            self._settings.lease_ms, self._instance.bounds.lease_max_ms
-        )
+        lease_ms = min(self._settings.lease_ms, self._bounds.lease_max_ms)
         result: attempts.GrantResult = attempts.NoReply("no answer in time")
         with anyio.move_on_after(self._settings.grant_timeout_s):
             result = await self._client.grant(
@@ -415,13 +234,7 @@
         server_id = server.listed.server_id
         until_s = self._clock.monotonic_s() + self._lease_s()
         self._held_until_s[server_id] = until_s
-        self._metrics.grants.inc(
-            {
-                "service": self._service,
-                "order": "grant",
-                "result": type(result).__name__,
-            }
-        )
+        self._count("grant", result)
         return result
 
     def _lease_s(self) -> float:
@@ -431,246 +244,19 @@
             self._settings.expiry_margin_s
         )
 
-    def _takers(self) -> list[model.BackendServer]:
-        """Returns the servers that can take keys."""
+    def _may_hold_no_more(self, server_id: ids.ServerId) -> bool:
+        """Whether every lease that a server may have been given is over."""
         now_s = self._clock.monotonic_s()
-        return [
-            server.listed
-            for server in self._book.of_service(self._service)
-            if self._book.is_staying(server, now_s)
-            and not self._is_lost(server.listed.server_id, now_s)
-        ]
-
-    def _is_lost(self, server_id: ids.ServerId, now_s: float) -> bool:
-        """Whether a server has been silent until its lease ran out."""
-        return server_id in self._silent and now_s >= self._held_until_s.get(
-            server_id, 0.0
-        )
+        return now_s >= self._held_until_s.get(server_id, 0.0)
 
-    async def _plan(
-        self, tasks: anyio.abc.TaskGroup, *, with_relief: bool
+    def _count(
+        self, order: str, result: attempts.GrantResult | attempts.ReleaseResult
     ) -> None:
-        """Moves keys away from servers that leave, and off busy ones."""
-        takers = self._takers()
-        if not takers or not self._list_is_fresh():
-            return
-        self._loads.advance(takers, self._clock.monotonic_s())
-        rooms = self._loads.rooms(takers)
-        still = tuple(
-            r for r in self._ranges if r.first_key not in self._moving
-        )
-        moves: tuple[planner.Move, ...] = ()
-        reason = "owner leaves or is gone"
-        if any(r.owner not in rooms for r in still):
-            load = self._loads.slow_load()
-            moves = planner.plan_evacuation(still, load, rooms)
-            moves = tuple(m for m in moves if self._may_move_now(m))
-        if not moves and with_relief and not self._moving:
-            moves = self._plan_relief(rooms)
-            reason = "owner is busier than others"
-        if moves or self._outranked:
-            await self._move(tasks, moves, reason)
-        elif self._unwritten_since_s is not None and not self._moving:
-            await self._write_settled()
-
-    async def _write_settled(self) -> None:
-        """Writes down that moves have ended, once things are quiet.
-
-        An instance that starts later need not ask itself who holds the keys,
-        and a coordinator that follows need not carry the moves out again.
-        """
-        now_s = self._clock.monotonic_s()
-        since_s = self._unwritten_since_s
-        if since_s is None or now_s - since_s < self._settings.settled_rest_s:
-            return
-        if await self._append(self._ranges):
-            self._unwritten_since_s = None
-
-    def _plan_relief(
-        self, rooms: dict[ids.ServerId, float]
-    ) -> tuple[planner.Move, ...]:
-        """Returns moves off busy servers."""
-        now_s = self._clock.monotonic_s()
-        settings = self._plan_settings
-        fast = self._loads.fast_load()
-        if now_s - self._hot_moved_s >= settings.hot_key_rest_s:
-            hot = planner.plan_hot_key(self._ranges, fast, rooms, settings)
-            if hot is not None:
-                self._hot_moved_s = now_s
-                return (hot,)
-        moves = planner.plan_relief(
-            self._ranges, fast, rooms, settings, settings.urgent
-        )
-        if moves or now_s - self._relieved_s < settings.relief_rest_s:
-            return moves
-        self._relieved_s = now_s
-        return planner.plan_relief(
-            self._ranges,
-            self._loads.slow_load(),
-            rooms,
-            settings,
-            settings.steady,
-        )
-
-    def _may_move_now(self, move: planner.Move) -> bool:
-        """Whether nothing that is under way stands against a move."""
-        return not any(
-            r.first_key in self._moving
-            for r in self._ranges
-            if r.first_key <= move.last_key and move.first_key <= r.last_key
-        )
-
-    # Moving.
-
-    async def _move(
-        self,
-        tasks: anyio.abc.TaskGroup,
-        moves: tuple[planner.Move, ...],
-        reason: str,
-    ) -> None:
-        """Writes moves into the log, and carries them out after that."""
-        version = self._version + 1
-        ranges = self._ranges
-        for move in moves:
-            ranges = keymap.assign(ranges, *move, version)
-        outranked = set(self._outranked)
-        ranges = tuple(
-            r._replace(token=version, prior_owner=r.owner)
-            if r.owner in outranked and r.first_key not in self._moving
-            else r
-            for r in ranges
-        )
-        if not await self._append(ranges):
-            return
-        self._outranked -= outranked
-        for move in moves:
-            self._journal.decision(
-                "keys_move",
-                service=self._service,
-                first_key=move.first_key,
-                last_key=move.last_key,
-                to=move.owner,
-                version=version,
-                reason=reason,
-            )
-        for key_range in self._ranges:
-            if key_range.token == version:
-                self._start_move(tasks, key_range)
-
-    def _resume_moves(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Carries out the moves of a map that was adopted or founded."""
-        for key_range in self._ranges:
-            if key_range.prior_owner or key_range.token == self._version:
-                self._start_move(tasks, key_range)
-
-    def _start_move(
-        self, tasks: anyio.abc.TaskGroup, key_range: keymap.KeyRange
-    ) -> None:
-        """Starts the task that carries one move out."""
-        if not key_range.owner:
-            return
-        self._moving.add(key_range.first_key)
-        tasks.start_soon(self._carry_out, key_range)
-
-    async def _carry_out(self, key_range: keymap.KeyRange) -> None:
-        """Takes a range from its old owner and gives it to the new one."""
-        begun_s = self._clock.monotonic_s()
-        try:
-            handover = ""
-            prior = key_range.prior_owner
-            if prior and prior != key_range.owner:
-                handover = await self._take_back(prior, key_range)
-            granted = await self._give(key_range, handover)
-        finally:
-            self._moving.discard(key_range.first_key)
-            self._wake.notify()
-        self._metrics.keys_moved.add({"service": self._service}, key_range.size)
-        self._journal.decision(
-            "keys_moved",
-            service=self._service,
-            first_key=key_range.first_key,
-            last_key=key_range.last_key,
-            prior=prior,
-            to=key_range.owner,
-            token=key_range.token,
-            warm=bool(handover),
-            granted=granted,
-            took_ms=round((self._clock.monotonic_s() - begun_s) * 1_000),
-        )
-        if granted and prior:
-            self._publish_settled(key_range)
-
-    async def _take_back(
-        self, prior: ids.ServerId, key_range: keymap.KeyRange
-    ) -> str:
-        """Waits until a server holds a range no longer.
-
-        Returns:
-            What makes the next owner start warm; empty if there is nothing.
-        """
-        while True:
-            now_s = self._clock.monotonic_s()
-            if self._book.has_ended(prior):
-                return ""
-            if now_s >= self._held_until_s.get(prior, 0.0):
-                return ""
-            server = self._book.get(prior)
-            if server is None:
-                # Not on our list, which may be old: it may run all the same.
-                await anyio.sleep(self._settings.order_pause_s)
-                continue
-            result: attempts.ReleaseResult = attempts.NoReply("too slow")
-            with anyio.move_on_after(self._settings.release_timeout_s):
-                result = await self._client.release(
-                    server.listed,
-                    key_range.first_key,
-                    key_range.last_key,
-                    key_range.token,
-                )
-            self._metrics.grants.inc(
-                {
-                    "service": self._service,
-                    "order": "release",
-                    "result": type(result).__name__,
-                }
-            )
-            if isinstance(result, attempts.Released):
-                return result.handover
-            if isinstance(result, attempts.Gone):
-                self._book.end(prior, result.reason)
-                return ""
-            await anyio.sleep(self._settings.order_pause_s)
-
-    async def _give(self, key_range: keymap.KeyRange, handover: str) -> bool:
-        """Grants a range to its new owner; returns whether it holds it."""
-        for _ in range(self._settings.give_tries):
-            server = self._book.get(key_range.owner)
-            if server is None:
-                return False
-            result = await self._grant(server, key_range, handover)
-            if isinstance(result, attempts.Granted):
-                self._settle(key_range)
-                return True
-            if isinstance(result, attempts.Gone):
-                self._book.end(key_range.owner, result.reason)
-                return False
-            if isinstance(result, attempts.Outranked):
-                self._outranked.add(key_range.owner)
-                return False
-            if server.unlisted or self._superseded:
-                break
-            await anyio.sleep(self._settings.order_pause_s)
-        self._note_silent(key_range.owner, "it does not take a range")
-        return False
-
-    def _settle(self, key_range: keymap.KeyRange) -> None:
-        """Keeps that the owner of a range holds it."""
-        self._ranges = tuple(
-            r._replace(prior_owner=keymap.NO_SERVER)
-            if r.first_key == key_range.first_key and r.token == key_range.token
-            else r
-            for r in self._ranges
+        """Counts an order."""
+        self._metrics.grants.inc(
+            {
+                "service": self._service,
+                "order": order,
+                "result": type(result).__name__,
+            }
         )
-        if key_range.prior_owner:
-            self._unwritten_since_s = self._clock.monotonic_s()
-        self._table.settle(self._service, key_range.token, key_range.first_key)
--- a/libs/bridgecross-entry/tests/test_leadership.py
+++ b/libs/bridgecross-entry/tests/test_leadership.py
@@ -128,3 +128,16 @@
     member = Member(fakes.MemoryLog(), 1)
     assert member.leadership.hear(leadership.Claim(5, "entry-2"))
     assert not member.leadership.hear(leadership.Claim(4, "entry-3"))
+
+
+async def test_a_leader_that_has_been_followed_by_another_finds_out():
+    platform_log = fakes.MemoryLog()
+    async with _running(2, platform_log) as members:
+        await fakes.until(lambda: len(_leaders(members)) == 1)
+        (first,) = _leaders(members)
+        first.heard_by = []
+        for other in first.others:
+            other.heard_by = []
+        await fakes.until(lambda: len(_leaders(members)) == 2)
+        await first.leadership.confirm()
+        assert not first.leadership.is_leader
