Test the life of a request in named cases

25 cases with backends that answer by script: what is told is the truth, timeouts of route and caller, callers who leave, the budget, keys on the move, denied, without an owner, servers that left. One expectation was wrong when first written: two attempts beyond max_attempts are allowed if nothing ran.

--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_dispatch.py
@@ -0,0 +1,266 @@
+import dataclasses
+
+import anyio
+import entry_support as support
+import pytest
+
+from bridgecross_core import clock
+from bridgecross_core import ids
+from bridgecross_core import outcomes
+from bridgecross_entry import attempts
+from bridgecross_entry import dispatch
+from bridgecross_entry import keymap
+from bridgecross_entry import metrics
+from bridgecross_entry import model
+from bridgecross_entry import servers
+
+pytestmark = pytest.mark.anyio
+
+OK = outcomes.Answered(200, (), b"whole")
+FAILED = outcomes.Answered(500, (), b"")
+SHED = attempts.Shed(503)
+BROKEN = attempts.Interrupted("reset")
+REFUSED = attempts.NotSent("refused", refused=True)
+UNSENT = attempts.NotSent("timeout")
+DENIED = attempts.NotOwner("")
+
+
+class Backends:
+    """An ``attempts.BackendClient`` that answers by script."""
+
+    def __init__(self, *script: attempts.Attempt | None) -> None:
+        self.script = list(script)
+        self.sent: list[str] = []
+        self.left_ms: list[float] = []
+        self.cancelled = 0
+
+    async def send(self, server, request, left_ms):
+        self.sent.append(server.server_id)
+        self.left_ms.append(left_ms)
+        answer = self.script.pop(0)
+        if answer is not None:
+            return answer
+        try:
+            await anyio.sleep(10)
+        except BaseException:
+            self.cancelled += 1
+            raise
+
+    def is_connected(self, server):
+        return True
+
+    def sweep(self, known):
+        return
+
+
+class Scene:
+    """A dispatcher with two servers and one route."""
+
+    def __init__(
+        self,
+        backends: Backends,
+        *,
+        keyed: bool = False,
+        bounds: model.Bounds | None = None,
+        idempotent: bool = True,
+        timeout_ms: float = 500,
+    ) -> None:
+        real = clock.SystemClock()
+        journal = support.make_journal(real)
+        bounds = bounds or support.BOUNDS
+        self.book = servers.ServerBook(
+            servers.ServerSettings(), bounds, journal, real
+        )
+        for name in ("a", "b"):
+            self.book.put(support.make_server(name))
+        self.table = keymap.KeyTable(journal)
+        self.dispatcher = dispatch.Dispatcher(
+            dispatch.DispatchSettings(),
+            dataclasses.replace(support.INSTANCE, bounds=bounds),
+            self.book,
+            self.table,
+            backends,
+            journal,
+            metrics.Metrics(),
+            real,
+        )
+        self.dispatcher.configure(
+            support.make_configuration(
+                support.make_route(
+                    idempotent=idempotent, timeout_ms=timeout_ms
+                ),
+                keyed=keyed,
+            )
+        )
+
+    def put_map(self, version: int, *ranges: keymap.KeyRange) -> None:
+        self.table.put(
+            keymap.KeyMap(
+                ids.ServiceName("rapor"),
+                version,
+                ids.InstanceId("i"),
+                support.INSTANCE.peer_address,
+                ranges,
+            ),
+            "test",
+        )
+
+    async def ask(self, *, path="/a/x", patience_ms=400.0):
+        request = attempts.EntryRequest(
+            request_id="id1",
+            method=b"GET",
+            target=path.encode(),
+            path=path,
+            host="h.example",
+            headers=(),
+            body=b"",
+            key=7,
+            received_s=clock.SystemClock().monotonic_s(),
+            patience_ms=patience_ms,
+        )
+        return await self.dispatcher.run(request)
+
+
+def _owned_by(name, token=1, prior=""):
+    return keymap.KeyRange(
+        0, keymap.LAST_KEY, ids.ServerId(name), token, ids.ServerId(prior)
+    )
+
+
+@pytest.mark.parametrize(
+    ("script", "idempotent", "status", "sent"),
+    [
+        pytest.param([OK], False, 200, 1, id="answered"),
+        pytest.param([BROKEN], False, 502, 1, id="may have run"),
+        pytest.param([BROKEN, OK], True, 200, 2, id="repeated"),
+        pytest.param([BROKEN, BROKEN], True, 502, 2, id="broken twice"),
+        pytest.param([SHED, OK], False, 200, 2, id="shed, not run"),
+        pytest.param([SHED] * 4, False, 503, 4, id="shed by all"),
+        pytest.param([UNSENT, OK], False, 200, 2, id="never sent"),
+        pytest.param([SHED, BROKEN], False, 502, 2, id="shed, then broken"),
+        pytest.param([FAILED], False, 500, 1, id="failed, not repeated"),
+        pytest.param([FAILED, OK], True, 200, 2, id="failed, repeated"),
+        pytest.param([FAILED, FAILED], True, 500, 2, id="failed twice"),
+        pytest.param(
+            [FAILED, SHED, SHED, SHED], True, 500, 4, id="failed, shed"
+        ),
+    ],
+)
+async def test_what_is_told_is_the_truth(script, idempotent, status, sent):
+    backends = Backends(*script)
+    outcome = await Scene(backends, idempotent=idempotent).ask()
+    assert outcome.status == status
+    assert len(backends.sent) == sent
+    if status == 503:
+        assert isinstance(outcome, outcomes.NotRun)
+        assert outcome.retry_after_ms > 0
+
+
+async def test_a_second_attempt_goes_to_another_server():
+    backends = Backends(SHED, OK)
+    await Scene(backends).ask()
+    assert set(backends.sent) == {"a", "b"}
+
+
+async def test_a_server_whose_address_refuses_has_ended():
+    backends = Backends(REFUSED, OK)
+    scene = Scene(backends)
+    await scene.ask()
+    assert scene.book.has_ended(ids.ServerId(backends.sent[0]))
+
+
+async def test_nothing_is_told_to_be_missing_before_there_is_a_configuration():
+    scene = Scene(Backends())
+    scene.dispatcher.routes = None
+    assert (await scene.ask()).status == 503
+
+
+async def test_an_unknown_path_is_told_as_such():
+    assert (await Scene(Backends()).ask(path="/b/x")).status == 404
+
+
+@pytest.mark.parametrize(
+    ("timeout_ms", "patience_ms"),
+    [
+        pytest.param(60, 5_000.0, id="of the route"),
+        pytest.param(5_000, 60.0, id="of the caller"),
+    ],
+)
+async def test_the_shorter_time_bounds_everything(timeout_ms, patience_ms):
+    backends = Backends(None)
+    scene = Scene(backends, timeout_ms=timeout_ms)
+    with anyio.fail_after(0.5):
+        outcome = await scene.ask(patience_ms=patience_ms)
+    assert outcome == outcomes.Unknown("no answer came in time", 504)
+    assert backends.cancelled == 1
+    assert backends.left_ms[0] <= 60
+
+
+async def test_a_caller_that_leaves_stops_the_attempt():
+    backends = Backends(None)
+    scene = Scene(backends)
+    with anyio.move_on_after(0.05):
+        await scene.ask()
+    assert backends.cancelled == 1
+    assert scene.dispatcher.in_flight_count == 0
+
+
+async def test_nothing_is_sent_again_once_the_budget_is_spent():
+    bounds = dataclasses.replace(
+        support.BOUNDS, retry_ratio=0.0, retry_slack=0.0
+    )
+    backends = Backends(SHED, OK)
+    outcome = await Scene(backends, bounds=bounds).ask()
+    assert outcome.status == 503
+    assert len(backends.sent) == 1
+
+
+async def test_a_request_goes_to_the_owner_of_its_key():
+    backends = Backends(OK)
+    scene = Scene(backends, keyed=True)
+    scene.put_map(1, _owned_by("b"))
+    await scene.ask()
+    assert backends.sent == ["b"]
+
+
+async def test_a_request_waits_for_the_move_of_its_key():
+    backends = Backends(OK)
+    scene = Scene(backends, keyed=True)
+    scene.put_map(2, _owned_by("b", 2, "a"))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(scene.ask)
+        await anyio.sleep(0.05)
+        assert not backends.sent
+        scene.table.settle(ids.ServiceName("rapor"), 2, 0)
+    assert backends.sent == ["b"]
+
+
+async def test_a_denied_request_follows_the_key():
+    backends = Backends(DENIED, OK)
+    scene = Scene(backends, keyed=True)
+    scene.put_map(1, _owned_by("a"))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(scene.ask)
+        await anyio.sleep(0.02)
+        scene.put_map(2, _owned_by("b", 2))
+    assert backends.sent == ["a", "b"]
+
+
+async def test_a_key_without_an_owner_is_told_at_once():
+    scene = Scene(Backends(), keyed=True)
+    scene.put_map(1, _owned_by("gone"))
+    with anyio.fail_after(0.15):
+        outcome = await scene.ask()
+    assert isinstance(outcome, outcomes.NotRun)
+    assert outcome.retry_after_ms > 0
+
+
+async def test_no_request_goes_to_a_server_that_left_for_long():
+    backends = Backends(OK, OK)
+    scene = Scene(backends)
+    scene.book.put(support.make_server("a", leaving=True))
+    left = scene.book.get(ids.ServerId("a"))
+    left.leaving_since_s -= 3
+    for _ in range(2):
+        await scene.ask()
+    assert backends.sent == ["b", "b"]
