--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 LIBS := core log settings timeline ownership request entry daemon cli standins
 
-.PHONY: demo test check setup bench
+.PHONY: demo site test check setup bench
 
 setup: $(VENV)/installed
 
@@ -20,6 +20,9 @@
 demo: setup
 	$(BIN)/bridgecross-demo
 
+site: setup
+	$(BIN)/python -m bridgecross_platform.standins.site
+
 test: setup
 	PYTHONHASHSEED=0 $(BIN)/pytest libs platform tests/matrix
 	$(BIN)/pytest --numprocesses 2 tests/test_house.py
