Tell the others of the leader's own key maps, and look before writing over one

Two maps of version 23 came about while instances were stopped in turn: the leader moved its reading past its own appends without taking them in, so they were missing from what it told the others, together with the offset after them. A peer that missed the push claimed next, with an offset that fitted and a map that was one version old.

Ruled out: late grants and store trouble (none at that time), releases (none was answered), the wait for leases (it ran from the takeover, for a coordinator that no longer was the only one).

Change: own appends are taken in like read ones, and so are told; a coordinator reads the newest maps from the log itself before its first write.

Tests: both failed before.

--- a/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
@@ -150,20 +150,25 @@
     async def _claim(self) -> bool:
         """Writes a map with this instance as coordinator."""
         begun_s = self._clock.monotonic_s()
-        while True:
-            await self._follower.catch_up()
-            newest = self._table.newest(self._service)
-            if not self._list_is_fresh():
-                pass
-            elif newest is not None:
-                self._adopt(newest)
-                if await self._append(self._ranges):
+        while not self._superseded:
+            if self._may_claim(begun_s) and await self._follower.start_over():
+                newest = self._table.newest(self._service)
+                if newest is None:
+                    claimed = await self._found()
+                else:
+                    self._adopt(newest)
+                    claimed = await self._append(self._ranges)
+                if claimed:
                     return True
-            elif self._list_is_complete(begun_s) and await self._found():
-                return True
-            if self._superseded:
-                return False
             await anyio.sleep(self._settings.log_pause_s)
+        return False
+
+    def _may_claim(self, begun_s: float) -> bool:
+        """Whether enough is known to write a map."""
+        if not self._list_is_fresh():
+            return False
+        known = self._table.newest(self._service) is not None
+        return known or self._list_is_complete(begun_s)
 
     def _list_is_complete(self, begun_s: float) -> bool:
         """Whether the list of servers seems to be all there."""
@@ -217,8 +222,8 @@
         if isinstance(result, logs.Appended):
             self._version = new.version
             self._ranges = new.ranges
-            self._follower.note_own_append(result.offset)
             self._table.put(new, "written")
+            self._follower.note_own_append(result.offset, record)
             await self._publish_map(new)
             return True
         self._journal.decision(
--- a/libs/bridgecross-entry/src/bridgecross_entry/log.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/log.py
@@ -244,10 +244,23 @@
             self._on_read()
         return True
 
-    def note_own_append(self, offset: int) -> None:
-        """Moves past a record that this process appended itself."""
+    def note_own_append(self, offset: int, record: KeyedRecord) -> None:
+        """Takes in a record that this process appended itself.
+
+        It is taken like one that was read: whoever is told where to read on
+        from must be told of it as well.
+        """
         if self.next_offset == offset:
             self.next_offset = offset + 1
+            self._take_changes((record,))
+
+    async def start_over(self) -> bool:
+        """Reads the newest records again; returns whether the log answered.
+
+        What others told may have left a record out; before something is
+        written on top of the newest one, it is looked up in the log itself.
+        """
+        return await self._start()
 
     async def _start(self) -> bool:
         """Reads the newest record of every key."""
--- a/libs/bridgecross-entry/tests/test_beliefs.py
+++ b/libs/bridgecross-entry/tests/test_beliefs.py
@@ -43,12 +43,13 @@
             servers.ServerSettings(), support.BOUNDS, journal, real
         )
         self.versions: list[int] = []
+        self.table = keymap.KeyTable(journal)
         self.beliefs = beliefs.Beliefs(
             beliefs.BeliefSettings(),
             platform_log,
             Decoder(),
             self.book,
-            keymap.KeyTable(journal),
+            self.table,
             lambda new: self.versions.append(new.version),
             journal,
             real,
@@ -158,3 +159,23 @@
     _add(platform_log, "servers", "b", b"rapor")
     await reader.read()
     assert not reader.beliefs._servers.news
+
+
+async def test_what_one_appends_itself_the_others_are_told(platform_log):
+    reader, told = Reader(platform_log), Reader(platform_log)
+    await reader.read()
+    await told.read()
+    reader.beliefs.take_news()
+    key_map = keymap.KeyMap(
+        fakes.SERVICE,
+        1,
+        ids.InstanceId("i"),
+        support.INSTANCE.peer_address,
+        (keymap.KeyRange(0, keymap.LAST_KEY, ids.ServerId("a"), 1),),
+    )
+    record = log.KeyedRecord(fakes.SERVICE, keymap.encode(key_map))
+    follower = reader.beliefs.key_follower
+    appended = await platform_log.append(beliefs.KEY_TOPIC, record, 0)
+    follower.note_own_append(appended.offset, record)
+    told.beliefs.take_relayed(reader.beliefs.take_news())
+    assert told.table.newest(fakes.SERVICE) == key_map
--- a/libs/bridgecross-entry/tests/test_coordinator.py
+++ b/libs/bridgecross-entry/tests/test_coordinator.py
@@ -202,3 +202,37 @@
             return moved and not any(r.prior_owner for r in newest.ranges)
 
         await fakes.until(is_written)
+
+
+async def test_a_coordinator_writes_on_top_of_a_map_that_it_was_not_told_of():
+    """It was told where the log ends, but not of the last map.
+
+    Two maps of the same version came about, and two owners of a key.
+    """
+    platform_log, lease_servers, first = _make("a", "b")
+    async with _running(first):
+        await fakes.until(lambda: lease_servers.holder(KEY) == "a")
+        second = fakes.Bench(platform_log, lease_servers, "entry-2")
+        for name in "ab":
+            second.book.put(support.make_server(name))
+        await second.follower.catch_up()
+        first.book.put(support.make_server("a", leaving=True))
+        await fakes.until(lambda: lease_servers.holder(KEY) == "b")
+        second.follower.next_offset = first.follower.next_offset
+    seen = first.table.newest(fakes.SERVICE)
+    assert seen is not None
+    async with _running(second):
+        await fakes.until(
+            lambda: (
+                keymap.decode(
+                    platform_log.records[fakes.TOPIC][-1].value
+                ).coordinator
+                == "entry-2"
+            )
+        )
+        versions = [
+            keymap.decode(record.value).version
+            for record in platform_log.records[fakes.TOPIC]
+        ]
+    assert versions == sorted(set(versions))
+    assert not lease_servers.overlaps
