Handle signals until the process ends

The receiver of signals was closed by the first SIGTERM, so SIGHUP, or a second SIGTERM, did what it does by default: it ended the process at once, and with it the requests that still ran.

Ruled out: a crash (no task_failed, no traceback), the kill after the grace time (0.25 s after SIGTERM).

--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -124,6 +124,7 @@
             clock,
         )
         self._make_listeners()
+        self._stop_asked = anyio.Event()
         self._stopping = False
 
     def _make_listeners(self) -> None:
@@ -164,18 +165,24 @@
             self._beliefs.start(tasks)
             self._duties.start(tasks)
             tasks.start_soon(tasks_lib.keep_running, self._sweep, self._journal)
-            await self._wait_for_stop()
+            tasks.start_soon(self._watch_signals)
+            await self._stop_asked.wait()
             await self._drain()
             tasks.cancel_scope.cancel()
         self._journal.lifecycle("stopped")
 
-    async def _wait_for_stop(self) -> None:
-        """Waits for the signal to stop, reloading on SIGHUP."""
+    async def _watch_signals(self) -> None:
+        """Takes signals until the process ends.
+
+        It goes on while the process drains: one that nobody handles would end
+        it at once, and with it the requests that still run.
+        """
         watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with anyio.open_signal_receiver(*watched) as received:
             async for number in received:
                 if number != signal.SIGHUP:
-                    return
+                    self._stop_asked.set()
+                    continue
                 # The parts of the settings that this process uses cannot
                 # change while it runs; nothing is cut.
                 self._journal.lifecycle("reloaded")
