Call a log that does not answer less, from one instance

Whenever the leader's word ended or the log was away, each of 78 instances read four topics by itself, every 0.3 to 1.2 s each, and tried to claim once a second.

Change: a circuit breaker in front of the log lets one call a pause find out whether it is back; a leader that has lost the log says so, and the others then read nothing and try to claim one after the other in turns of 0.5 s; the leader's word is waited for 1.5 s instead of 1.1 s; an instance that stops stays on the list, as most come back. Since news may be older, the time in which a leaving server may be used counts from when the list last said otherwise.

Tests: test_log_breaker.py, two cases of test_leadership.py, one of test_servers.py. The relay test of test_beliefs.py now takes its age from the setting that it tests.

--- a/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -183,12 +183,6 @@
             self._keys,
             self._instances,
         )
-        self._takers = {
-            self._servers.topic: self._take_servers,
-            self._configurations.topic: self._take_configurations,
-            self._keys.topic: self._take_maps,
-            self._instances.topic: self._take_instances,
-        }
         self._attach(
             self._servers,
             (0, settings.list_pause_s),
@@ -292,17 +286,21 @@
             )
             if feed is None:
                 continue
-            records = feed.follower.take_relayed(
+            feed.follower.take_relayed(
                 batch.first_offset, logs.Batch(batch.records, batch.next_offset)
             )
-            if records:
-                self._takers[feed.topic](records)
+
+    def take_lost(self) -> None:
+        """Takes it that the instance that reads for all has lost the log."""
+        for feed in self._feeds:
+            feed.follower.take_lost()
 
     # Servers.
 
     def _take_all_servers(self, records: tuple[logs.KeyedRecord, ...]) -> None:
         """Takes in the whole list of backend servers."""
         before = self._listed
+        self._book.heard_before_s = self.list_heard_s
         self._listed = {
             server.server_id: server
             for server in map(self._decode_server, records)
@@ -324,6 +322,7 @@
     def _take_servers(self, records: tuple[logs.KeyedRecord, ...]) -> None:
         """Takes in changes of the list; most change nothing."""
         newest = {record.key: record for record in records}
+        self._book.heard_before_s = self.list_heard_s
         for record in newest.values():
             server = self._decode_server(record)
             if server is not None:
--- a/libs/bridgecross-entry/src/bridgecross_entry/duties.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/duties.py
@@ -43,8 +43,9 @@
     # 0.4 ms there; 360 of them held up all else on 0.43 cores.
     reports_max_per_s: float = 90.0
     # The instance that reads the log tells the others after each read of the
-    # list; this is only how long it waits for one.
-    relay_wait_s: float = 1.0
+    # list; this is only how long it waits for one. Its word is its heartbeat,
+    # and others claim after 1.1 s without it.
+    relay_wait_s: float = 0.7
     # Ends of moves are gathered for this long before peers are told: requests
     # wait for them, and moves come in groups.
     settled_wait_s: float = 0.005
@@ -146,16 +147,17 @@
         )
 
     async def give_up(self) -> None:
-        """Lets another instance lead; goes on coordinating until it does."""
+        """Lets another instance lead; goes on coordinating until it does.
+
+        It stays on the list of instances. Most stops are restarts; the leader
+        takes off whoever does not come back.
+        """
         self._stopping = True
         if self._leadership.is_leader:
             claim = self._leadership.resign()
             await self._relay_to_peers(
-                peers.Relay(claim, resigns=True, batches=())
+                peers.Relay(claim, resigns=True, log_lost=False, batches=())
             )
-        own = str(self._platform.peer_address)
-        gone = logs.KeyedRecord(own, b"")
-        await self._log.put(beliefs.INSTANCE_TOPIC, gone)
 
     def match_coordinators(self) -> None:
         """Starts and stops coordinators as this instance leads or not."""
@@ -183,11 +185,16 @@
             self._set_instances()
             if not self._leadership.is_leader:
                 self._beliefs.stop_telling()
-            elif self._beliefs.list_is_fresh:
-                news = self._beliefs.take_news()
-                claim = self._leadership.claim
-                relay = peers.Relay(claim, resigns=False, batches=news)
-                await self._relay_to_peers(relay)
+            elif self._beliefs.is_complete:
+                await self._relay_to_peers(self._make_relay())
+
+    def _make_relay(self) -> peers.Relay:
+        """Returns the leader's word: what it read, or that it cannot."""
+        claim = self._leadership.claim
+        if not self._beliefs.list_is_fresh:
+            return peers.Relay(claim, resigns=False, log_lost=True, batches=())
+        news = self._beliefs.take_news()
+        return peers.Relay(claim, resigns=False, log_lost=False, batches=news)
 
     async def _relay_to_peers(self, relay: peers.Relay) -> None:
         """Tells every peer what was read."""
@@ -200,8 +207,11 @@
         """Takes what another instance read for all."""
         if relay.resigns:
             self._leadership.hear_resignation(relay.claim)
-        elif self._leadership.hear(relay.claim):
-            self._beliefs.take_relayed(relay.batches)
+        elif self._leadership.hear(relay.claim, log_lost=relay.log_lost):
+            if relay.log_lost:
+                self._beliefs.take_lost()
+            else:
+                self._beliefs.take_relayed(relay.batches)
 
     async def _keep_registered(self) -> None:
         """Keeps this instance on the list, and those that are gone off it."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -61,6 +61,11 @@
     weak_link_mbps: float = 20.0
     # The pause after a claim that the log did not take.
     retry_pause_s: float = 1.0
+    # While the leader has lost the log, the others find out one after the
+    # other, in turns of this length, whether they reach it. A try is a call,
+    # and most often the log is away for all; with 11 instances that half
+    # cannot reach it, another one leads after 1 s on the average.
+    lost_turn_s: float = 0.5
     # How often an instance looks whether it should claim.
     look_interval_s: float = 0.1
 
@@ -101,6 +106,8 @@
         # Until when nobody need claim for lack of the leader's word.
         self._patient_until_s = 0.0
         self._resigned = False
+        # Whether the leader has lost the log, by its own word.
+        self._leader_is_lost = False
 
     @property
     def term(self) -> int:
@@ -112,10 +119,10 @@
         await self._look_up_first()
         while True:
             now_s = self._clock.monotonic_s()
-            if not self.is_leader and not self._resigned:
-                turn_s = self._turn() * self._settings.turn_s
-                if now_s >= self._patient_until_s + turn_s:
-                    await self._try_claim()
+            silent_s = now_s - self._patient_until_s
+            may_claim = not self.is_leader and not self._resigned
+            if may_claim and silent_s >= 0 and silent_s >= self._turn_s():
+                await self._try_claim()
             await anyio.sleep(self._settings.look_interval_s)
 
     async def confirm(self) -> None:
@@ -127,15 +134,22 @@
                 self._follow(claim, self._settings.silence_s)
         await anyio.sleep(self._settings.look_interval_s)
 
-    def hear(self, claim: Claim) -> bool:
+    def hear(self, claim: Claim, *, log_lost: bool = False) -> bool:
         """Takes the word of a leader.
 
+        Args:
+            claim: Under which it leads.
+            log_lost: Whether it has lost the log itself.
+
         Returns:
             Whether it counts: that of an earlier term does not.
         """
         if claim.term < self._claim.term:
             return False
-        self._follow(claim, self._settings.silence_s)
+        went_on = log_lost and self._leader_is_lost
+        if claim.term > self._claim.term or not went_on:
+            self._follow(claim, self._settings.silence_s)
+        self._leader_is_lost = log_lost
         return claim.instance != self._instance.name
 
     def hear_resignation(self, claim: Claim) -> None:
@@ -153,18 +167,26 @@
         """The newest claim that is known."""
         return self._claim
 
-    def _turn(self) -> int:
-        """Returns how many instances claim before this one."""
-        own = str(self._instance.peer_address)
-        ranked = hashing.rank_by_rendezvous(
-            str(self.term), [own, *map(str, self._addresses())]
-        )
-        turn = min(ranked.index(own), self._settings.turns_max_count)
+    def _turn_s(self) -> float:
+        """Returns how long this instance lets others claim first."""
+        if self._leader_is_lost:
+            return self._rank() * self._settings.lost_turn_s
+        turn = min(self._rank(), self._settings.turns_max_count)
         weak = (
             self._instance.cores < self._settings.weak_cores
             or self._instance.link_mbps < self._settings.weak_link_mbps
         )
-        return turn + self._settings.weak_turns_count if weak else turn
+        if weak:
+            turn += self._settings.weak_turns_count
+        return turn * self._settings.turn_s
+
+    def _rank(self) -> int:
+        """Returns how many instances come before this one in this term."""
+        own = str(self._instance.peer_address)
+        ranked = hashing.rank_by_rendezvous(
+            str(self.term), [own, *map(str, self._addresses())]
+        )
+        return ranked.index(own)
 
     async def _look_up_first(self) -> None:
         """Reads who leads, when this instance starts."""
@@ -191,6 +213,10 @@
         )
         newest = await self._log.read_newest(TOPIC)
         if isinstance(newest, logs.Unreachable):
+            if self._leader_is_lost:
+                # The others come first before this one tries again.
+                count = len(set(self._addresses()))
+                self._patient_until_s += count * self._settings.lost_turn_s
             return
         seen = self._read(newest.records)
         if seen.term > self._claim.term:
@@ -210,6 +236,7 @@
             )
             return
         self._claim = claim
+        self._leader_is_lost = False
         self.is_leader = True
         self._journal.lifecycle("leads", term=claim.term)
         self._on_change()
--- a/libs/bridgecross-entry/src/bridgecross_entry/log.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/log.py
@@ -104,15 +104,14 @@
     wait_ms: float
     # The pause between reads. With a wait it only bounds the rate.
     pause_s: float
-    # The pause after a failed read, and the longest to which it doubles.
-    # While the log is away for all, each further call costs and finds
-    # nothing; once it is back, changes are due within 3 s and more.
+    # The pause after a failed read. How often the log is called while it does
+    # not answer is not decided here but by the circuit breaker before it.
     retry_pause_s: float = 0.3
-    retry_pause_max_s: float = 1.2
     # While another instance tells what it reads, this one reads nothing
-    # itself. Its word comes every 0.7 s; one that is this old is no longer
-    # waited for, so that a change is known within 2 s all the same.
-    relay_fresh_s: float = 1.1
+    # itself. Its word comes every 0.7 s, and when it ends, the next leader's
+    # after 1.4 s; one that is older is no longer waited for, so that a change
+    # is known within 2 s all the same.
+    relay_fresh_s: float = 1.5
     # How often that is looked at.
     relay_look_s: float = 0.1
 
@@ -164,7 +163,6 @@
 
     async def run(self) -> None:
         """Follows the topic until cancelled."""
-        retry_s = self._settings.retry_pause_s
         was_relayed = False
         while True:
             if self._is_relayed():
@@ -175,33 +173,34 @@
                 was_relayed = False
                 self._journal.decision("relay_lost", topic=self._settings.topic)
             if await self._step(self._settings.wait_ms):
-                retry_s = self._settings.retry_pause_s
                 await anyio.sleep(self._settings.pause_s)
             else:
-                await anyio.sleep(retry_s)
-                retry_s = min(2 * retry_s, self._settings.retry_pause_max_s)
+                await anyio.sleep(self._settings.retry_pause_s)
 
-    def take_relayed(
-        self, first_offset: int, batch: Batch
-    ) -> tuple[KeyedRecord, ...] | None:
-        """Takes what another instance read, if it leaves no gap.
+    def take_relayed(self, first_offset: int, batch: Batch) -> None:
+        """Takes what another instance read, unless some is missing before it.
 
         Args:
             first_offset: The offset from which it read.
             batch: What it read; records that change nothing may be left out.
-
-        Returns:
-            The records to take in; None if some are missing in between, or
-            if nothing was read here before.
         """
         if self.next_offset is None or first_offset > self.next_offset:
-            return None
+            return
         self.relayed_s = self._clock.monotonic_s()
+        if batch.next_offset > self.next_offset:
+            self.next_offset = batch.next_offset
+            if batch.records:
+                self._take_changes(batch.records)
         self._note_heard()
-        if batch.next_offset <= self.next_offset:
-            return ()
-        self.next_offset = batch.next_offset
-        return batch.records
+
+    def take_lost(self) -> None:
+        """Takes it that the instance that reads for this one has lost the log.
+
+        Most often the log is away for all. Whoever leads goes on trying.
+        """
+        if self.next_offset is not None:
+            self.relayed_s = self._clock.monotonic_s()
+            self._note_lost("the leader has lost it")
 
     def stop_waiting(self) -> None:
         """Reads by itself from now on, until it is told something again."""
@@ -236,10 +235,10 @@
             )
             self.next_offset = None
             return await self._start()
-        self._note_heard()
         self.next_offset = max(self.next_offset or 0, result.next_offset)
         if result.records:
             self._take_changes(result.records)
+        self._note_heard()
         if self._on_read is not None:
             self._on_read()
         return True
@@ -268,11 +267,11 @@
         if isinstance(result, Unreachable):
             self._note_lost(result.reason)
             return False
-        self._note_heard()
         # The leader will tell what comes next, if there is one.
         self.relayed_s = self._clock.monotonic_s()
         self.next_offset = result.end
         self._take_all(result.records)
+        self._note_heard()
         return True
 
     def _note_lost(self, reason: str) -> None:
--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -48,6 +48,8 @@
     claim: leadership.Claim
     # Whether this is the sender's last word, since it leaves.
     resigns: bool
+    # Whether the sender has lost the log itself; it then tells nothing.
+    log_lost: bool
     batches: tuple[beliefs.TopicBatch, ...]
 
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -20,6 +20,7 @@
 from bridgecross_entry import keymap
 from bridgecross_entry import listener
 from bridgecross_entry import log as logs
+from bridgecross_entry import log_breaker
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import model
 from bridgecross_entry import servers as servers_lib
@@ -77,7 +78,12 @@
         self._journal = journal
         self._platform = adapter.settings
         self._metrics = metrics_lib.Metrics()
-        self._log = adapter.make_log(self._metrics)
+        self._log = log_breaker.CircuitBreaker(
+            log_breaker.BreakerSettings(),
+            adapter.make_log(self._metrics),
+            journal,
+            clock,
+        )
         self._backend_client = adapter.make_backend_client()
         self._lease_client = adapter.make_lease_client()
         self._book = servers_lib.ServerBook(
--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -27,6 +27,9 @@
     # the list may still be used. The rest covers the age of what we read:
     # polls are 0.7 s apart.
     drain_use_ratio: float = 0.4
+    # The same part counted from when the list was last known not to say that
+    # the server leaves. After a change of the leader, news may be 1.6 s old.
+    drain_age_ratio: float = 0.75
     # How long entries that lapsed while the log was away may take to return.
     # The platform promises about two seconds.
     lapse_grace_s: float = 2.0
@@ -91,6 +94,8 @@
         self.joined_s = now_s
         # When it was first seen to be leaving, or gone from the list.
         self.leaving_since_s: float | None = None
+        # When the list was last known to say otherwise.
+        self.staying_until_s: float | None = None
         # Whether it is gone from the list.
         self.unlisted = False
         # Whether its run has certainly ended.
@@ -192,6 +197,8 @@
         """Knows no server yet."""
         self.settings = settings
         self.changed = pulse.Pulse()
+        # When the list was heard of before what is being taken in.
+        self.heard_before_s: float | None = None
         self._instance_count = settings.first_instance_count
         self._bounds = bounds
         self._journal = journal
@@ -238,6 +245,7 @@
             self._note_leaving(known, "it says that it is leaving")
         elif returned:
             known.leaving_since_s = None
+            known.staying_until_s = None
             self._journal.decision("server_returned", server=listed.server_id)
         self.changed.notify()
 
@@ -315,8 +323,12 @@
             return False
         if since_s is None:
             return True
-        use_s = self._bounds.drain_ms / 1_000 * self.settings.drain_use_ratio
-        return now_s < since_s + use_s
+        drain_s = self._bounds.drain_ms / 1_000
+        until_s = since_s + drain_s * self.settings.drain_use_ratio
+        if server.staying_until_s is not None:
+            age_s = drain_s * self.settings.drain_age_ratio
+            until_s = min(until_s, server.staying_until_s + age_s)
+        return now_s < until_s
 
     def is_staying(self, server: Server, now_s: float) -> bool:
         """Whether a server is expected to stay."""
@@ -362,6 +374,7 @@
         now_s = self._clock.monotonic_s()
         if server.leaving_since_s is None or server.leaving_since_s > now_s:
             server.leaving_since_s = now_s
+            server.staying_until_s = self.heard_before_s
             self._journal.decision(
                 "server_leaving",
                 server=server.listed.server_id,
--- a/libs/bridgecross-entry/tests/test_beliefs.py
+++ b/libs/bridgecross-entry/tests/test_beliefs.py
@@ -133,7 +133,7 @@
     told.beliefs.take_relayed(reader.beliefs.take_news())
     follower = told.beliefs.key_follower
     assert follower._is_relayed()
-    follower.relayed_s -= 1.2
+    follower.relayed_s -= follower._settings.relay_fresh_s
     assert not follower._is_relayed()
 
 
--- a/libs/bridgecross-entry/tests/test_leadership.py
+++ b/libs/bridgecross-entry/tests/test_leadership.py
@@ -18,6 +18,7 @@
     turn_s=0.02,
     retry_pause_s=0.05,
     look_interval_s=0.01,
+    lost_turn_s=0.1,
 )
 
 
@@ -141,3 +142,43 @@
         await fakes.until(lambda: len(_leaders(members)) == 2)
         await first.leadership.confirm()
         assert not first.leadership.is_leader
+
+
+async def test_while_the_leader_has_lost_the_log_the_others_try_in_turn():
+    platform_log = fakes.MemoryLog()
+    async with _running(4, platform_log) as members:
+        await fakes.until(lambda: len(_leaders(members)) == 1)
+        platform_log.away = True
+        calls = []
+        original = platform_log.read_newest
+
+        async def counted(topic):
+            calls.append(anyio.current_time())
+            return await original(topic)
+
+        platform_log.read_newest = counted
+        for _ in range(25):
+            leader = _leaders(members)[0]
+            for other in leader.heard_by:
+                other.leadership.hear(leader.leadership.claim, log_lost=True)
+            leader.heard_by, heard = [], leader.heard_by
+            await anyio.sleep(0.04)
+            leader.heard_by = heard
+        # A turn is 0.1 s here, and silence of 0.15 s goes before the first.
+        assert 2 <= len(calls) <= 9
+
+
+async def test_one_that_reaches_the_log_takes_over_from_a_leader_that_lost_it():
+    platform_log = fakes.MemoryLog()
+    async with _running(3, platform_log) as members:
+        await fakes.until(lambda: len(_leaders(members)) == 1)
+        first = _leaders(members)[0]
+        heard = first.heard_by
+        first.heard_by = []
+        others = [m for m in members if m is not first]
+        with anyio.fail_after(3):
+            while not _leaders(others):
+                for other in heard:
+                    other.leadership.hear(first.leadership.claim, log_lost=True)
+                await anyio.sleep(0.04)
+        assert _leaders(others)[0].leadership.term > 0
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_log_breaker.py
@@ -0,0 +1,95 @@
+import entry_fakes as fakes
+import entry_support as support
+import pytest
+
+from bridgecross_entry import log
+from bridgecross_entry import log_breaker
+
+pytestmark = pytest.mark.anyio
+
+SETTINGS = log_breaker.BreakerSettings(first_pause_s=0.3, longest_pause_s=1.2)
+RECORD = log.KeyedRecord("a", b"b")
+
+
+class CountingLog(fakes.MemoryLog):
+    """Counts the calls that reach it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.calls = 0
+
+    async def read_newest(self, topic):
+        self.calls += 1
+        return await super().read_newest(topic)
+
+    async def append(self, topic, record, expected_end):
+        self.calls += 1
+        return await super().append(topic, record, expected_end)
+
+    async def put(self, topic, record):
+        self.calls += 1
+        return await super().put(topic, record)
+
+
+@pytest.fixture
+def clock():
+    return support.ManualClock()
+
+
+@pytest.fixture
+def behind():
+    return CountingLog()
+
+
+@pytest.fixture
+def breaker(behind, clock):
+    journal = support.make_journal(clock)
+    return log_breaker.CircuitBreaker(SETTINGS, behind, journal, clock)
+
+
+async def test_one_call_a_pause_finds_out_whether_the_log_is_back(
+    breaker, behind, clock
+):
+    behind.away = True
+    tried_s = []
+    for _ in range(50):
+        before = behind.calls
+        await breaker.read_newest("topic")
+        await breaker.append("topic", RECORD, 0)
+        await breaker.put("topic", RECORD)
+        if behind.calls > before:
+            tried_s.append(round(clock.now_s - 1_000, 1))
+            assert behind.calls == before + 1
+        clock.now_s += 0.1
+    assert tried_s == [0.0, 0.3, 0.9, 2.1, 3.3, 4.5]
+
+
+async def test_an_answer_lets_all_calls_through_again(breaker, behind, clock):
+    behind.away = True
+    await breaker.read_newest("topic")
+    behind.away = False
+    clock.now_s += 0.3
+    assert isinstance(await breaker.read_newest("topic"), log.Newest)
+    assert isinstance(await breaker.append("topic", RECORD, 0), log.Appended)
+    assert await breaker.put("topic", RECORD)
+
+
+async def test_a_write_that_is_not_made_says_that_nothing_was_done(
+    breaker, behind
+):
+    behind.away = True
+    await breaker.read_newest("topic")
+    behind.away = False
+    result = await breaker.append("topic", RECORD, 0)
+    assert isinstance(result, log.Unreachable)
+    assert not await breaker.put("topic", RECORD)
+    assert not behind.records["topic"]
+
+
+async def test_a_lost_answer_to_a_write_does_not_keep_reads_away(
+    breaker, behind
+):
+    behind.lose_answer = True
+    result = await breaker.append("topic", RECORD, 0)
+    assert isinstance(result, log.Uncertain)
+    assert isinstance(await breaker.read_newest("topic"), log.Newest)
--- a/libs/bridgecross-entry/tests/test_servers.py
+++ b/libs/bridgecross-entry/tests/test_servers.py
@@ -37,6 +37,15 @@
     assert not book.may_use(server, clock.now_s + 1.0)
 
 
+def test_old_news_of_a_leaving_server_leaves_less_time_to_use_it(book, clock):
+    book.put(support.make_server("a"))
+    book.heard_before_s = clock.now_s - 1.4
+    book.put(support.make_server("a", leaving=True))
+    server = _server(book)
+    assert book.may_use(server, clock.now_s + 0.05)
+    assert not book.may_use(server, clock.now_s + 0.15)
+
+
 def test_an_entry_that_lapsed_with_the_log_gets_time_to_return(book, clock):
     book.put(support.make_server("a"))
     book.remove(NAME, log_was_away=True)
