--- a/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -94,6 +94,8 @@
         self._status = 0
         self._framed = False
         self._in_answer = False
+        # Whether the answer ends with its head, whatever length it names.
+        self._wants_head_only = False
         self.reusable = True
         self.idle_limit_s = settings.idle_timeout_s
 
@@ -134,6 +136,7 @@
         assert self._transport is not None  # by the pool
         self._result = asyncio.get_running_loop().create_future()
         self._accepts = accepts
+        self._wants_head_only = request.startswith(b"HEAD ")
         self._transport.write(request)
         try:
             return await self._result
@@ -194,6 +197,10 @@
         for header in self._headers:
             if header.name == b"keep-alive":
                 self._read_keep_alive(header.value)
+        if self._wants_head_only and self._status >= _FIRST_FINAL_STATUS:
+            # The parser takes it that a body follows, and is of no more use.
+            self.reusable = False
+            self._finish()
 
     def on_body(self, body: bytes) -> None:
         """Keeps a piece of the body."""
--- a/libs/bridgecross-entry/tests/test_exchange.py
+++ b/libs/bridgecross-entry/tests/test_exchange.py
@@ -3,6 +3,7 @@
 import socket
 import struct
 
+import anyio
 import pytest
 
 from bridgecross_core import clock
@@ -158,3 +159,16 @@
     result = await _ask(pool)
     assert isinstance(result, exchange.Unsent)
     assert result.refused
+
+
+async def test_the_answer_to_head_ends_with_its_head():
+    head = (OK % b"1").partition(b"ok")[0]
+    async with _serving([head], [OK % b"1"]) as (pool, used):
+        with anyio.fail_after(1):
+            reply = await pool.exchange(
+                b"HEAD / HTTP/1.1\r\n\r\n", lambda reply: True
+            )
+        assert isinstance(reply, exchange.Reply)
+        assert (reply.status, reply.body) == (200, b"")
+        assert isinstance(await _ask(pool), exchange.Reply)
+        assert used == [1, 1]
