Leave a key where it is that no server can take

And a full owner that reset the connection was tried again at once, 200 times a second, which took all of the retry budget of its service.

Change: a piece that would make the next server busy stays; an owner that breaks a connection in under a quarter of its usual time is full and is left to the caller's own retry. Tests in test_planner.py and test_dispatch.py.

--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -48,6 +48,9 @@
     # made to. It costs 1 ms of a slot and a price; among many servers each
     # instance so keeps to some, and others to others.
     connect_penalty_ratio: float = 0.25
+    # A connection that breaks within this part of what a server needs for a
+    # request was reset for want of room; answers break off after the work.
+    full_reset_ratio: float = 0.25
     # When to come back after a refusal that has no better estimate.
     retry_after_ms: int = 100
 
@@ -169,8 +172,7 @@
     async def _try(self, life: _Life) -> outcomes.Outcome:
         """Tries servers until one answers or none is left to try."""
         assert self.routes is not None  # by the caller
-        policy = self.routes.configuration.services.get(life.service)
-        keyed = policy is not None and policy.keyed
+        keyed = self._is_keyed(life)
         if keyed:
             if life.request.key is None:
                 return _not_run("the service needs a key", status=400)
@@ -186,6 +188,12 @@
             if outcome is not None:
                 return outcome
 
+    def _is_keyed(self, life: _Life) -> bool:
+        """Whether servers of the request's service own keys."""
+        assert self.routes is not None  # by the caller
+        policy = self.routes.configuration.services.get(life.service)
+        return policy is not None and policy.keyed
+
     def _choose_any(self, life: _Life) -> servers_lib.Server | outcomes.NotRun:
         """Returns the server that would answer soonest."""
         now_s = self._clock.monotonic_s()
@@ -319,7 +327,11 @@
             server.note_interrupted()
             server.shrink_room(now_s)
             life.trail.append(f"{server_id}: interrupted: {result.reason}")
-            if life.route.idempotent and self._may_retry(life):
+            # Only the owner of a key could serve it, and one that breaks the
+            # connection so soon is full: trying again is left to the caller.
+            soon_s = self._settings.full_reset_ratio * server.latency_s
+            full = self._is_keyed(life) and held_s < soon_s
+            if not full and life.route.idempotent and self._may_retry(life):
                 return None
             return self._conclude(life, self._refuse(result.reason))
         if isinstance(result, attempts.NotSent):
--- a/libs/bridgecross-entry/src/bridgecross_entry/planner.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/planner.py
@@ -72,6 +72,14 @@
     owner: ids.ServerId
 
 
+class _Wanted(NamedTuple):
+    """The load of a piece that should move."""
+
+    load: float
+    # What the next server can take without being busy itself.
+    most: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Bin:
     """A server while a plan is made."""
@@ -199,9 +207,9 @@
             break
         excess = (busiest.utilization - level) * busiest.room
         space = (level - idlest.utilization) * idlest.room
-        piece = _choose_piece(
-            ranges, load, busiest, min(excess, space), settings
-        )
+        most = (limits.busy_ratio - idlest.utilization) * idlest.room
+        wanted = _Wanted(min(excess, space), most)
+        piece = _choose_piece(ranges, load, busiest, wanted, settings)
         if piece is None:
             break
         weight = load.of(*piece)
@@ -285,22 +293,24 @@
     ranges: tuple[keymap.KeyRange, ...],
     load: KeyLoad,
     busiest: _Bin,
-    wanted: float,
+    wanted: _Wanted,
     settings: PlanSettings,
 ) -> tuple[int, int] | None:
     """Returns the keys of a server that come closest to a load.
 
     If all pieces carry more, as single keys may, the one that carries least.
+    A key that would make the next server as busy stays where it is: each move
+    interrupts it, and nothing is won.
     """
     best: tuple[int, int] | None = None
     best_rank = (True, float("inf"), 0)
-    for piece in _list_pieces(ranges, load, busiest, wanted):
+    tolerance = settings.piece_tolerance_ratio * wanted.load
+    for piece in _list_pieces(ranges, load, busiest, wanted.load):
         weight = load.of(*piece)
-        tolerance = settings.piece_tolerance_ratio * wanted
-        if weight <= 0:
+        too_much = weight > wanted.load + tolerance
+        if weight <= 0 or (too_much and weight > wanted.most):
             continue
-        gap = abs(wanted - weight)
-        too_much = weight > wanted + tolerance
+        gap = abs(wanted.load - weight)
         rank = (too_much, gap if gap > tolerance else 0.0, piece[1] - piece[0])
         if rank < best_rank:
             best, best_rank = piece, rank
--- a/libs/bridgecross-entry/tests/test_dispatch.py
+++ b/libs/bridgecross-entry/tests/test_dispatch.py
@@ -264,3 +264,22 @@
     for _ in range(2):
         await scene.ask()
     assert backends.sent == ["b", "b"]
+
+
+@pytest.mark.parametrize(
+    ("latency_s", "status", "sent"),
+    [
+        pytest.param(0.1, 502, 1, id="at once, so it is full"),
+        pytest.param(0.0, 200, 2, id="after the work"),
+    ],
+)
+async def test_a_full_owner_is_not_asked_again_at_once(latency_s, status, sent):
+    backends = Backends(BROKEN, OK)
+    scene = Scene(backends, keyed=True)
+    scene.put_map(1, _owned_by("a"))
+    owner = scene.book.get(ids.ServerId("a"))
+    assert owner is not None
+    owner.latency_s = latency_s
+    outcome = await scene.ask()
+    assert outcome.status == status
+    assert len(backends.sent) == sent
--- a/libs/bridgecross-entry/tests/test_planner.py
+++ b/libs/bridgecross-entry/tests/test_planner.py
@@ -127,3 +127,12 @@
         ranges = tuple(settled)
     busiest = max(_loads(ranges, load, owner) for owner in rooms)
     assert busiest < 15.0
+
+
+def test_a_key_that_no_server_can_take_is_not_passed_around():
+    rooms, ranges = _many(20, 15.0)
+    weights = dict.fromkeys(range(0, keymap.LAST_KEY, 500), 0.3)
+    load = planner.KeyLoad(weights | {20_001: 150.0})
+    moves = planner.plan_relief(ranges, load, rooms, SETTINGS, SETTINGS.urgent)
+    assert moves
+    assert not any(m.first_key <= 20_001 <= m.last_key for m in moves)
