--- a/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -332,7 +332,7 @@
         self._servers.keep(
             record
             for record in records
-            if self._listed.get(record.key) != before.get(record.key)
+            if _differs(self._listed.get(record.key), before.get(record.key))
         )
         self._servers.keep(
             logs.KeyedRecord(server_id, b"")
@@ -349,7 +349,7 @@
         for record in newest.values():
             server = self._decode_server(record)
             if server is not None:
-                if self._listed.get(record.key) != server:
+                if _differs(self._listed.get(record.key), server):
                     self._servers.keep([record])
                 self._listed[record.key] = server
                 self._book.put(server)
@@ -457,3 +457,16 @@
                 self.instances.add(address)
             else:
                 self.instances.discard(address)
+
+
+def _differs(
+    known: model.BackendServer | None, listed: model.BackendServer | None
+) -> bool:
+    """Whether others must be told of a change of an entry.
+
+    The rest of the time for which a server is slow runs off by itself.
+    """
+    if known is None or listed is None:
+        return known is not listed
+    left_ms = listed.warmup_left_ms
+    return dataclasses.replace(known, warmup_left_ms=left_ms) != listed
--- a/libs/bridgecross-entry/tests/test_beliefs.py
+++ b/libs/bridgecross-entry/tests/test_beliefs.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 import entry_fakes as fakes
 import entry_support as support
 import pytest
@@ -24,9 +26,11 @@
         if service == "bad":
             place = findings.Place(record.key)
             raise findings.FindingsError([findings.Finding(place, "bad")])
-        return support.make_server(
+        server = support.make_server(
             record.key, service, leaving="leaving" in words
         )
+        left_ms = next((float(word) for word in words if word.isdigit()), 0.0)
+        return dataclasses.replace(server, warmup_left_ms=left_ms)
 
     def decode_configuration(self, record):
         version = int(record.value)
@@ -109,6 +113,16 @@
     assert told.versions == [1, 2]
 
 
+async def test_a_warm_up_that_runs_off_is_not_told(platform_log):
+    reader = Reader(platform_log)
+    _add(platform_log, "servers", "b", b"rapor 3000")
+    await reader.read()
+    reader.beliefs.take_news()
+    _add(platform_log, "servers", "b", b"rapor 2100")
+    await reader.read()
+    assert not any(batch.records for batch in reader.beliefs.take_news())
+
+
 async def test_news_that_were_missed_are_told_again(platform_log):
     reader, told = Reader(platform_log), Reader(platform_log)
     await reader.read()
