--- a/libs/bridgecross-entry/src/bridgecross_entry/duties.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/duties.py
@@ -316,6 +316,8 @@
         """Takes the duties of the leader, or gives them up."""
         if self._leadership.is_leader:
             self._beliefs.begin_telling()
+            # The sooner the others know, the sooner orders may be given.
+            self._beliefs.news.notify()
         self.match_coordinators()
 
     async def _coordinate(
