Wait less for an earlier leader once all know of the next

Change: the 2 s cover a leader that a majority may still confirm; once every other instance has taken the new leader's word, or has ended, only an order under way is left, 0.5 s. Tests in test_leases.py and test_leadership.py.

--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -65,6 +65,11 @@
         """Whether most instances follow, the leader included."""
         return 2 * (self.accepted + 1) > self.peers + 1 - self.ended
 
+    @property
+    def is_all(self) -> bool:
+        """Whether no instance is left that may follow another leader."""
+        return self.accepted + self.ended == self.peers
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeadershipSettings:
@@ -157,8 +162,10 @@
         self._leader_is_lost = False
         # When what last confirmed this instance's lead was asked for.
         self._confirmed_s = float("-inf")
-        # When a majority first knew of the newest claim; infinite before.
+        # When a majority first knew of the newest claim, and when all did;
+        # infinite before.
         self._known_s = float("inf")
+        self._known_to_all_s = float("inf")
 
     @property
     def term(self) -> int:
@@ -176,6 +183,11 @@
         """When a majority first knew that this instance leads."""
         return self._known_s
 
+    @property
+    def known_to_all_s(self) -> float:
+        """When every other instance first knew it, or had ended."""
+        return self._known_to_all_s
+
     def note_told(self, told: "Told") -> None:
         """Takes in who took the word of this instance."""
         if not self.is_leader or told.term != self._claim.term:
@@ -185,7 +197,10 @@
             self._confirmed_s = float("-inf")
         elif told.is_majority:
             self._confirmed_s = max(self._confirmed_s, told.sent_s)
-            self._known_s = min(self._known_s, self._clock.monotonic_s())
+            now_s = self._clock.monotonic_s()
+            self._known_s = min(self._known_s, now_s)
+            if told.is_all:
+                self._known_to_all_s = min(self._known_to_all_s, now_s)
 
     async def run(self) -> None:
         """Claims whenever the leader is silent, until cancelled."""
@@ -323,6 +338,7 @@
         self._leader_is_lost = False
         self._confirmed_s = asked_s
         self._known_s = float("inf")
+        self._known_to_all_s = float("inf")
         self.is_leader = True
         self._journal.lifecycle("leads", term=claim.term)
         self._on_change()
--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -37,8 +37,9 @@
     expiry_margin_s: float = 0.15
     # An earlier leader may give orders for this long after a majority know of
     # the next one: its confirmation lasts 1.5 s, and an order that is under
-    # way 0.5 s.
+    # way 0.5 s. Once all know of it, only the order under way is left.
     earlier_leader_s: float = 2.0
+    earlier_order_s: float = 0.5
     # An order is answered within 2 ms, or after what runs has ended.
     grant_timeout_s: float = 0.5
     release_timeout_s: float = 1.5
@@ -59,6 +60,10 @@
     def known_s(self) -> float:
         """When a majority first knew that it leads; infinite before."""
 
+    @property
+    def known_to_all_s(self) -> float:
+        """When every other instance first knew it, or had ended."""
+
 
 class LeaseKeeper:
     """Gives orders about the keys of one service."""
@@ -93,12 +98,12 @@
         self._silent: set[ids.ServerId] = set()
 
     def assume_held(self, ranges: Iterable[keymap.KeyRange]) -> None:
-        """Takes it that another coordinator has just renewed all leases."""
-        until_s = (
-            self._clock.monotonic_s()
-            + self._settings.earlier_leader_s
-            + self._lease_s()
-        )
+        """Takes it that another coordinator has just renewed all leases.
+
+        What an earlier leader may have ordered since then is waited for by
+        what is known of the lead.
+        """
+        until_s = self._clock.monotonic_s() + self._lease_s()
         for key_range in ranges:
             self._held_until_s[key_range.owner] = until_s
             self._held_until_s[key_range.prior_owner] = until_s
@@ -280,13 +285,13 @@
         That is, given by this instance or by an earlier leader.
         """
         now_s = self._clock.monotonic_s()
-        earlier_until_s = (
-            self._lead.known_s
-            + self._settings.earlier_leader_s
-            + self._lease_s()
+        settings = self._settings
+        earlier_until_s = min(
+            self._lead.known_s + settings.earlier_leader_s,
+            self._lead.known_to_all_s + settings.earlier_order_s,
         )
         own_until_s = self._held_until_s.get(server_id, 0.0)
-        return now_s >= max(own_until_s, earlier_until_s)
+        return now_s >= max(own_until_s, earlier_until_s + self._lease_s())
 
     def _count(
         self, order: str, result: attempts.GrantResult | attempts.ReleaseResult
--- a/libs/bridgecross-entry/tests/test_leadership.py
+++ b/libs/bridgecross-entry/tests/test_leadership.py
@@ -308,3 +308,12 @@
     )
     member.others = [Member(fakes.MemoryLog(), n) for n in range(2, 20)]
     assert member.leadership._rank() == 18
+
+
+async def test_all_know_of_the_lead_once_none_is_left_unheard():
+    manual = support.ManualClock()
+    leading = await _lead_alone(manual, fakes.MemoryLog())
+    leading.note_told(_told(leading.term, 4, accepted=3))
+    assert leading.known_to_all_s == float("inf")
+    leading.note_told(_told(leading.term, 4, accepted=2, ended=2))
+    assert leading.known_to_all_s == manual.now_s
