Take no second release for a proof that work has ended

The first release of a range waits for work; one that follows, from the next leader that resumes the move or after the first had no answer in time, finds nothing held and is answered at once.

Change: after a release that may not be the first, the end of the lease is waited for. So that moves which have ended are not resumed, a new leader leaves out those that it was told of.

--- a/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
@@ -188,8 +188,14 @@
     def _adopt(self, newest: keymap.KeyMap) -> None:
         """Goes on from a map that another coordinator wrote."""
         self._version = newest.version
-        self._ranges = newest.ranges
         self._keeper.assume_held(newest.ranges)
+        # Moves that this instance was told have ended need no second release.
+        self._ranges = tuple(
+            r._replace(prior_owner=keymap.NO_SERVER)
+            if self._table.is_settled(self._service, r)
+            else r
+            for r in newest.ranges
+        )
 
     async def _found(self) -> bool:
         """Writes the first map of the service."""
@@ -448,31 +454,44 @@
             )
         for key_range in self._ranges:
             if key_range.token == version:
-                self._start_move(tasks, key_range)
+                self._start_move(tasks, key_range, resumed=False)
 
     def _resume_moves(self, tasks: anyio.abc.TaskGroup) -> None:
         """Carries out the moves of a map that was adopted or founded."""
         for key_range in self._ranges:
             if key_range.prior_owner or key_range.token == self._version:
-                self._start_move(tasks, key_range)
+                self._start_move(tasks, key_range, resumed=True)
 
     def _start_move(
-        self, tasks: anyio.abc.TaskGroup, key_range: keymap.KeyRange
+        self,
+        tasks: anyio.abc.TaskGroup,
+        key_range: keymap.KeyRange,
+        *,
+        resumed: bool,
     ) -> None:
         """Starts the task that carries one move out."""
         if not key_range.owner:
             return
         self._moving.add(key_range.first_key)
-        tasks.start_soon(self._carry_out, key_range)
+        tasks.start_soon(self._carry_out, key_range, resumed)
+
+    async def _carry_out(
+        self, key_range: keymap.KeyRange, resumed: bool
+    ) -> None:
+        """Takes a range from its old owner and gives it to the new one.
 
-    async def _carry_out(self, key_range: keymap.KeyRange) -> None:
-        """Takes a range from its old owner and gives it to the new one."""
+        Args:
+            key_range: The range as it is after the move.
+            resumed: Whether the move may have been begun before.
+        """
         begun_s = self._clock.monotonic_s()
         try:
             handover = ""
             prior = key_range.prior_owner
             if prior and prior != key_range.owner:
-                handover = await self._keeper.take_back(prior, key_range)
+                handover = await self._keeper.take_back(
+                    prior, key_range, asked_before=resumed
+                )
             granted = await self._keeper.give(key_range, handover)
             if granted:
                 self._settle(key_range)
--- a/libs/bridgecross-entry/src/bridgecross_entry/keymap.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/keymap.py
@@ -202,7 +202,12 @@
         if table is None:
             return None
         key_range = table.find(key)
-        settled = not key_range.prior_owner or (
-            (key_range.token, key_range.first_key) in self._settled[service]
-        )
+        settled = self.is_settled(service, key_range)
         return Owner(key_range.owner, key_range.token, settled)
+
+    def is_settled(self, service: ids.ServiceName, key_range: KeyRange) -> bool:
+        """Whether the owner of a range is known to hold it."""
+        if not key_range.prior_owner:
+            return True
+        ended = self._settled.get(service, set())
+        return (key_range.token, key_range.first_key) in ended
--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -140,13 +140,30 @@
                 return
 
     async def take_back(
-        self, prior: ids.ServerId, key_range: keymap.KeyRange
+        self,
+        prior: ids.ServerId,
+        key_range: keymap.KeyRange,
+        *,
+        asked_before: bool = False,
     ) -> str:
         """Waits until a server holds a range no longer.
 
+        A release is answered once nothing runs on the range any more. One that
+        follows another finds nothing held and is answered at once, while the
+        first still waits for work; then only the end of the lease is certain.
+
+        Args:
+            prior: The server.
+            key_range: The range as it is after the move.
+            asked_before: Whether an earlier leader may have asked already.
+
         Returns:
             What makes the next owner start warm; empty if there is nothing.
         """
+        settings = self._settings
+        lease_over_s = self._clock.monotonic_s() + self._lease_s()
+        if asked_before:
+            lease_over_s += settings.earlier_order_s
         while True:
             if self._book.has_ended(prior) or self._may_hold_no_more(prior):
                 return ""
@@ -165,12 +182,19 @@
                 )
             self._count("release", result)
             if isinstance(result, attempts.Released):
+                if asked_before:
+                    await self._wait_until(lease_over_s)
                 return result.handover
             if isinstance(result, attempts.Gone):
                 self._book.end(prior, result.reason)
                 return ""
+            asked_before = True
             await anyio.sleep(self._settings.order_pause_s)
 
+    async def _wait_until(self, time_s: float) -> None:
+        """Waits for a time on the steady clock."""
+        await anyio.sleep(max(time_s - self._clock.monotonic_s(), 0.0))
+
     async def give(self, key_range: keymap.KeyRange, handover: str) -> bool:
         """Grants a range to its new owner; returns whether it holds it."""
         for _ in range(self._settings.give_tries):
--- a/libs/bridgecross-entry/tests/test_coordinator.py
+++ b/libs/bridgecross-entry/tests/test_coordinator.py
@@ -286,3 +286,28 @@
         given = len(lease_servers.orders)
         await anyio.sleep(0.3)
         assert len(lease_servers.orders) == given
+
+
+async def test_moves_that_have_ended_are_not_made_again_by_the_next_leader():
+    platform_log, lease_servers, first = _make("a", "b")
+    async with _running(first):
+        await fakes.until(lambda: lease_servers.holder(KEY) == "a")
+        first.book.put(support.make_server("a", leaving=True))
+        await fakes.until(lambda: lease_servers.holder(KEY) == "b")
+        moved = platform_log.records[fakes.TOPIC][-1]
+    second = fakes.Bench(platform_log, lease_servers, "entry-2")
+    for name in "ab":
+        second.book.put(support.make_server(name))
+    platform_log.records[fakes.TOPIC].append(moved)
+    await second.follower.catch_up()
+    newest = second.table.newest(fakes.SERVICE)
+    moving = [r for r in newest.ranges if r.prior_owner]
+    assert moving
+    for r in moving:
+        second.table.settle(fakes.SERVICE, r.token, r.first_key)
+    lease_servers.orders.clear()
+    async with _running(second):
+        await fakes.until(lambda: lease_servers.orders)
+        await anyio.sleep(0.2)
+    assert not [o for o in lease_servers.orders if o[0] == "release"]
+    assert lease_servers.holder(KEY) == "b"
--- a/libs/bridgecross-entry/tests/test_leases.py
+++ b/libs/bridgecross-entry/tests/test_leases.py
@@ -5,6 +5,7 @@
 
 from bridgecross_core import clock
 from bridgecross_core import ids
+from bridgecross_entry import attempts
 from bridgecross_entry import keymap
 from bridgecross_entry import leases
 from bridgecross_entry import metrics
@@ -117,6 +118,41 @@
     assert await keeper.give(RANGES[0], "")
 
 
+class SlowReleases(fakes.LeaseServers):
+    """The first release waits for work; one that follows is answered."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.releases = 0
+
+    async def release(self, server, first_key, last_key, token):
+        self.releases += 1
+        if self.releases == 1:
+            await anyio.sleep(0.15)
+        return attempts.Released("state")
+
+
+@pytest.mark.parametrize(
+    ("asked_before", "least_s"),
+    [
+        pytest.param(False, 0.2, id="the first one got no answer in time"),
+        pytest.param(True, 0.25, id="an earlier leader may have asked"),
+    ],
+)
+async def test_a_second_release_is_no_proof_that_work_has_ended(
+    lead, asked_before, least_s
+):
+    slow = SlowReleases()
+    slow.releases = int(asked_before)
+    keeper = _make_keeper(slow, lead, clock.SystemClock())
+    await keeper.renew(A, RANGES, lambda _: True)
+    moving = keymap.KeyRange(0, 9, ids.ServerId("b"), 2, A)
+    begun_s = anyio.current_time()
+    await keeper.take_back(A, moving, asked_before=asked_before)
+    assert slow.releases == 2
+    assert anyio.current_time() - begun_s > least_s
+
+
 @pytest.mark.parametrize(
     ("who_knows", "wait_s"),
     [
