Give a range again that its new owner did not take

A server fell silent just when a range was given to it, three tries found nobody, and the move ended there: the range was neither renewed nor given again once the server was heard, and nobody served its keys until they moved for another reason.

Change: a range whose move has not ended is given again as soon as its owner is heard; what its prior owner handed over is kept for that. Test in test_coordinator.py failed first.

--- a/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
@@ -120,6 +120,9 @@
         self._wake = pulse.Pulse()
         # Ranges whose move is under way, by first key.
         self._moving: set[int] = set()
+        # What was handed over by prior owners that hold ranges no longer, by
+        # token and first key, until their next owners have taken them.
+        self._handovers: dict[tuple[int, int], str] = {}
         # Since when the log has not been told that moves have ended; None if
         # it has.
         self._unwritten_since_s: float | None = None
@@ -274,6 +277,7 @@
         while not self._is_superseded():
             if self._adopt_late_append():
                 self._resume_moves(tasks)
+            self._retry_moves(tasks)
             now_s = self._clock.monotonic_s()
             relief_due = now_s - planned_s >= self._plan_interval_s()
             await self._plan(tasks, with_relief=relief_due)
@@ -462,6 +466,15 @@
             if key_range.prior_owner or key_range.token == self._version:
                 self._start_move(tasks, key_range, resumed=True)
 
+    def _retry_moves(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Gives ranges again that their owners did not take before."""
+        for key_range in self._ranges:
+            if not key_range.prior_owner:
+                continue
+            waits = key_range.first_key not in self._moving
+            if waits and self._keeper.is_heard(key_range.owner):
+                self._start_move(tasks, key_range, resumed=True)
+
     def _start_move(
         self,
         tasks: anyio.abc.TaskGroup,
@@ -486,12 +499,8 @@
         """
         begun_s = self._clock.monotonic_s()
         try:
-            handover = ""
             prior = key_range.prior_owner
-            if prior and prior != key_range.owner:
-                handover = await self._keeper.take_back(
-                    prior, key_range, asked_before=resumed
-                )
+            handover = await self._take_back(key_range, resumed)
             granted = await self._keeper.give(key_range, handover)
             if granted:
                 self._settle(key_range)
@@ -514,8 +523,23 @@
         if granted and prior:
             self._publish_settled(key_range)
 
+    async def _take_back(
+        self, key_range: keymap.KeyRange, resumed: bool
+    ) -> str:
+        """Takes a range from its old owner; returns what it handed over."""
+        prior = key_range.prior_owner
+        if not prior or prior == key_range.owner:
+            return ""
+        move = (key_range.token, key_range.first_key)
+        if move not in self._handovers:
+            self._handovers[move] = await self._keeper.take_back(
+                prior, key_range, asked_before=resumed
+            )
+        return self._handovers[move]
+
     def _settle(self, key_range: keymap.KeyRange) -> None:
         """Keeps that the owner of a range holds it."""
+        self._handovers.pop((key_range.token, key_range.first_key), None)
         self._ranges = tuple(
             r._replace(prior_owner=keymap.NO_SERVER)
             if r.first_key == key_range.first_key and r.token == key_range.token
--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -112,6 +112,11 @@
         """Whether a server has been silent until its lease ran out."""
         return server_id in self._silent and self._may_hold_no_more(server_id)
 
+    def is_heard(self, server_id: ids.ServerId) -> bool:
+        """Whether a server is known and has answered its last orders."""
+        known = self._book.get(server_id) is not None
+        return known and server_id not in self._silent
+
     async def renew(
         self,
         server_id: ids.ServerId,
--- a/libs/bridgecross-entry/tests/test_coordinator.py
+++ b/libs/bridgecross-entry/tests/test_coordinator.py
@@ -311,3 +311,16 @@
         await anyio.sleep(0.2)
     assert not [o for o in lease_servers.orders if o[0] == "release"]
     assert lease_servers.holder(KEY) == "b"
+
+
+async def test_a_range_that_its_new_owner_did_not_take_is_given_again():
+    """Its owner was silent for a while, and the range was unserved for good."""
+    _, lease_servers, bench = _make("a", "b")
+    async with _running(bench):
+        await fakes.until(lambda: lease_servers.holder(KEY) == "a")
+        lease_servers.silent.add("b")
+        bench.book.put(support.make_server("a", leaving=True))
+        await fakes.until(lambda: bench.coordinator._keeper.is_lost("b"))
+        lease_servers.silent.clear()
+        await fakes.until(lambda: lease_servers.holder(KEY) == "b")
+    assert not lease_servers.overlaps
