--- a/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -114,7 +114,7 @@
         """
 
 
-class _Told(NamedTuple):
+class _ToldNews(NamedTuple):
     """News that were told, and from where on."""
 
     first_offset: int
@@ -132,7 +132,7 @@
         # The newest record of each key that changed.
         self.news: dict[str, logs.KeyedRecord] = {}
         # What was told last, the oldest first.
-        self._told: collections.deque[_Told]
+        self._told: collections.deque[_ToldNews]
         self._told = collections.deque(maxlen=told_again_count)
 
     def begin(self) -> None:
@@ -161,7 +161,7 @@
         if self.told_offset is None or next_offset is None:
             self.begin()
             return None
-        new = _Told(self.told_offset, self.news)
+        new = _ToldNews(self.told_offset, self.news)
         merged: dict[str, logs.KeyedRecord] = {}
         for told in (*self._told, new):
             merged |= told.news
--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -50,10 +50,13 @@
 class Told:
     """Who took the leader's word, of those that were told at a time."""
 
+    # The claim that it was told under.
     term: int
+    # When it was sent, on the steady clock.
     sent_s: float
     # All other instances that are known.
     peers: int
+    # Those that follow.
     accepted: int
     # Processes that have certainly ended; they follow nobody.
     ended: int
@@ -162,6 +165,8 @@
         self._leader_is_lost = False
         # When what last confirmed this instance's lead was asked for.
         self._confirmed_s = float("-inf")
+        # Whether orders could be given when it was last looked at.
+        self._could_order = False
         # When a majority first knew of the newest claim, and when all did;
         # infinite before.
         self._known_s = float("inf")
@@ -195,6 +200,7 @@
         if told.disputed:
             # Somebody knows of a later claim; the log says which it is.
             self._confirmed_s = float("-inf")
+            self._journal.decision("lead_disputed", term=told.term)
         elif told.is_majority:
             self._confirmed_s = max(self._confirmed_s, told.sent_s)
             now_s = self._clock.monotonic_s()
@@ -206,6 +212,7 @@
         """Claims whenever the leader is silent, until cancelled."""
         await self._look_up_first()
         while True:
+            self._tell_confirmation()
             now_s = self._clock.monotonic_s()
             unsure_s = now_s - self._confirmed_s
             if self.is_leader and unsure_s > self._settings.confirm_after_s:
@@ -217,6 +224,17 @@
                 await self._try_claim()
             await anyio.sleep(self._settings.look_interval_s)
 
+    def _tell_confirmation(self) -> None:
+        """Writes when orders can be given again, or no longer."""
+        if self.may_order == self._could_order:
+            return
+        self._could_order = self.may_order
+        self._journal.lifecycle(
+            "lead_confirmed" if self.may_order else "lead_unconfirmed",
+            term=self.term,
+            leads=self.is_leader,
+        )
+
     async def confirm(self) -> None:
         """Looks in the log whether another has claimed since."""
         asked_s = self._clock.monotonic_s()
--- a/libs/bridgecross-entry/tests/test_leadership.py
+++ b/libs/bridgecross-entry/tests/test_leadership.py
@@ -317,3 +317,14 @@
     assert leading.known_to_all_s == float("inf")
     leading.note_told(_told(leading.term, 4, accepted=2, ended=2))
     assert leading.known_to_all_s == manual.now_s
+
+
+async def test_it_is_told_when_orders_can_be_given_and_when_not():
+    manual = support.ManualClock()
+    leading = await _lead_alone(manual, fakes.MemoryLog())
+    told = []
+    leading._journal.lifecycle = lambda event, **fields: told.append(event)
+    for passed_s in (0.0, 1.0, 1.0, 1.0):
+        manual.now_s += passed_s
+        leading._tell_confirmation()
+    assert told == ["lead_confirmed", "lead_unconfirmed"]
