--- a/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -280,6 +280,10 @@
         """Follows the key maps."""
         return self._keys.follower
 
+    def topic_statuses(self) -> tuple[logs.TopicStatus, ...]:
+        """Returns how well each topic is known."""
+        return tuple(feed.follower.status for feed in self._feeds)
+
     @property
     def list_heard_s(self) -> float | None:
         """When the list of servers was last heard of."""
@@ -453,6 +457,8 @@
             previous=version,
             routes=len(new.routes),
             services=len(new.services),
+            source=self._configurations.follower.source.value,
+            known_to=self._configurations.follower.next_offset,
         )
 
     # Key maps.
--- a/libs/bridgecross-entry/src/bridgecross_entry/log.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/log.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import enum
 from typing import NamedTuple
 from typing import Protocol
 
@@ -75,6 +76,28 @@
     reason: str
 
 
+class Source(enum.Enum):
+    """By which way something was learned."""
+
+    LOG = "log"
+    """Read from the log by this instance."""
+
+    PEER = "peer"
+    """Told by the instance that reads for all."""
+
+
+class TopicStatus(NamedTuple):
+    """How well a topic is known, for metrics."""
+
+    topic: str
+    # The offset to read on from; None before the first read.
+    next_offset: int | None
+    # Since when nothing was heard of it; None if it never was.
+    age_s: float | None
+    # Words of the leader that were left aside, for want of what came before.
+    left_aside_count: int
+
+
 class PlatformLog(Protocol):
     """The calls of the platform's log that the product uses."""
 
@@ -160,6 +183,23 @@
         self.regained_s = float("-inf")
         # When another instance last told what it read.
         self.relayed_s = float("-inf")
+        # By which way the records came that were taken last.
+        self.source = Source.LOG
+        self._left_aside_count = 0
+        self._in_gap = False
+
+    @property
+    def status(self) -> TopicStatus:
+        """How well the topic is known at this moment."""
+        age_s = None
+        if self.heard_s is not None:
+            age_s = self._clock.monotonic_s() - self.heard_s
+        return TopicStatus(
+            self._settings.topic,
+            self.next_offset,
+            age_s,
+            self._left_aside_count,
+        )
 
     async def run(self) -> None:
         """Follows the topic until cancelled."""
@@ -185,14 +225,30 @@
             batch: What it read; records that change nothing may be left out.
         """
         if self.next_offset is None or first_offset > self.next_offset:
+            self._note_gap(first_offset)
             return
+        self._in_gap = False
         self.relayed_s = self._clock.monotonic_s()
         if batch.next_offset > self.next_offset:
             self.next_offset = batch.next_offset
             if batch.records:
+                self.source = Source.PEER
                 self._take_changes(batch.records)
         self._note_heard()
 
+    def _note_gap(self, first_offset: int) -> None:
+        """Counts a word that cannot be taken; tells of the first in a row."""
+        self._left_aside_count += 1
+        if self._in_gap:
+            return
+        self._in_gap = True
+        self._journal.decision(
+            "relay_left_aside",
+            topic=self._settings.topic,
+            known_to=self.next_offset,
+            told_from=first_offset,
+        )
+
     def take_lost(self, *, is_urgent: bool) -> None:
         """Takes it that the instance that reads for this one has lost the log.
 
@@ -245,6 +301,7 @@
             return await self._start()
         self.next_offset = max(self.next_offset or 0, result.next_offset)
         if result.records:
+            self.source = Source.LOG
             self._take_changes(result.records)
         self._note_heard()
         if self._on_read is not None:
@@ -259,6 +316,7 @@
         """
         if self.next_offset == offset:
             self.next_offset = offset + 1
+            self.source = Source.LOG
             self._take_changes((record,))
 
     async def start_over(self) -> bool:
@@ -278,6 +336,7 @@
         # The leader will tell what comes next, if there is one.
         self.relayed_s = self._clock.monotonic_s()
         self.next_offset = result.end
+        self.source = Source.LOG
         self._take_all(result.records)
         self._note_heard()
         return True
--- a/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
@@ -61,6 +61,12 @@
             "What the instance believes: versions, ages in seconds, counts.",
             registry=self.registry,
         )
+        self.topics = aioprometheus.Gauge(
+            "bridgecross_topics",
+            "What is known of each topic of the log: offset, age in seconds, "
+            "words of the leader that were left aside.",
+            registry=self.registry,
+        )
         self.journal_dropped = aioprometheus.Gauge(
             "bridgecross_journal_dropped_lines",
             "Log lines that were not written.",
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -249,6 +249,8 @@
         heard_s = self._beliefs.list_heard_s
         age_s = math.nan if heard_s is None else now_s - heard_s
         beliefs.set({"what": "server_list_age_s"}, age_s)
+        for status in self._beliefs.topic_statuses():
+            self._set_topic(status)
         beliefs.set({"what": "instances"}, self._dispatcher.instance_count)
         beliefs.set({"what": "in_flight"}, self._dispatcher.in_flight_count)
         beliefs.set({"what": "coordinated"}, self._duties.coordinated_count)
@@ -261,3 +263,16 @@
                 labels = {"what": "key_map_version", "service": service}
                 beliefs.set(labels, key_map.version)
         self._metrics.journal_dropped.set({}, self._journal.dropped_count)
+
+    def _set_topic(self, status: logs.TopicStatus) -> None:
+        """Brings the figures of one topic up to date."""
+        figures = {
+            "offset": status.next_offset,
+            "age_s": status.age_s,
+            "left_aside": status.left_aside_count,
+        }
+        for what, figure in figures.items():
+            labels = {"what": what, "topic": status.topic}
+            self._metrics.topics.set(
+                labels, math.nan if figure is None else figure
+            )
--- a/libs/bridgecross-entry/tests/test_beliefs.py
+++ b/libs/bridgecross-entry/tests/test_beliefs.py
@@ -1,4 +1,6 @@
 import dataclasses
+import json
+import os
 
 import entry_fakes as fakes
 import entry_support as support
@@ -8,6 +10,7 @@
 from bridgecross_core import findings
 from bridgecross_core import ids
 from bridgecross_entry import beliefs
+from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
 from bridgecross_entry import log
 from bridgecross_entry import servers
@@ -40,9 +43,13 @@
 class Reader:
     """One instance's beliefs."""
 
-    def __init__(self, platform_log: fakes.MemoryLog) -> None:
+    def __init__(
+        self,
+        platform_log: fakes.MemoryLog,
+        written: journals.Journal | None = None,
+    ) -> None:
         real = clock.SystemClock()
-        journal = support.make_journal(real)
+        journal = written or support.make_journal(real)
         self.book = servers.ServerBook(
             servers.ServerSettings(), support.BOUNDS, journal, real
         )
@@ -263,3 +270,41 @@
     follower.note_own_append(appended.offset, record)
     told.beliefs.take_relayed(reader.beliefs.take_news())
     assert told.table.newest(fakes.SERVICE) == key_map
+
+
+def _lines(reader):
+    os.set_blocking(reader, False)
+    return [json.loads(line) for line in os.read(reader, 1 << 20).splitlines()]
+
+
+async def test_logs_tell_who_told_a_configuration_and_what_was_left_aside(
+    platform_log,
+):
+    reader = Reader(platform_log)
+    await reader.read()
+    reading_end, writing_end = os.pipe()
+    # Made last: the newest journal takes over the output of the process.
+    journal = journals.Journal(
+        "entry-1", journals.JournalSettings(), clock.SystemClock(), writing_end
+    )
+    told = Reader(platform_log, journal)
+    await told.read()
+    reader.beliefs.take_news()
+    _add(platform_log, "configuration", "config", b"2")
+    await reader.read()
+    told.beliefs.take_relayed(reader.beliefs.take_news())
+    gap = beliefs.TopicBatch("configuration", 9, 10, ())
+    for _ in range(3):
+        told.beliefs.take_relayed((gap,))
+    lines = _lines(reading_end)
+    taken = [e for e in lines if e["event"] == "configuration_in_force"]
+    left = [e for e in lines if e["event"] == "relay_left_aside"]
+    assert [(e["version"], e["source"]) for e in taken] == [
+        (1, "log"),
+        (2, "peer"),
+    ]
+    assert [(e["known_to"], e["told_from"]) for e in left] == [(2, 9)]
+    status = told.beliefs.topic_statuses()[1]
+    assert (status.next_offset, status.left_aside_count) == (2, 3)
+    os.close(reading_end)
+    os.close(writing_end)
