--- a/libs/bridgecross-entry/tests/test_beliefs.py
+++ b/libs/bridgecross-entry/tests/test_beliefs.py
@@ -285,7 +285,7 @@
     reading_end, writing_end = os.pipe()
     # Made last: the newest journal takes over the output of the process.
     journal = journals.Journal(
-        "entry-1", journals.JournalSettings(), clock.SystemClock(), writing_end
+        "told", journals.JournalSettings(), clock.SystemClock(), writing_end
     )
     told = Reader(platform_log, journal)
     await told.read()
@@ -296,7 +296,7 @@
     gap = beliefs.TopicBatch("configuration", 9, 10, ())
     for _ in range(3):
         told.beliefs.take_relayed((gap,))
-    lines = _lines(reading_end)
+    lines = [e for e in _lines(reading_end) if e["instance"] == "told"]
     taken = [e for e in lines if e["event"] == "configuration_in_force"]
     left = [e for e in lines if e["event"] == "relay_left_aside"]
     assert [(e["version"], e["source"]) for e in taken] == [
