--- a/conftest.py
+++ b/conftest.py
@@ -1,7 +1,75 @@
-"""Shared by all tests of the workspace."""
+"""Shared by all tests of the workspace, and the list of known failures."""
+
+import pathlib
+from typing import NamedTuple
 
 import pytest
 
+KNOWN_RED = pathlib.Path(__file__).with_name("KNOWN-RED.txt")
+"""Tests that fail for a fault that is not mended yet."""
+
+KNOWN_RED_MAX_COUNT = 3
+"""Lines that the list may have."""
+
+
+class KnownFailure(NamedTuple):
+    """One line of the list: ``TEST | CAUSE | ISSUE``."""
+
+    # As pytest names it, with its file.
+    test: str
+    cause: str
+    issue: str
+
+
+def read_known_red(text: str) -> dict[str, KnownFailure]:
+    """Returns the known failures by the name of their test.
+
+    Raises:
+        pytest.UsageError: A line is malformed, or there are too many.
+    """
+    lines = [line for line in text.splitlines() if line.strip()]
+    if len(lines) > KNOWN_RED_MAX_COUNT:
+        raise pytest.UsageError(
+            f"{KNOWN_RED.name}: {len(lines)} lines; "
+            f"{KNOWN_RED_MAX_COUNT} at most"
+        )
+    known: dict[str, KnownFailure] = {}
+    for number, line in enumerate(lines, 1):
+        parts = [part.strip() for part in line.split("|")]
+        if len(parts) != len(KnownFailure._fields) or not all(parts):
+            raise pytest.UsageError(
+                f"{KNOWN_RED.name}:{number}: TEST | CAUSE | ISSUE is needed"
+            )
+        failure = KnownFailure(*parts)
+        known[failure.test] = failure
+    return known
+
+
+def _load() -> dict[str, KnownFailure]:
+    """Returns the known failures; none if there is no list."""
+    if not KNOWN_RED.exists():
+        return {}
+    return read_known_red(KNOWN_RED.read_text(encoding="utf-8"))
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Passes over known failures, but not over one that has been mended."""
+    known = _load()
+    for item in items:
+        failure = known.get(item.nodeid)
+        if failure is not None:
+            item.add_marker(
+                pytest.mark.xfail(strict=True, reason=failure.cause)
+            )
+
+
+def pytest_terminal_summary(
+    terminalreporter: pytest.TerminalReporter,
+) -> None:
+    """Prints the list, so that nobody takes it for green."""
+    for failure in _load().values():
+        terminalreporter.write_line("KNOWN RED: " + " | ".join(failure))
+
 
 @pytest.fixture
 def anyio_backend() -> str:
--- a/libs/bridgecross-entry/tests/entry_fakes.py
+++ b/libs/bridgecross-entry/tests/entry_fakes.py
@@ -31,19 +31,29 @@
         self.records: dict[str, list[log.KeyedRecord]]
         self.records = collections.defaultdict(list)
         self.away = False
+        # Topics that are away while others are there.
+        self.away_topics: set[str] = set()
+        # The first offset that is kept of a topic whose history was forgotten.
+        self.first: dict[str, int] = {}
+        # Set while a call for the newest records may be answered.
+        self.may_answer_newest = anyio.Event()
+        self.may_answer_newest.set()
         # Whether the next append is done without an answer.
         self.lose_answer = False
 
     async def read_newest(self, topic):
-        if self.away:
+        await self.may_answer_newest.wait()
+        if self.away or topic in self.away_topics:
             return log.Unreachable("away")
         newest = {record.key: record for record in self.records[topic]}
         return log.Newest(tuple(newest.values()), len(self.records[topic]))
 
     async def read(self, topic, offset, wait_ms):
         await anyio.lowlevel.checkpoint()
-        if self.away:
+        if self.away or topic in self.away_topics:
             return log.Unreachable("away")
+        if offset < self.first.get(topic, 0):
+            return log.Forgotten()
         records = tuple(self.records[topic][offset:])
         return log.Batch(records, offset + len(records))
 
@@ -65,6 +75,10 @@
         self.records[topic].append(record)
         return True
 
+    def forget(self, topic):
+        """Drops the history; the newest record of each key stays."""
+        self.first[topic] = len(self.records[topic])
+
 
 class Grant:
     """A range that a server was given."""
--- a/libs/bridgecross-entry/tests/test_beliefs.py
+++ b/libs/bridgecross-entry/tests/test_beliefs.py
@@ -2,6 +2,7 @@
 import json
 import os
 
+import anyio
 import entry_fakes as fakes
 import entry_support as support
 import pytest
@@ -308,3 +309,68 @@
     assert (status.next_offset, status.left_aside_count) == (2, 3)
     os.close(reading_end)
     os.close(writing_end)
+
+
+def _tell(reader: Reader, *others: Reader) -> None:
+    """Lets the others hear the next word of the one that reads."""
+    news = reader.beliefs.take_news()
+    for other in others:
+        other.beliefs.take_relayed(news)
+
+
+async def test_one_that_cannot_read_is_told_what_it_missed(platform_log):
+    reader, told = Reader(platform_log), Reader(platform_log)
+    await reader.read()
+    await told.read()
+    _tell(reader, told)
+    for version in range(2, 6):
+        _add(platform_log, "configuration", "config", b"%d" % version)
+        await reader.read()
+        # Words that are lost on the way.
+        _tell(reader)
+    # From here on the log turns the other one away, and words arrive.
+    for _ in range(4):
+        await reader.read()
+        _tell(reader, told)
+    assert told.versions[-1] == 5
+
+
+async def test_nothing_is_skipped_while_history_is_read_anew(platform_log):
+    reader, told = Reader(platform_log), Reader(platform_log)
+    await reader.read()
+    await told.read()
+    for _ in range(3):
+        _tell(reader, told)
+        await reader.read()
+    _add(platform_log, "configuration", "config", b"2")
+    platform_log.forget("configuration")
+    platform_log.may_answer_newest = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(reader.read)
+        await anyio.wait_all_tasks_blocked()
+        _tell(reader, told)
+        platform_log.may_answer_newest.set()
+    assert reader.versions == [1, 2]
+    for _ in range(4):
+        await reader.read()
+        _tell(reader, told)
+    await told.read()
+    assert told.versions == [1, 2]
+
+
+async def test_a_topic_that_the_leader_cannot_read_is_read_by_others(
+    platform_log,
+):
+    reader, told = Reader(platform_log), Reader(platform_log)
+    await reader.read()
+    await told.read()
+    _tell(reader, told)
+    _tell(reader, told)
+    platform_log.away_topics.add("configuration")
+    await reader.read()
+    _tell(reader, told)
+    waiting = {
+        feed.topic: feed.follower._is_relayed() for feed in told.beliefs._feeds
+    }
+    assert not waiting["configuration"]
+    assert waiting["servers"]
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,60 @@
+"""The list of known failures: what it may hold, and what it passes over."""
+
+import importlib.util
+import pathlib
+
+import pytest
+
+_PATH = pathlib.Path(__file__).parents[1] / "conftest.py"
+
+
+def _load_conftest():
+    spec = importlib.util.spec_from_file_location("root_conftest", _PATH)
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+conftest = _load_conftest()
+LINE = "a/test_b.py::test_c | cause | issue 1"
+
+
+def test_a_line_names_test_cause_and_issue():
+    known = conftest.read_known_red(LINE + "\n\n")
+    assert known == {
+        "a/test_b.py::test_c": conftest.KnownFailure(
+            "a/test_b.py::test_c", "cause", "issue 1"
+        )
+    }
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        pytest.param("a/test_b.py::test_c", id="no cause"),
+        pytest.param("a/test_b.py::test_c | | issue 1", id="empty cause"),
+        pytest.param("\n".join([LINE] * 4), id="four lines"),
+    ],
+)
+def test_a_list_that_is_malformed_or_too_long_is_refused(text):
+    with pytest.raises(pytest.UsageError):
+        conftest.read_known_red(text)
+
+
+def test_a_listed_test_that_passes_is_told(monkeypatch):
+    class Item:
+        nodeid = "a/test_b.py::test_c"
+
+        def __init__(self) -> None:
+            self.markers = []
+
+        def add_marker(self, marker):
+            self.markers.append(marker)
+
+    known = conftest.read_known_red(LINE)
+    monkeypatch.setattr(conftest, "_load", lambda: known)
+    item = Item()
+    conftest.pytest_collection_modifyitems([item])
+    (marker,) = item.markers
+    assert marker.mark.name == "xfail"
+    assert marker.mark.kwargs["strict"]
