--- a/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -18,6 +18,7 @@
 from bridgecross_core import findings
 from bridgecross_core import ids
 from bridgecross_core import pulse
+from bridgecross_entry import follower as followers
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
 from bridgecross_entry import log as logs
@@ -127,7 +128,7 @@
     def __init__(self, topic: str, told_again_count: int) -> None:
         """Has taken in nothing."""
         self.topic = topic
-        self.follower: logs.Follower
+        self.follower: followers.Follower
         self.told_offset: int | None = None
         # The newest record of each key that changed.
         self.news: dict[str, logs.KeyedRecord] = {}
@@ -265,8 +266,8 @@
     ) -> None:
         """Gives a feed its follower."""
         on_read = self.news.notify if feed is self._servers else None
-        feed.follower = logs.Follower(
-            logs.FollowSettings(feed.topic, *pace),
+        feed.follower = followers.Follower(
+            followers.FollowSettings(feed.topic, *pace),
             self._log,
             take_all,
             take_changes,
@@ -276,11 +277,11 @@
         )
 
     @property
-    def key_follower(self) -> logs.Follower:
+    def key_follower(self) -> followers.Follower:
         """Follows the key maps."""
         return self._keys.follower
 
-    def topic_statuses(self) -> tuple[logs.TopicStatus, ...]:
+    def topic_statuses(self) -> tuple[followers.TopicStatus, ...]:
         """Returns how well each topic is known."""
         return tuple(feed.follower.status for feed in self._feeds)
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
@@ -16,6 +16,7 @@
 from bridgecross_core import clock as clocks
 from bridgecross_core import ids
 from bridgecross_core import pulse
+from bridgecross_entry import follower as followers
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
 from bridgecross_entry import leases
@@ -65,7 +66,7 @@
         instance: model.InstanceSettings,
         log: logs.PlatformLog,
         topic: str,
-        follower: logs.Follower,
+        follower: followers.Follower,
         keeper: leases.LeaseKeeper,
         book: servers_lib.ServerBook,
         table: keymap.KeyTable,
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -16,6 +16,7 @@
 from bridgecross_entry import dispatch
 from bridgecross_entry import duties
 from bridgecross_entry import edge
+from bridgecross_entry import follower as followers
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
 from bridgecross_entry import listener
@@ -264,7 +265,7 @@
                 beliefs.set(labels, key_map.version)
         self._metrics.journal_dropped.set({}, self._journal.dropped_count)
 
-    def _set_topic(self, status: logs.TopicStatus) -> None:
+    def _set_topic(self, status: followers.TopicStatus) -> None:
         """Brings the figures of one topic up to date."""
         figures = {
             "offset": status.next_offset,
--- a/libs/bridgecross-entry/tests/entry_fakes.py
+++ b/libs/bridgecross-entry/tests/entry_fakes.py
@@ -12,6 +12,7 @@
 from bridgecross_core import ids
 from bridgecross_entry import attempts
 from bridgecross_entry import coordinator
+from bridgecross_entry import follower
 from bridgecross_entry import keymap
 from bridgecross_entry import leases
 from bridgecross_entry import load_view
@@ -207,8 +208,8 @@
         self.table = keymap.KeyTable(journal)
         self.loads = load_view.LoadView(load_view.LoadSettings())
         self.list_is_fresh = True
-        self.follower = log.Follower(
-            log.FollowSettings(TOPIC, 0, 0.01),
+        self.follower = follower.Follower(
+            follower.FollowSettings(TOPIC, 0, 0.01),
             platform_log,
             self._take,
             self._take,
