--- a/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -4,9 +4,7 @@
 tells the others; each reads for itself when it is not told.
 """
 
-import collections
 from collections.abc import Callable
-from collections.abc import Iterable
 import dataclasses
 from typing import NamedTuple
 from typing import Protocol
@@ -18,6 +16,7 @@
 from bridgecross_core import findings
 from bridgecross_core import ids
 from bridgecross_core import pulse
+from bridgecross_entry import feeds
 from bridgecross_entry import follower as followers
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
@@ -54,8 +53,9 @@
     list_pause_s: float = 0.7
     # A read that arrives while a record is being appended has been seen to
     # wait on although the record was there, until its time was over. So for
-    # configurations, in force within 2 s, the time is short.
-    configuration_wait_ms: float = 1_200.0
+    # configurations, in force within 2 s, the time is short: with the 0.7 s
+    # until the leader's next word, no instance's knowledge is older than that.
+    configuration_wait_ms: float = 900.0
     # A new instance waits for the leader's word until this one has read of it.
     instance_wait_ms: float = 1_200.0
     # Key maps are pushed by their coordinator; the log is the second way.
@@ -65,28 +65,11 @@
     # The same for key maps, which change several times a second when load
     # shifts and have come by another way by then.
     key_pause_s: float = 0.7
-    # Reads whose news are told again, so that an instance that missed some
-    # words need not read for itself, which it may not be able to: those of
-    # 2 s. A configuration of 140 routes has 4 KB deflated, and told to 100
-    # instances it fills a link of 10 Mbit/s for 0.3 s, so it is told twice.
-    told_again_count: int = 3
-    configuration_told_again_count: int = 1
     # A list of servers older than this is not acted upon: two polls, so that
     # one that takes long does not stop the work.
     list_fresh_s: float = 1.6
 
 
-class TopicBatch(NamedTuple):
-    """What was read of one topic."""
-
-    topic: str
-    # The offset from which was read, and the one to read on from.
-    first_offset: int
-    next_offset: int
-    # Records that changed something.
-    records: tuple[logs.KeyedRecord, ...]
-
-
 class Decoder(Protocol):
     """Reads records of the platform."""
 
@@ -115,65 +98,16 @@
         """
 
 
-class _ToldNews(NamedTuple):
-    """News that were told, and from where on."""
-
-    first_offset: int
-    news: dict[str, logs.KeyedRecord]
-
-
-class _Feed:
-    """A follower, and what it took in since it was last told to others."""
-
-    def __init__(self, topic: str, told_again_count: int) -> None:
-        """Has taken in nothing."""
-        self.topic = topic
-        self.follower: followers.Follower
-        self.told_offset: int | None = None
-        # The newest record of each key that changed.
-        self.news: dict[str, logs.KeyedRecord] = {}
-        # What was told last, the oldest first.
-        self._told: collections.deque[_ToldNews]
-        self._told = collections.deque(maxlen=told_again_count)
-
-    def begin(self) -> None:
-        """Starts to keep news, from here on."""
-        self.told_offset = self.follower.next_offset
-        self.news = {}
+class TopicOffset(NamedTuple):
+    """Up to where an instance knows a topic."""
 
-    def end(self) -> None:
-        """Keeps no more news."""
-        self.told_offset = None
-        self.news = {}
-        self._told.clear()
-
-    def keep(self, records: Iterable[logs.KeyedRecord]) -> None:
-        """Keeps records to tell others, if it is for this one to tell."""
-        if self.told_offset is not None:
-            self.news |= {record.key: record for record in records}
+    topic: str
+    # The offset to read on from; None if nothing is known.
+    next_offset: int | None
 
-    def take_news(self) -> TopicBatch | None:
-        """Returns what to tell others; None if there is nothing to say.
 
-        What was told just before is in it as well. Each key stands there once,
-        with its newest record, so taking it again changes nothing.
-        """
-        next_offset = self.follower.next_offset
-        if self.told_offset is None or next_offset is None:
-            self.begin()
-            return None
-        new = _ToldNews(self.told_offset, self.news)
-        merged: dict[str, logs.KeyedRecord] = {}
-        for told in (*self._told, new):
-            merged |= told.news
-        first_offset = self._told[0].first_offset if self._told else None
-        if first_offset is None:
-            first_offset = new.first_offset
-        self._told.append(new)
-        self.begin()
-        return TopicBatch(
-            self.topic, first_offset, next_offset, tuple(merged.values())
-        )
+Offsets = tuple[TopicOffset, ...]
+"""Up to where an instance knows the topics."""
 
 
 class Beliefs:
@@ -219,62 +153,61 @@
         self._journal = journal
         self._clock = clock
         self._listed: dict[str, model.BackendServer] = {}
-        self._servers, self._keys, self._instances = (
-            _Feed(topic, settings.told_again_count)
-            for topic in (decoder.server_topic, KEY_TOPIC, INSTANCE_TOPIC)
-        )
-        self._configurations = _Feed(
-            decoder.configuration_topic, settings.configuration_told_again_count
-        )
-        self._feeds = (
-            self._servers,
-            self._configurations,
-            self._keys,
-            self._instances,
-        )
-        self._attach(
-            self._servers,
+        self._servers = self._follow(
+            decoder.server_topic,
             (0, settings.list_pause_s),
             self._take_all_servers,
             self._take_servers,
+            is_urgent=True,
         )
-        self._attach(
-            self._configurations,
+        self._configurations = self._follow(
+            decoder.configuration_topic,
             (settings.configuration_wait_ms, settings.quiet_pause_s),
+            self._take_all_configurations,
             self._take_configurations,
-            self._take_configurations,
+            is_urgent=True,
         )
-        self._attach(
-            self._keys,
+        self._keys = self._follow(
+            KEY_TOPIC,
             (settings.key_wait_ms, settings.key_pause_s),
-            self._take_maps,
+            self._take_all_maps,
             self._take_maps,
         )
-        self._attach(
-            self._instances,
+        self._instances = self._follow(
+            INSTANCE_TOPIC,
             (settings.instance_wait_ms, settings.quiet_pause_s),
-            self._take_instances,
+            self._take_all_instances,
             self._take_instances,
         )
+        self._feeds = (
+            self._servers,
+            self._configurations,
+            self._keys,
+            self._instances,
+        )
 
-    def _attach(
+    def _follow(
         self,
-        feed: _Feed,
+        topic: str,
         pace: tuple[float, float],
         take_all: Callable[[tuple[logs.KeyedRecord, ...]], None],
         take_changes: Callable[[tuple[logs.KeyedRecord, ...]], None],
-    ) -> None:
-        """Gives a feed its follower."""
-        on_read = self.news.notify if feed is self._servers else None
+        *,
+        is_urgent: bool = False,
+    ) -> feeds.Feed:
+        """Returns a topic's feed with its follower, which reads nothing yet."""
+        is_list = topic == self._decoder.server_topic
+        feed = feeds.Feed(topic)
         feed.follower = followers.Follower(
-            followers.FollowSettings(feed.topic, *pace),
+            followers.FollowSettings(topic, *pace, is_urgent=is_urgent),
             self._log,
             take_all,
             take_changes,
             self._journal,
             self._clock,
-            on_read,
+            self.news.notify if is_list else None,
         )
+        return feed
 
     @property
     def key_follower(self) -> followers.Follower:
@@ -290,6 +223,11 @@
         """When the list of servers was last heard of."""
         return self._servers.follower.heard_s
 
+    @property
+    def configuration_age_s(self) -> float:
+        """How long ago the configuration was known to be the newest."""
+        return self._configurations.follower.age_s
+
     @property
     def log_is_lost(self) -> bool:
         """Whether the list of servers could not be read just now."""
@@ -326,33 +264,42 @@
         for feed in self._feeds:
             feed.follower.stop_waiting()
 
-    def stop_telling(self) -> None:
-        """Keeps no news any more, since another instance tells."""
-        for feed in self._feeds:
-            feed.end()
+    def offsets(self) -> Offsets:
+        """Returns up to where this instance knows the topics."""
+        return tuple(
+            TopicOffset(feed.topic, feed.follower.next_offset)
+            for feed in self._feeds
+        )
+
+    def news_since(self, known: Offsets) -> tuple[followers.TopicBatch, ...]:
+        """Returns what one that knows the topics up to some offsets is told.
 
-    def take_news(self) -> tuple[TopicBatch, ...]:
-        """Returns what was read since the last call, from the second on."""
-        batches = [feed.take_news() for feed in self._feeds]
+        Args:
+            known: Up to where it knows them; topics that are missing, not at
+                all.
+        """
+        offset_of = {each.topic: each.next_offset for each in known}
+        batches = [
+            feed.since(offset_of.get(feed.topic)) for feed in self._feeds
+        ]
         return tuple(batch for batch in batches if batch is not None)
 
-    def take_relayed(self, batches: tuple[TopicBatch, ...]) -> None:
-        """Takes in what another instance read."""
+    def take_told(self, batches: tuple[followers.TopicBatch, ...]) -> None:
+        """Takes in what another instance knows."""
+        feed_of = {feed.topic: feed for feed in self._feeds}
         for batch in batches:
-            feed = next(
-                (f for f in self._feeds if f.topic == batch.topic), None
-            )
-            if feed is None:
-                continue
-            feed.follower.take_relayed(
-                batch.first_offset, logs.Batch(batch.records, batch.next_offset)
-            )
-
-    def take_lost(self) -> None:
-        """Takes it that the instance that reads for all has lost the log."""
-        for feed in self._feeds:
-            is_urgent = feed in {self._servers, self._configurations}
-            feed.follower.take_lost(is_urgent=is_urgent)
+            feed = feed_of.get(batch.topic)
+            if feed is not None:
+                feed.follower.take_told(batch)
+
+    def is_behind(self, batches: tuple[followers.TopicBatch, ...]) -> bool:
+        """Whether one that tells some batches knows more than this one."""
+        known_to = {each.topic: each.next_offset for each in self.offsets()}
+        return any(
+            _is_before(known_to[batch.topic], batch.next_offset)
+            for batch in batches
+            if batch.topic in known_to
+        )
 
     # Servers.
 
@@ -365,14 +312,11 @@
             for server in map(self._decode_server, records)
             if server is not None
         }
-        self._servers.keep(
-            record
-            for record in records
-            if _differs(self._listed.get(record.key), before.get(record.key))
-        )
-        self._servers.keep(
-            logs.KeyedRecord(server_id, b"")
-            for server_id in before.keys() - self._listed.keys()
+        self._servers.put_all(
+            records,
+            lambda record: _differs(
+                self._listed.get(record.key), before.get(record.key)
+            ),
         )
         self._book.replace_all(
             self._listed.values(), log_was_away=self._log_was_away()
@@ -380,22 +324,43 @@
 
     def _take_servers(self, records: tuple[logs.KeyedRecord, ...]) -> None:
         """Takes in changes of the list; most change nothing."""
-        newest = {record.key: record for record in records}
         self._book.heard_before_s = self.list_heard_s
-        for record in newest.values():
+        newest: dict[str, logs.KeyedRecord] = {}
+        # Also those that changed and changed back: others may have seen what
+        # was in between.
+        changed: set[str] = set()
+        servers: dict[str, model.BackendServer | None] = {}
+        for record in records:
             server = self._decode_server(record)
-            if server is not None:
-                if _differs(self._listed.get(record.key), server):
-                    self._servers.keep([record])
-                self._listed[record.key] = server
-                self._book.put(server)
-            elif not record.value:
-                self._servers.keep([record])
-                self._listed.pop(record.key, None)
-                self._book.remove(
-                    ids.ServerId(record.key),
-                    log_was_away=self._log_was_away(),
-                )
+            if server is None and record.value:
+                # It cannot be read, and changes nothing.
+                continue
+            key = record.key
+            known = servers.get(key, self._listed.get(key))
+            if _differs(known, server) or self._is_told:
+                changed.add(key)
+            newest[key], servers[key] = record, server
+        for server_id, server in servers.items():
+            self._take_server(server_id, server)
+        self._servers.put(newest.values(), lambda record: record.key in changed)
+
+    @property
+    def _is_told(self) -> bool:
+        """Whether another instance told what is taken of the servers."""
+        return self._servers.follower.source is followers.Source.PEER
+
+    def _take_server(
+        self, server_id: str, server: model.BackendServer | None
+    ) -> None:
+        """Takes in one entry of the list, or that it is gone."""
+        if server is not None:
+            self._listed[server_id] = server
+            self._book.put(server)
+            return
+        self._listed.pop(server_id, None)
+        self._book.remove(
+            ids.ServerId(server_id), log_was_away=self._log_was_away()
+        )
 
     def _decode_server(
         self, record: logs.KeyedRecord
@@ -421,11 +386,24 @@
 
     # Configurations.
 
+    def _take_all_configurations(
+        self, records: tuple[logs.KeyedRecord, ...]
+    ) -> None:
+        """Takes the newest configuration, which may be known."""
+        self._configurations.put_all(records)
+        self._apply_configurations(records)
+
     def _take_configurations(
         self, records: tuple[logs.KeyedRecord, ...]
     ) -> None:
-        """Takes the newest configuration, never an older one."""
-        self._configurations.keep(records)
+        """Takes configurations that followed."""
+        self._configurations.put(records)
+        self._apply_configurations(records)
+
+    def _apply_configurations(
+        self, records: tuple[logs.KeyedRecord, ...]
+    ) -> None:
+        """Puts the newest configuration in force, never an older one."""
         self.news.notify()
         for record in records:
             try:
@@ -464,9 +442,18 @@
 
     # Key maps.
 
+    def _take_all_maps(self, records: tuple[logs.KeyedRecord, ...]) -> None:
+        """Takes the newest key map of each service."""
+        self._keys.put_all(records)
+        self._apply_maps(records)
+
     def _take_maps(self, records: tuple[logs.KeyedRecord, ...]) -> None:
-        """Takes key maps."""
-        self._keys.keep(records)
+        """Takes key maps that followed."""
+        self._keys.put(records)
+        self._apply_maps(records)
+
+    def _apply_maps(self, records: tuple[logs.KeyedRecord, ...]) -> None:
+        """Puts key maps into the table, which takes no older ones."""
         for record in records:
             try:
                 self._table.put(keymap.decode(record.value), "log")
@@ -479,9 +466,22 @@
 
     # Instances.
 
+    def _take_all_instances(
+        self, records: tuple[logs.KeyedRecord, ...]
+    ) -> None:
+        """Takes in where all instances listen; others are gone."""
+        self._instances.put_all(records)
+        self.instances.clear()
+        self.weak_instances.clear()
+        self._apply_instances(records)
+
     def _take_instances(self, records: tuple[logs.KeyedRecord, ...]) -> None:
         """Takes in where instances listen, or no longer do."""
-        self._instances.keep(records)
+        self._instances.put(records)
+        self._apply_instances(records)
+
+    def _apply_instances(self, records: tuple[logs.KeyedRecord, ...]) -> None:
+        """Adds and takes off instances."""
         self.news.notify()
         for record in records:
             try:
@@ -509,6 +509,11 @@
             return False
 
 
+def _is_before(known_to: int | None, next_offset: int) -> bool:
+    """Whether a topic is known less far than up to an offset."""
+    return known_to is None or known_to < next_offset
+
+
 def _differs(
     known: model.BackendServer | None, listed: model.BackendServer | None
 ) -> bool:
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -5,7 +5,9 @@
 served in time; it is never held back.
 """
 
+from collections.abc import Callable
 import dataclasses
+import math
 
 import anyio
 
@@ -100,6 +102,8 @@
         # How many instances take requests, this one included.
         self.instance_count = 1
         self.loads: dict[ids.ServiceName, load.LoadCounter] = {}
+        # How long ago it was known that the configuration is the newest one.
+        self.configuration_age_s: Callable[[], float] = lambda: 0.0
         self.in_flight_count = 0
         self._settings = settings
         self._instance = instance
@@ -132,15 +136,7 @@
             return self._refuse("no configuration has been read yet")
         route = self.routes.find(request.host, request.path)
         if route is None:
-            self._metrics.requests.inc({"service": "", "outcome": "no-route"})
-            self._journal.decision(
-                "no_route",
-                request=request.request_id,
-                host=request.host,
-                path=request.path,
-                configuration=self.routes.configuration.version,
-            )
-            return _not_run("no route leads there", status=404)
+            return self._deny(request, self.routes.configuration.version)
         life = self._begin(request, route)
         left_s = life.deadline_s - self._clock.monotonic_s()
         outcome: outcomes.Outcome | None = None
@@ -155,6 +151,31 @@
         self._report(life, "", outcome)
         return outcome
 
+    def _deny(
+        self, request: attempts.EntryRequest, version: int
+    ) -> outcomes.NotRun:
+        """Says that no route leads there, if that is certain.
+
+        A route may have been added since the configuration was known to be
+        the newest; then the caller had better ask again.
+        """
+        age_s = self.configuration_age_s()
+        certain = age_s * 1_000 <= self._instance.bounds.configuration_ms
+        outcome = "no-route" if certain else "route-unknown"
+        self._metrics.requests.inc({"service": "", "outcome": outcome})
+        self._journal.decision(
+            "no_route" if certain else "route_unknown",
+            request=request.request_id,
+            host=request.host,
+            path=request.path,
+            configuration=version,
+            # No number stands for "never" in JSON.
+            age_s=round(age_s, 3) if math.isfinite(age_s) else None,
+        )
+        if certain:
+            return _not_run("no route leads there", status=404)
+        return self._refuse("the configuration may have changed")
+
     def _begin(
         self, request: attempts.EntryRequest, route: model.Route
     ) -> _Life:
--- a/libs/bridgecross-entry/src/bridgecross_entry/duties.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/duties.py
@@ -29,6 +29,7 @@
 from bridgecross_entry import model
 from bridgecross_entry import peers
 from bridgecross_entry import planner
+from bridgecross_entry import relaying
 from bridgecross_entry import servers as servers_lib
 from bridgecross_entry import tasks as tasks_lib
 
@@ -42,10 +43,6 @@
     # Reports that a coordinator gets in a second at most. One costs about
     # 0.4 ms there; 360 of them held up all else on 0.43 cores.
     reports_max_per_s: float = 90.0
-    # The instance that reads the log tells the others after each read of the
-    # list; this is only how long it waits for one. Its word is its heartbeat,
-    # and others claim after 1.1 s without it.
-    relay_wait_s: float = 0.7
     # Ends of moves are gathered for this long before peers are told: requests
     # wait for them, and moves come in groups.
     settled_wait_s: float = 0.005
@@ -112,6 +109,15 @@
             journal,
             clock,
         )
+        self._relayer = relaying.Relayer(
+            relaying.RelaySettings(),
+            held,
+            self._leadership,
+            self._peer_client,
+            self._peers,
+            journal,
+            clock,
+        )
         self._views: dict[ids.ServiceName, load_view.LoadView] = {}
         self._coordinators: dict[ids.ServiceName, anyio.CancelScope] = {}
         # Moves that have ended, and of which peers are told soon.
@@ -130,7 +136,7 @@
         for work in (
             self._leadership.run,
             self._keep_registered,
-            self._relay,
+            self._relayer.run,
             self._report_load,
         ):
             tasks.start_soon(tasks_lib.keep_running, work, self._journal)
@@ -143,7 +149,7 @@
             ),
             self._take_map,
             self._take_settled,
-            self._take_relay,
+            self._relayer.take,
             self._journal,
         )
 
@@ -154,9 +160,10 @@
         takes off whoever does not come back.
         """
         self._stopping = True
+        self._relayer.resigns = True
         if self._leadership.is_leader:
             self._leadership.resign()
-            await self._relay_to_peers(self._make_relay())
+            await self._relayer.tell(self._tasks)
 
     def match_coordinators(self) -> None:
         """Starts and stops coordinators as this instance leads or not."""
@@ -177,54 +184,6 @@
 
     # Telling and hearing.
 
-    async def _relay(self) -> None:
-        """Tells the others what was read, while it is for this one to read."""
-        while True:
-            await self._beliefs.news.wait(self._settings.relay_wait_s)
-            self._set_instances()
-            if not self._leadership.is_leader:
-                self._beliefs.stop_telling()
-            elif self._beliefs.is_complete:
-                await self._relay_to_peers(self._make_relay())
-
-    def _make_relay(self) -> peers.Relay:
-        """Returns the leader's word: what it read, or that it cannot."""
-        claim = self._leadership.claim
-        log_lost = self._beliefs.log_is_lost
-        news = () if log_lost else self._beliefs.take_news()
-        return peers.Relay(claim, self._stopping, log_lost, news)
-
-    async def _relay_to_peers(self, relay: peers.Relay) -> None:
-        """Tells every peer what was read, and counts who follows."""
-        encoded = peers.encode_relay(relay)
-        sent_s = self._clock.monotonic_s()
-        received: list[peers.Reception] = []
-
-        async def tell(peer: model.Address) -> None:
-            received.append(await self._peer_client.relay(peer, encoded))
-
-        await self._tell_peers(tell)
-        told = leadership.Told(
-            relay.claim.term,
-            sent_s,
-            peers=len(received),
-            accepted=received.count(peers.Reception.ACCEPTED),
-            ended=received.count(peers.Reception.ENDED),
-            disputed=peers.Reception.DISPUTED in received,
-        )
-        self._leadership.note_told(told)
-
-    def _take_relay(self, relay: peers.Relay) -> bool:
-        """Takes what another instance read for all; returns if it counts."""
-        counts = self._leadership.hear(
-            relay.claim, log_lost=relay.log_lost, resigns=relay.resigns
-        )
-        if counts and relay.log_lost:
-            self._beliefs.take_lost()
-        elif counts:
-            self._beliefs.take_relayed(relay.batches)
-        return counts
-
     async def _keep_registered(self) -> None:
         """Keeps this instance on the list, and those that are gone off it."""
         own = self._platform.peer_address
@@ -232,6 +191,7 @@
         listed = beliefs.ListedInstance(self._platform.name, is_weak)
         record = logs.KeyedRecord(str(own), beliefs.INSTANCES.encode(listed))
         while not self._stopping:
+            self._set_instances()
             known = self._beliefs.knows_instances
             missing = known and own not in self._beliefs.instances
             if missing and await self._log.put(beliefs.INSTANCE_TOPIC, record):
--- a/libs/bridgecross-entry/src/bridgecross_entry/edge.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/edge.py
@@ -18,8 +18,8 @@
 _BODY_MAX_BYTES = 64 * 1024 * 1024
 """For bodies before a configuration names a limit."""
 
-_PEER_BODY_MAX_BYTES = 1024 * 1024
-"""For messages of peers; a key map of 2,000 ranges has 100 KB."""
+_PEER_BODY_MAX_BYTES = 8 * 1024 * 1024
+"""For messages of peers; all that is known of 5,000 servers has 0.3 MB."""
 
 
 class BadRequest(NamedTuple):
@@ -179,7 +179,7 @@
             await listener.respond(send, 413, [], b"")
             return
         if body is not None:
-            status = server.answer(scope["raw_path"], body)
-            await listener.respond(send, status, [], b"")
+            reply = server.answer(scope["raw_path"], body)
+            await listener.respond(send, reply.status, [], reply.body)
 
     return serve
--- a/libs/bridgecross-entry/src/bridgecross_entry/follower.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/follower.py
@@ -1,4 +1,10 @@
-"""How a topic of the platform's log is followed by an instance."""
+"""How a topic of the platform's log is followed by an instance.
+
+A topic is read from the log, or told by the instance that reads for all.
+What is known is always the state of the topic before ``next_offset``: the
+offset never moves without the records before it, and never back. So whoever
+hears of the offset knows what is missing.
+"""
 
 from collections.abc import Callable
 import dataclasses
@@ -19,7 +25,26 @@
     """Read from the log by this instance."""
 
     PEER = "peer"
-    """Told by the instance that reads for all."""
+    """Told by another instance."""
+
+
+class TopicBatch(NamedTuple):
+    """What one instance tells another of a topic."""
+
+    topic: str
+    # The receiver has to know the topic up to an offset from the first to the
+    # last of these. First is None: it need not know anything, and keys that
+    # are not named are gone.
+    first_offset: int | None
+    last_offset: int
+    # The offset to read on from.
+    next_offset: int
+    # The newest record of each key that changed in between.
+    records: tuple[logs.KeyedRecord, ...]
+    # How long ago the sender, or whoever told it, read the log.
+    age_s: float
+    # Whether the sender cannot read the topic at the moment.
+    is_lost: bool
 
 
 class TopicStatus(NamedTuple):
@@ -28,7 +53,7 @@
     topic: str
     # The offset to read on from; None before the first read.
     next_offset: int | None
-    # Since when nothing was heard of it; None if it never was.
+    # How long ago the log was read up to there; None if it never was.
     age_s: float | None
     # Words of the leader that were left aside, for want of what came before.
     left_aside_count: int
@@ -43,6 +68,8 @@
     wait_ms: float
     # The pause between reads. With a wait it only bounds the rate.
     pause_s: float
+    # Whether it is read here at once when the leader cannot read it.
+    is_urgent: bool = False
     # The pause after a failed read. How often the log is called while it does
     # not answer is not decided here but by the circuit breaker before it.
     retry_pause_s: float = 0.3
@@ -53,6 +80,15 @@
     relay_fresh_s: float = 1.5
     # How often that is looked at.
     relay_look_s: float = 0.1
+    # A call fails within 0.8 s beyond its wait; the rest is for a busy
+    # processor. A reader that has heard nothing for longer has lost the topic,
+    # also if its call has not failed yet.
+    call_margin_s: float = 1.0
+
+    @property
+    def longest_silence_s(self) -> float:
+        """How long a reader hears nothing while all is well, at the most."""
+        return self.wait_ms / 1_000 + self.pause_s + self.call_margin_s
 
 
 class Follower:
@@ -91,7 +127,8 @@
         self._on_read = on_read
         # The offset to read on from; None before the first read.
         self.next_offset: int | None = None
-        # When the log was last heard of this topic; None if never.
+        # When the log was last read up to there, by this instance or by the
+        # one that told it; None if never.
         self.heard_s: float | None = None
         # Since when the log has been silent; None while it answers.
         self.lost_since_s: float | None = None
@@ -104,16 +141,28 @@
         self._left_aside_count = 0
         self._in_gap = False
 
+    @property
+    def age_s(self) -> float:
+        """How long ago the log was read; infinite if it never was."""
+        if self.heard_s is None:
+            return float("inf")
+        return self._clock.monotonic_s() - self.heard_s
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether this instance does not know what is new in the log."""
+        return (
+            self.lost_since_s is not None
+            or self.age_s > self._settings.longest_silence_s
+        )
+
     @property
     def status(self) -> TopicStatus:
         """How well the topic is known at this moment."""
-        age_s = None
-        if self.heard_s is not None:
-            age_s = self._clock.monotonic_s() - self.heard_s
         return TopicStatus(
             self._settings.topic,
             self.next_offset,
-            age_s,
+            None if self.heard_s is None else self.age_s,
             self._left_aside_count,
         )
 
@@ -133,53 +182,72 @@
             else:
                 await anyio.sleep(self._settings.retry_pause_s)
 
-    def take_relayed(self, first_offset: int, batch: logs.Batch) -> None:
-        """Takes what another instance read, unless some is missing before it.
+    # Told by another instance.
 
-        Args:
-            first_offset: The offset from which it read.
-            batch: What it read; records that change nothing may be left out.
+    def take_told(self, batch: TopicBatch) -> None:
+        """Takes what another instance knows, unless some is missing before it.
+
+        What a leader knows is taken even if it cannot read the log itself;
+        but then it is not waited for.
         """
-        if self.next_offset is None or first_offset > self.next_offset:
-            self._note_gap(first_offset)
+        if not self._connects(batch):
+            self._note_gap(batch)
             return
         self._in_gap = False
+        self._take_content(batch)
+        if batch.is_lost:
+            self._take_lost()
+            return
         self.relayed_s = self._clock.monotonic_s()
-        if batch.next_offset > self.next_offset:
-            self.next_offset = batch.next_offset
-            if batch.records:
-                self.source = Source.PEER
-                self._take_changes(batch.records)
-        self._note_heard()
-
-    def _note_gap(self, first_offset: int) -> None:
-        """Counts a word that cannot be taken; tells of the first in a row."""
-        self._left_aside_count += 1
-        if self._in_gap:
+        self._note_heard(self.relayed_s - batch.age_s)
+
+    def _connects(self, batch: TopicBatch) -> bool:
+        """Whether a batch leaves out nothing that is not known."""
+        known_to = self.next_offset
+        if batch.first_offset is None:
+            return True
+        if known_to is None or known_to < batch.first_offset:
+            return False
+        return known_to <= batch.last_offset or known_to >= batch.next_offset
+
+    def _take_content(self, batch: TopicBatch) -> None:
+        """Takes the records of a batch that goes further than what is known."""
+        known_to = self.next_offset
+        if known_to is not None and batch.next_offset <= known_to:
             return
-        self._in_gap = True
-        self._journal.decision(
-            "relay_left_aside",
-            topic=self._settings.topic,
-            known_to=self.next_offset,
-            told_from=first_offset,
-        )
+        self.next_offset = batch.next_offset
+        self.source = Source.PEER
+        if batch.first_offset is None:
+            self._take_all(batch.records)
+        elif batch.records:
+            self._take_changes(batch.records)
 
-    def take_lost(self, *, is_urgent: bool) -> None:
-        """Takes it that the instance that reads for this one has lost the log.
+    def _take_lost(self) -> None:
+        """Takes it that the instance that reads for this one cannot.
 
         The log may turn that one away alone, so what is urgent is read here
         at once. Once that has failed as well, the log is away for all most
         likely, and it is left to the leader to go on trying.
         """
-        if self.next_offset is None:
-            return
-        if is_urgent and self.lost_since_s is None:
+        if self._settings.is_urgent and self.lost_since_s is None:
             self.stop_waiting()
         else:
             self.relayed_s = self._clock.monotonic_s()
             self._note_lost("the leader has lost it")
 
+    def _note_gap(self, batch: TopicBatch) -> None:
+        """Counts a word that cannot be taken; tells of the first in a row."""
+        self._left_aside_count += 1
+        if self._in_gap:
+            return
+        self._in_gap = True
+        self._journal.decision(
+            "relay_left_aside",
+            topic=self._settings.topic,
+            known_to=self.next_offset,
+            told_from=batch.first_offset,
+        )
+
     def stop_waiting(self) -> None:
         """Reads by itself from now on, until it is told something again."""
         self.relayed_s = float("-inf")
@@ -189,18 +257,30 @@
         age_s = self._clock.monotonic_s() - self.relayed_s
         return age_s < self._settings.relay_fresh_s
 
+    # Read from the log.
+
     async def catch_up(self) -> bool:
         """Reads what is there by now; returns whether the log answered."""
         return await self._step(0)
 
+    async def start_over(self) -> bool:
+        """Reads the newest records again; returns whether the log answered.
+
+        What others told may have left a record out; before something is
+        written on top of the newest one, it is looked up in the log itself.
+        """
+        return await self._start()
+
     async def _step(self, wait_ms: float) -> bool:
         """Reads once; returns whether the log answered."""
-        if self.next_offset is None:
+        first_offset = self.next_offset
+        if first_offset is None:
             return await self._start()
         if self.lost_since_s is not None:
             wait_ms = 0
+        asked_s = self._clock.monotonic_s()
         result = await self._log.read(
-            self._settings.topic, self.next_offset, wait_ms
+            self._settings.topic, first_offset, wait_ms
         )
         if isinstance(result, logs.Unreachable):
             self._note_lost(result.reason)
@@ -208,22 +288,33 @@
                 self._on_read()
             return False
         if isinstance(result, logs.Forgotten):
+            # What is known stays true; only what followed is looked up anew.
             self._journal.lifecycle(
                 "history_forgotten",
                 topic=self._settings.topic,
-                offset=self.next_offset,
+                offset=first_offset,
             )
-            self.next_offset = None
             return await self._start()
-        self.next_offset = max(self.next_offset or 0, result.next_offset)
-        if result.records:
-            self.source = Source.LOG
-            self._take_changes(result.records)
-        self._note_heard()
+        self._take_read(first_offset, result)
+        # An answer tells how things were when it was asked for, and one
+        # without a record comes only once the wait is over.
+        waited_s = 0.0 if result.records else wait_ms / 1_000
+        self._note_heard(asked_s + waited_s)
         if self._on_read is not None:
             self._on_read()
         return True
 
+    def _take_read(self, first_offset: int, batch: logs.Batch) -> None:
+        """Takes what was read, but for what was told in the meantime."""
+        known_to = self.next_offset or 0
+        if batch.next_offset <= known_to:
+            return
+        self.next_offset = batch.next_offset
+        self.source = Source.LOG
+        new = batch.records[known_to - first_offset :]
+        if new:
+            self._take_changes(new)
+
     def note_own_append(self, offset: int, record: logs.KeyedRecord) -> None:
         """Takes in a record that this process appended itself.
 
@@ -235,28 +326,26 @@
             self.source = Source.LOG
             self._take_changes((record,))
 
-    async def start_over(self) -> bool:
-        """Reads the newest records again; returns whether the log answered.
-
-        What others told may have left a record out; before something is
-        written on top of the newest one, it is looked up in the log itself.
-        """
-        return await self._start()
-
     async def _start(self) -> bool:
         """Reads the newest record of every key."""
+        asked_s = self._clock.monotonic_s()
         result = await self._log.read_newest(self._settings.topic)
         if isinstance(result, logs.Unreachable):
             self._note_lost(result.reason)
             return False
-        # The leader will tell what comes next, if there is one.
-        self.relayed_s = self._clock.monotonic_s()
-        self.next_offset = result.end
-        self.source = Source.LOG
-        self._take_all(result.records)
-        self._note_heard()
+        if self.next_offset is None:
+            # The leader will tell what comes next, if there is one.
+            self.relayed_s = self._clock.monotonic_s()
+        # More may have been told while the answer was under way.
+        if self.next_offset is None or result.end >= self.next_offset:
+            self.next_offset = result.end
+            self.source = Source.LOG
+            self._take_all(result.records)
+        self._note_heard(asked_s)
         return True
 
+    # What is known of the log itself.
+
     def _note_lost(self, reason: str) -> None:
         """Keeps since when the log has been silent."""
         if self.lost_since_s is None:
@@ -265,11 +354,12 @@
                 "log_lost", topic=self._settings.topic, reason=reason
             )
 
-    def _note_heard(self) -> None:
-        """Keeps when the log was heard."""
-        now_s = self._clock.monotonic_s()
-        self.heard_s = now_s
+    def _note_heard(self, heard_s: float) -> None:
+        """Keeps when the log was read, be it by another instance."""
+        if self.heard_s is None or heard_s > self.heard_s:
+            self.heard_s = heard_s
         if self.lost_since_s is not None:
+            now_s = self._clock.monotonic_s()
             self._journal.lifecycle(
                 "log_regained",
                 topic=self._settings.topic,
--- a/libs/bridgecross-entry/src/bridgecross_entry/log_breaker.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/log_breaker.py
@@ -1,8 +1,10 @@
 """A circuit breaker in front of the platform's log.
 
 Every call is priced, also one that is turned away. While the log does not
-answer this instance, one call at a time finds out whether it does again; all
-others are told at once that it does not.
+answer for a topic, one call at a time finds out whether it does again; all
+others about that topic are told at once that it does not. Topics fail one by
+one: each has partitions of its own, and one that is away says nothing about
+another.
 """
 
 from collections.abc import Awaitable
@@ -28,26 +30,19 @@
     longest_pause_s: float = 1.2
 
 
-class CircuitBreaker:
-    """A ``logs.PlatformLog`` that leaves a log alone that does not answer."""
+class _Circuit:
+    """Whether calls about one topic are let through."""
 
     def __init__(
         self,
+        topic: str,
         settings: BreakerSettings,
-        log: logs.PlatformLog,
         journal: journals.Journal,
         clock: clocks.Clock,
     ) -> None:
-        """Lets every call through.
-
-        Args:
-            settings: When to try again.
-            log: The log behind it.
-            journal: Told when it opens and closes.
-            clock: For the pauses.
-        """
+        """Lets every call through."""
+        self._topic = topic
         self._settings = settings
-        self._log = log
         self._journal = journal
         self._clock = clock
         # The pause between tries; 0 while the log answers.
@@ -56,34 +51,7 @@
         # Calls that were not made.
         self._spared_count = 0
 
-    async def read_newest(self, topic: str) -> logs.Newest | logs.Unreachable:
-        """Returns the newest record of each key; see ``PlatformLog``."""
-        spared = self._spare()
-        if spared is not None:
-            return spared
-        return await self._read(self._log.read_newest(topic))
-
-    async def read(
-        self, topic: str, offset: int, wait_ms: float
-    ) -> logs.Batch | logs.Forgotten | logs.Unreachable:
-        """Returns records from an offset on; see ``PlatformLog``."""
-        spared = self._spare()
-        if spared is not None:
-            return spared
-        return await self._read(self._log.read(topic, offset, wait_ms))
-
-    async def append(
-        self, topic: str, record: logs.KeyedRecord, expected_end: int
-    ) -> logs.Appended | logs.Conflict | logs.Uncertain | logs.Unreachable:
-        """Appends a record on a condition; see ``PlatformLog``."""
-        spared = self._spare()
-        return spared or await self._log.append(topic, record, expected_end)
-
-    async def put(self, topic: str, record: logs.KeyedRecord) -> bool:
-        """Appends a record on no condition; see ``PlatformLog``."""
-        return not self._spare() and await self._log.put(topic, record)
-
-    def _spare(self) -> logs.Unreachable | None:
+    def spare(self) -> logs.Unreachable | None:
         """Returns why a call is not made; None if it may be made."""
         if not self._pause_s:
             return None
@@ -95,7 +63,7 @@
         self._next_try_s = now_s + self._pause_s
         return None
 
-    async def _read(self, call: Awaitable[_Result]) -> _Result:
+    async def read(self, call: Awaitable[_Result]) -> _Result:
         """Makes a reading call and learns from it.
 
         Writes are few, and one without an answer says little about reads.
@@ -112,7 +80,9 @@
     def _open(self, reason: str) -> None:
         """Makes a pause, a longer one each time."""
         if not self._pause_s:
-            self._journal.decision("log_breaker_opened", reason=reason)
+            self._journal.decision(
+                "log_breaker_opened", topic=self._topic, reason=reason
+            )
         settings = self._settings
         longer_s = max(2 * self._pause_s, settings.first_pause_s)
         self._pause_s = min(longer_s, settings.longest_pause_s)
@@ -122,7 +92,74 @@
         """Lets every call through again."""
         if self._pause_s:
             self._journal.decision(
-                "log_breaker_closed", spared=self._spared_count
+                "log_breaker_closed",
+                topic=self._topic,
+                spared=self._spared_count,
             )
         self._pause_s = 0.0
         self._spared_count = 0
+
+
+class CircuitBreaker:
+    """A ``logs.PlatformLog`` that leaves topics alone that do not answer."""
+
+    def __init__(
+        self,
+        settings: BreakerSettings,
+        log: logs.PlatformLog,
+        journal: journals.Journal,
+        clock: clocks.Clock,
+    ) -> None:
+        """Lets every call through.
+
+        Args:
+            settings: When to try again.
+            log: The log behind it.
+            journal: Told when it opens and closes.
+            clock: For the pauses.
+        """
+        self._settings = settings
+        self._log = log
+        self._journal = journal
+        self._clock = clock
+        self._circuits: dict[str, _Circuit] = {}
+
+    async def read_newest(self, topic: str) -> logs.Newest | logs.Unreachable:
+        """Returns the newest record of each key; see ``PlatformLog``."""
+        circuit = self._circuit(topic)
+        spared = circuit.spare()
+        if spared is not None:
+            return spared
+        return await circuit.read(self._log.read_newest(topic))
+
+    async def read(
+        self, topic: str, offset: int, wait_ms: float
+    ) -> logs.Batch | logs.Forgotten | logs.Unreachable:
+        """Returns records from an offset on; see ``PlatformLog``."""
+        circuit = self._circuit(topic)
+        spared = circuit.spare()
+        if spared is not None:
+            return spared
+        return await circuit.read(self._log.read(topic, offset, wait_ms))
+
+    async def append(
+        self, topic: str, record: logs.KeyedRecord, expected_end: int
+    ) -> logs.Appended | logs.Conflict | logs.Uncertain | logs.Unreachable:
+        """Appends a record on a condition; see ``PlatformLog``."""
+        spared = self._circuit(topic).spare()
+        return spared or await self._log.append(topic, record, expected_end)
+
+    async def put(self, topic: str, record: logs.KeyedRecord) -> bool:
+        """Appends a record on no condition; see ``PlatformLog``."""
+        spared = self._circuit(topic).spare()
+        return not spared and await self._log.put(topic, record)
+
+    def _circuit(self, topic: str) -> _Circuit:
+        """Returns what is known of the log for one topic."""
+        circuit = self._circuits.get(topic)
+        if circuit is None:
+            circuit = _Circuit(
+                topic, self._settings, self._journal, self._clock
+            )
+            self._circuits[topic] = circuit
+        return circuit
--- a/libs/bridgecross-entry/src/bridgecross_entry/model.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/model.py
@@ -124,6 +124,8 @@
     retry_slack: float
     # The longest lease that a backend server accepts.
     lease_max_ms: float
+    # A configuration is in force everywhere this long after it was taken.
+    configuration_ms: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -18,6 +18,7 @@
 from bridgecross_core import ids
 from bridgecross_entry import beliefs
 from bridgecross_entry import exchange
+from bridgecross_entry import follower as followers
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
 from bridgecross_entry import leadership
@@ -59,15 +60,17 @@
     claim: leadership.Claim
     # Whether the sender leaves, so that another one should lead.
     resigns: bool
-    # Whether the sender has lost the log itself; it then tells nothing.
+    # Whether the sender has lost the list of servers in the log.
     log_lost: bool
-    batches: tuple[beliefs.TopicBatch, ...]
+    # What the receiver lacks of each topic, which may be nothing.
+    batches: tuple[followers.TopicBatch, ...]
 
 
 _LOADS = codec.Codec(load.LoadReport)
 _MAPS = codec.Codec(keymap.KeyMap)
 _SETTLED = codec.Codec(tuple[Settled, ...])
 _RELAYS = codec.Codec(Relay)
+_OFFSETS = codec.Codec(beliefs.Offsets)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,6 +80,9 @@
     # A peer answers in 2 ms; one that needs longer is busy or away, and what
     # it missed it reads from the log.
     timeout_s: float = 0.4
+    # What a message's length adds to that: half of the weakest link seen, of
+    # 5 Mbit/s.
+    least_bytes_per_s: float = 300_000.0
     # A peer is not called for this long after it did not answer.
     pause_s: float = 1.0
 
@@ -97,6 +103,22 @@
     """No usable answer came, or the peer is left alone for a moment."""
 
 
+class _Answer(NamedTuple):
+    """What came of a message, and what the peer said to it."""
+
+    reception: Reception
+    body: bytes = b""
+
+
+class RelayAnswer(NamedTuple):
+    """What came of the leader's word at one instance."""
+
+    reception: Reception
+    # Up to where the receiver knows the topics, if it knows less than it was
+    # told of; else nothing.
+    offsets: beliefs.Offsets = ()
+
+
 class PeerClient:
     """Calls other instances."""
 
@@ -123,9 +145,21 @@
         """Tells a coordinator of load."""
         await self._call(address, _LOAD_PATH, _deflate(_LOADS.encode(report)))
 
-    async def relay(self, address: model.Address, relay: bytes) -> Reception:
+    async def relay(self, address: model.Address, relay: bytes) -> RelayAnswer:
         """Tells a peer what was read; see ``encode_relay``."""
-        return await self._call(address, _RELAY_PATH, relay)
+        answer = await self._call(address, _RELAY_PATH, relay)
+        if not answer.body:
+            return RelayAnswer(answer.reception)
+        try:
+            return RelayAnswer(answer.reception, _OFFSETS.decode(answer.body))
+        except codec.CodecError as error:
+            self._journal.decision(
+                "peer_message_unreadable",
+                path=_RELAY_PATH.decode(),
+                address=str(address),
+                reason=str(error),
+            )
+            return RelayAnswer(Reception.UNKNOWN)
 
     async def push_map(self, address: model.Address, key_map: bytes) -> None:
         """Tells a peer of a new key map; see ``encode_map``."""
@@ -145,11 +179,11 @@
 
     async def _call(
         self, address: model.Address, path: bytes, body: bytes
-    ) -> Reception:
+    ) -> _Answer:
         """Posts a message; a peer that does not take it is paused."""
         now_s = self._clock.monotonic_s()
         if now_s < self._paused_until_s.get(address, 0.0):
-            return self._last[address]
+            return _Answer(self._last[address])
         pool = self._pools.get(address)
         if pool is None:
             pool = exchange.Pool(
@@ -159,14 +193,16 @@
         head = b"POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n"
         request = head % (path, str(address).encode(), len(body)) + body
         result: exchange.Result = exchange.Broken("no answer in time")
-        with anyio.move_on_after(self._settings.timeout_s):
+        timeout_s = self._settings.timeout_s
+        timeout_s += len(body) / self._settings.least_bytes_per_s
+        with anyio.move_on_after(timeout_s):
             result = await pool.exchange(request, lambda reply: True)
         if isinstance(result, exchange.Reply):
             self._lost_since_s.pop(address, None)
             if result.status == _HTTP_OK:
-                return Reception.ACCEPTED
+                return _Answer(Reception.ACCEPTED, result.body)
             if result.status == _HTTP_CONFLICT:
-                return Reception.DISPUTED
+                return _Answer(Reception.DISPUTED)
             reason = f"status {result.status}"
         else:
             reason = result.reason
@@ -176,7 +212,7 @@
         self._paused_until_s[address] = now_s + self._settings.pause_s
         self._lost_since_s.setdefault(address, now_s)
         self._journal.decision("peer_lost", address=str(address), reason=reason)
-        return self._last[address]
+        return _Answer(self._last[address])
 
 
 def encode_relay(relay: Relay) -> bytes:
@@ -210,6 +246,13 @@
     return message
 
 
+class PeerReply(NamedTuple):
+    """The answer to a message, as it goes over HTTP."""
+
+    status: int
+    body: bytes = b""
+
+
 class PeerServer:
     """Answers other instances."""
 
@@ -218,7 +261,7 @@
         take_load: Callable[[load.LoadReport], None],
         take_map: Callable[[keymap.KeyMap], None],
         take_settled: Callable[[tuple[Settled, ...]], None],
-        take_relay: Callable[[Relay], bool],
+        take_relay: Callable[[Relay], beliefs.Offsets | None],
         journal: journals.Journal,
     ) -> None:
         """Keeps who takes what.
@@ -227,30 +270,40 @@
             take_load: Takes a load report.
             take_map: Takes a key map.
             take_settled: Takes the end of moves.
-            take_relay: Takes what another instance read; returns whether it
-                counts, since a later leader may be known.
+            take_relay: Takes what another instance read; returns up to where
+                the topics are known, if that is less; None if it does not
+                count, since a later leader is known.
             journal: Told of messages that cannot be read.
         """
-        self._takers: dict[bytes, Callable[[bytes], bool | None]] = {
+        self._takers: dict[bytes, Callable[[bytes], None]] = {
             _LOAD_PATH: lambda body: take_load(_LOADS.decode(body)),
             _MAP_PATH: lambda body: take_map(_MAPS.decode(body)),
             _SETTLED_PATH: lambda body: take_settled(_SETTLED.decode(body)),
-            _RELAY_PATH: lambda body: take_relay(_RELAYS.decode(body)),
         }
+        self._take_relay = take_relay
         self._journal = journal
 
-    def answer(self, path: bytes, body: bytes) -> int:
-        """Takes a message; returns the status of the answer."""
-        take = self._takers.get(path)
-        if take is None:
-            return 404
+    def answer(self, path: bytes, body: bytes) -> PeerReply:
+        """Takes a message; returns the answer."""
         try:
-            accepted = take(_inflate(body))
+            if path == _RELAY_PATH:
+                return self._answer_relay(_RELAYS.decode(_inflate(body)))
+            take = self._takers.get(path)
+            if take is None:
+                return PeerReply(404)
+            take(_inflate(body))
         except codec.CodecError as error:
             self._journal.decision(
                 "peer_message_unreadable",
                 path=path.decode("ascii", "replace"),
                 reason=str(error),
             )
-            return 400
-        return _HTTP_CONFLICT if accepted is False else _HTTP_OK
+            return PeerReply(400)
+        return PeerReply(_HTTP_OK)
+
+    def _answer_relay(self, relay: Relay) -> PeerReply:
+        """Answers the leader's word."""
+        offsets = self._take_relay(relay)
+        if offsets is None:
+            return PeerReply(_HTTP_CONFLICT)
+        return PeerReply(_HTTP_OK, _OFFSETS.encode(offsets) if offsets else b"")
--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
@@ -0,0 +1,190 @@
+"""One instance reads the log and tells the others what they lack.
+
+The leader speaks to each instance after each read of the list of servers. An
+answer says up to where the receiver knows the topics, if it knows less; the
+next word starts there. So a word that is lost costs nothing but time, and an
+instance that the log turns away knows what the others know.
+"""
+
+from collections.abc import Callable
+import dataclasses
+from typing import NamedTuple
+
+import anyio
+import anyio.abc
+
+from bridgecross_core import clock as clocks
+from bridgecross_entry import beliefs
+from bridgecross_entry import journal as journals
+from bridgecross_entry import leadership
+from bridgecross_entry import model
+from bridgecross_entry import peers
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelaySettings:
+    """How the leader speaks to the others."""
+
+    # The leader speaks after each read of the list; this is only how long it
+    # waits for one. Its word is its heartbeat, and others claim after 1.1 s
+    # without it.
+    wait_s: float = 0.7
+    # What is longer goes out beside the regular words, so that one instance
+    # on a weak link does not hold up the next word to all: 60 KB take 0.1 s
+    # at 5 Mbit/s.
+    word_max_bytes: int = 60_000
+
+
+class _Word(NamedTuple):
+    """A message as it goes to all that know the same."""
+
+    encoded: bytes
+    # Up to where a receiver knows the topics once it has taken it.
+    offsets: beliefs.Offsets
+
+
+class Relayer:
+    """Tells the other instances what was read, and hears what is told."""
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        held: beliefs.Beliefs,
+        lead: leadership.Leadership,
+        client: peers.PeerClient,
+        addresses: Callable[[], tuple[model.Address, ...]],
+        journal: journals.Journal,
+        clock: clocks.Clock,
+    ) -> None:
+        """Has spoken to nobody.
+
+        Args:
+            settings: How often to speak.
+            held: What this instance knows.
+            lead: Whether it is for this one to speak.
+            client: Calls other instances.
+            addresses: Where they listen.
+            journal: Told who has to be told more.
+            clock: For when words were sent.
+        """
+        # Whether another instance should lead.
+        self.resigns = False
+        self._settings = settings
+        self._beliefs = held
+        self._leadership = lead
+        self._client = client
+        self._addresses = addresses
+        self._journal = journal
+        self._clock = clock
+        # Up to where the others know the topics, by their last answers.
+        self._known: dict[model.Address, beliefs.Offsets] = {}
+        # Those that are being told what was too long for a word.
+        self._catching_up: set[model.Address] = set()
+
+    async def run(self) -> None:
+        """Speaks while this instance leads, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._beliefs.news.wait(self._settings.wait_s)
+                if not self._leadership.is_leader:
+                    self._known.clear()
+                elif self._beliefs.is_complete:
+                    await self.tell(tasks)
+
+    async def tell(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Speaks to every instance once, and counts who follows.
+
+        Args:
+            tasks: Where those are told more that lack more.
+        """
+        claim = self._leadership.claim
+        sent_s = self._clock.monotonic_s()
+        received: list[peers.Reception] = []
+        words: dict[beliefs.Offsets, _Word] = {}
+
+        async def tell_one(peer: model.Address) -> None:
+            known = self._known.get(peer, self._beliefs.offsets())
+            if known not in words:
+                words[known] = self._make_word(known)
+            answer = await self._send(peer, words[known])
+            received.append(answer.reception)
+            if answer.offsets:
+                tasks.start_soon(self._catch_up, peer)
+
+        async with anyio.create_task_group() as calls:
+            for peer in self._addresses():
+                calls.start_soon(tell_one, peer)
+        told = leadership.Told(
+            claim.term,
+            sent_s,
+            peers=len(received),
+            accepted=received.count(peers.Reception.ACCEPTED),
+            ended=received.count(peers.Reception.ENDED),
+            disputed=peers.Reception.DISPUTED in received,
+        )
+        if self._beliefs.knows_instances:
+            # Whoever has not read who the others are counts no majority.
+            self._leadership.note_told(told)
+
+    def take(self, relay: peers.Relay) -> beliefs.Offsets | None:
+        """Takes another instance's word.
+
+        Returns:
+            Up to where the topics are known here, if that is less far than
+            the sender knows them, else nothing; None if its word does not
+            count, since a later leader is known.
+        """
+        counts = self._leadership.hear(
+            relay.claim, log_lost=relay.log_lost, resigns=relay.resigns
+        )
+        if not counts:
+            return None
+        self._beliefs.take_told(relay.batches)
+        if self._beliefs.is_behind(relay.batches):
+            return self._beliefs.offsets()
+        return ()
+
+    def _make_word(self, known: beliefs.Offsets) -> _Word:
+        """Returns the word for those that know the topics so far."""
+        word = self._encode(known)
+        if len(word.encoded) <= self._settings.word_max_bytes:
+            return word
+        return self._encode(self._beliefs.offsets())
+
+    def _encode(self, known: beliefs.Offsets) -> _Word:
+        """Returns all that is to be told to those that know so far."""
+        relay = peers.Relay(
+            self._leadership.claim,
+            self.resigns,
+            self._beliefs.log_is_lost,
+            self._beliefs.news_since(known),
+        )
+        return _Word(peers.encode_relay(relay), self._beliefs.offsets())
+
+    async def _send(
+        self, peer: model.Address, word: _Word
+    ) -> peers.RelayAnswer:
+        """Sends a word, and keeps up to where its receiver knows."""
+        answer = await self._client.relay(peer, word.encoded)
+        if answer.reception is peers.Reception.ACCEPTED:
+            self._known[peer] = answer.offsets or word.offsets
+        return answer
+
+    async def _catch_up(self, peer: model.Address) -> None:
+        """Tells one instance at once all that it lacks."""
+        if peer in self._catching_up:
+            return
+        self._catching_up.add(peer)
+        try:
+            known = self._known.get(peer, ())
+            word = self._encode(known)
+            answer = await self._send(peer, word)
+            self._journal.decision(
+                "peer_caught_up",
+                address=str(peer),
+                known=dict(known),
+                reception=answer.reception.value,
+                sent_bytes=len(word.encoded),
+            )
+        finally:
+            self._catching_up.discard(peer)
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -117,6 +117,9 @@
             journal,
             clock,
         )
+        self._dispatcher.configuration_age_s = lambda: (
+            self._beliefs.configuration_age_s
+        )
         self._duties = duties.Duties(
             duties.DutySettings(),
             self._platform,
--- /dev/null
+++ b/libs/bridgecross-entry/tests/belief_support.py
@@ -0,0 +1,105 @@
+"""Instances that follow one log in memory, for tests of beliefs."""
+
+import dataclasses
+
+import entry_fakes as fakes
+import entry_support as support
+
+from bridgecross_core import clock
+from bridgecross_core import findings
+from bridgecross_core import ids
+from bridgecross_entry import beliefs
+from bridgecross_entry import follower
+from bridgecross_entry import journal as journals
+from bridgecross_entry import keymap
+from bridgecross_entry import servers
+
+
+class Decoder:
+    """Reads records whose value is a list of words."""
+
+    server_topic = "servers"
+    configuration_topic = "configuration"
+
+    def decode_server(self, record):
+        service, *words = record.value.decode().split()
+        if service == "bad":
+            place = findings.Place(record.key)
+            raise findings.FindingsError([findings.Finding(place, "bad")])
+        server = support.make_server(
+            record.key, service, leaving="leaving" in words
+        )
+        left_ms = next((float(word) for word in words if word.isdigit()), 0.0)
+        return dataclasses.replace(server, warmup_left_ms=left_ms)
+
+    def decode_configuration(self, record):
+        version = int(record.value)
+        return support.make_configuration(support.make_route(), version=version)
+
+
+class Reader:
+    """One instance's beliefs."""
+
+    def __init__(
+        self,
+        platform_log: fakes.MemoryLog,
+        written: journals.Journal | None = None,
+    ) -> None:
+        real = clock.SystemClock()
+        journal = written or support.make_journal(real)
+        self.book = servers.ServerBook(
+            servers.ServerSettings(), support.BOUNDS, journal, real
+        )
+        self.versions: list[int] = []
+        self.table = keymap.KeyTable(journal)
+        self.beliefs = beliefs.Beliefs(
+            beliefs.BeliefSettings(),
+            platform_log,
+            Decoder(),
+            self.book,
+            self.table,
+            lambda new: self.versions.append(new.version),
+            journal,
+            real,
+        )
+
+    async def read(self) -> None:
+        for feed in self.beliefs._feeds:
+            await feed.follower.catch_up()
+
+    def knows(self, name: str) -> bool:
+        return self.book.get(ids.ServerId(name)) is not None
+
+
+class Teller:
+    """Speaks to others as the leader does, from what they answered last."""
+
+    def __init__(self, reader: Reader) -> None:
+        self._beliefs = reader.beliefs
+        self._known: dict[Reader, beliefs.Offsets] = {}
+
+    def tell(self, *others: Reader) -> None:
+        """Lets others hear the next word, and once more if they lack more."""
+        for other in others:
+            known = self._known.get(other, self._beliefs.offsets())
+            answer = self._speak(other, known)
+            if answer:
+                self._speak(other, answer)
+
+    def lose(self, other: Reader) -> None:
+        """Speaks to one that the word does not reach."""
+        known = self._known.get(other, self._beliefs.offsets())
+        self._beliefs.news_since(known)
+
+    def news(self, other: Reader) -> dict[str, follower.TopicBatch]:
+        """Returns what the next word to another one says, by topic."""
+        known = self._known[other]
+        return {b.topic: b for b in self._beliefs.news_since(known)}
+
+    def _speak(self, other: Reader, known: beliefs.Offsets) -> beliefs.Offsets:
+        batches = self._beliefs.news_since(known)
+        reached = self._beliefs.offsets()
+        other.beliefs.take_told(batches)
+        behind = other.beliefs.is_behind(batches)
+        self._known[other] = other.beliefs.offsets() if behind else reached
+        return other.beliefs.offsets() if behind else ()
--- a/libs/bridgecross-entry/tests/entry_support.py
+++ b/libs/bridgecross-entry/tests/entry_support.py
@@ -27,6 +27,7 @@
     retry_window_ms=10_000,
     retry_slack=62,
     lease_max_ms=10_000,
+    configuration_ms=2_000,
 )
 
 INSTANCE = model.InstanceSettings(
--- a/libs/bridgecross-entry/tests/test_beliefs.py
+++ b/libs/bridgecross-entry/tests/test_beliefs.py
@@ -1,80 +1,23 @@
-import dataclasses
 import json
 import os
 
 import anyio
+import belief_support
 import entry_fakes as fakes
 import entry_support as support
 import pytest
 
 from bridgecross_core import clock
-from bridgecross_core import findings
 from bridgecross_core import ids
 from bridgecross_entry import beliefs
+from bridgecross_entry import follower
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
 from bridgecross_entry import log
-from bridgecross_entry import servers
 
 pytestmark = pytest.mark.anyio
 
 
-class Decoder:
-    """Reads records whose value is a list of words."""
-
-    server_topic = "servers"
-    configuration_topic = "configuration"
-
-    def decode_server(self, record):
-        service, *words = record.value.decode().split()
-        if service == "bad":
-            place = findings.Place(record.key)
-            raise findings.FindingsError([findings.Finding(place, "bad")])
-        server = support.make_server(
-            record.key, service, leaving="leaving" in words
-        )
-        left_ms = next((float(word) for word in words if word.isdigit()), 0.0)
-        return dataclasses.replace(server, warmup_left_ms=left_ms)
-
-    def decode_configuration(self, record):
-        version = int(record.value)
-        return support.make_configuration(support.make_route(), version=version)
-
-
-class Reader:
-    """One instance's beliefs."""
-
-    def __init__(
-        self,
-        platform_log: fakes.MemoryLog,
-        written: journals.Journal | None = None,
-    ) -> None:
-        real = clock.SystemClock()
-        journal = written or support.make_journal(real)
-        self.book = servers.ServerBook(
-            servers.ServerSettings(), support.BOUNDS, journal, real
-        )
-        self.versions: list[int] = []
-        self.table = keymap.KeyTable(journal)
-        self.beliefs = beliefs.Beliefs(
-            beliefs.BeliefSettings(),
-            platform_log,
-            Decoder(),
-            self.book,
-            self.table,
-            lambda new: self.versions.append(new.version),
-            journal,
-            real,
-        )
-
-    async def read(self) -> None:
-        for feed in self.beliefs._feeds:
-            await feed.follower.catch_up()
-
-    def knows(self, name: str) -> bool:
-        return self.book.get(ids.ServerId(name)) is not None
-
-
 @pytest.fixture
 def platform_log():
     filled = fakes.MemoryLog()
@@ -88,7 +31,7 @@
 
 
 async def test_a_configuration_never_goes_back(platform_log):
-    reader = Reader(platform_log)
+    reader = belief_support.Reader(platform_log)
     await reader.read()
     _add(platform_log, "configuration", "config", b"5")
     _add(platform_log, "configuration", "config", b"3")
@@ -97,7 +40,7 @@
 
 
 async def test_an_entry_that_cannot_be_read_changes_nothing(platform_log):
-    reader = Reader(platform_log)
+    reader = belief_support.Reader(platform_log)
     await reader.read()
     _add(platform_log, "servers", "a", b"bad")
     await reader.read()
@@ -105,79 +48,104 @@
 
 
 async def test_what_one_reads_the_others_are_told(platform_log):
-    reader, told = Reader(platform_log), Reader(platform_log)
+    reader, told = (
+        belief_support.Reader(platform_log),
+        belief_support.Reader(platform_log),
+    )
+    teller = belief_support.Teller(reader)
     await reader.read()
     await told.read()
-    reader.beliefs.take_news()
+    teller.tell(told)
     _add(platform_log, "servers", "b", b"rapor")
     _add(platform_log, "servers", "a", b"rapor")
     _add(platform_log, "configuration", "config", b"2")
     await reader.read()
-    news = reader.beliefs.take_news()
-    listed = next(batch for batch in news if batch.topic == "servers")
+    listed = teller.news(told)["servers"]
     assert [record.key for record in listed.records] == ["b"]
-    told.beliefs.take_relayed(news)
+    teller.tell(told)
     assert told.knows("b")
     assert told.versions == [1, 2]
 
 
 async def test_a_warm_up_that_runs_off_is_not_told(platform_log):
-    reader = Reader(platform_log)
+    reader, told = (
+        belief_support.Reader(platform_log),
+        belief_support.Reader(platform_log),
+    )
+    teller = belief_support.Teller(reader)
     _add(platform_log, "servers", "b", b"rapor 3000")
     await reader.read()
-    reader.beliefs.take_news()
+    await told.read()
+    teller.tell(told)
     _add(platform_log, "servers", "b", b"rapor 2100")
     await reader.read()
-    assert not any(batch.records for batch in reader.beliefs.take_news())
+    news = teller.news(told)
+    assert news["servers"].next_offset == 3
+    assert not any(batch.records for batch in news.values())
 
 
 async def test_news_that_were_missed_are_told_again(platform_log):
-    reader, told = Reader(platform_log), Reader(platform_log)
+    reader, told = (
+        belief_support.Reader(platform_log),
+        belief_support.Reader(platform_log),
+    )
+    teller = belief_support.Teller(reader)
     await reader.read()
     await told.read()
-    reader.beliefs.take_news()
-    for name in "bcde":
+    teller.tell(told)
+    for name in "bcdefghij":
         _add(platform_log, "servers", name, b"rapor")
         await reader.read()
-        news = reader.beliefs.take_news()
-    told.beliefs.take_relayed(news)
-    assert all(told.knows(name) for name in "abcde")
+        teller.lose(told)
+    teller.tell(told)
+    assert all(told.knows(name) for name in "abcdefghij")
 
 
 async def test_news_told_again_change_nothing(platform_log):
-    reader, told = Reader(platform_log), Reader(platform_log)
+    reader, told = (
+        belief_support.Reader(platform_log),
+        belief_support.Reader(platform_log),
+    )
+    teller = belief_support.Teller(reader)
     await reader.read()
     await told.read()
-    reader.beliefs.take_news()
+    teller.tell(told)
+    known = told.beliefs.offsets()
     _add(platform_log, "servers", "b", b"rapor leaving")
     await reader.read()
-    told.beliefs.take_relayed(reader.beliefs.take_news())
+    told.beliefs.take_told(reader.beliefs.news_since(known))
+    early_word = reader.beliefs.news_since(known)
     _add(platform_log, "servers", "b", b"")
     await reader.read()
-    told.beliefs.take_relayed(reader.beliefs.take_news())
+    told.beliefs.take_told(reader.beliefs.news_since(known))
     server = told.book.get(ids.ServerId("b"))
     assert server is not None
     since_s = server.leaving_since_s
     await reader.read()
-    told.beliefs.take_relayed(reader.beliefs.take_news())
+    told.beliefs.take_told(reader.beliefs.news_since(known))
+    told.beliefs.take_told(early_word)
     assert server.unlisted
     assert server.leaving_since_s == since_s
 
 
 async def test_only_the_newest_of_many_configurations_is_told(platform_log):
-    reader = Reader(platform_log)
+    reader, told = (
+        belief_support.Reader(platform_log),
+        belief_support.Reader(platform_log),
+    )
+    teller = belief_support.Teller(reader)
     await reader.read()
-    reader.beliefs.take_news()
+    await told.read()
+    teller.tell(told)
     for version in range(2, 9):
         _add(platform_log, "configuration", "config", b"%d" % version)
     await reader.read()
-    batches = {batch.topic: batch for batch in reader.beliefs.take_news()}
-    told = [record.value for record in batches["configuration"].records]
-    assert told == [b"8"]
+    news = teller.news(told)["configuration"]
+    assert [record.value for record in news.records] == [b"8"]
 
 
 async def test_an_instance_tells_whether_it_is_weak(platform_log):
-    reader = Reader(platform_log)
+    reader = belief_support.Reader(platform_log)
     for port, is_weak in ((1, False), (2, True)):
         listed = beliefs.ListedInstance("entry", is_weak)
         value = beliefs.INSTANCES.encode(listed)
@@ -190,74 +158,106 @@
 async def test_what_the_leader_lost_is_read_here_until_that_fails_too(
     platform_log,
 ):
-    reader = Reader(platform_log)
+    reader, told = (
+        belief_support.Reader(platform_log),
+        belief_support.Reader(platform_log),
+    )
+    teller = belief_support.Teller(reader)
     await reader.read()
-    followers = [feed.follower for feed in reader.beliefs._feeds]
-    reader.beliefs.take_lost()
-    urgent = [f for f in followers if not f._is_relayed()]
-    assert len(urgent) == 2
+    await told.read()
+    teller.tell(told)
     platform_log.away = True
     await reader.read()
-    reader.beliefs.take_lost()
+    teller.tell(told)
+    followers = [feed.follower for feed in told.beliefs._feeds]
+    urgent = [f for f in followers if not f._is_relayed()]
+    assert len(urgent) == 2
+    await told.read()
+    teller.tell(told)
     assert all(f._is_relayed() for f in followers)
 
 
 async def test_news_with_a_gap_are_not_taken(platform_log):
-    reader, told = Reader(platform_log), Reader(platform_log)
+    reader, told = (
+        belief_support.Reader(platform_log),
+        belief_support.Reader(platform_log),
+    )
     await reader.read()
     await told.read()
-    reader.beliefs.take_news()
     for name in "bcdef":
         _add(platform_log, "servers", name, b"rapor")
+        missed = reader.beliefs.offsets()
         await reader.read()
-        news = reader.beliefs.take_news()
-    told.beliefs.take_relayed(news)
-    assert not told.knows("c")
+    news = reader.beliefs.news_since(missed)
+    told.beliefs.take_told(news)
+    assert told.beliefs.is_behind(news)
+    assert not any(told.knows(name) for name in "bcdef")
     await told.read()
     assert all(told.knows(name) for name in "bcdef")
 
 
 async def test_an_instance_that_is_told_nothing_reads_for_itself(platform_log):
-    reader, told = Reader(platform_log), Reader(platform_log)
+    reader, told = (
+        belief_support.Reader(platform_log),
+        belief_support.Reader(platform_log),
+    )
     await reader.read()
     await told.read()
-    reader.beliefs.take_news()
-    told.beliefs.take_relayed(reader.beliefs.take_news())
-    follower = told.beliefs.key_follower
-    assert follower._is_relayed()
-    follower.relayed_s -= follower._settings.relay_fresh_s
-    assert not follower._is_relayed()
+    belief_support.Teller(reader).tell(told)
+    follower_ = told.beliefs.key_follower
+    assert follower_._is_relayed()
+    follower_.relayed_s -= follower_._settings.relay_fresh_s
+    assert not follower_._is_relayed()
 
 
 async def test_only_what_changes_is_told_after_history_was_forgotten(
     platform_log,
 ):
-    reader = Reader(platform_log)
+    reader, told = (
+        belief_support.Reader(platform_log),
+        belief_support.Reader(platform_log),
+    )
+    teller = belief_support.Teller(reader)
     await reader.read()
-    reader.beliefs.take_news()
+    await told.read()
+    teller.tell(told)
     _add(platform_log, "servers", "b", b"rapor")
-    reader.beliefs._servers.follower.next_offset = None
+    platform_log.forget("servers")
     await reader.read()
-    news = reader.beliefs.take_news()
-    listed = next(batch for batch in news if batch.topic == "servers")
+    listed = teller.news(told)["servers"]
     assert [record.key for record in listed.records] == ["b"]
 
 
-async def test_nothing_is_kept_to_tell_while_another_instance_tells(
-    platform_log,
-):
-    reader = Reader(platform_log)
-    await reader.read()
+async def test_what_one_was_told_it_can_tell_on(platform_log):
+    reader, next_one, third = (
+        belief_support.Reader(platform_log) for _ in range(3)
+    )
+    teller = belief_support.Teller(reader)
+    for each in (reader, next_one, third):
+        await each.read()
+    teller.tell(next_one)
     _add(platform_log, "servers", "b", b"rapor")
+    _add(platform_log, "servers", "a", b"")
+    _add(platform_log, "configuration", "config", b"2")
     await reader.read()
-    assert not reader.beliefs._servers.news
+    teller.tell(next_one)
+    # The next one leads from here on; nobody reads any more.
+    belief_support.Teller(next_one).tell(third)
+    assert third.knows("b")
+    gone = third.book.get(ids.ServerId("a"))
+    assert gone is None or gone.unlisted
+    assert third.versions == [1, 2]
 
 
 async def test_what_one_appends_itself_the_others_are_told(platform_log):
-    reader, told = Reader(platform_log), Reader(platform_log)
+    reader, told = (
+        belief_support.Reader(platform_log),
+        belief_support.Reader(platform_log),
+    )
+    teller = belief_support.Teller(reader)
     await reader.read()
     await told.read()
-    reader.beliefs.take_news()
+    teller.tell(told)
     key_map = keymap.KeyMap(
         fakes.SERVICE,
         1,
@@ -266,10 +266,9 @@
         (keymap.KeyRange(0, keymap.LAST_KEY, ids.ServerId("a"), 1),),
     )
     record = log.KeyedRecord(fakes.SERVICE, keymap.encode(key_map))
-    follower = reader.beliefs.key_follower
     appended = await platform_log.append(beliefs.KEY_TOPIC, record, 0)
-    follower.note_own_append(appended.offset, record)
-    told.beliefs.take_relayed(reader.beliefs.take_news())
+    reader.beliefs.key_follower.note_own_append(appended.offset, record)
+    teller.tell(told)
     assert told.table.newest(fakes.SERVICE) == key_map
 
 
@@ -281,22 +280,23 @@
 async def test_logs_tell_who_told_a_configuration_and_what_was_left_aside(
     platform_log,
 ):
-    reader = Reader(platform_log)
+    reader = belief_support.Reader(platform_log)
     await reader.read()
     reading_end, writing_end = os.pipe()
     # Made last: the newest journal takes over the output of the process.
     journal = journals.Journal(
         "told", journals.JournalSettings(), clock.SystemClock(), writing_end
     )
-    told = Reader(platform_log, journal)
+    told = belief_support.Reader(platform_log, journal)
     await told.read()
-    reader.beliefs.take_news()
+    teller = belief_support.Teller(reader)
+    teller.tell(told)
     _add(platform_log, "configuration", "config", b"2")
     await reader.read()
-    told.beliefs.take_relayed(reader.beliefs.take_news())
-    gap = beliefs.TopicBatch("configuration", 9, 10, ())
+    teller.tell(told)
+    gap = follower.TopicBatch("configuration", 9, 10, 10, (), 0.0, False)
     for _ in range(3):
-        told.beliefs.take_relayed((gap,))
+        told.beliefs.take_told((gap,))
     lines = [e for e in _lines(reading_end) if e["instance"] == "told"]
     taken = [e for e in lines if e["event"] == "configuration_in_force"]
     left = [e for e in lines if e["event"] == "relay_left_aside"]
@@ -311,36 +311,37 @@
     os.close(writing_end)
 
 
-def _tell(reader: Reader, *others: Reader) -> None:
-    """Lets the others hear the next word of the one that reads."""
-    news = reader.beliefs.take_news()
-    for other in others:
-        other.beliefs.take_relayed(news)
-
-
 async def test_one_that_cannot_read_is_told_what_it_missed(platform_log):
-    reader, told = Reader(platform_log), Reader(platform_log)
+    reader, told = (
+        belief_support.Reader(platform_log),
+        belief_support.Reader(platform_log),
+    )
     await reader.read()
     await told.read()
-    _tell(reader, told)
+    teller = belief_support.Teller(reader)
+    teller.tell(told)
     for version in range(2, 6):
         _add(platform_log, "configuration", "config", b"%d" % version)
         await reader.read()
         # Words that are lost on the way.
-        _tell(reader)
+        teller.lose(told)
     # From here on the log turns the other one away, and words arrive.
     for _ in range(4):
         await reader.read()
-        _tell(reader, told)
+        teller.tell(told)
     assert told.versions[-1] == 5
 
 
 async def test_nothing_is_skipped_while_history_is_read_anew(platform_log):
-    reader, told = Reader(platform_log), Reader(platform_log)
+    reader, told = (
+        belief_support.Reader(platform_log),
+        belief_support.Reader(platform_log),
+    )
     await reader.read()
     await told.read()
+    teller = belief_support.Teller(reader)
     for _ in range(3):
-        _tell(reader, told)
+        teller.tell(told)
         await reader.read()
     _add(platform_log, "configuration", "config", b"2")
     platform_log.forget("configuration")
@@ -348,12 +349,12 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(reader.read)
         await anyio.wait_all_tasks_blocked()
-        _tell(reader, told)
+        teller.tell(told)
         platform_log.may_answer_newest.set()
     assert reader.versions == [1, 2]
     for _ in range(4):
         await reader.read()
-        _tell(reader, told)
+        teller.tell(told)
     await told.read()
     assert told.versions == [1, 2]
 
@@ -361,14 +362,18 @@
 async def test_a_topic_that_the_leader_cannot_read_is_read_by_others(
     platform_log,
 ):
-    reader, told = Reader(platform_log), Reader(platform_log)
+    reader, told = (
+        belief_support.Reader(platform_log),
+        belief_support.Reader(platform_log),
+    )
     await reader.read()
     await told.read()
-    _tell(reader, told)
-    _tell(reader, told)
+    teller = belief_support.Teller(reader)
+    teller.tell(told)
+    teller.tell(told)
     platform_log.away_topics.add("configuration")
     await reader.read()
-    _tell(reader, told)
+    teller.tell(told)
     waiting = {
         feed.topic: feed.follower._is_relayed() for feed in told.beliefs._feeds
     }
--- a/libs/bridgecross-entry/tests/test_dispatch.py
+++ b/libs/bridgecross-entry/tests/test_dispatch.py
@@ -175,6 +175,24 @@
     assert (await scene.ask()).status == 503
 
 
+@pytest.mark.parametrize(
+    ("age_s", "status"),
+    [
+        pytest.param(0.5, 404, id="known to be the newest"),
+        pytest.param(2.5, 503, id="may have changed"),
+        pytest.param(float("inf"), 503, id="told by nobody"),
+    ],
+)
+async def test_a_route_is_missing_for_certain_only_if_nothing_changed(
+    age_s, status
+):
+    scene = Scene(Backends())
+    scene.dispatcher.configuration_age_s = lambda: age_s
+    outcome = await scene.ask(path="/b/x")
+    assert isinstance(outcome, outcomes.NotRun)
+    assert outcome.status == status
+
+
 async def test_an_unknown_path_is_told_as_such():
     assert (await Scene(Backends()).ask(path="/b/x")).status == 404
 
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_feeds.py
@@ -0,0 +1,268 @@
+"""What an instance knows is always the topic up to its offset.
+
+Instances read, speak, miss words, start anew and are turned away in orders
+drawn from a seed; after each step all that each knows is compared with the log.
+"""
+
+import collections
+import random
+
+import anyio
+import anyio.lowlevel
+import belief_support
+import entry_fakes as fakes
+import pytest
+
+from bridgecross_entry import feeds
+from bridgecross_entry import follower
+from bridgecross_entry import log
+
+pytestmark = pytest.mark.anyio
+
+SERVERS = "servers"
+CONFIGURATION = "configuration"
+SCHEDULES = 150
+STEPS = 80
+SCHEDULE_TIMEOUT_S = 20
+
+
+async def _run_all() -> None:
+    """Lets every task run until it waits for an answer."""
+    for _ in range(20):
+        await anyio.lowlevel.checkpoint()
+
+
+class PartialLog(fakes.MemoryLog):
+    """One instance's way to a log, which may turn it away, topic by topic."""
+
+    def __init__(self, shared: fakes.MemoryLog) -> None:
+        super().__init__()
+        self.records = shared.records
+        self.first = shared.first
+        # Answers that are held back until they are let go.
+        self.held: list[anyio.Event] = []
+        self.holds = False
+
+    def let_all_go(self) -> None:
+        self.holds = False
+        for gate in self.held:
+            gate.set()
+
+    async def _hold(self):
+        if self.holds:
+            gate = anyio.Event()
+            self.held.append(gate)
+            await gate.wait()
+
+    async def read_newest(self, topic):
+        answer = await super().read_newest(topic)
+        await self._hold()
+        return answer
+
+    async def read(self, topic, offset, wait_ms):
+        answer = await super().read(topic, offset, wait_ms)
+        await self._hold()
+        return answer
+
+
+class Play:
+    """One schedule."""
+
+    def __init__(self, seed: int, tasks) -> None:
+        self._random = random.Random(seed)
+        self._tasks = tasks
+        self.shared = fakes.MemoryLog()
+        self._version = 1
+        self.states = 0
+        self.shared.records[CONFIGURATION].append(
+            log.KeyedRecord("config", b"1")
+        )
+        self.logs = [PartialLog(self.shared) for _ in range(4)]
+        self.readers = [belief_support.Reader(each) for each in self.logs]
+        self.tellers = [belief_support.Teller(each) for each in self.readers]
+        # Words that are still under way, with whom they are for.
+        self.late: list[tuple] = []
+        self.steps = [
+            *[self._put_server] * 4,
+            *[self._put_configuration] * 2,
+            *[self._read] * 4,
+            *[self._begin_read] * 2,
+            *[self._let_go] * 3,
+            *[self._tell] * 6,
+            *[self._lose] * 3,
+            self._delay,
+            *[self._deliver] * 2,
+            self._forget,
+            self._start_anew,
+            self._turn_away,
+        ]
+
+    async def step(self) -> None:
+        await self._random.choice(self.steps)()
+        await _run_all()
+        for reader in self.readers:
+            self.check(reader)
+        self.states += 1
+
+    def check(self, reader) -> None:
+        known = dict(reader.beliefs.offsets())
+        if known[SERVERS] is not None:
+            newest = {
+                record.key: record.value.decode().split()
+                for record in self.shared.records[SERVERS][: known[SERVERS]]
+            }
+            listed = reader.beliefs._listed
+            assert listed.keys() == {k for k, words in newest.items() if words}
+            for key, server in listed.items():
+                assert server.leaving == ("leaving" in newest[key])
+        if known[CONFIGURATION] is not None:
+            records = self.shared.records[CONFIGURATION]
+            versions = [int(r.value) for r in records[: known[CONFIGURATION]]]
+            assert reader.versions[-1:] == versions[-1:]
+
+    def _pick(self) -> int:
+        return self._random.randrange(len(self.readers))
+
+    async def _put_server(self):
+        name = self._random.choice("abcdef")
+        value = self._random.choice(
+            [b"rapor", b"rapor leaving", b"rapor 900", b""]
+        )
+        self.shared.records[SERVERS].append(log.KeyedRecord(name, value))
+
+    async def _put_configuration(self):
+        self._version += self._random.randrange(1, 4)
+        self.shared.records[CONFIGURATION].append(
+            log.KeyedRecord("config", b"%d" % self._version)
+        )
+
+    async def _read(self):
+        index = self._pick()
+        self.logs[index].holds = False
+        await self.readers[index].read()
+
+    async def _begin_read(self):
+        index = self._pick()
+        self.logs[index].holds = True
+        feed = self._random.choice(self.readers[index].beliefs._feeds)
+        self._tasks.start_soon(feed.follower.catch_up)
+
+    async def _let_go(self):
+        held = self.logs[self._pick()].held
+        if held:
+            held.pop(self._random.randrange(len(held))).set()
+
+    def _pair(self):
+        return self._random.sample(range(len(self.readers)), 2)
+
+    async def _tell(self):
+        teller, other = self._pair()
+        self.tellers[teller].tell(self.readers[other])
+
+    async def _lose(self):
+        teller, other = self._pair()
+        self.tellers[teller].lose(self.readers[other])
+
+    async def _delay(self):
+        teller, other = self._pair()
+        reader, receiver = self.readers[teller], self.readers[other]
+        known = receiver.beliefs.offsets()
+        self.late.append((receiver, reader.beliefs.news_since(known)))
+
+    async def _deliver(self):
+        if self.late:
+            index = self._random.randrange(len(self.late))
+            receiver, batches = self.late.pop(index)
+            receiver.beliefs.take_told(batches)
+
+    async def _forget(self):
+        self.shared.forget(self._random.choice((SERVERS, CONFIGURATION)))
+
+    async def _start_anew(self):
+        index = self._pick()
+        self.logs[index].let_all_go()
+        self.logs[index] = PartialLog(self.shared)
+        self.readers[index] = belief_support.Reader(self.logs[index])
+        self.tellers[index] = belief_support.Teller(self.readers[index])
+
+    async def _turn_away(self):
+        away = self._random.choice(
+            ((), (SERVERS,), (CONFIGURATION,), (SERVERS, CONFIGURATION))
+        )
+        self.logs[self._pick()].away_topics = set(away)
+
+    async def settle(self) -> None:
+        """Lets one instance read and speak; the others read nothing."""
+        for each in self.logs:
+            each.let_all_go()
+        await _run_all()
+        self.logs[0].away_topics = set()
+        for _ in range(2):
+            await self.readers[0].read()
+            self.tellers[0].tell(*self.readers[1:])
+        for reader in self.readers:
+            known = dict(reader.beliefs.offsets())
+            assert known[SERVERS] == len(self.shared.records[SERVERS])
+            assert known[CONFIGURATION] == len(
+                self.shared.records[CONFIGURATION]
+            )
+            self.check(reader)
+
+
+async def test_what_is_known_is_the_topic_up_to_the_offset():
+    states = 0
+    for seed in range(SCHEDULES):
+        with anyio.fail_after(SCHEDULE_TIMEOUT_S):
+            async with anyio.create_task_group() as tasks:
+                play = Play(seed, tasks)
+                for _ in range(STEPS):
+                    await play.step()
+                states += play.states
+                await play.settle()
+    assert states == SCHEDULES * STEPS
+
+
+class Known:
+    """A feed whose offset is set by hand."""
+
+    def __init__(self) -> None:
+        self.follower = collections.namedtuple("F", "age_s is_lost")(0.0, False)
+        self.feed = feeds.Feed("topic")
+        self.feed.follower = type(
+            "Follower", (), {"next_offset": 0, "age_s": 0.0, "is_lost": False}
+        )()
+
+    def put(self, key: str, value: bytes) -> None:
+        self.feed.follower.next_offset += 1
+        self.feed.put([log.KeyedRecord(key, value)])
+
+    def since(self, offset) -> follower.TopicBatch:
+        return self.feed.since(offset)
+
+
+def test_removed_keys_are_not_kept_for_ever():
+    known = Known()
+    known.feed.put_all([])
+    for number in range(1_500):
+        known.put(f"key-{number}", b"value")
+        known.put(f"key-{number}", b"")
+    assert len(known.feed._entries) <= 1_000
+    late = known.since(2_990)
+    assert (late.first_offset, len(late.records)) == (2_990, 5)
+    early = known.since(10)
+    assert (early.first_offset, early.records) == (None, ())
+
+
+def test_one_that_knows_what_was_jumped_over_in_part_is_told_everything():
+    known = Known()
+    known.feed.follower.next_offset = 10
+    known.feed.put_all([log.KeyedRecord("a", b"1")])
+    known.feed.follower.next_offset = 20
+    known.feed.put_all([log.KeyedRecord("a", b"1"), log.KeyedRecord("b", b"2")])
+    delta = known.since(10)
+    assert [r.key for r in delta.records] == ["b"]
+    assert (delta.first_offset, delta.last_offset) == (10, 10)
+    between = known.since(15)
+    assert between.first_offset is None
+    assert [r.key for r in between.records] == ["a", "b"]
+    assert known.since(20).records == ()
--- a/libs/bridgecross-entry/tests/test_log_breaker.py
+++ b/libs/bridgecross-entry/tests/test_log_breaker.py
@@ -93,3 +93,12 @@
     result = await breaker.append("topic", RECORD, 0)
     assert isinstance(result, log.Uncertain)
     assert isinstance(await breaker.read_newest("topic"), log.Newest)
+
+
+async def test_a_topic_that_is_away_says_nothing_about_another(breaker, behind):
+    behind.away_topics = {"topic"}
+    assert isinstance(await breaker.read_newest("topic"), log.Unreachable)
+    assert isinstance(await breaker.read_newest("other"), log.Newest)
+    calls = behind.calls
+    assert isinstance(await breaker.read_newest("topic"), log.Unreachable)
+    assert behind.calls == calls
