--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
@@ -147,8 +147,8 @@
                 )
                 for k in kept
             ],
-            settled=[index for k in kept for index in k.list_settled()],
-            bequeathed=[i for k in kept for i in k.list_bequeathed()],
+            settled=[grant for k in kept for grant in k.list_settled()],
+            bequeathed=[grant for k in kept for grant in k.list_bequeathed()],
             loads=loads,
         )
 
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/coordinator.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/coordinator.py
@@ -21,6 +21,7 @@
 from bridgecross_ownership import authority as authorities
 from bridgecross_ownership import cell as cells
 from bridgecross_ownership import keeper as keeping
+from bridgecross_ownership import leases
 from bridgecross_ownership import membership as memberships
 from bridgecross_ownership import planner
 from bridgecross_ownership import records
@@ -295,13 +296,24 @@
 
     def _list_settled(self) -> list[ids.SliceIndex]:
         """Returns the slices whose earlier owners may be forgotten."""
-        cell = self._ports.cell
+        slices = self._ports.cell.slices
         return sorted(
             index
-            for index in self._ports.book.list_settled()
-            if cell.slices[index].prior
+            for index in self._list_current(self._ports.book.list_settled())
+            if slices[index].prior
         )
 
+    def _list_current(
+        self, reported: set[leases.SliceGrant]
+    ) -> set[ids.SliceIndex]:
+        """Returns the slices that have not moved since they were reported."""
+        slices = self._ports.cell.slices
+        return {
+            grant.slice
+            for grant in reported
+            if slices[grant.slice].token == grant.token
+        }
+
     def _list_seated(self) -> list[ids.ServerId]:
         """Returns the servers whose earlier fronts may be forgotten."""
         book = self._ports.book
@@ -331,7 +343,7 @@
             domains=domains,
             loads=ports.book.list_loads(),
             unfit_fronts=self._disputed,
-            bequeathed=ports.book.list_bequeathed(),
+            bequeathed=self._list_current(ports.book.list_bequeathed()),
         )
 
     def _list_instances(self) -> list[ids.InstanceId]:
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/keeper.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/keeper.py
@@ -168,10 +168,10 @@
         self.changed.notify()
         return self._has_inherited(bequest.slice)
 
-    def list_bequeathed(self) -> list[ids.SliceIndex]:
-        """Returns the slices that the heir serves."""
+    def list_bequeathed(self) -> list[leases.SliceGrant]:
+        """Returns the slices that the heir serves, with the log's tokens."""
         return [
-            index
+            leases.SliceGrant(index, token)
             for index, token in self._bequeathed.items()
             if self._ports.cell.slices[index].token == token
             and self._ports.cell.slices[index].server == self.server
@@ -249,13 +249,17 @@
             if self._release_waiters:
                 self.changed.notify()
 
-    def list_settled(self) -> list[ids.SliceIndex]:
-        """Returns granted slices whose earlier owners are still in the log."""
+    def list_settled(self) -> list[leases.SliceGrant]:
+        """Returns granted slices whose earlier owners are still in the log.
+
+        They come with the tokens that they have in the log.
+        """
+        slices = self._ports.cell.slices
         return [
-            index
+            leases.SliceGrant(index, slices[index].token)
             for index, token in self._granted.items()
-            if self._ports.cell.slices[index].prior
-            and self._ports.cell.slices[index].server == self.server
+            if slices[index].prior
+            and slices[index].server == self.server
             and self.find_grant_token(index) == token
         ]
 
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/reports.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/reports.py
@@ -6,6 +6,7 @@
 from bridgecross_core import clock as clocks
 from bridgecross_core import ids
 from bridgecross_ownership import keeper as keeping
+from bridgecross_ownership import leases
 
 _LOAD_HALF_LIFE_S = 5.0
 _NEGLIGIBLE_REQUESTS = 0.01
@@ -35,13 +36,15 @@
 
     ``settled`` are granted slices whose earlier owners have let go,
     ``bequeathed`` are slices that the heir of a lost server serves; ``loads``
-    names only slices that had requests.
+    names only slices that had requests. The first two carry the tokens that
+    the slices have in the log: a report outlives its moment, and says nothing
+    of a slice that has moved since.
     """
 
     service: ids.ServiceName
     servers: list[ServerReport]
-    settled: list[ids.SliceIndex]
-    bequeathed: list[ids.SliceIndex]
+    settled: list[leases.SliceGrant]
+    bequeathed: list[leases.SliceGrant]
     loads: list[SliceLoad]
 
 
@@ -104,20 +107,20 @@
         """Returns the fronts that found a server down since it was last up."""
         return self._accusers[server]
 
-    def list_settled(self) -> set[ids.SliceIndex]:
-        """Returns the slices that any front reports as settled."""
+    def list_settled(self) -> set[leases.SliceGrant]:
+        """Returns what any front reports as settled, maybe long ago."""
         return {
-            index
+            grant
             for remembered in self._reports.values()
-            for index in remembered.report.settled
+            for grant in remembered.report.settled
         }
 
-    def list_bequeathed(self) -> set[ids.SliceIndex]:
-        """Returns the slices that heirs serve, which the log should move."""
+    def list_bequeathed(self) -> set[leases.SliceGrant]:
+        """Returns what any front reports as served by an heir."""
         return {
-            index
+            grant
             for remembered in self._reports.values()
-            for index in remembered.report.bequeathed
+            for grant in remembered.report.bequeathed
         }
 
     def list_loads(self) -> dict[ids.SliceIndex, float]:
--- /dev/null
+++ b/libs/bridgecross-ownership/tests/test_coordinator.py
@@ -0,0 +1,187 @@
+import math
+
+import anyio
+import pytest
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import ids
+from bridgecross_core import stamps
+from bridgecross_log import appender as appenders
+from bridgecross_log import records as log_records
+from bridgecross_log import service as log_service
+from bridgecross_ownership import authority as authorities
+from bridgecross_ownership import cell as cells
+from bridgecross_ownership import coordinator as coordinators
+from bridgecross_ownership import keeper as keeping
+from bridgecross_ownership import leases
+from bridgecross_ownership import membership as memberships
+from bridgecross_ownership import reports
+from bridgecross_timeline import ring as rings
+
+pytestmark = pytest.mark.anyio
+
+SERVICE = ids.ServiceName("rapor")
+ME = ids.InstanceId("a")
+FRONTS = {"rapor-1": "b", "rapor-2": "c"}
+SETTINGS = coordinators.CoordinatorSettings(
+    slice_count=4,
+    heartbeat_interval_ms=5,
+    heartbeat_misses=2_000,
+    imbalance_target_ratio=4.0,
+    churn_budget_slices_per_min=0,
+    eviction_limit_ratio=0.5,
+)
+
+
+class _FreshNews:
+    """A log that is always read."""
+
+    fresh_at_s = math.inf
+    awaits_snapshot = False
+
+
+class _CellLog:
+    """A log whose only reader is one cell."""
+
+    def __init__(self, cell: cells.Cell) -> None:
+        self.appender: appenders.Appender | None = None
+        self._cell = cell
+
+    async def append(self, stream: str, data: bytes) -> ids.Offset:
+        envelope = log_records.decode_envelope(data)
+        offset = ids.Offset(self._cell.head + 1)
+        verdict = self._cell.apply(log_records.LogRecord(offset, envelope))
+        assert self.appender is not None
+        self.appender.report(envelope.record_id, verdict)
+        return offset
+
+    async def read(
+        self, stream: str, from_offset: ids.Offset, wait_ms: int
+    ) -> log_service.ReadBatch:
+        raise log_service.LogUnavailableError("not in this test")
+
+
+class _AllThere:
+    """No peer is silent or leaves."""
+
+    def silent_s(self, instance: ids.InstanceId) -> float:
+        return 0.0
+
+    def is_leaving(self, instance: ids.InstanceId) -> bool:
+        return False
+
+
+def _cell_after_a_second_move() -> cells.Cell:
+    """Slice 0 went to rapor-1 with token 1 and on to rapor-2 with token 2."""
+    cell = cells.Cell(SERVICE)
+    owners = ("rapor-2", "rapor-1", "rapor-1", "rapor-2")
+    slices = [
+        cells.SliceState(ids.ServerId(owner), ids.Token(1), ())
+        for owner in owners
+    ]
+    slices[0] = slices[0]._replace(
+        token=ids.Token(2), prior=(ids.ServerId("rapor-1"),)
+    )
+    fronts = {
+        ids.ServerId(server): cells.FrontState(
+            ids.InstanceId(front), ids.Token(1), (), cells.NO_SERVER, ()
+        )
+        for server, front in FRONTS.items()
+    }
+    cell.restore(
+        cells.CellSnapshot(
+            SERVICE, ids.Term(0), ME, ids.Offset(2), slices, fronts
+        )
+    )
+    return cell
+
+
+def _list_members() -> memberships.Membership:
+    membership = memberships.Membership()
+    roles = dict.fromkeys("abc", memberships.Role.ENTRY)
+    roles |= dict.fromkeys(FRONTS, memberships.Role.BACKEND)
+    membership.replace(
+        [
+            memberships.Listing(
+                name,
+                role,
+                SERVICE if role is memberships.Role.BACKEND else "",
+                f"hall-{name}",
+                name,
+                memberships.ListedState.LIVE,
+            )
+            for name, role in roles.items()
+        ]
+    )
+    return membership
+
+
+def _slice_0(token: int) -> list[leases.SliceGrant]:
+    return [leases.SliceGrant(ids.SliceIndex(0), ids.Token(token))]
+
+
+def _report(server: str, **about: list) -> reports.ServiceReport:
+    seen = reports.ServerReport(
+        ids.ServerId(server), keeping.ServerHealth.UP, ids.Token(1)
+    )
+    lists = {"settled": [], "bequeathed": [], "loads": []} | about
+    return reports.ServiceReport(SERVICE, [seen], **lists)
+
+
+async def _coordinate(cell: cells.Cell, book: reports.ReportBook) -> None:
+    """Plans some times while no further report comes."""
+    clock = clocks.SystemClock()
+    hybrid = stamps.HybridClock(clock)
+    log = _CellLog(cell)
+    log.appender = appenders.Appender(
+        appenders.AppenderSettings("s", ME), log, hybrid
+    )
+    coordinator = coordinators.Coordinator(
+        SETTINGS,
+        coordinators.CoordinatorPorts(
+            ME,
+            cell,
+            log.appender,
+            authorities.Authority(
+                authorities.AuthoritySettings(1_000), _FreshNews(), clock
+            ),
+            _list_members(),
+            book,
+            _AllThere(),
+            clock,
+            rings.Ring(rings.RingSettings("t"), hybrid),
+        ),
+    )
+    with anyio.move_on_after(0.1):
+        await coordinator.run()
+
+
+async def test_a_report_of_an_earlier_move_settles_no_later_one():
+    """Its front said so of token 1, and nothing since the move to token 2."""
+    cell = _cell_after_a_second_move()
+    book = reports.ReportBook(clocks.SystemClock())
+    book.add(ids.InstanceId("b"), _report("rapor-1", settled=_slice_0(1)))
+    book.add(ids.InstanceId("c"), _report("rapor-2"))
+    await _coordinate(cell, book)
+    assert cell.slices[0].prior == ("rapor-1",)
+
+
+async def test_a_bequest_of_an_earlier_token_moves_nothing():
+    cell = _cell_after_a_second_move()
+    book = reports.ReportBook(clocks.SystemClock())
+    book.add(ids.InstanceId("b"), _report("rapor-1", bequeathed=_slice_0(1)))
+    book.add(ids.InstanceId("c"), _report("rapor-2"))
+    await _coordinate(cell, book)
+    assert (cell.slices[0].server, cell.slices[0].token) == ("rapor-2", 2)
+
+
+async def test_a_report_of_the_newest_token_counts():
+    cell = _cell_after_a_second_move()
+    book = reports.ReportBook(clocks.SystemClock())
+    book.add(ids.InstanceId("b"), _report("rapor-1"))
+    book.add(ids.InstanceId("c"), _report("rapor-2", settled=_slice_0(2)))
+    await _coordinate(cell, book)
+    assert cell.slices[0].prior == ()
+    book.add(ids.InstanceId("c"), _report("rapor-2", bequeathed=_slice_0(2)))
+    await _coordinate(cell, book)
+    assert cell.slices[0].token > 2, "the log gives it an owner anew"
