--- a/libs/bridgecross-ownership/src/bridgecross_ownership/fronts.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/fronts.py
@@ -5,6 +5,7 @@
 
 from bridgecross_core import ids
 from bridgecross_core import pulse
+from bridgecross_ownership import cell as cells
 from bridgecross_ownership import keeper as keeping
 from bridgecross_ownership import releases
 from bridgecross_timeline import events
@@ -83,7 +84,7 @@
         cell = self._ports.cell
         mine = set(cell.list_servers_of(self._ports.me))
         for server, keeper in list(self._keepers.items()):
-            if server not in mine:
+            if server not in mine or _has_missed(keeper, cell.fronts[server]):
                 self._stop(server)
             elif cell.fronts[server] != keeper.front:
                 keeper.reseat(cell.fronts[server])
@@ -111,6 +112,17 @@
         keeper.changed.notify()
 
 
+def _has_missed(keeper: keeping.Keeper, front: cells.FrontState) -> bool:
+    """Returns whether another instance fronted the server in between.
+
+    It may have had the server hold slices of which the keeper knows nothing.
+    """
+    return any(
+        earlier.front != front.front and earlier.token > keeper.front.token
+        for earlier in front.earlier
+    )
+
+
 async def _run_in_scope(
     keeper: keeping.Keeper, scope: anyio.CancelScope
 ) -> None:
