--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_news.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_news.py
@@ -3,8 +3,14 @@
 The instances that the log names as witnesses of this instance's fronts are
 asked for what they have read. If that is nothing newer, they have confirmed
 that this instance may go on; if it is, this instance now knows it as well.
+
+The log may turn away this instance alone, which may front nothing and so have
+no witnesses, or have some that are turned away with it. So that it does not
+stay behind, the other listed instances are asked as well, one after another.
 """
 
+import bisect
+
 import anyio
 
 from bridgecross_core import clock as clocks
@@ -33,6 +39,8 @@
     ) -> None:
         """Asks nobody yet."""
         self.witnesses: set[ids.InstanceId] = set()
+        # Who was asked last of those that are listed.
+        self._asked_last = me
         self._me = me
         self._state = state
         self._authority = authority
@@ -41,10 +49,10 @@
         self._clock = clock
 
     async def run(self) -> None:
-        """Asks the witnesses while the log is silent, until cancelled."""
+        """Asks for news while the log is silent, until cancelled."""
         while True:
             if self._authority.needs_witnesses():
-                await self.take_news(self.witnesses)
+                await self.take_news(self.witnesses | self._take_turn())
             await anyio.sleep(self._interval_s())
 
     async def take_news(self, instances: set[ids.InstanceId]) -> None:
@@ -74,8 +82,17 @@
             snapshot=self._state.to_snapshot() if records is None else None,
         )
 
+    def _take_turn(self) -> set[ids.InstanceId]:
+        """Returns the next of the other listed instances, if there are any."""
+        others = sorted(self._addresses.list_instances() - {self._me})
+        if not others:
+            return set()
+        turn = bisect.bisect_right(others, self._asked_last) % len(others)
+        self._asked_last = others[turn]
+        return {self._asked_last}
+
     def _interval_s(self) -> float:
-        """Returns how often the witnesses are asked."""
+        """Returns how often others are asked."""
         return (
             self._authority.settings.authority_ms / 1_000 / _SHARE_OF_AUTHORITY
         )
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_platform.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_platform.py
@@ -94,6 +94,10 @@
         """Returns a peer's address; see ``peer_client.PeerAddresses``."""
         return self._find(instance)
 
+    def list_instances(self) -> set[ids.InstanceId]:
+        """Returns the entry instances that are listed now."""
+        return set(self._membership.list_instances())
+
     def _find(self, name: str) -> str | None:
         """Returns the newest address that was listed for a name."""
         listing = self._membership.find(name)
--- /dev/null
+++ b/libs/bridgecross-daemon/tests/test_news.py
@@ -0,0 +1,134 @@
+import math
+import pathlib
+
+import anyio
+import pytest
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import codec
+from bridgecross_core import ids
+from bridgecross_core import stamps
+from bridgecross_daemon import _news
+from bridgecross_daemon import _platform
+from bridgecross_daemon import control
+from bridgecross_daemon import peering
+from bridgecross_log import records as log_records
+from bridgecross_log import service as log_service
+from bridgecross_ownership import authority as authorities
+from bridgecross_ownership import membership as memberships
+from bridgecross_settings import check
+from bridgecross_settings import versions
+from bridgecross_timeline import ring as rings
+
+pytestmark = pytest.mark.anyio
+
+SAMPLE = pathlib.Path(__file__).parents[3] / "settings" / "karatas.jsonc"
+DOCUMENT = check.check_text(SAMPLE.read_text(encoding="utf-8"), "k").document
+SETTINGS = authorities.AuthoritySettings(authority_ms=50)
+
+
+class _LogNews:
+    """What is known of the log; see ``authority.NewsSource``."""
+
+    awaits_snapshot = False
+
+    def __init__(self, fresh_at_s: float) -> None:
+        self.fresh_at_s = fresh_at_s
+
+
+class _Peers:
+    """Carries questions for news; a ``ports.PeerCaller``."""
+
+    def __init__(self) -> None:
+        self.readers: dict[str, _news.NewsReader] = {}
+        self.asked: list[str] = []
+
+    async def call(self, address, method, request, timeout_s):
+        self.asked.append(address)
+        if address not in self.readers:
+            raise peering.PeerUnreachableError("gone", never_sent=True)
+        return self.readers[address].answer(request)
+
+
+def _publish(offset: int) -> log_service.StoredRecord:
+    """Returns a change of the settings, each on top of the one before."""
+    change = versions.SettingsChange(
+        ids.Offset(offset - 1), "ayse", "", codec.to_json(DOCUMENT).encode()
+    )
+    envelope = log_records.Envelope(
+        f"r{offset}",
+        versions.CHANGE_KIND,
+        "w",
+        stamps.Stamp(0, 0),
+        versions.encode_change(change),
+    )
+    return log_service.StoredRecord(
+        ids.Offset(offset), log_records.encode_envelope(envelope)
+    )
+
+
+def _start(
+    name: str, peers: _Peers, *, read: int, fresh_at_s: float
+) -> control.ControlState:
+    """Starts an instance that has read some records, and returns its state."""
+    clock = clocks.SystemClock()
+    hybrid = stamps.HybridClock(clock)
+    state = control.ControlState(rings.Ring(rings.RingSettings(name), hybrid))
+    for offset in range(read):
+        state.apply(_publish(offset))
+    membership = memberships.Membership()
+    membership.replace(
+        [
+            memberships.Listing(
+                each,
+                memberships.Role.ENTRY,
+                "",
+                "hall",
+                each,
+                memberships.ListedState.LIVE,
+            )
+            for each in "abcd"
+        ]
+    )
+    peers.readers[name] = _news.NewsReader(
+        ids.InstanceId(name),
+        state,
+        authorities.Authority(SETTINGS, _LogNews(fresh_at_s), clock),
+        peers,
+        _platform.Addresses(membership),
+        clock,
+    )
+    return state
+
+
+async def _run(reader: _news.NewsReader) -> None:
+    with anyio.move_on_after(0.3):
+        await reader.run()
+
+
+async def test_an_instance_without_witnesses_learns_what_others_read():
+    """The log turns away this one alone; b is as far behind, d is gone."""
+    peers = _Peers()
+    state = _start("a", peers, read=1, fresh_at_s=-math.inf)
+    _start("b", peers, read=1, fresh_at_s=-math.inf)
+    _start("c", peers, read=2, fresh_at_s=math.inf)
+    await _run(peers.readers["a"])
+    assert state.settings.offset == 1
+    assert set(peers.asked) == {"b", "c", "d"}
+
+
+async def test_witnesses_that_are_behind_are_not_the_only_ones_asked():
+    peers = _Peers()
+    state = _start("a", peers, read=1, fresh_at_s=-math.inf)
+    _start("b", peers, read=1, fresh_at_s=-math.inf)
+    _start("c", peers, read=2, fresh_at_s=math.inf)
+    peers.readers["a"].witnesses = {ids.InstanceId("b")}
+    await _run(peers.readers["a"])
+    assert state.settings.offset == 1
+
+
+async def test_nobody_is_asked_while_the_log_answers():
+    peers = _Peers()
+    _start("a", peers, read=1, fresh_at_s=math.inf)
+    await _run(peers.readers["a"])
+    assert peers.asked == []
