--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_follower.py
@@ -0,0 +1,118 @@
+"""How a topic is read: in what pieces, and how old what is known counts as."""
+
+import anyio
+import entry_fakes as fakes
+import entry_support as support
+import pytest
+
+from bridgecross_core import clock
+from bridgecross_entry import follower
+from bridgecross_entry import log
+
+pytestmark = pytest.mark.anyio
+
+TOPIC = "topic"
+
+
+class WeakLink(fakes.MemoryLog):
+    """A log whose answers come too late if they hold many records."""
+
+    MAX_COUNT = 10
+
+    async def read(self, topic, offset, wait_ms):
+        result = await super().read(topic, offset, wait_ms)
+        if isinstance(result, log.Batch) and len(result.records) > (
+            self.MAX_COUNT
+        ):
+            return log.Unreachable("no answer in time")
+        return result
+
+
+class Known:
+    """A follower, and what it handed over."""
+
+    def __init__(self, platform_log, clock_=None, wait_ms=0.0) -> None:
+        real = clock_ or clock.SystemClock()
+        self.values: dict[str, bytes] = {}
+        self.follower = follower.Follower(
+            follower.FollowSettings(TOPIC, wait_ms, 0.01, retry_pause_s=0.01),
+            platform_log,
+            self._take_all,
+            self._take,
+            support.make_journal(real),
+            real,
+        )
+
+    def _take_all(self, records) -> None:
+        self.values = {record.key: record.value for record in records}
+
+    def _take(self, records) -> None:
+        self.values |= {record.key: record.value for record in records}
+
+
+async def test_a_backlog_that_is_too_long_for_one_answer_is_caught_up_with():
+    platform_log = WeakLink()
+    platform_log.records[TOPIC] = [log.KeyedRecord("config", b"0")]
+    known = Known(platform_log)
+    await known.follower.catch_up()
+    for version in range(1, 50):
+        record = log.KeyedRecord("config", b"%d" % version)
+        platform_log.records[TOPIC].append(record)
+    for _ in range(4):
+        await known.follower.catch_up()
+    assert known.values == {"config": b"49"}
+    assert not known.follower.is_lost
+
+
+class SlowLog(fakes.MemoryLog):
+    """A log whose answers take a while by a manual clock."""
+
+    def __init__(self, manual: support.ManualClock) -> None:
+        super().__init__()
+        self._manual = manual
+        self.takes_s = 0.0
+
+    async def read(self, topic, offset, wait_ms):
+        result = await super().read(topic, offset, wait_ms)
+        self._manual.now_s += self.takes_s
+        return result
+
+
+@pytest.mark.parametrize(
+    ("wait_ms", "has_record", "age_s"),
+    [
+        pytest.param(0.0, False, 0.3, id="asked at once"),
+        pytest.param(200.0, False, 0.1, id="waited in vain"),
+        pytest.param(200.0, True, 0.3, id="came while it waited"),
+    ],
+)
+async def test_what_is_known_is_as_old_as_the_question(
+    wait_ms, has_record, age_s
+):
+    manual = support.ManualClock()
+    platform_log = SlowLog(manual)
+    known = Known(platform_log, manual, wait_ms)
+    await known.follower.catch_up()
+    manual.now_s += 5
+    if has_record:
+        platform_log.records[TOPIC].append(log.KeyedRecord("a", b"1"))
+    platform_log.takes_s = 0.3
+    await known.follower._step(wait_ms)
+    assert known.follower.age_s == pytest.approx(age_s)
+
+
+async def test_a_read_that_ends_late_takes_back_nothing_that_was_told():
+    platform_log = fakes.MemoryLog()
+    platform_log.records[TOPIC] = [log.KeyedRecord("a", b"1")]
+    known = Known(platform_log)
+    await known.follower.catch_up()
+    platform_log.records[TOPIC].append(log.KeyedRecord("a", b"2"))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(known.follower.catch_up)
+        # The read is under way when the next two records are told.
+        told = (log.KeyedRecord("a", b"4"),)
+        known.follower.take_told(
+            follower.TopicBatch(TOPIC, 1, 4, 4, told, 0.0, is_lost=False)
+        )
+    assert known.values == {"a": b"4"}
+    assert known.follower.next_offset == 4
