--- a/libs/bridgecross-entry/src/bridgecross_entry/follower.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/follower.py
@@ -138,6 +138,8 @@
         self.relayed_s = float("-inf")
         # By which way the records came that were taken last.
         self.source = Source.LOG
+        # Whether the last answer left out what would have made it too long.
+        self._has_more = False
         self._left_aside_count = 0
         self._in_gap = False
 
@@ -178,7 +180,8 @@
                 was_relayed = False
                 self._journal.decision("relay_lost", topic=self._settings.topic)
             if await self._step(self._settings.wait_ms):
-                await anyio.sleep(self._settings.pause_s)
+                if not self._has_more:
+                    await anyio.sleep(self._settings.pause_s)
             else:
                 await anyio.sleep(self._settings.retry_pause_s)
 
@@ -274,18 +277,17 @@
     async def _step(self, wait_ms: float) -> bool:
         """Reads once; returns whether the log answered."""
         first_offset = self.next_offset
-        if first_offset is None:
+        if first_offset is None or self.lost_since_s is not None:
+            # After a loss the newest records are asked for: what was written
+            # meanwhile may be too long for one answer, over and over again.
             return await self._start()
-        if self.lost_since_s is not None:
-            wait_ms = 0
         asked_s = self._clock.monotonic_s()
         result = await self._log.read(
             self._settings.topic, first_offset, wait_ms
         )
         if isinstance(result, logs.Unreachable):
             self._note_lost(result.reason)
-            if self._on_read is not None:
-                self._on_read()
+            self._tell_read()
             return False
         if isinstance(result, logs.Forgotten):
             # What is known stays true; only what followed is looked up anew.
@@ -296,13 +298,20 @@
             )
             return await self._start()
         self._take_read(first_offset, result)
-        # An answer tells how things were when it was asked for, and one
-        # without a record comes only once the wait is over.
-        waited_s = 0.0 if result.records else wait_ms / 1_000
-        self._note_heard(asked_s + waited_s)
+        is_whole = result.next_offset >= result.end
+        self._has_more = bool(result.records) and not is_whole
+        if is_whole:
+            # An answer tells how things were when it was asked for, and one
+            # without a record comes only once the wait is over.
+            waited_s = 0.0 if result.records else wait_ms / 1_000
+            self._note_heard(asked_s + waited_s)
+        self._tell_read()
+        return True
+
+    def _tell_read(self) -> None:
+        """Tells whoever waits for it that the log was asked."""
         if self._on_read is not None:
             self._on_read()
-        return True
 
     def _take_read(self, first_offset: int, batch: logs.Batch) -> None:
         """Takes what was read, but for what was told in the meantime."""
@@ -330,8 +339,10 @@
         """Reads the newest record of every key."""
         asked_s = self._clock.monotonic_s()
         result = await self._log.read_newest(self._settings.topic)
+        self._has_more = False
         if isinstance(result, logs.Unreachable):
             self._note_lost(result.reason)
+            self._tell_read()
             return False
         if self.next_offset is None:
             # The leader will tell what comes next, if there is one.
@@ -342,6 +353,7 @@
             self.source = Source.LOG
             self._take_all(result.records)
         self._note_heard(asked_s)
+        self._tell_read()
         return True
 
     # What is known of the log itself.
--- a/libs/bridgecross-entry/src/bridgecross_entry/log.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/log.py
@@ -34,6 +34,8 @@
     records: tuple[KeyedRecord, ...]
     # The offset after the last of the records.
     next_offset: int
+    # Where the topic ended; there are more records if that is further on.
+    end: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/bridgecross-entry/src/bridgecross_entry/log_breaker.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/log_breaker.py
@@ -83,6 +83,11 @@
             self._journal.decision(
                 "log_breaker_opened", topic=self._topic, reason=reason
             )
+        else:
+            # Why it is still away may be another reason than at first.
+            self._journal.decision(
+                "log_still_away", topic=self._topic, reason=reason
+            )
         settings = self._settings
         longer_s = max(2 * self._pause_s, settings.first_pause_s)
         self._pause_s = min(longer_s, settings.longest_pause_s)
--- a/libs/bridgecross-entry/tests/entry_fakes.py
+++ b/libs/bridgecross-entry/tests/entry_fakes.py
@@ -56,7 +56,8 @@
         if offset < self.first.get(topic, 0):
             return log.Forgotten()
         records = tuple(self.records[topic][offset:])
-        return log.Batch(records, offset + len(records))
+        end = offset + len(records)
+        return log.Batch(records, end, end)
 
     async def append(self, topic, record, expected_end):
         if self.away:
--- a/libs/bridgecross-entry/tests/test_follower.py
+++ b/libs/bridgecross-entry/tests/test_follower.py
@@ -64,6 +64,33 @@
     assert not known.follower.is_lost
 
 
+class InPieces(fakes.MemoryLog):
+    """A log whose answers hold one record each."""
+
+    async def read(self, topic, offset, wait_ms):
+        result = await super().read(topic, offset, wait_ms)
+        if not result.records:
+            return result
+        return log.Batch(result.records[:1], offset + 1, result.end)
+
+
+async def test_what_was_read_in_part_does_not_count_as_known():
+    manual = support.ManualClock()
+    platform_log = InPieces()
+    known = Known(platform_log, manual)
+    await known.follower.catch_up()
+    for number in range(3):
+        record = log.KeyedRecord("a", b"%d" % number)
+        platform_log.records[TOPIC].append(record)
+    manual.now_s += 5
+    ages_s = []
+    for _ in range(3):
+        await known.follower.catch_up()
+        ages_s.append(known.follower.age_s)
+    assert ages_s == [5, 5, 0]
+    assert known.values == {"a": b"2"}
+
+
 class SlowLog(fakes.MemoryLog):
     """A log whose answers take a while by a manual clock."""
 
