--- a/libs/bridgecross-entry/src/bridgecross_entry/duties.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/duties.py
@@ -137,6 +137,7 @@
             self._leadership.run,
             self._keep_registered,
             self._relayer.run,
+            self._match_on_news,
             self._report_load,
         ):
             tasks.start_soon(tasks_lib.keep_running, work, self._journal)
@@ -165,6 +166,16 @@
             self._leadership.resign()
             await self._relayer.tell(self._tasks)
 
+    async def _match_on_news(self) -> None:
+        """Starts coordinators once enough is known, in whatever order.
+
+        The lead, the configuration and the list of servers may come one after
+        another; the last of them says nothing of the others.
+        """
+        while True:
+            await self._beliefs.news.wait(self._settings.register_interval_s)
+            self.match_coordinators()
+
     def match_coordinators(self) -> None:
         """Starts and stops coordinators as this instance leads or not."""
         configuration = self._beliefs.configuration
--- a/libs/bridgecross-entry/tests/belief_support.py
+++ b/libs/bridgecross-entry/tests/belief_support.py
@@ -1,5 +1,6 @@
 """Instances that follow one log in memory, for tests of beliefs."""
 
+from collections.abc import Callable
 import dataclasses
 
 import entry_fakes as fakes
@@ -32,9 +33,13 @@
         left_ms = next((float(word) for word in words if word.isdigit()), 0.0)
         return dataclasses.replace(server, warmup_left_ms=left_ms)
 
+    def __init__(self, *, keyed: bool = False) -> None:
+        self._keyed = keyed
+
     def decode_configuration(self, record):
-        version = int(record.value)
-        return support.make_configuration(support.make_route(), version=version)
+        return support.make_configuration(
+            support.make_route(), version=int(record.value), keyed=self._keyed
+        )
 
 
 class Reader:
@@ -44,6 +49,8 @@
         self,
         platform_log: fakes.MemoryLog,
         written: journals.Journal | None = None,
+        *,
+        keyed: bool = False,
     ) -> None:
         real = clock.SystemClock()
         journal = written or support.make_journal(real)
@@ -51,18 +58,23 @@
             servers.ServerSettings(), support.BOUNDS, journal, real
         )
         self.versions: list[int] = []
+        self.on_configure: Callable[[], None] = lambda: None
         self.table = keymap.KeyTable(journal)
         self.beliefs = beliefs.Beliefs(
             beliefs.BeliefSettings(),
             platform_log,
-            Decoder(),
+            Decoder(keyed=keyed),
             self.book,
             self.table,
-            lambda new: self.versions.append(new.version),
+            self._configure,
             journal,
             real,
         )
 
+    def _configure(self, new) -> None:
+        self.versions.append(new.version)
+        self.on_configure()
+
     async def read(self) -> None:
         for feed in self.beliefs._feeds:
             await feed.follower.catch_up()
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_duties.py
@@ -0,0 +1,80 @@
+"""What an instance does for the others, once it leads."""
+
+import anyio
+import belief_support
+import entry_fakes as fakes
+import entry_support as support
+import pytest
+
+from bridgecross_core import clock
+from bridgecross_entry import dispatch
+from bridgecross_entry import duties
+from bridgecross_entry import log
+from bridgecross_entry import metrics
+
+pytestmark = pytest.mark.anyio
+
+
+class NoBackends:
+    """A ``attempts.BackendClient`` that nobody calls."""
+
+    def is_connected(self, server):
+        return False
+
+
+class Scene:
+    """The duties of one instance, whose log holds a service with keys."""
+
+    def __init__(self, platform_log: fakes.MemoryLog) -> None:
+        real = clock.SystemClock()
+        journal = support.make_journal(real)
+        self.reader = belief_support.Reader(platform_log, keyed=True)
+        dispatcher = dispatch.Dispatcher(
+            dispatch.DispatchSettings(),
+            support.INSTANCE,
+            self.reader.book,
+            self.reader.table,
+            NoBackends(),
+            journal,
+            metrics.Metrics(),
+            real,
+        )
+        self.lease_servers = fakes.LeaseServers()
+        self.duties = duties.Duties(
+            duties.DutySettings(),
+            support.INSTANCE,
+            platform_log,
+            self.lease_servers,
+            self.reader.beliefs,
+            self.reader.book,
+            self.reader.table,
+            dispatcher,
+            journal,
+            metrics.Metrics(),
+            real,
+        )
+        self.reader.on_configure = self.duties.match_coordinators
+
+
+@pytest.fixture
+def platform_log():
+    filled = fakes.MemoryLog()
+    filled.records["servers"] = [log.KeyedRecord("a", b"rapor")]
+    filled.records["configuration"] = [log.KeyedRecord("config", b"1")]
+    return filled
+
+
+async def test_keys_are_given_though_the_list_of_servers_comes_last(
+    platform_log,
+):
+    platform_log.away_topics.add("servers")
+    scene = Scene(platform_log)
+    async with anyio.create_task_group() as tasks:
+        scene.reader.beliefs.start(tasks)
+        scene.duties.start(tasks)
+        # It leads, and knows the configuration, before it knows a server.
+        await fakes.until(lambda: scene.duties._leadership.is_leader, 5)
+        assert scene.duties.coordinated_count == 0
+        platform_log.away_topics.clear()
+        await fakes.until(lambda: scene.lease_servers.holder(5) == "a", 6)
+        tasks.cancel_scope.cancel()
