--- a/libs/bridgecross-entry/tests/test_beliefs.py
+++ b/libs/bridgecross-entry/tests/test_beliefs.py
@@ -26,6 +26,17 @@
     return filled
 
 
+async def _make_pair(platform_log):
+    """Returns one that reads, one that it has told, and how it tells."""
+    reader = belief_support.Reader(platform_log)
+    told = belief_support.Reader(platform_log)
+    teller = belief_support.Teller(reader)
+    await reader.read()
+    await told.read()
+    teller.tell(told)
+    return reader, told, teller
+
+
 def _add(platform_log, topic, key, value):
     platform_log.records[topic].append(log.KeyedRecord(key, value))
 
@@ -48,14 +59,7 @@
 
 
 async def test_what_one_reads_the_others_are_told(platform_log):
-    reader, told = (
-        belief_support.Reader(platform_log),
-        belief_support.Reader(platform_log),
-    )
-    teller = belief_support.Teller(reader)
-    await reader.read()
-    await told.read()
-    teller.tell(told)
+    reader, told, teller = await _make_pair(platform_log)
     _add(platform_log, "servers", "b", b"rapor")
     _add(platform_log, "servers", "a", b"rapor")
     _add(platform_log, "configuration", "config", b"2")
@@ -85,14 +89,7 @@
 
 
 async def test_news_that_were_missed_are_told_again(platform_log):
-    reader, told = (
-        belief_support.Reader(platform_log),
-        belief_support.Reader(platform_log),
-    )
-    teller = belief_support.Teller(reader)
-    await reader.read()
-    await told.read()
-    teller.tell(told)
+    reader, told, teller = await _make_pair(platform_log)
     for name in "bcdefghij":
         _add(platform_log, "servers", name, b"rapor")
         await reader.read()
@@ -102,14 +99,7 @@
 
 
 async def test_news_told_again_change_nothing(platform_log):
-    reader, told = (
-        belief_support.Reader(platform_log),
-        belief_support.Reader(platform_log),
-    )
-    teller = belief_support.Teller(reader)
-    await reader.read()
-    await told.read()
-    teller.tell(told)
+    reader, told, teller = await _make_pair(platform_log)
     known = told.beliefs.offsets()
     _add(platform_log, "servers", "b", b"rapor leaving")
     await reader.read()
@@ -129,14 +119,7 @@
 
 
 async def test_only_the_newest_of_many_configurations_is_told(platform_log):
-    reader, told = (
-        belief_support.Reader(platform_log),
-        belief_support.Reader(platform_log),
-    )
-    teller = belief_support.Teller(reader)
-    await reader.read()
-    await told.read()
-    teller.tell(told)
+    reader, told, teller = await _make_pair(platform_log)
     for version in range(2, 9):
         _add(platform_log, "configuration", "config", b"%d" % version)
     await reader.read()
@@ -158,14 +141,7 @@
 async def test_what_the_leader_lost_is_read_here_until_that_fails_too(
     platform_log,
 ):
-    reader, told = (
-        belief_support.Reader(platform_log),
-        belief_support.Reader(platform_log),
-    )
-    teller = belief_support.Teller(reader)
-    await reader.read()
-    await told.read()
-    teller.tell(told)
+    reader, told, teller = await _make_pair(platform_log)
     platform_log.away = True
     await reader.read()
     teller.tell(told)
@@ -213,14 +189,7 @@
 async def test_only_what_changes_is_told_after_history_was_forgotten(
     platform_log,
 ):
-    reader, told = (
-        belief_support.Reader(platform_log),
-        belief_support.Reader(platform_log),
-    )
-    teller = belief_support.Teller(reader)
-    await reader.read()
-    await told.read()
-    teller.tell(told)
+    reader, told, teller = await _make_pair(platform_log)
     _add(platform_log, "servers", "b", b"rapor")
     platform_log.forget("servers")
     await reader.read()
@@ -250,14 +219,7 @@
 
 
 async def test_what_one_appends_itself_the_others_are_told(platform_log):
-    reader, told = (
-        belief_support.Reader(platform_log),
-        belief_support.Reader(platform_log),
-    )
-    teller = belief_support.Teller(reader)
-    await reader.read()
-    await told.read()
-    teller.tell(told)
+    reader, told, teller = await _make_pair(platform_log)
     key_map = keymap.KeyMap(
         fakes.SERVICE,
         1,
@@ -312,14 +274,7 @@
 
 
 async def test_one_that_cannot_read_is_told_what_it_missed(platform_log):
-    reader, told = (
-        belief_support.Reader(platform_log),
-        belief_support.Reader(platform_log),
-    )
-    await reader.read()
-    await told.read()
-    teller = belief_support.Teller(reader)
-    teller.tell(told)
+    reader, told, teller = await _make_pair(platform_log)
     for version in range(2, 6):
         _add(platform_log, "configuration", "config", b"%d" % version)
         await reader.read()
@@ -362,14 +317,7 @@
 async def test_a_topic_that_the_leader_cannot_read_is_read_by_others(
     platform_log,
 ):
-    reader, told = (
-        belief_support.Reader(platform_log),
-        belief_support.Reader(platform_log),
-    )
-    await reader.read()
-    await told.read()
-    teller = belief_support.Teller(reader)
-    teller.tell(told)
+    reader, told, teller = await _make_pair(platform_log)
     teller.tell(told)
     platform_log.away_topics.add("configuration")
     await reader.read()
