--- a/libs/bridgecross-entry/tests/test_beliefs.py
+++ b/libs/bridgecross-entry/tests/test_beliefs.py
@@ -99,7 +99,7 @@
 
 
 async def test_news_told_again_change_nothing(platform_log):
-    reader, told, teller = await _make_pair(platform_log)
+    reader, told, _ = await _make_pair(platform_log)
     known = told.beliefs.offsets()
     _add(platform_log, "servers", "b", b"rapor leaving")
     await reader.read()
