--- a/libs/bridgecross-entry/tests/entry_fakes.py
+++ b/libs/bridgecross-entry/tests/entry_fakes.py
@@ -82,6 +82,39 @@
         self.first[topic] = len(self.records[topic])
 
 
+class PartialLog(MemoryLog):
+    """One instance's way to a log, which may turn it away, topic by topic."""
+
+    def __init__(self, shared: MemoryLog) -> None:
+        super().__init__()
+        self.records = shared.records
+        self.first = shared.first
+        # Answers that are held back until they are let go.
+        self.held: list[anyio.Event] = []
+        self.holds = False
+
+    def let_all_go(self) -> None:
+        self.holds = False
+        for gate in self.held:
+            gate.set()
+
+    async def _hold(self):
+        if self.holds:
+            gate = anyio.Event()
+            self.held.append(gate)
+            await gate.wait()
+
+    async def read_newest(self, topic):
+        answer = await super().read_newest(topic)
+        await self._hold()
+        return answer
+
+    async def read(self, topic, offset, wait_ms):
+        answer = await super().read(topic, offset, wait_ms)
+        await self._hold()
+        return answer
+
+
 class Grant:
     """A range that a server was given."""
 
--- a/libs/bridgecross-entry/tests/test_feeds.py
+++ b/libs/bridgecross-entry/tests/test_feeds.py
@@ -32,39 +32,6 @@
         await anyio.lowlevel.checkpoint()
 
 
-class PartialLog(fakes.MemoryLog):
-    """One instance's way to a log, which may turn it away, topic by topic."""
-
-    def __init__(self, shared: fakes.MemoryLog) -> None:
-        super().__init__()
-        self.records = shared.records
-        self.first = shared.first
-        # Answers that are held back until they are let go.
-        self.held: list[anyio.Event] = []
-        self.holds = False
-
-    def let_all_go(self) -> None:
-        self.holds = False
-        for gate in self.held:
-            gate.set()
-
-    async def _hold(self):
-        if self.holds:
-            gate = anyio.Event()
-            self.held.append(gate)
-            await gate.wait()
-
-    async def read_newest(self, topic):
-        answer = await super().read_newest(topic)
-        await self._hold()
-        return answer
-
-    async def read(self, topic, offset, wait_ms):
-        answer = await super().read(topic, offset, wait_ms)
-        await self._hold()
-        return answer
-
-
 class Play:
     """One schedule."""
 
@@ -77,7 +44,7 @@
         self.shared.records[CONFIGURATION].append(
             log.KeyedRecord("config", b"1")
         )
-        self.logs = [PartialLog(self.shared) for _ in range(4)]
+        self.logs = [fakes.PartialLog(self.shared) for _ in range(4)]
         self.readers = [belief_support.Reader(each) for each in self.logs]
         self.tellers = [belief_support.Teller(each) for each in self.readers]
         # Words that are still under way, with whom they are for.
@@ -181,7 +148,7 @@
     async def _start_anew(self):
         index = self._pick()
         self.logs[index].let_all_go()
-        self.logs[index] = PartialLog(self.shared)
+        self.logs[index] = fakes.PartialLog(self.shared)
         self.readers[index] = belief_support.Reader(self.logs[index])
         self.tellers[index] = belief_support.Teller(self.readers[index])
 
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_relaying.py
@@ -0,0 +1,212 @@
+"""The leader's words, over messages as they are sent, without a network."""
+
+import dataclasses
+
+import anyio
+import belief_support
+import entry_fakes as fakes
+import entry_support as support
+import pytest
+
+from bridgecross_core import clock
+from bridgecross_entry import beliefs
+from bridgecross_entry import leadership
+from bridgecross_entry import log
+from bridgecross_entry import model
+from bridgecross_entry import peers
+from bridgecross_entry import relaying
+
+pytestmark = pytest.mark.anyio
+
+
+class Wire(peers.PeerClient):
+    """Hands messages to other instances of the same process."""
+
+    def __init__(self, members) -> None:
+        real = clock.SystemClock()
+        super().__init__(peers.PeerSettings(), support.make_journal(real), real)
+        self._members = members
+        # Addresses that no message reaches.
+        self.cut: set[model.Address] = set()
+        # Where messages went, and how long they were.
+        self.sent: list[tuple[model.Address, int]] = []
+
+    async def _call(self, address, path, body):
+        self.sent.append((address, len(body)))
+        await anyio.lowlevel.checkpoint()
+        if address in self.cut:
+            return peers._Answer(peers.Reception.UNKNOWN)
+        reply = self._members[address].server.answer(path, body)
+        receptions = {
+            200: peers.Reception.ACCEPTED,
+            409: peers.Reception.DISPUTED,
+        }
+        return peers._Answer(receptions[reply.status], reply.body)
+
+
+class Member:
+    """An instance with its own way to the log."""
+
+    def __init__(self, platform_log, members, settings) -> None:
+        real = clock.SystemClock()
+        journal = support.make_journal(real)
+        self.address = model.Address("127.0.0.1", 7_000 + len(members))
+        members[self.address] = self
+        self.reader = belief_support.Reader(platform_log)
+        self.wire = Wire(members)
+        self.lead = leadership.Leadership(
+            leadership.LeadershipSettings(),
+            dataclasses.replace(
+                support.INSTANCE,
+                name=str(self.address),
+                peer_address=self.address,
+            ),
+            platform_log,
+            lambda: self.reader.beliefs.instances,
+            lambda: (),
+            lambda: None,
+            journal,
+            real,
+        )
+        self.relayer = relaying.Relayer(
+            settings,
+            self.reader.beliefs,
+            self.lead,
+            self.wire,
+            lambda: tuple(a for a in members if a != self.address),
+            journal,
+            real,
+        )
+        self.server = peers.PeerServer(
+            lambda _: None,
+            lambda _: None,
+            lambda _: None,
+            self.relayer.take,
+            journal,
+        )
+
+    async def tell(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            await self.relayer.tell(tasks)
+
+
+class Scene:
+    """Three instances; the first leads."""
+
+    def __init__(self, **settings: int) -> None:
+        self.shared = fakes.MemoryLog()
+        self.add("servers", "a", b"rapor")
+        self.configure(1)
+        listed = beliefs.INSTANCES.encode(beliefs.ListedInstance("x", False))
+        for port in range(3):
+            self.add(
+                beliefs.INSTANCE_TOPIC, f"127.0.0.1:{7_000 + port}", listed
+            )
+        self.logs = [fakes.PartialLog(self.shared) for _ in range(3)]
+        members: dict[model.Address, Member] = {}
+        relay_settings = relaying.RelaySettings(**settings)
+        self.members = [
+            Member(each, members, relay_settings) for each in self.logs
+        ]
+        self.leader, *self.others = self.members
+        self.leader.lead._claim = leadership.Claim(3, "leader")
+        self.leader.lead.is_leader = True
+
+    def add(self, topic, key, value) -> None:
+        self.shared.records[topic].append(log.KeyedRecord(key, value))
+
+    def configure(self, version) -> None:
+        self.add("configuration", "config", b"%d" % version)
+
+    async def read(self) -> None:
+        for member in self.members:
+            await member.reader.read()
+
+    def versions(self) -> list[int]:
+        return [member.reader.versions[-1] for member in self.members]
+
+
+async def test_what_the_leader_cannot_read_it_learns_from_one_that_can():
+    scene = Scene()
+    await scene.read()
+    await scene.leader.tell()
+    # The log turns two away, for this topic alone; the third one reads it.
+    for each in scene.logs[:2]:
+        each.away_topics = {"configuration"}
+    scene.configure(2)
+    await scene.read()
+    assert scene.versions() == [1, 1, 2]
+    for _ in range(2):
+        await scene.leader.tell()
+    assert scene.versions() == [2, 2, 2]
+    # It goes on trying to read for itself.
+    configurations = scene.leader.reader.beliefs._configurations.follower
+    assert not configurations._is_relayed()
+    assert configurations.is_lost
+
+
+async def test_one_that_missed_words_is_told_the_rest_at_once():
+    scene = Scene()
+    await scene.read()
+    await scene.leader.tell()
+    scene.leader.wire.cut = {scene.others[0].address}
+    for version in range(2, 9):
+        scene.configure(version)
+        await scene.leader.reader.read()
+        await scene.leader.tell()
+    assert scene.versions() == [8, 1, 8]
+    scene.leader.wire.cut = set()
+    await scene.leader.tell()
+    assert scene.versions() == [8, 8, 8]
+
+
+async def test_one_that_starts_while_the_log_turns_it_away_is_told_everything():
+    scene = Scene()
+    await scene.members[0].reader.read()
+    await scene.members[2].reader.read()
+    new = scene.others[0]
+    assert not new.reader.beliefs.is_complete
+    await scene.leader.tell()
+    assert new.reader.beliefs.is_complete
+    assert new.reader.knows("a")
+    assert new.reader.versions == [1]
+    assert len(new.reader.beliefs.instances) == 3
+
+
+async def test_what_is_too_long_for_a_word_goes_beside_it():
+    scene = Scene(word_max_bytes=400)
+    await scene.read()
+    await scene.leader.tell()
+    for number in range(200):
+        scene.add("servers", f"server-{number:03}", b"rapor")
+    await scene.leader.reader.read()
+    scene.leader.wire.sent.clear()
+    await scene.leader.tell()
+    lengths = sorted(length for _, length in scene.leader.wire.sent)
+    assert lengths[1] <= 400 < lengths[2]
+    assert all(m.reader.knows("server-199") for m in scene.members)
+
+
+async def test_an_instance_that_is_up_to_date_answers_nothing():
+    scene = Scene()
+    await scene.read()
+    other = scene.others[0]
+    for _ in range(2):
+        await scene.leader.tell()
+    word = scene.leader.relayer._make_word(
+        scene.leader.reader.beliefs.offsets()
+    )
+    reply = other.server.answer(b"/relay", word.encoded)
+    assert (reply.status, reply.body) == (200, b"")
+
+
+async def test_who_does_not_know_the_others_counts_no_majority():
+    scene = Scene()
+    scene.logs[0].away_topics = {beliefs.INSTANCE_TOPIC}
+    await scene.read()
+    await scene.leader.tell()
+    assert scene.leader.lead.known_s == float("inf")
+    scene.logs[0].away_topics = set()
+    await scene.read()
+    await scene.leader.tell()
+    assert scene.leader.lead.known_s < float("inf")
