--- a/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -292,6 +292,29 @@
             if feed is not None:
                 feed.follower.take_told(batch)
 
+    def news_beyond(
+        self, batches: tuple[followers.TopicBatch, ...]
+    ) -> tuple[followers.TopicBatch, ...]:
+        """Returns what is known here of topics that a teller cannot read.
+
+        Args:
+            batches: What it told, which says what it cannot read.
+        """
+        feed_of = {feed.topic: feed for feed in self._feeds}
+        found = [
+            feed_of[batch.topic].since(batch.next_offset)
+            for batch in batches
+            if batch.is_lost and batch.topic in feed_of
+        ]
+        return tuple(batch for batch in found if batch and batch.records)
+
+    def take_found(self, batches: tuple[followers.TopicBatch, ...]) -> None:
+        """Takes in what another instance knows beyond this one."""
+        for feed in self._feeds:
+            for batch in batches:
+                if batch.topic == feed.topic:
+                    feed.follower.take_found(batch)
+
     def is_behind(self, batches: tuple[followers.TopicBatch, ...]) -> bool:
         """Whether one that tells some batches knows more than this one."""
         known_to = {each.topic: each.next_offset for each in self.offsets()}
--- a/libs/bridgecross-entry/src/bridgecross_entry/follower.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/follower.py
@@ -204,6 +204,14 @@
         self.relayed_s = self._clock.monotonic_s()
         self._note_heard(self.relayed_s - batch.age_s)
 
+    def take_found(self, batch: TopicBatch) -> None:
+        """Takes what another instance knows beyond this one.
+
+        Nobody is waited for on that account: this instance reads on, or tries.
+        """
+        if self._connects(batch):
+            self._take_content(batch)
+
     def _connects(self, batch: TopicBatch) -> bool:
         """Whether a batch leaves out nothing that is not known."""
         known_to = self.next_offset
--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -70,7 +70,6 @@
 _MAPS = codec.Codec(keymap.KeyMap)
 _SETTLED = codec.Codec(tuple[Settled, ...])
 _RELAYS = codec.Codec(Relay)
-_OFFSETS = codec.Codec(beliefs.Offsets)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,13 +109,25 @@
     body: bytes = b""
 
 
+class RelayReply(NamedTuple):
+    """What the receiver of the leader's word answers."""
+
+    # Up to where it knows the topics, if it knows less than it was told of;
+    # else nothing.
+    offsets: beliefs.Offsets = ()
+    # What it knows beyond the leader of topics that the leader cannot read.
+    batches: tuple[followers.TopicBatch, ...] = ()
+
+
+_REPLIES = codec.Codec(RelayReply)
+_NOTHING = RelayReply()
+
+
 class RelayAnswer(NamedTuple):
     """What came of the leader's word at one instance."""
 
     reception: Reception
-    # Up to where the receiver knows the topics, if it knows less than it was
-    # told of; else nothing.
-    offsets: beliefs.Offsets = ()
+    reply: RelayReply = _NOTHING
 
 
 class PeerClient:
@@ -151,7 +162,7 @@
         if not answer.body:
             return RelayAnswer(answer.reception)
         try:
-            return RelayAnswer(answer.reception, _OFFSETS.decode(answer.body))
+            return RelayAnswer(answer.reception, _REPLIES.decode(answer.body))
         except codec.CodecError as error:
             self._journal.decision(
                 "peer_message_unreadable",
@@ -261,7 +272,7 @@
         take_load: Callable[[load.LoadReport], None],
         take_map: Callable[[keymap.KeyMap], None],
         take_settled: Callable[[tuple[Settled, ...]], None],
-        take_relay: Callable[[Relay], beliefs.Offsets | None],
+        take_relay: Callable[[Relay], RelayReply | None],
         journal: journals.Journal,
     ) -> None:
         """Keeps who takes what.
@@ -270,9 +281,8 @@
             take_load: Takes a load report.
             take_map: Takes a key map.
             take_settled: Takes the end of moves.
-            take_relay: Takes what another instance read; returns up to where
-                the topics are known, if that is less; None if it does not
-                count, since a later leader is known.
+            take_relay: Takes what another instance read; returns the answer;
+                None if it does not count, since a later leader is known.
             journal: Told of messages that cannot be read.
         """
         self._takers: dict[bytes, Callable[[bytes], None]] = {
@@ -303,7 +313,9 @@
 
     def _answer_relay(self, relay: Relay) -> PeerReply:
         """Answers the leader's word."""
-        offsets = self._take_relay(relay)
-        if offsets is None:
+        reply = self._take_relay(relay)
+        if reply is None:
             return PeerReply(_HTTP_CONFLICT)
-        return PeerReply(_HTTP_OK, _OFFSETS.encode(offsets) if offsets else b"")
+        if reply == _NOTHING:
+            return PeerReply(_HTTP_OK)
+        return PeerReply(_HTTP_OK, _REPLIES.encode(reply))
--- a/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
@@ -2,8 +2,9 @@
 
 The leader speaks to each instance after each read of the list of servers. An
 answer says up to where the receiver knows the topics, if it knows less; the
-next word starts there. So a word that is lost costs nothing but time, and an
-instance that the log turns away knows what the others know.
+next word starts there. It also says what the receiver knows of topics that the
+leader cannot read. So a word that is lost costs nothing but time, and what one
+instance knows that leads or follows, all know.
 """
 
 from collections.abc import Callable
@@ -108,7 +109,7 @@
                 words[known] = self._make_word(known)
             answer = await self._send(peer, words[known])
             received.append(answer.reception)
-            if answer.offsets:
+            if answer.reply.offsets:
                 tasks.start_soon(self._catch_up, peer)
 
         async with anyio.create_task_group() as calls:
@@ -126,13 +127,10 @@
             # Whoever has not read who the others are counts no majority.
             self._leadership.note_told(told)
 
-    def take(self, relay: peers.Relay) -> beliefs.Offsets | None:
-        """Takes another instance's word.
+    def take(self, relay: peers.Relay) -> peers.RelayReply | None:
+        """Takes another instance's word; returns the answer.
 
-        Returns:
-            Up to where the topics are known here, if that is less far than
-            the sender knows them, else nothing; None if its word does not
-            count, since a later leader is known.
+        It is None if the word does not count, since a later leader is known.
         """
         counts = self._leadership.hear(
             relay.claim, log_lost=relay.log_lost, resigns=relay.resigns
@@ -140,9 +138,11 @@
         if not counts:
             return None
         self._beliefs.take_told(relay.batches)
-        if self._beliefs.is_behind(relay.batches):
-            return self._beliefs.offsets()
-        return ()
+        is_behind = self._beliefs.is_behind(relay.batches)
+        return peers.RelayReply(
+            self._beliefs.offsets() if is_behind else (),
+            self._beliefs.news_beyond(relay.batches),
+        )
 
     def _make_word(self, known: beliefs.Offsets) -> _Word:
         """Returns the word for those that know the topics so far."""
@@ -167,7 +167,8 @@
         """Sends a word, and keeps up to where its receiver knows."""
         answer = await self._client.relay(peer, word.encoded)
         if answer.reception is peers.Reception.ACCEPTED:
-            self._known[peer] = answer.offsets or word.offsets
+            self._known[peer] = answer.reply.offsets or word.offsets
+            self._beliefs.take_found(answer.reply.batches)
         return answer
 
     async def _catch_up(self, peer: model.Address) -> None:
--- a/libs/bridgecross-entry/tests/test_relaying.py
+++ b/libs/bridgecross-entry/tests/test_relaying.py
@@ -121,6 +121,8 @@
     async def read(self) -> None:
         for member in self.members:
             await member.reader.read()
+        # As whoever takes the lead does.
+        self.leader.reader.beliefs.begin_telling()
 
     def versions(self) -> list[int]:
         return [member.reader.versions[-1] for member in self.members]
