--- a/libs/bridgecross-entry/tests/test_duties.py
+++ b/libs/bridgecross-entry/tests/test_duties.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bridgecross_core import clock
+from bridgecross_entry import beliefs
 from bridgecross_entry import dispatch
 from bridgecross_entry import duties
 from bridgecross_entry import log
@@ -64,6 +65,19 @@
     return filled
 
 
+async def test_an_instance_lists_itself_as_soon_as_it_has_read_the_list(
+    platform_log,
+):
+    """The log may turn it away for long a moment later."""
+    scene = Scene(platform_log)
+    async with anyio.create_task_group() as tasks:
+        scene.reader.beliefs.start(tasks)
+        scene.duties.start(tasks)
+        listed = platform_log.records[beliefs.INSTANCE_TOPIC]
+        await fakes.until(lambda: listed, 0.25)
+        tasks.cancel_scope.cancel()
+
+
 async def test_keys_are_given_though_the_list_of_servers_comes_last(
     platform_log,
 ):
--- a/libs/bridgecross-entry/tests/test_relaying.py
+++ b/libs/bridgecross-entry/tests/test_relaying.py
@@ -202,6 +202,23 @@
     assert (reply.status, reply.body) == (200, b"")
 
 
+async def test_one_that_knows_of_nobody_else_must_see_the_list_to_lead_alone():
+    """Others may have listed themselves since it lost the log."""
+    scene = Scene()
+    scene.shared.records[beliefs.INSTANCE_TOPIC].clear()
+    await scene.read()
+    scene.leader.wire.members = {}
+    scene.leader.relayer._addresses = tuple
+    scene.logs[0].away_topics = {beliefs.INSTANCE_TOPIC}
+    await scene.leader.reader.read()
+    await scene.leader.tell()
+    assert scene.leader.lead.known_s == float("inf")
+    scene.logs[0].away_topics = set()
+    await scene.leader.reader.read()
+    await scene.leader.tell()
+    assert scene.leader.lead.known_s < float("inf")
+
+
 async def test_who_does_not_know_the_others_counts_no_majority():
     scene = Scene()
     scene.logs[0].away_topics = {beliefs.INSTANCE_TOPIC}
