--- a/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -247,6 +247,11 @@
         """Whether the list of instances has been read."""
         return self._instances.follower.next_offset is not None
 
+    @property
+    def instances_are_lost(self) -> bool:
+        """Whether instances may have listed themselves unseen."""
+        return self._instances.follower.is_lost
+
     @property
     def is_complete(self) -> bool:
         """Whether there is enough to route requests by."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/duties.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/duties.py
@@ -209,7 +209,9 @@
                 self._beliefs.instances.add(own)
             if self._leadership.is_leader:
                 await self._drop_lost_peers()
-            await anyio.sleep(self._settings.register_interval_s)
+            # The first look comes at once: the log may turn this instance away
+            # a moment later, and nobody would know of it.
+            await self._beliefs.news.wait(self._settings.register_interval_s)
 
     async def _drop_lost_peers(self) -> None:
         """Takes instances off the list that have been gone for long."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
@@ -123,10 +123,20 @@
             ended=received.count(peers.Reception.ENDED),
             disputed=peers.Reception.DISPUTED in received,
         )
-        if self._beliefs.knows_instances:
-            # Whoever has not read who the others are counts no majority.
+        if self._knows_whom_to_count(told):
             self._leadership.note_told(told)
 
+    def _knows_whom_to_count(self, told: leadership.Told) -> bool:
+        """Whether those that were told are all there are, as far as needed.
+
+        One that has not read who the others are counts no majority, and one
+        that knows of nobody else does so only while it sees the list: others
+        may have listed themselves, and follow another leader.
+        """
+        if told.peers:
+            return self._beliefs.knows_instances
+        return not self._beliefs.instances_are_lost
+
     def take(self, relay: peers.Relay) -> peers.RelayReply | None:
         """Takes another instance's word; returns the answer.
 
