--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -132,6 +132,7 @@
         log: logs.PlatformLog,
         addresses: Callable[[], Iterable[model.Address]],
         weak_addresses: Callable[[], Container[model.Address]],
+        reads_log: Callable[[], bool],
         on_change: Callable[[], None],
         journal: journals.Journal,
         clock: clocks.Clock,
@@ -144,16 +145,22 @@
             log: The platform's log.
             addresses: Where all instances listen, for whose turn it is.
             weak_addresses: Those of them that come last.
+            reads_log: Whether this instance reads the log at the moment.
             on_change: Called when this instance takes or loses the lead.
             journal: Told of changes.
             clock: For silence.
         """
         self.is_leader = False
+        # Whether the claims in the log were read once. An instance that has
+        # not read them may have followed a later leader in its earlier run, so
+        # it counts for no majority.
+        self.knows_claims = False
         self._settings = settings
         self._instance = instance
         self._log = log
         self._addresses = addresses
         self._weak_addresses = weak_addresses
+        self._reads_log = reads_log
         self._on_change = on_change
         self._journal = journal
         self._clock = clock
@@ -285,7 +292,7 @@
 
     def _turn_s(self) -> float:
         """Returns how long this instance lets others claim first."""
-        if self._leader_is_lost:
+        if self._leader_is_lost and not self._reads_log():
             return self._rank() * self._settings.lost_turn_s
         turn = min(self._rank(), self._settings.turns_max_count)
         return turn * self._settings.turn_s
@@ -310,6 +317,7 @@
                 break
             await anyio.sleep(self._settings.retry_pause_s)
         claim = self._read(newest.records)
+        self.knows_claims = True
         if claim == _NO_CLAIM or claim.instance == self._instance.name:
             # Nobody leads, or this instance did in its earlier run.
             self._claim = claim
@@ -339,7 +347,9 @@
             self._follow(seen, self._settings.silence_s)
             if seen.instance != self._instance.name:
                 return
-        claim = Claim(seen.term + 1, self._instance.name)
+        # The log may have lost its claims; the others have not.
+        term = max(seen.term, self._claim.term) + 1
+        claim = Claim(term, self._instance.name)
         record = logs.KeyedRecord(_KEY, _CLAIMS.encode(claim))
         asked_s = self._clock.monotonic_s()
         result = await self._log.append(TOPIC, record, newest.end)
--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -295,6 +295,8 @@
         if not self._lead.may_order:
             return attempts.NoReply("the lead is not confirmed")
         lease_ms = min(self._settings.lease_ms, self._bounds.lease_max_ms)
+        # From now on the order may be taken, also while it has no answer.
+        self._note_held(server.listed.server_id)
         result: attempts.GrantResult = attempts.NoReply("no answer in time")
         with anyio.move_on_after(self._settings.grant_timeout_s):
             result = await self._client.grant(
@@ -306,12 +308,16 @@
                 handover,
             )
         # An order without an answer may still arrive until it timed out.
-        server_id = server.listed.server_id
-        until_s = self._clock.monotonic_s() + self._lease_s()
-        self._held_until_s[server_id] = until_s
+        self._note_held(server.listed.server_id)
         self._count("grant", result)
         return result
 
+    def _note_held(self, server_id: ids.ServerId) -> None:
+        """Keeps until when a server holds what it is given at this moment."""
+        until_s = self._clock.monotonic_s() + self._lease_s()
+        known_s = self._held_until_s.get(server_id, 0.0)
+        self._held_until_s[server_id] = max(known_s, until_s)
+
     def _lease_s(self) -> float:
         """Returns how long a lease may last from its sending."""
         lease_s = self._settings.lease_ms / 1_000
--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -121,6 +121,8 @@
     offsets: beliefs.Offsets = ()
     # What it knows beyond the leader of topics that the leader cannot read.
     batches: tuple[followers.TopicBatch, ...] = ()
+    # Whether it counts for a majority.
+    counts: bool = True
 
 
 _REPLIES = codec.Codec(RelayReply)
--- a/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
@@ -40,6 +40,11 @@
     word_max_bytes: int = 60_000
 
 
+_NO_VOICE = peers.Reception.ENDED
+"""What an instance counts as that has just started: its earlier run, which may
+have followed a later leader, has ended, and this one follows nobody else."""
+
+
 class _Word(NamedTuple):
     """A message as it goes to all that know the same."""
 
@@ -123,7 +128,9 @@
             if kind not in words:
                 words[kind] = self._make_word(known, asks=peer in asked)
             answer = await self._send(peer, words[kind])
-            received.append(answer.reception)
+            received.append(
+                answer.reception if answer.reply.counts else _NO_VOICE
+            )
             if answer.reply.offsets:
                 tasks.start_soon(self._catch_up, peer)
 
@@ -167,6 +174,7 @@
         return peers.RelayReply(
             self._beliefs.offsets() if is_behind else (),
             self._beliefs.news_beyond(relay.batches) if relay.asks else (),
+            self._leadership.knows_claims,
         )
 
     def _delay_s(self, relay: peers.Relay) -> float:
--- a/libs/bridgecross-entry/tests/test_leadership.py
+++ b/libs/bridgecross-entry/tests/test_leadership.py
@@ -48,6 +48,7 @@
             platform_log,
             lambda: [other.address for other in self.others],
             lambda: weak,
+            lambda: False,
             lambda: None,
             support.make_journal(clock.SystemClock()),
             clock.SystemClock(),
@@ -231,6 +232,7 @@
         platform_log,
         lambda: [],
         lambda: [],
+        lambda: False,
         lambda: None,
         support.make_journal(manual),
         manual,
@@ -328,3 +330,35 @@
         manual.now_s += passed_s
         leading._tell_confirmation()
     assert told == ["lead_confirmed", "lead_unconfirmed"]
+
+
+async def test_a_claim_is_above_all_that_are_known_though_the_log_lost_them():
+    member = Member(fakes.MemoryLog(), 1)
+    member.leadership.hear(leadership.Claim(7, "entry-9"))
+    await member.leadership._try_claim()
+    assert member.leadership.claim.term == 8
+
+
+@pytest.mark.parametrize(
+    ("reads_log", "turn_s"),
+    [
+        pytest.param(True, 16 * SETTINGS.turn_s, id="reads the log"),
+        pytest.param(False, 60 * SETTINGS.lost_turn_s, id="does not"),
+    ],
+)
+def test_one_that_reads_what_the_leader_cannot_claims_soon(reads_log, turn_s):
+    member = Member(fakes.MemoryLog(), 0)
+    member.leadership._reads_log = lambda: reads_log
+    member.leadership.hear(leadership.Claim(7, "entry-9"), log_lost=True)
+    member.leadership._rank = lambda: 60
+    assert member.leadership._turn_s() == pytest.approx(turn_s)
+
+
+async def test_one_that_has_not_read_the_claims_follows_without_a_voice():
+    platform_log = fakes.MemoryLog()
+    member = Member(platform_log, 1)
+    assert not member.leadership.knows_claims
+    member.leadership.hear(leadership.Claim(0, "entry-9"))
+    assert not member.leadership.knows_claims
+    await member.leadership._look_up_first()
+    assert member.leadership.knows_claims
--- a/libs/bridgecross-entry/tests/test_leases.py
+++ b/libs/bridgecross-entry/tests/test_leases.py
@@ -189,3 +189,26 @@
     assert await keeper.take_back(A, moving) == ""
     assert anyio.current_time() - begun_s > 0.19
     assert lease_servers.holder(5) is None
+
+
+class SlowServers(fakes.LeaseServers):
+    """Takes grants late, and says nothing to releases."""
+
+    async def grant(self, *order: object):
+        await anyio.sleep(0.02)
+        return await super().grant(*order)
+
+    async def release(self, *order: object):
+        await anyio.sleep_forever()
+
+
+async def test_a_lease_that_is_under_way_is_waited_for(lead):
+    slow = SlowServers()
+    keeper = _make_keeper(slow, lead, clock.SystemClock())
+    moving = keymap.KeyRange(0, 9, ids.ServerId("b"), 2, A)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(keeper.renew, A, RANGES[:1], lambda _: True)
+        await anyio.sleep(0.005)
+        assert await keeper.take_back(A, moving) == ""
+        await anyio.sleep(0.03)
+        assert slow.holder(5) is None
--- a/libs/bridgecross-entry/tests/test_relaying.py
+++ b/libs/bridgecross-entry/tests/test_relaying.py
@@ -64,6 +64,7 @@
             platform_log,
             lambda: self.reader.beliefs.instances,
             lambda: (),
+            lambda: False,
             lambda: None,
             journal,
             real,
@@ -111,6 +112,12 @@
         self.leader, *self.others = self.members
         self.leader.lead._claim = leadership.Claim(3, "leader")
         self.leader.lead.is_leader = True
+        self.voice(True)
+
+    def voice(self, knows_claims: bool) -> None:
+        """Sets whether the others have read who claimed."""
+        for other in self.others:
+            other.lead.knows_claims = knows_claims
 
     def add(self, topic, key, value) -> None:
         self.shared.records[topic].append(log.KeyedRecord(key, value))
@@ -219,6 +226,19 @@
     assert scene.leader.lead.known_s < float("inf")
 
 
+async def test_one_that_has_just_started_counts_for_no_majority():
+    """In its earlier run it may have followed a later leader."""
+    scene = Scene()
+    await scene.read()
+    scene.voice(False)
+    scene.leader.wire.cut = {scene.others[1].address}
+    await scene.leader.tell()
+    assert scene.leader.lead.known_s == float("inf")
+    scene.voice(True)
+    await scene.leader.tell()
+    assert scene.leader.lead.known_s < float("inf")
+
+
 async def test_who_does_not_know_the_others_counts_no_majority():
     scene = Scene()
     scene.logs[0].away_topics = {beliefs.INSTANCE_TOPIC}
