--- a/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -14,7 +14,6 @@
 from bridgecross_core import clock as clocks
 from bridgecross_core import codec as codecs
 from bridgecross_core import findings
-from bridgecross_core import ids
 from bridgecross_core import pulse
 from bridgecross_entry import feeds
 from bridgecross_entry import follower as followers
@@ -22,6 +21,7 @@
 from bridgecross_entry import keymap
 from bridgecross_entry import log as logs
 from bridgecross_entry import model
+from bridgecross_entry import server_list
 from bridgecross_entry import servers as servers_lib
 from bridgecross_entry import tasks as tasks_lib
 
@@ -153,30 +153,36 @@
         self._configure = configure
         self._journal = journal
         self._clock = clock
-        self._listed: dict[str, model.BackendServer] = {}
         self._configuration_is_unreadable = False
-        self._servers = self._follow(
-            decoder.server_topic,
+        self._servers = feeds.Feed(decoder.server_topic)
+        self._list = server_list.ServerList(
+            self._servers, decoder.decode_server, book, journal, clock
+        )
+        self._follow(
+            self._servers,
             (0, settings.list_pause_s),
-            self._take_all_servers,
-            self._take_servers,
+            self._list.take_all,
+            self._list.take_changes,
             is_urgent=True,
         )
-        self._configurations = self._follow(
-            decoder.configuration_topic,
+        self._configurations = feeds.Feed(decoder.configuration_topic)
+        self._follow(
+            self._configurations,
             (settings.configuration_wait_ms, settings.quiet_pause_s),
             self._take_all_configurations,
             self._take_configurations,
             is_urgent=True,
         )
-        self._keys = self._follow(
-            KEY_TOPIC,
+        self._keys = feeds.Feed(KEY_TOPIC)
+        self._follow(
+            self._keys,
             (settings.key_wait_ms, settings.key_pause_s),
             self._take_all_maps,
             self._take_maps,
         )
-        self._instances = self._follow(
-            INSTANCE_TOPIC,
+        self._instances = feeds.Feed(INSTANCE_TOPIC)
+        self._follow(
+            self._instances,
             (settings.instance_wait_ms, settings.quiet_pause_s),
             self._take_all_instances,
             self._take_instances,
@@ -190,18 +196,17 @@
 
     def _follow(
         self,
-        topic: str,
+        feed: feeds.Feed,
         pace: tuple[float, float],
         take_all: Callable[[tuple[logs.KeyedRecord, ...]], None],
         take_changes: Callable[[tuple[logs.KeyedRecord, ...]], None],
         *,
         is_urgent: bool = False,
-    ) -> feeds.Feed:
-        """Returns a topic's feed with its follower, which reads nothing yet."""
-        is_list = topic == self._decoder.server_topic
-        feed = feeds.Feed(topic)
+    ) -> None:
+        """Gives a feed its follower, which reads nothing yet."""
+        is_list = feed is self._servers
         feed.follower = followers.Follower(
-            followers.FollowSettings(topic, *pace, is_urgent=is_urgent),
+            followers.FollowSettings(feed.topic, *pace, is_urgent=is_urgent),
             self._log,
             take_all,
             take_changes,
@@ -209,7 +214,6 @@
             self._clock,
             self.news.notify if is_list else None,
         )
-        return feed
 
     @property
     def key_follower(self) -> followers.Follower:
@@ -363,90 +367,6 @@
             if batch.topic in known_to
         )
 
-    # Servers.
-
-    def _take_all_servers(self, records: tuple[logs.KeyedRecord, ...]) -> None:
-        """Takes in the whole list of backend servers."""
-        before = self._listed
-        self._book.heard_before_s = self.list_heard_s
-        self._listed = {}
-        for record in records:
-            # One that cannot be read changes nothing.
-            server = self._decode_server(record) or before.get(record.key)
-            if server is not None:
-                self._listed[record.key] = server
-        self._servers.put_all(
-            records,
-            lambda record: _differs(
-                self._listed.get(record.key), before.get(record.key)
-            ),
-        )
-        self._book.replace_all(
-            self._listed.values(), log_was_away=self._log_was_away()
-        )
-
-    def _take_servers(self, records: tuple[logs.KeyedRecord, ...]) -> None:
-        """Takes in changes of the list; most change nothing."""
-        self._book.heard_before_s = self.list_heard_s
-        newest: dict[str, logs.KeyedRecord] = {}
-        # Also those that changed and changed back: others may have seen what
-        # was in between.
-        changed: set[str] = set()
-        servers: dict[str, model.BackendServer | None] = {}
-        for record in records:
-            server = self._decode_server(record)
-            if server is None and record.value:
-                # It cannot be read, and changes nothing.
-                continue
-            key = record.key
-            known = servers.get(key, self._listed.get(key))
-            if _differs(known, server) or self._is_told:
-                changed.add(key)
-            newest[key], servers[key] = record, server
-        for server_id, server in servers.items():
-            self._take_server(server_id, server)
-        self._servers.put(newest.values(), lambda record: record.key in changed)
-
-    @property
-    def _is_told(self) -> bool:
-        """Whether another instance told what is taken of the servers."""
-        return self._servers.follower.source is followers.Source.PEER
-
-    def _take_server(
-        self, server_id: str, server: model.BackendServer | None
-    ) -> None:
-        """Takes in one entry of the list, or that it is gone."""
-        if server is not None:
-            self._listed[server_id] = server
-            self._book.put(server)
-            return
-        self._listed.pop(server_id, None)
-        self._book.remove(
-            ids.ServerId(server_id), log_was_away=self._log_was_away()
-        )
-
-    def _decode_server(
-        self, record: logs.KeyedRecord
-    ) -> model.BackendServer | None:
-        """Returns the server of an entry; None if it makes no sense."""
-        if not record.value:
-            return None
-        try:
-            return self._decoder.decode_server(record)
-        except findings.FindingsError as error:
-            self._journal.decision("entry_unreadable", reason=str(error))
-            return None
-
-    def _log_was_away(self) -> bool:
-        """Whether entries may have lapsed only for want of the log."""
-        follower = self._servers.follower
-        now_s = self._clock.monotonic_s()
-        grace_s = self._book.settings.lapse_grace_s
-        return (
-            follower.lost_since_s is not None
-            or now_s < follower.regained_s + grace_s
-        )
-
     # Configurations.
 
     def _take_all_configurations(
@@ -581,16 +501,3 @@
 def _is_before(known_to: int | None, next_offset: int) -> bool:
     """Whether a topic is known less far than up to an offset."""
     return known_to is None or known_to < next_offset
-
-
-def _differs(
-    known: model.BackendServer | None, listed: model.BackendServer | None
-) -> bool:
-    """Whether others must be told of a change of an entry.
-
-    The rest of the time for which a server is slow runs off by itself.
-    """
-    if known is None or listed is None:
-        return known is not listed
-    left_ms = listed.warmup_left_ms
-    return dataclasses.replace(known, warmup_left_ms=left_ms) != listed
--- a/libs/bridgecross-entry/tests/test_beliefs.py
+++ b/libs/bridgecross-entry/tests/test_beliefs.py
@@ -355,7 +355,7 @@
     teller.tell(second)
     belief_support.Teller(second).tell(third)
     assert dict(third.beliefs.offsets())["servers"] == 4
-    assert set(third.beliefs._listed) == {"a", "b"}
+    assert set(third.beliefs._list.listed) == {"a", "b"}
 
 
 async def test_one_failed_read_does_not_make_one_wait_for_a_lost_leader():
@@ -420,7 +420,7 @@
     for away in (set(), {"servers"}, set()):
         reader.beliefs._log.away_topics = away
         await reader.read()
-        assert "a" in reader.beliefs._listed
+        assert "a" in reader.beliefs._list.listed
 
 
 async def test_a_configuration_that_cannot_be_read_is_not_known():
--- a/libs/bridgecross-entry/tests/test_feeds.py
+++ b/libs/bridgecross-entry/tests/test_feeds.py
@@ -78,7 +78,7 @@
                 record.key: record.value.decode().split()
                 for record in self.shared.records[SERVERS][: known[SERVERS]]
             }
-            listed = reader.beliefs._listed
+            listed = reader.beliefs._list.listed
             assert listed.keys() == {k for k, words in newest.items() if words}
             for key, server in listed.items():
                 assert server.leaving == ("leaving" in newest[key])
