--- a/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -240,7 +240,7 @@
         return self._configurations.follower.age_s
 
     @property
-    def log_is_lost(self) -> bool:
+    def list_is_lost(self) -> bool:
         """Whether the list of servers could not be read just now."""
         return self._servers.follower.lost_since_s is not None
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/duties.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/duties.py
@@ -105,7 +105,7 @@
             log,
             lambda: self._beliefs.instances,
             lambda: self._beliefs.weak_instances,
-            lambda: held.list_is_fresh and not held.log_is_lost,
+            lambda: held.list_is_fresh and not held.list_is_lost,
             self._take_lead,
             journal,
             clock,
--- a/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
@@ -218,7 +218,7 @@
             self._clock.monotonic_s(),
             asks,
             self.resigns,
-            self._beliefs.log_is_lost,
+            self._beliefs.list_is_lost,
             self._beliefs.news_since(known),
         )
         return _Word(peers.encode_relay(relay), self._beliefs.offsets())
--- a/libs/bridgecross-entry/tests/test_feeds.py
+++ b/libs/bridgecross-entry/tests/test_feeds.py
@@ -4,7 +4,6 @@
 drawn from a seed; after each step all that each knows is compared with the log.
 """
 
-import collections
 import random
 
 import anyio
@@ -189,15 +188,20 @@
     assert states == SCHEDULES * STEPS
 
 
+class Follower:
+    """A follower whose offset is set by hand."""
+
+    next_offset = 0
+    age_s = 0.0
+    is_lost = False
+
+
 class Known:
-    """A feed whose offset is set by hand."""
+    """A feed whose follower reads nothing."""
 
     def __init__(self) -> None:
-        self.follower = collections.namedtuple("F", "age_s is_lost")(0.0, False)
         self.feed = feeds.Feed("topic")
-        self.feed.follower = type(
-            "Follower", (), {"next_offset": 0, "age_s": 0.0, "is_lost": False}
-        )()
+        self.feed.follower = Follower()
 
     def put(self, key: str, value: bytes) -> None:
         self.feed.follower.next_offset += 1
