--- a/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -148,7 +148,6 @@
         self._log = log
         self._decoder = decoder
         self._book = book
-        book.list_is_fresh = lambda: self.list_is_fresh
         self._table = table
         self._configure = configure
         self._journal = journal
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -360,10 +360,11 @@
                 return None
             return self._conclude(life, self._refuse(result.reason))
         if isinstance(result, attempts.NotSent):
-            server.note_unreachable(now_s)
-            life.trail.append(f"{server_id}: not sent: {result.reason}")
             if result.refused:
-                self._book.refuse(server_id)
+                server.note_refused(now_s)
+            else:
+                server.note_unreachable(now_s)
+            life.trail.append(f"{server_id}: not sent: {result.reason}")
         elif isinstance(result, attempts.Shed):
             server.note_answer(held_s, failed=True)
             server.shrink_room(now_s)
--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -5,7 +5,6 @@
 for a short while as a last resort.
 """
 
-from collections.abc import Callable
 from collections.abc import Container
 from collections.abc import Iterable
 import dataclasses
@@ -168,6 +167,16 @@
         self.paused_until_s = now_s + self._pause_s
         self._pause_s = min(2 * self._pause_s, self._settings.longest_pause_s)
 
+    def note_refused(self, now_s: float) -> None:
+        """Counts a connection that was refused, and pauses the server.
+
+        Its run has most likely ended, but one that leaves refuses too while it
+        works on its last requests, and so may a link.
+        """
+        self.note_interrupted()
+        self._pause_s = self._settings.longest_pause_s
+        self.paused_until_s = now_s + self._pause_s
+
     def note_interrupted(self) -> None:
         """Counts an attempt without a whole answer."""
         ratio = self._settings.smoothing_ratio
@@ -201,8 +210,6 @@
         self.changed = pulse.Pulse()
         # When the list was heard of before what is being taken in.
         self.heard_before_s: float | None = None
-        # Whether the list was heard of just now; set by who reads it.
-        self.list_is_fresh: Callable[[], bool] = lambda: True
         self._instance_count = settings.first_instance_count
         self._bounds = bounds
         self._journal = journal
@@ -291,22 +298,6 @@
         self._ended.add(server_id)
         self._forget(server_id, reason)
 
-    def refuse(self, server_id: ids.ServerId) -> bool:
-        """Takes in that the address of a server refuses connections.
-
-        One that leaves does so while it still works on its last requests, so
-        this shows the end only of a server that the list does not say leaves.
-        It says so 2 s and more before the end, and must not be older.
-
-        Returns:
-            Whether its run has certainly ended.
-        """
-        known = self._servers.get(server_id)
-        stays = known is not None and known.leaving_since_s is None
-        if stays and self.list_is_fresh():
-            self.end(server_id, "its address refuses connections")
-        return self.has_ended(server_id)
-
     def _forget(self, server_id: ids.ServerId, reason: str) -> None:
         """Takes a server out."""
         known = self._servers.pop(server_id, None)
--- a/libs/bridgecross-entry/tests/entry_fakes.py
+++ b/libs/bridgecross-entry/tests/entry_fakes.py
@@ -138,6 +138,8 @@
         # Servers that say nothing, and those whose process has ended.
         self.silent: set[str] = set()
         self.ended: set[str] = set()
+        # Those at whose address another run answers.
+        self.replaced: set[str] = set()
         self.fences: dict[str, int] = collections.defaultdict(lambda: -1)
 
     async def grant(
@@ -145,6 +147,8 @@
     ):
         name = server.server_id
         self.orders.append(("grant", name, first_key, last_key, token))
+        if name in self.replaced:
+            return attempts.Gone("another server has its address")
         if name in self.ended:
             return attempts.Refused("ended")
         if name in self.silent:
@@ -166,6 +170,8 @@
     async def release(self, server, first_key, last_key, token):
         name = server.server_id
         self.orders.append(("release", name, first_key, last_key, token))
+        if name in self.replaced:
+            return attempts.Gone("another server has its address")
         if name in self.ended:
             return attempts.Refused("ended")
         if name in self.silent:
