--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -294,8 +294,7 @@
             return attempts.NoReply("the lead is not confirmed")
         lease_ms = min(self._settings.lease_ms, self._bounds.lease_max_ms)
         # From now on the order may be taken, also while it has no answer.
-        held_before_s = self._held_until_s.get(server.listed.server_id)
-        noted_s = self._note_held(server.listed.server_id)
+        self._note_held(server.listed.server_id)
         result: attempts.GrantResult = attempts.NoReply("no answer in time")
         with anyio.move_on_after(self._settings.grant_timeout_s):
             result = await self._client.grant(
@@ -306,36 +305,19 @@
                 lease_ms,
                 handover,
             )
-        if isinstance(result, attempts.Refused):
-            self._take_back_note(
-                server.listed.server_id, noted_s, held_before_s
-            )
-        else:
-            # One without an answer may still arrive until it timed out.
-            self._note_held(server.listed.server_id)
+        # One without an answer may still arrive until it timed out.
+        self._note_held(server.listed.server_id)
         self._count("grant", result)
         return result
 
-    def _note_held(self, server_id: ids.ServerId) -> float:
-        """Keeps until when a server holds what it is given at this moment."""
+    def _note_held(self, server_id: ids.ServerId) -> None:
+        """Keeps until when a server holds what it is given at this moment.
+
+        The time is never lowered: other orders may be under way.
+        """
         until_s = self._clock.monotonic_s() + self._lease_s()
         known_s = self._held_until_s.get(server_id, 0.0)
         self._held_until_s[server_id] = max(known_s, until_s)
-        return self._held_until_s[server_id]
-
-    def _take_back_note(
-        self, server_id: ids.ServerId, noted_s: float, before_s: float | None
-    ) -> None:
-        """Undoes the note of an order of which not one byte was sent.
-
-        If another order was noted in between, the later time stands.
-        """
-        if self._held_until_s.get(server_id) != noted_s:
-            return
-        if before_s is None:
-            del self._held_until_s[server_id]
-        else:
-            self._held_until_s[server_id] = before_s
 
     def _lease_s(self) -> float:
         """Returns how long a lease may last from its sending."""
