Sum up requests by the second, and account for what was earned and lost

Cause: lines of single requests are bounded at 200 a second, so in a surge most are missing, and nothing tells a caller's first attempt from a later one. Change: each instance writes one line a route and second with the outcomes of all its requests (tally.py); a caller's age is the time that its route's callers state most often less what it states (caller_age.py); bridgecross logs account adds the lines up and lists the largest losses. What cannot be read is named with its place and left out.

--- a/libs/bridgecross-cli/src/bridgecross_cli/_logs.py
+++ b/libs/bridgecross-cli/src/bridgecross_cli/_logs.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 import sys
 
+from bridgecross_cli import accounts
 from bridgecross_cli import journals
 from bridgecross_cli import reach
 
@@ -40,6 +41,37 @@
     )
 
 
+async def show_account(options: argparse.Namespace) -> int:
+    """Shows what was earned and lost, by route, second and cause."""
+    worths = dict(options.worth or ())
+    account = accounts.add_up(_read(options), worths)
+    for line in accounts.render(account):
+        print(line)
+    for finding in account.left_out:
+        print(f"left out: {finding}", file=sys.stderr)
+    return _EXIT_OK if account.routes else _EXIT_NOT_FOUND
+
+
+def read_worth(text: str) -> tuple[str, accounts.Worth]:
+    """Returns the worth of a route's answers, given as ``ROUTE=FULL,LATE``.
+
+    Raises:
+        argparse.ArgumentTypeError: The text is not of this form.
+    """
+    route, _, numbers = text.partition("=")
+    try:
+        in_time, late = (float(number) for number in numbers.split(","))
+    except ValueError:
+        raise argparse.ArgumentTypeError(
+            f"{text!r} is not of the form ROUTE=FULL,LATE"
+        ) from None
+    if not route or not 0 <= late <= in_time:
+        raise argparse.ArgumentTypeError(
+            f"{text!r}: FULL must be LATE at least, and LATE not below 0"
+        )
+    return route, accounts.Worth(in_time, late)
+
+
 def _print(lines: Iterable[journals.Line]) -> int:
     """Prints lines; returns whether there were any, as an exit code."""
     code = _EXIT_NOT_FOUND
--- a/libs/bridgecross-cli/src/bridgecross_cli/main.py
+++ b/libs/bridgecross-cli/src/bridgecross_cli/main.py
@@ -66,7 +66,7 @@
 def _add_log_commands(
     commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
 ) -> None:
-    """Adds ``logs explain``, ``logs keys`` and ``logs timeline``."""
+    """Adds ``logs explain``, ``keys``, ``timeline`` and ``account``."""
     logs = commands.add_parser("logs", help="read logs of many instances")
     actions = logs.add_subparsers(required=True, metavar="ACTION")
     explain = actions.add_parser(
@@ -83,7 +83,19 @@
         "--event", action="append", help="only this event; may be repeated"
     )
     timeline.set_defaults(command=_logs.show_timeline)
-    for action in (explain, keys, timeline):
+    account = actions.add_parser(
+        "account", help="what was earned and lost, by route, second and cause"
+    )
+    account.add_argument(
+        "--worth",
+        action="append",
+        type=_logs.read_worth,
+        metavar="ROUTE=FULL,LATE",
+        help="what an answer of a route is worth in time and late; 1 and 0.5 "
+        "if left out; may be repeated",
+    )
+    account.set_defaults(command=_logs.show_account)
+    for action in (explain, keys, timeline, account):
         action.add_argument(
             "files",
             nargs="*",
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -15,6 +15,7 @@
 from bridgecross_core import ids
 from bridgecross_core import outcomes
 from bridgecross_entry import attempts
+from bridgecross_entry import caller_age
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
 from bridgecross_entry import load
@@ -23,6 +24,7 @@
 from bridgecross_entry import retry_budget
 from bridgecross_entry import routes
 from bridgecross_entry import servers as servers_lib
+from bridgecross_entry import tally as tallies
 from bridgecross_request import queueing
 
 _FIRST_ERROR_STATUS = 500
@@ -67,6 +69,10 @@
     route: model.Route
     service: ids.ServiceName
     deadline_s: float
+    # How long the caller had waited when the request came.
+    age_s: float
+    # When an answer begins to be worth less, counted from the first attempt.
+    target_s: float
     configuration_version: int
     # Attempts that reached a server, whatever came of them.
     arrivals: int = 0
@@ -105,6 +111,7 @@
         # How long ago it was known that the configuration is the newest one.
         self.configuration_age_s: Callable[[], float] = lambda: 0.0
         self.in_flight_count = 0
+        self.tally = tallies.RequestTally(journal)
         self._settings = settings
         self._instance = instance
         self._book = book
@@ -114,6 +121,7 @@
         self._metrics = metrics
         self._clock = clock
         self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
+        self._ages: dict[str, caller_age.CallerAge] = {}
 
     def configure(self, configuration: model.Configuration) -> None:
         """Takes a configuration in force."""
@@ -186,14 +194,30 @@
         if request.patience_ms is not None:
             hold_ms = min(hold_ms, request.patience_ms)
         self._budget(service).count_request(self._clock.monotonic_s())
+        age_s = self._age_s(request, route)
+        target_s = request.received_s - age_s + route.target_latency_ms / 1_000
         return _Life(
             request,
             route,
             service,
             request.received_s + hold_ms / 1_000,
+            age_s,
+            target_s,
             self.routes.configuration.version,
         )
 
+    def _age_s(
+        self, request: attempts.EntryRequest, route: model.Route
+    ) -> float:
+        """Returns how long the caller had waited when the request came."""
+        ages = self._ages.get(route.name)
+        if ages is None:
+            ages = caller_age.CallerAge(caller_age.CallerAgeSettings())
+            self._ages[route.name] = ages
+        if request.patience_ms is not None:
+            ages.note(request.patience_ms)
+        return ages.age_s(request.patience_ms)
+
     async def _try(self, life: _Life) -> outcomes.Outcome:
         """Tries servers until one answers or none is left to try."""
         assert self.routes is not None  # by the caller
@@ -453,6 +477,7 @@
         self._metrics.requests.inc({"service": life.service, "outcome": kind})
         labels = {"service": life.service}
         self._metrics.request_seconds.observe(labels, took_s)
+        self._count_ended(life, left, outcome, now_s)
         plain = (
             isinstance(outcome, outcomes.Answered)
             and outcome.status < _FIRST_ERROR_STATUS
@@ -474,6 +499,28 @@
             left_ms=round((life.deadline_s - now_s) * 1_000, 1),
         )
 
+    def _count_ended(
+        self,
+        life: _Life,
+        left: str,
+        outcome: outcomes.Outcome | None,
+        now_s: float,
+    ) -> None:
+        """Adds a request to the sums of its route."""
+        if left:
+            result = tallies.CALLER_LEFT
+        elif isinstance(outcome, outcomes.Answered) and (
+            outcome.status < _FIRST_ERROR_STATUS
+        ):
+            in_time = now_s <= life.target_s
+            result = tallies.IN_TIME if in_time else tallies.LATE
+        else:
+            result = tallies.name_cause(life.trail)
+        ended = tallies.Ended(
+            life.age_s == 0.0, result, now_s - life.request.received_s
+        )
+        self.tally.count(life.route, life.service, ended)
+
     def _budget(self, service: ids.ServiceName) -> retry_budget.RetryBudget:
         """Returns a service's retry budget."""
         budget = self._budgets.get(service)
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -40,6 +40,9 @@
     drain_margin_s: float = 0.5
     # How often lists are swept.
     sweep_interval_s: float = 1.0
+    # How often the sums of requests are written. A surge or a fault shows in
+    # single seconds; a line costs 40 us of processor time a route.
+    tally_interval_s: float = 1.0
 
 
 class Adapter(beliefs.Decoder, Protocol):
@@ -175,10 +178,14 @@
             self._beliefs.start(tasks)
             self._duties.start(tasks)
             tasks.start_soon(tasks_lib.keep_running, self._sweep, self._journal)
+            tasks.start_soon(
+                tasks_lib.keep_running, self._write_tally, self._journal
+            )
             tasks.start_soon(self._watch_signals)
             await self._stop_asked.wait()
             await self._drain()
             tasks.cancel_scope.cancel()
+        self._dispatcher.tally.write(0.0)
         self._journal.lifecycle("stopped")
 
     async def _watch_signals(self) -> None:
@@ -243,6 +250,15 @@
             self._backend_client.sweep(self._book.known_ids())
             self._lease_client.sweep(self._book.known_ids())
 
+    async def _write_tally(self) -> None:
+        """Writes what became of requests, second by second."""
+        written_s = self._clock.monotonic_s()
+        while True:
+            await anyio.sleep(self._settings.tally_interval_s)
+            now_s = self._clock.monotonic_s()
+            self._dispatcher.tally.write(now_s - written_s)
+            written_s = now_s
+
     def _refresh_metrics(self) -> None:
         """Brings the figures up to date that are read, not counted."""
         beliefs = self._metrics.beliefs
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_tally.py
@@ -0,0 +1,71 @@
+import json
+import os
+
+import entry_support as support
+import pytest
+
+from bridgecross_core import ids
+from bridgecross_entry import journal as journals
+from bridgecross_entry import tally
+
+CATALOGUE = ids.ServiceName("catalogue")
+
+
+def _read_lines(count) -> list[dict]:
+    """Returns the lines that are written once some requests were counted."""
+    reading, writing = os.pipe()
+    journal = journals.Journal(
+        "entry-1",
+        journals.JournalSettings(),
+        support.ManualClock(),
+        writing,
+    )
+    sums = tally.RequestTally(journal)
+    count(sums)
+    sums.write(1.0)
+    os.close(writing)
+    with open(reading, encoding="utf-8") as file:
+        return [json.loads(line) for line in file]
+
+
+def test_requests_are_summed_up_by_route():
+    def count(sums):
+        read, file = support.make_route("/r/"), support.make_route("/f/")
+        sums.count(read, CATALOGUE, tally.Ended(True, tally.IN_TIME, 0.1))
+        sums.count(read, CATALOGUE, tally.Ended(False, "no_room", 0.2))
+        sums.count(file, CATALOGUE, tally.Ended(True, tally.LATE, 0.3))
+
+    first, second = _read_lines(count)
+    assert first["route"] == "route/r/"
+    assert first["first"] == 1
+    assert first["outcomes"] == {"in_time": 1, "no_room": 1}
+    assert first["held_s"] == {"in_time": 0.1, "no_room": 0.2}
+    assert second["outcomes"] == {"late": 1}
+
+
+def test_lines_are_bounded_and_what_is_left_out_is_said():
+    def count(sums):
+        for number in range(60):
+            route = support.make_route(f"/{number}/")
+            sums.count(route, CATALOGUE, tally.Ended(True, tally.LATE, 0.1))
+
+    lines = _read_lines(count)
+    assert len(lines) == 51
+    assert lines[-1]["left_out"] == 10
+
+
+@pytest.mark.parametrize(
+    ("trail", "cause"),
+    [
+        ([], "no_server"),
+        (["s1: the deadline cannot be met"], "no_room"),
+        (["s1: the deadline has passed"], "waited_for_room"),
+        (["s1: shed with 503", "s1: left alone"], "server_left_alone"),
+        (["key 7 has no owner"], "no_owner"),
+        (["s1: interrupted: reset"], "interrupted"),
+        (["s1: interrupted: reset", "out of time"], "out_of_time"),
+        (["s1: something new"], tally.OTHER_CAUSE),
+    ],
+)
+def test_causes_are_named_by_the_last_of_the_trail(trail, cause):
+    assert tally.name_cause(trail) == cause
