Relieve servers beside one whose single key nobody can take

Cause: a plan ended at the busiest server. While one key draws several times what its owner can do, that server cannot be relieved, and nobody else was; what the key drew beyond its owner's room also counted in the mean, so that others looked idle beside it. Ruled out: the list or the log out of reach (both were there), moves under way. Change: a server without a piece to give is passed over; what single keys draw beyond their owner's room is left out of the mean. Shown by: test_planner.py, a key that no server can take keeps nobody else busy: failed before for both limits.

--- a/libs/bridgecross-entry/src/bridgecross_entry/planner.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/planner.py
@@ -109,6 +109,7 @@
         for key, weight in weights.items():
             each[key] = weight
         self._sums = [0.0, *itertools.accumulate(each)]
+        self._weights = weights
         # The key with the most load; None if none has any.
         self.hottest_key = max(weights, key=weights.__getitem__, default=None)
 
@@ -116,6 +117,10 @@
         """Returns the load of a range; both ends are inside."""
         return self._sums[last_key + 1] - self._sums[first_key]
 
+    def list_heavier(self, load: float) -> list[tuple[int, float]]:
+        """Returns the keys with more than a load, each with its own."""
+        return [(k, w) for k, w in self._weights.items() if w > load]
+
     def cut(self, first_key: int, last_key: int, load: float) -> int:
         """Returns the last key of the longest prefix under a load.
 
@@ -196,12 +201,16 @@
     bins = _fill(ranges, load, servers)
     if len(bins) < 2:  # noqa: PLR2004 (one server cannot be relieved)
         return ()
-    mean = sum(b.load for b in bins) / sum(b.room for b in bins)
+    load_sum = sum(b.load for b in bins) - _unservable(ranges, load, servers)
+    mean = load_sum / sum(b.room for b in bins)
     limit = max(mean * limits.imbalance_ratio, limits.busy_ratio)
     level = max(mean, limits.fill_ratio)
     moves: list[Move] = []
-    while len(moves) < settings.most_moves(len(bins)):
-        busiest = max(bins, key=lambda b: b.utilization)
+    # Servers that may still be relieved. One that cannot be, as it holds a
+    # single key that draws too much, does not keep the next from it.
+    relievable = list(bins)
+    while relievable and len(moves) < settings.most_moves(len(bins)):
+        busiest = max(relievable, key=lambda b: b.utilization)
         idlest = min(bins, key=lambda b: b.utilization)
         if busiest.utilization <= limit:
             break
@@ -211,10 +220,12 @@
         wanted = _Wanted(min(excess, space), most)
         piece = _choose_piece(ranges, load, busiest, wanted, settings)
         if piece is None:
-            break
+            relievable.remove(busiest)
+            continue
         weight = load.of(*piece)
         if (idlest.load + weight) / idlest.room >= busiest.utilization:
-            break
+            relievable.remove(busiest)
+            continue
         busiest.load -= weight
         idlest.load += weight
         moves.append(Move(*piece, idlest.server_id))
@@ -263,6 +274,25 @@
     return list(bins.values())
 
 
+def _unservable(
+    ranges: tuple[keymap.KeyRange, ...],
+    load: KeyLoad,
+    servers: Mapping[ids.ServerId, float],
+) -> float:
+    """Returns what single keys draw beyond the room of their owners.
+
+    No move makes anybody serve it, so it says nothing of how busy servers
+    should be. Counted in the mean, one key with five times what its owner can
+    do would hide that others have twice their share.
+    """
+    excess = 0.0
+    least_room = min(servers.values())
+    for key, weight in load.list_heavier(least_room):
+        holder = next(r for r in ranges if r.first_key <= key <= r.last_key)
+        excess += max(weight - servers.get(holder.owner, weight), 0.0)
+    return excess
+
+
 def _split_large(
     orphans: list[keymap.KeyRange], load: KeyLoad, bins: list[_Bin]
 ) -> list[keymap.KeyRange]:
--- a/libs/bridgecross-entry/tests/test_planner.py
+++ b/libs/bridgecross-entry/tests/test_planner.py
@@ -136,3 +136,38 @@
     moves = planner.plan_relief(ranges, load, rooms, SETTINGS, SETTINGS.urgent)
     assert moves
     assert not any(m.first_key <= 20_001 <= m.last_key for m in moves)
+
+
+@pytest.mark.parametrize(
+    "limits",
+    [
+        pytest.param(SETTINGS.steady, id="steady"),
+        pytest.param(SETTINGS.urgent, id="urgent"),
+    ],
+)
+def test_a_key_that_no_server_can_take_keeps_nobody_else_busy(limits):
+    """One key draws several times what its server can do.
+
+    Its server cannot be relieved, and what it cannot do says nothing about how
+    busy the others are: those that are too busy are relieved all the same.
+    """
+    rooms, ranges = _many(20, 50.0)
+    busy = ids.ServerId("s5")
+    hot = next(r for r in ranges if r.owner == ids.ServerId("s3"))
+    own = next(r for r in ranges if r.owner == busy)
+    ranges = keymap.assign(
+        ranges, hot.first_key + 1, hot.last_key, ids.ServerId("s4"), 2
+    )
+    ranges = tuple(r._replace(prior_owner=keymap.NO_SERVER) for r in ranges)
+    weights = dict.fromkeys(range(0, keymap.LAST_KEY, 500), 2.0)
+    weights |= dict.fromkeys(range(own.first_key, own.first_key + 90), 0.9)
+    load = planner.KeyLoad(weights | {hot.first_key: 600.0})
+    assert _loads(ranges, load, busy) > 1.5 * rooms[busy]
+    for _ in range(3):
+        moves = planner.plan_relief(ranges, load, rooms, SETTINGS, limits)
+        for move in moves:
+            ranges = keymap.assign(ranges, *move, 3)
+        ranges = tuple(r._replace(prior_owner=keymap.NO_SERVER) for r in ranges)
+    assert _loads(ranges, load, busy) < 0.9 * rooms[busy]
+    owner = next(r.owner for r in ranges if r.first_key == hot.first_key)
+    assert owner == hot.owner
