--- a/tests/load/test_surge.py
+++ b/tests/load/test_surge.py
@@ -59,9 +59,9 @@
 @pytest.mark.parametrize(
     "load",
     [
-        # 0.432 to 0.911.
+        # 0.388 to 0.911.
         pytest.param(_read(outage_s=_OUTAGE_S), id="reads"),
-        # 0.388 to 0.945.
+        # 0.432 to 0.945.
         pytest.param(_bid(outage_s=_OUTAGE_S), id="bids"),
     ],
 )
