Free the keys of a lost server when its lease is over, not a lease later

Orders that were never sent, or that a server without keys at that address turned down, counted as if they might be taken, and each prolonged the lease by 2.7 s; a map with the next owner was written only after the lease, and the log turned the leader away just then; a move to the dead server was tried three times; eight moves that waited for dead servers kept all others from being relieved for 3 s; a server that was lost once got no keys again before the next leader. Ruled out: a slow plan (0.25 s), an old list (the entry was gone after 2 s). Change: an order that was certainly not taken (attempts.NotTaken) prolongs no lease, orders under way hold it instead; a silent server that cannot be reached gets heirs before its lease is over; a release is waited for no longer than the lease; moves behind silent servers do not count against others; silent servers are looked at until they are heard.

--- a/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
@@ -125,8 +125,18 @@
     reason: str
 
 
-GrantResult = Granted | Outranked | Gone | Refused | NoReply
-ReleaseResult = Released | Gone | Refused | NoReply
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotTaken:
+    """The order was not taken and never will be.
+
+    Not one byte of it was sent, or whoever has the address turned it down.
+    """
+
+    reason: str
+
+
+GrantResult = Granted | Outranked | Gone | Refused | NoReply | NotTaken
+ReleaseResult = Released | Gone | Refused | NoReply | NotTaken
 
 
 class LeaseClient(Protocol):
--- a/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
@@ -263,7 +263,7 @@
     async def _renew_leases(self, tasks: anyio.abc.TaskGroup) -> None:
         """Renews leases; waits neither for the log nor for any server."""
         while not self._is_superseded():
-            for server_id in self._owners():
+            for server_id in self._owners().union(self._keeper.silent_ids()):
                 tasks.start_soon(
                     self._keeper.renew,
                     server_id,
@@ -347,6 +347,7 @@
             for server in self._book.of_service(self._service)
             if self._book.is_staying(server, now_s)
             and not self._keeper.is_lost(server.listed.server_id)
+            and not self._keeper.is_unreachable(server.listed.server_id)
         ]
 
     async def _plan(
@@ -368,7 +369,7 @@
             moves = planner.plan_evacuation(still, load, rooms)
             moves = tuple(m for m in moves if self._may_move_now(m))
         most_moves = self._plan_settings.most_moves(len(rooms))
-        if not moves and with_relief and len(self._moving) < most_moves:
+        if not moves and with_relief and self._prompt_moves() < most_moves:
             moves = self._plan_relief(rooms)
             moves = tuple(m for m in moves if self._may_move_now(m))
             reason = "owner is busier than others"
@@ -377,6 +378,18 @@
         elif self._unwritten_since_s is not None and not self._moving:
             await self._write_settled()
 
+    def _prompt_moves(self) -> int:
+        """Returns how many moves are under way that will end soon.
+
+        Those that wait for the lease of a silent server last up to 3 s, and
+        tell nothing of how busy the others are.
+        """
+        return sum(
+            r.first_key in self._moving
+            and (not r.prior_owner or self._keeper.is_heard(r.prior_owner))
+            for r in self._ranges
+        )
+
     async def _write_settled(self) -> None:
         """Writes down that moves have ended, once things are quiet.
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -5,6 +5,7 @@
 server has released it or its run has certainly ended.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
@@ -47,6 +48,11 @@
     order_pause_s: float = 0.1
     # Grants of a range to its new owner before that one counts as silent.
     give_tries: int = 3
+    # A silent server that then cannot be reached either, so often in a row,
+    # gets heirs for its keys, who take them when its lease is over; the log
+    # need not answer at that moment. By then it has left two orders unanswered
+    # for a second or so; one more look, 0.6 s later, comes after its lease.
+    unreachable_tries: int = 1
 
 
 class Lead(Protocol):
@@ -94,8 +100,12 @@
         self._clock = clock
         # Until when a server may hold keys that it was given.
         self._held_until_s: dict[ids.ServerId, float] = {}
-        # Servers that did not answer the last orders.
-        self._silent: set[ids.ServerId] = set()
+        # Orders to servers that may be taken at any moment.
+        self._under_way: collections.Counter[ids.ServerId]
+        self._under_way = collections.Counter()
+        # Servers that did not answer the last orders, and how often they could
+        # not be reached since.
+        self._silent: dict[ids.ServerId, int] = {}
 
     def assume_held(self, ranges: Iterable[keymap.KeyRange]) -> None:
         """Takes it that another coordinator has just renewed all leases.
@@ -112,6 +122,15 @@
         """Whether a server has been silent until its lease ran out."""
         return server_id in self._silent and self._may_hold_no_more(server_id)
 
+    def is_unreachable(self, server_id: ids.ServerId) -> bool:
+        """Whether a server is silent and cannot be reached either."""
+        tries = self._silent.get(server_id, 0)
+        return tries >= self._settings.unreachable_tries
+
+    def silent_ids(self) -> Iterable[ids.ServerId]:
+        """Returns the servers that did not answer the last orders."""
+        return tuple(self._silent)
+
     def is_heard(self, server_id: ids.ServerId) -> bool:
         """Whether a server is known and has answered its last orders."""
         known = self._book.get(server_id) is not None
@@ -178,7 +197,7 @@
                 await anyio.sleep(self._settings.order_pause_s)
                 continue
             result: attempts.ReleaseResult = attempts.NoReply("too slow")
-            with anyio.move_on_after(self._settings.release_timeout_s):
+            with anyio.move_on_after(self._release_timeout_s(prior)):
                 result = await self._client.release(
                     server.listed,
                     key_range.first_key,
@@ -192,9 +211,22 @@
                 return result.handover
             if self._shows_end(prior, result):
                 return ""
-            asked_before = True
+            if isinstance(result, attempts.NoReply):
+                asked_before = True
             await anyio.sleep(self._settings.order_pause_s)
 
+    def _release_timeout_s(self, server_id: ids.ServerId) -> float:
+        """Returns how long to wait for a release to be answered.
+
+        Not longer than the lease may run: its end says as much.
+        """
+        settings = self._settings
+        until_s = self._held_until_s.get(server_id, 0.0)
+        left_s = until_s - self._clock.monotonic_s()
+        return min(
+            settings.release_timeout_s, max(left_s, settings.order_pause_s)
+        )
+
     async def _wait_until(self, time_s: float) -> None:
         """Waits for a time on the steady clock."""
         await anyio.sleep(max(time_s - self._clock.monotonic_s(), 0.0))
@@ -205,7 +237,7 @@
             while not self._lead.may_order:
                 await anyio.sleep(self._settings.order_pause_s)
             server = self._book.get(key_range.owner)
-            if server is None:
+            if server is None or self.is_unreachable(key_range.owner):
                 return False
             result = await self._grant(server, key_range, handover)
             if isinstance(result, attempts.Granted):
@@ -226,11 +258,12 @@
         reached = False
         with anyio.move_on_after(self._settings.grant_timeout_s):
             reached = await self._client.reach(server.listed)
+        server_id = server.listed.server_id
         if reached:
-            self._silent.discard(server.listed.server_id)
-            self._journal.decision(
-                "server_heard", server=server.listed.server_id
-            )
+            self._silent.pop(server_id, None)
+            self._journal.decision("server_heard", server=server_id)
+        elif server_id in self._silent:
+            self._silent[server_id] += 1
         return reached
 
     async def _renew_range(
@@ -245,7 +278,8 @@
         if not self._lead.may_order:
             # Whether it answers is not known; another may lead by now.
             return False
-        if isinstance(result, attempts.NoReply) and still_holds(key_range):
+        unanswered = isinstance(result, (attempts.NoReply, attempts.NotTaken))
+        if unanswered and still_holds(key_range):
             # One lost packet is no reason to give a server up.
             result = await self._grant(server, key_range, "")
         if isinstance(result, attempts.Granted):
@@ -278,7 +312,7 @@
     def _note_silent(self, server_id: ids.ServerId, reason: str) -> None:
         """Stops orders to a server until it is reached again."""
         if server_id not in self._silent:
-            self._silent.add(server_id)
+            self._silent[server_id] = 0
             self._journal.decision(
                 "server_silent", server=server_id, reason=reason
             )
@@ -293,20 +327,24 @@
         if not self._lead.may_order:
             return attempts.NoReply("the lead is not confirmed")
         lease_ms = min(self._settings.lease_ms, self._bounds.lease_max_ms)
-        # From now on the order may be taken, also while it has no answer.
-        self._note_held(server.listed.server_id)
+        server_id = server.listed.server_id
         result: attempts.GrantResult = attempts.NoReply("no answer in time")
-        with anyio.move_on_after(self._settings.grant_timeout_s):
-            result = await self._client.grant(
-                server.listed,
-                key_range.first_key,
-                key_range.last_key,
-                key_range.token,
-                lease_ms,
-                handover,
-            )
-        # One without an answer may still arrive until it timed out.
-        self._note_held(server.listed.server_id)
+        self._under_way[server_id] += 1
+        try:
+            with anyio.move_on_after(self._settings.grant_timeout_s):
+                result = await self._client.grant(
+                    server.listed,
+                    key_range.first_key,
+                    key_range.last_key,
+                    key_range.token,
+                    lease_ms,
+                    handover,
+                )
+        finally:
+            # One without an answer may still arrive until it timed out.
+            self._under_way[server_id] -= 1
+            if not isinstance(result, (attempts.Refused, attempts.NotTaken)):
+                self._note_held(server_id)
         self._count("grant", result)
         return result
 
@@ -331,6 +369,8 @@
 
         That is, given by this instance or by an earlier leader.
         """
+        if self._under_way[server_id]:
+            return False
         now_s = self._clock.monotonic_s()
         settings = self._settings
         earlier_until_s = min(
--- a/libs/bridgecross-entry/tests/entry_fakes.py
+++ b/libs/bridgecross-entry/tests/entry_fakes.py
@@ -241,6 +241,7 @@
         platform_log: MemoryLog,
         lease_servers: LeaseServers,
         name: str = "entry-1",
+        lease_settings: leases.LeaseSettings = LEASES,
     ) -> None:
         real = clock.SystemClock()
         journal = support.make_journal(real)
@@ -261,7 +262,7 @@
         self.lead = Lead()
         keeper = leases.LeaseKeeper(
             SERVICE,
-            LEASES,
+            lease_settings,
             support.BOUNDS,
             self.lead,
             lease_servers,
--- a/libs/bridgecross-entry/tests/test_coordinator.py
+++ b/libs/bridgecross-entry/tests/test_coordinator.py
@@ -1,4 +1,5 @@
 import contextlib
+import dataclasses
 import time
 
 import anyio
@@ -334,3 +335,36 @@
         lease_servers.silent.clear()
         await fakes.until(lambda: lease_servers.holder(KEY) == "b")
     assert not lease_servers.overlaps
+
+
+async def test_an_heir_is_written_down_before_the_lease_is_over():
+    """The log goes away while the lease of a lost server still runs."""
+    platform_log, lease_servers = fakes.MemoryLog(), fakes.LeaseServers()
+    long = dataclasses.replace(fakes.LEASES, lease_ms=600.0)
+    bench = fakes.Bench(platform_log, lease_servers, lease_settings=long)
+    for name in ("a", "b"):
+        bench.book.put(support.make_server(name))
+    async with _running(bench):
+        await fakes.until(lambda: lease_servers.holder(KEY) == "a")
+        lease_servers.silent.add("a")
+        await fakes.until(
+            lambda: bench.table.find(fakes.SERVICE, KEY).server_id == "b"
+        )
+        assert lease_servers.holder(KEY) == "a"
+        platform_log.away = True
+        await fakes.until(lambda: lease_servers.holder(KEY) == "b", 1.0)
+    assert not lease_servers.overlaps
+
+
+async def test_a_lost_server_that_is_back_takes_keys_again():
+    _, lease_servers, bench = _make("a", "b", "c")
+    async with _running(bench):
+        await fakes.until(lambda: lease_servers.holder(KEY) == "a")
+        lease_servers.silent.add("a")
+        await fakes.until(lambda: lease_servers.holder(KEY) in {"b", "c"})
+        lease_servers.silent.clear()
+        await anyio.sleep(0.1)
+        for name in ("b", "c"):
+            bench.book.put(support.make_server(name, leaving=True))
+        await fakes.until(lambda: lease_servers.holder(KEY) == "a")
+    assert not lease_servers.overlaps
--- a/libs/bridgecross-entry/tests/test_leases.py
+++ b/libs/bridgecross-entry/tests/test_leases.py
@@ -248,3 +248,65 @@
         assert await keeper.take_back(A, moving) == ""
         await anyio.sleep(0.03)
         assert slow.holder(5) is None
+
+
+class Unsendable(fakes.LeaseServers):
+    """Takes orders until its link is cut; then not a byte reaches it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cut = False
+
+    async def grant(self, *order: object):
+        if self.cut:
+            return attempts.NotTaken("connecting took too long")
+        return await super().grant(*order)
+
+
+async def test_an_order_that_was_not_sent_prolongs_no_lease(lead):
+    """Each further try would keep the keys from others for another lease."""
+    time_source = support.ManualClock()
+    cut = Unsendable()
+    keeper = _make_keeper(cut, lead, time_source)
+    await keeper.renew(A, RANGES, lambda _: True)
+    time_source.now_s += 0.15
+    cut.cut = True
+    await keeper.renew(A, RANGES, lambda _: True)
+    assert not keeper.is_lost(A)
+    # The lease of 0.2 s began 0.25 s ago, the order that was not sent now.
+    time_source.now_s += 0.1
+    assert keeper.is_lost(A)
+
+
+async def test_a_lease_that_may_be_taken_yet_is_waited_for(lead):
+    """One order is not sent while another waits for its answer."""
+
+    class Half(fakes.LeaseServers):
+        async def grant(self, server, first_key, *rest: object):
+            if first_key == 0:
+                await anyio.sleep_forever()
+            return attempts.NotTaken("connecting took too long")
+
+    time_source = support.ManualClock()
+    keeper = _make_keeper(Half(), lead, time_source)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(keeper.give, RANGES[0], "")
+        await anyio.sleep(0.001)
+        tasks.start_soon(keeper.renew, A, RANGES[1:], lambda _: True)
+        await anyio.sleep(0.005)
+        time_source.now_s += 10
+        assert not keeper.is_lost(A)
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_silent_server_that_is_not_reached_counts_as_unreachable(
+    keeper, lease_servers
+):
+    lease_servers.silent.add(A)
+    await keeper.renew(A, RANGES, lambda _: True)
+    assert not keeper.is_unreachable(A)
+    await keeper.renew(A, RANGES, lambda _: True)
+    assert keeper.is_unreachable(A)
+    lease_servers.silent.clear()
+    await keeper.renew(A, RANGES, lambda _: True)
+    assert not keeper.is_unreachable(A)
