--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -60,6 +60,13 @@
     full_reset_ratio: float = 0.25
     # When to come back after a refusal that has no better estimate.
     retry_after_ms: int = 100
+    # How the age of callers is learned, and how rooms follow the list.
+    ages: caller_age.CallerAgeSettings = dataclasses.field(
+        default_factory=caller_age.CallerAgeSettings
+    )
+    rooms: admission.AdmissionSettings = dataclasses.field(
+        default_factory=admission.AdmissionSettings
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -123,9 +130,7 @@
         self._clock = clock
         self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
         self._ages: dict[str, caller_age.CallerAge] = {}
-        self._queues = admission.ServiceQueues(
-            admission.AdmissionSettings(), book, clock
-        )
+        self._queues = admission.ServiceQueues(settings.rooms, book, clock)
 
     def configure(self, configuration: model.Configuration) -> None:
         """Takes a configuration in force."""
@@ -216,7 +221,7 @@
         """Returns how long the caller had waited when the request came."""
         ages = self._ages.get(route.name)
         if ages is None:
-            ages = caller_age.CallerAge(caller_age.CallerAgeSettings())
+            ages = caller_age.CallerAge(self._settings.ages)
             self._ages[route.name] = ages
         if request.patience_ms is not None:
             ages.note(request.patience_ms)
