--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -58,8 +58,13 @@
     # A connection that breaks within this part of what a server needs for a
     # request was reset for want of room; answers break off after the work.
     full_reset_ratio: float = 0.25
-    # When to come back after a refusal that has no better estimate.
+    # When to come back after a refusal that has no better estimate. A move of
+    # keys or a restart of all instances is over within 0.1 to 0.3 s.
     retry_after_ms: int = 100
+    # When to come back after another such refusal: what is not over by then is
+    # a lost server, whose keys others may take after 2 to 3 s. Callers come a
+    # few times; at 0.1 s apart, all of them are turned away in half a second.
+    retry_again_after_ms: int = 1_000
     # How the age of callers is learned, and how rooms follow the list.
     ages: caller_age.CallerAgeSettings = dataclasses.field(
         default_factory=caller_age.CallerAgeSettings
@@ -340,7 +345,10 @@
                 left_s = settings.lost_wait_ratio * target_s - waited_s
                 if left_s <= 0:
                     life.trail.append(f"key {key} has no owner")
-                    return self._refuse("the key has no owner at present")
+                    return self._refuse(
+                        "the key has no owner at present",
+                        self._come_back_ms(life),
+                    )
             await self._table.changed.wait(min(left_s, 0.05))
 
     async def _attempt(
@@ -445,7 +453,8 @@
                 await self._table.changed.wait(pause_s)
         if self._may_retry(life):
             return None
-        return self._conclude(life, self._refuse("no server took it"))
+        refusal = self._refuse("no server took it", self._come_back_ms(life))
+        return self._conclude(life, refusal)
 
     def _weigh_answer(
         self,
@@ -496,6 +505,14 @@
             return outcomes.Unknown("no answer came in time", 504)
         return self._refuse("no server had room in time")
 
+    def _come_back_ms(self, life: _Life) -> int:
+        """Returns when to come back if nothing tells how long it will take."""
+        settings = self._settings
+        first = life.age_s == 0.0
+        return (
+            settings.retry_after_ms if first else settings.retry_again_after_ms
+        )
+
     def _refuse(
         self, reason: str, retry_after_ms: int | None = None
     ) -> outcomes.NotRun:
--- a/libs/bridgecross-entry/tests/test_dispatch.py
+++ b/libs/bridgecross-entry/tests/test_dispatch.py
@@ -313,3 +313,16 @@
     outcome = await scene.ask(patience_ms=1_000)
     assert outcome.status == 200
     assert anyio.current_time() - begun_s > 0.05 + 0.1 + 0.2 - 0.02
+
+
+async def test_who_comes_back_to_a_lost_key_is_told_to_wait_for_longer():
+    """Keys of a lost server are back after 2 to 3 s; callers come thrice."""
+    scene = Scene(Backends(), keyed=True)
+    scene.put_map(1, _owned_by("gone"))
+    for _ in range(3):
+        first = await scene.ask(patience_ms=2_500)
+    again = await scene.ask(patience_ms=2_200)
+    assert isinstance(first, outcomes.NotRun)
+    assert isinstance(again, outcomes.NotRun)
+    assert first.retry_after_ms == 100
+    assert again.retry_after_ms == 1_000
