Renew leases until the end while a stopped leader has no successor

Change: it ends when another leads, or when its time to stop is over. Shown by: test_draining.py (its function did not exist before).

--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -14,6 +14,7 @@
 from bridgecross_entry import attempts
 from bridgecross_entry import beliefs
 from bridgecross_entry import dispatch
+from bridgecross_entry import draining
 from bridgecross_entry import duties
 from bridgecross_entry import edge
 from bridgecross_entry import follower as followers
@@ -219,9 +220,13 @@
         self._caller_listener.stop()
         self._caller_listener.close_idle()
         end_s = begun_s + grace_s - self._settings.drain_margin_s
-        while self._edge.open_count and self._clock.monotonic_s() < end_s:
-            await anyio.sleep(0.02)
-            self._caller_listener.close_idle()
+        await draining.wait_for_rest(
+            lambda: self._edge.open_count,
+            lambda: self._duties.coordinated_count,
+            self._caller_listener.close_idle,
+            end_s,
+            self._clock,
+        )
         self._journal.lifecycle(
             "drained",
             cut_off=self._edge.open_count,
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_draining.py
@@ -0,0 +1,43 @@
+import anyio
+import pytest
+
+from bridgecross_core import clock as clocks
+from bridgecross_entry import draining
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.mark.parametrize(
+    ("requests", "coordinated", "least_s"),
+    [
+        pytest.param((0,), (0,), 0.0, id="nothing is left"),
+        pytest.param((2, 1, 0), (0,), 0.03, id="requests end"),
+        pytest.param((0,), (1, 1, 0), 0.03, id="another takes the lead"),
+        pytest.param((0,), (1,), 0.2, id="nobody does: the log is away"),
+        pytest.param((1,), (0,), 0.2, id="a request does not end"),
+    ],
+)
+async def test_waits_for_requests_and_for_the_next_leader(
+    requests, coordinated, least_s
+):
+    clock = clocks.SystemClock()
+    looks = 0
+
+    def count(values):
+        return values[min(looks, len(values) - 1)]
+
+    def close_idle():
+        nonlocal looks
+        looks += 1
+
+    begun_s = clock.monotonic_s()
+    with anyio.fail_after(1.0):
+        await draining.wait_for_rest(
+            lambda: count(requests),
+            lambda: count(coordinated),
+            close_idle,
+            begun_s + 0.2,
+            clock,
+        )
+    took_s = clock.monotonic_s() - begun_s
+    assert least_s <= took_s < least_s + 0.15
