--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -1,6 +1,6 @@
 """What each decision under load is worth, in virtual time.
 
-    python -m benchmarks.load [--seeds N] [--jobs N]
+    python -m benchmarks.load [--seeds N] [--jobs N] [--loads NAME ...]
 
 Plays houses of different kinds through a return of all instances, a burst and
 a calm spell, once as the settings are and once with each decision switched
@@ -119,8 +119,9 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--loads", nargs="+", choices=LOADS, default=LOADS)
     options = parser.parse_args(arguments)
-    columns = [(house, load) for house in HOUSES for load in LOADS]
+    columns = [(house, load) for house in HOUSES for load in options.loads]
     jobs = [
         (house, load, off, seed)
         for off in SWITCHED_OFF
