Refuse at once what may outlast a stopping instance

An instance that stops took whatever came until its end, with the caller's own time limit: requests with a limit of 12 s, taken 3 to 5 s after the signal of 10 s of grace, waited in a server's queue and were cut 9.5 s after it.

Ruled out: an end before the grace is over; callers that pass over Connection: close; servers that take too long for the request itself.

Change: once the signal has come, a request whose time limit lies beyond the end of the instance is refused with 503 and when to come back (at once: another instance takes it). Whatever is taken ends by its own limit first, wherever it waits, so it holds by construction. It costs a caller with a long limit one of its tries, some ms, in the two seconds until new connections go elsewhere.

Tests: test_dispatch.py, two on a stopping instance; the first asks for a state that the code before does not have.

--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -123,6 +123,8 @@
         self.loads: dict[ids.ServiceName, load.LoadCounter] = {}
         # How long ago it was known that the configuration is the newest one.
         self.configuration_age_s: Callable[[], float] = lambda: 0.0
+        # When this instance ends at the latest, on the monotonic clock.
+        self.ends_s = math.inf
         self.in_flight_count = 0
         self.tally = tallies.RequestTally(journal)
         self._settings = settings
@@ -160,6 +162,8 @@
         if route is None:
             return self._deny(request, self.routes.configuration.version)
         life = self._begin(request, route)
+        if life.deadline_s > self.ends_s:
+            return self._turn_away(life)
         left_s = life.deadline_s - self._clock.monotonic_s()
         outcome: outcomes.Outcome | None = None
         try:
@@ -198,6 +202,17 @@
             return _not_run("no route leads there", status=404)
         return self._refuse("the configuration may have changed")
 
+    def _turn_away(self, life: _Life) -> outcomes.NotRun:
+        """Refuses a request that may outlast this instance.
+
+        One that is taken is never cut by the end of the instance, however long
+        it waits at its server; another instance takes it at once.
+        """
+        life.trail.append("this instance is stopping")
+        refusal = self._refuse("the instance is stopping", 1)
+        self._report(life, "", refusal)
+        return refusal
+
     def _begin(
         self, request: attempts.EntryRequest, route: model.Route
     ) -> _Life:
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -134,12 +134,13 @@
         )
         self._stopping = True
         self._edge.draining = True
+        end_s = begun_s + grace_s - self._settings.drain_margin_s
+        self._parts.dispatcher.ends_s = end_s
         await self._parts.duties.give_up()
         accept_until_s = begun_s + grace_s * self._settings.drain_accept_ratio
         await anyio.sleep(accept_until_s - self._clock.monotonic_s())
         self._caller_listener.stop()
         self._caller_listener.close_idle()
-        end_s = begun_s + grace_s - self._settings.drain_margin_s
         await draining.wait_for_rest(
             lambda: self._edge.open_count,
             lambda: self._parts.duties.coordinated_count,
--- a/libs/bridgecross-entry/src/bridgecross_entry/tally.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/tally.py
@@ -35,6 +35,7 @@
     "failed with": "failed_by_server",
     "left meanwhile": "server_left",
     "out of time": "out_of_time",
+    "instance is stopping": "instance_stopping",
 }
 """Why requests are not served, by what the last entry of their trail says."""
 
--- a/libs/bridgecross-entry/tests/test_dispatch.py
+++ b/libs/bridgecross-entry/tests/test_dispatch.py
@@ -216,6 +216,29 @@
     assert backends.left_ms[0] <= 60
 
 
+async def test_a_stopping_instance_takes_nothing_that_may_outlast_it():
+    """One that was taken 4 s before the end waited 6 s at its server."""
+    backends = Backends(OK)
+    scene = Scene(backends)
+    scene.dispatcher.ends_s = clock.SystemClock().monotonic_s() + 0.3
+    refused = await scene.ask(patience_ms=400.0)
+    assert isinstance(refused, outcomes.NotRun)
+    assert refused.status == 503
+    assert 0 < refused.retry_after_ms < 10
+    assert not backends.sent
+    assert await scene.ask(patience_ms=200.0) == OK
+
+
+async def test_what_a_stopping_instance_has_taken_ends_before_it_does():
+    backends = Backends(None)
+    scene = Scene(backends)
+    ends_s = clock.SystemClock().monotonic_s() + 0.2
+    scene.dispatcher.ends_s = ends_s
+    outcome = await scene.ask(patience_ms=100.0)
+    assert outcome == outcomes.Unknown("no answer came in time", 504)
+    assert clock.SystemClock().monotonic_s() < ends_s
+
+
 async def test_a_caller_that_leaves_stops_the_attempt():
     backends = Backends(None)
     scene = Scene(backends)
--- a/libs/bridgecross-entry/tests/test_tally.py
+++ b/libs/bridgecross-entry/tests/test_tally.py
@@ -64,6 +64,7 @@
         (["key 7 has no owner"], "no_owner"),
         (["s1: interrupted: reset"], "interrupted"),
         (["s1: interrupted: reset", "out of time"], "out_of_time"),
+        (["this instance is stopping"], "instance_stopping"),
         (["s1: something new"], tally.OTHER_CAUSE),
     ],
 )
