Give out a permit for each request where hundreds of instances share a service

Class: a limit that is divided among instances and cannot be less than one.

Change: one instance of each failure domain counts who is at the servers of a service there (permit_issuer, permits); the others ask it (permit_client) and send the request straight. Order of tiers and refusals at once hold over all instances. Nothing is agreed: rendezvous hashing ranks the issuers, one that is silent for 0.2 s is passed over, and who gets no answer goes on as before. Used from 100 instances on.

--- a/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
@@ -23,6 +23,8 @@
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import model
 from bridgecross_entry import peers
+from bridgecross_entry import permit_client
+from bridgecross_entry import permit_issuer
 from bridgecross_entry import servers as servers_lib
 
 
@@ -82,6 +84,25 @@
             servers_lib.ServerSettings(), self.settings.bounds, journal, clock
         )
         self.table = keymap.KeyTable(journal)
+        self.issuer = permit_issuer.PermitIssuer(
+            permit_issuer.IssuerSettings(),
+            permit_issuer.SERVERS,
+            self.settings.failure_domain,
+            self.book,
+            journal,
+            self.metrics,
+            clock,
+        )
+        self.permits = permit_client.PermitClient(
+            permit_client.PermitSettings(),
+            self.settings,
+            self.issuer,
+            lambda domain: self.beliefs.strong_instances(domain),
+            self.book.domains_of,
+            journal,
+            clock,
+            connect_peer,
+        )
         self.dispatcher = dispatch.Dispatcher(
             dispatch.DispatchSettings(),
             self.settings,
@@ -91,6 +112,7 @@
             journal,
             self.metrics,
             clock,
+            self.permits,
         )
         self.beliefs = beliefs.Beliefs(
             beliefs.BeliefSettings(),
@@ -126,10 +148,13 @@
         """Starts to follow the log, and all duties."""
         self.beliefs.start(tasks)
         self.duties.start(tasks)
+        self.issuer.start(tasks)
+        self.permits.start(tasks)
 
     def sweep(self) -> None:
         """Drops what is stale."""
         self.book.drop_stale()
+        self.issuer.sweep()
         self.backend_client.sweep(self.book.known_ids())
         self.lease_client.sweep(self.book.known_ids())
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -39,6 +39,8 @@
     name: str
     # Whether its machine is too weak to lead many others.
     is_weak: bool
+    # The failure domain that it runs in; empty if it did not tell.
+    failure_domain: str = ""
 
 
 INSTANCES = codecs.Codec(ListedInstance)
@@ -150,6 +152,8 @@
         self.instances: set[model.Address] = set()
         # Those that should lead only if no other can.
         self.weak_instances: set[model.Address] = set()
+        # The strong ones by failure domain; replaced when one comes or goes.
+        self._strong: dict[str, tuple[model.Address, ...]] = {}
         # Notified when there is something to tell others.
         self.news = pulse.Pulse()
         self._settings = settings
@@ -495,6 +499,7 @@
         self._instances.put_all(records)
         self.instances.clear()
         self.weak_instances.clear()
+        self._strong.clear()
         self._apply_instances(records)
 
     def _take_instances(self, records: tuple[logs.KeyedRecord, ...]) -> None:
@@ -511,22 +516,46 @@
             except ValueError as error:
                 self._note_instance(record, error)
                 continue
+            self._set_strong(address, None)
             if not record.value:
                 self.instances.discard(address)
                 continue
             self.instances.add(address)
-            if self._is_weak(record):
+            listed = self._decode_instance(record)
+            if listed is not None and listed.is_weak:
                 self.weak_instances.add(address)
-            else:
-                self.weak_instances.discard(address)
+                continue
+            self.weak_instances.discard(address)
+            if listed is not None and listed.failure_domain:
+                self._set_strong(address, listed.failure_domain)
+
+    def strong_instances(self, domain: str) -> tuple[model.Address, ...]:
+        """Returns the instances of a failure domain that are not weak.
 
-    def _is_weak(self, record: logs.KeyedRecord) -> bool:
-        """Whether an instance should lead only if no other can."""
+        The same object until one of them comes or goes.
+        """
+        return self._strong.get(domain, ())
+
+    def _set_strong(self, address: model.Address, domain: str | None) -> None:
+        """Keeps a strong instance's failure domain; None if it has none."""
+        for known, addresses in self._strong.items():
+            if address in addresses and known != domain:
+                kept = tuple(each for each in addresses if each != address)
+                self._strong[known] = kept
+        if domain is not None:
+            others = self._strong.get(domain, ())
+            if address not in others:
+                self._strong[domain] = (*others, address)
+
+    def _decode_instance(
+        self, record: logs.KeyedRecord
+    ) -> ListedInstance | None:
+        """Returns what an instance tells of itself, if it can be read."""
         try:
-            return INSTANCES.decode(record.value).is_weak
+            return INSTANCES.decode(record.value)
         except Exception as error:
             self._note_instance(record, error)
-            return False
+            return None
 
     def _note_instance(
         self, record: logs.KeyedRecord, error: Exception
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -22,6 +22,8 @@
 from bridgecross_entry import load
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import model
+from bridgecross_entry import permit_client
+from bridgecross_entry import permits as permits_lib
 from bridgecross_entry import retry_budget
 from bridgecross_entry import routes
 from bridgecross_entry import servers as servers_lib
@@ -95,6 +97,8 @@
     denials: int = 0
     # Whether an attempt that was sent has no answer yet.
     in_flight: bool = False
+    # Whether it goes on without permits: one was for a server that has left.
+    goes_alone: bool = False
     tried: set[ids.ServerId] = dataclasses.field(default_factory=set)
     # What happened, in order; for the journal.
     trail: list[str] = dataclasses.field(default_factory=list)
@@ -115,8 +119,22 @@
         journal: journals.Journal,
         metrics: metrics_lib.Metrics,
         clock: clocks.Clock,
+        permits: permit_client.PermitClient | None = None,
     ) -> None:
-        """Refuses everything until there is a configuration."""
+        """Refuses everything until there is a configuration.
+
+        Args:
+            settings: How requests are tried.
+            instance: This instance.
+            book: The backend servers.
+            table: Who owns which keys.
+            client: Sends requests.
+            journal: Told of what became of requests.
+            metrics: Counts them.
+            clock: For all times.
+            permits: Asked for permits where many instances share a service;
+                none are needed, if left out.
+        """
         self.routes: routes.RouteTable | None = None
         # How many instances take requests, this one included.
         self.instance_count = 1
@@ -135,6 +153,7 @@
         self._journal = journal
         self._metrics = metrics
         self._clock = clock
+        self._permits = permits
         self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
         self._ages: dict[str, caller_age.CallerAge] = {}
         self._queues = admission.ServiceQueues(settings.rooms, book, clock)
@@ -266,10 +285,21 @@
         owner = await self._choose_owner(life)
         if isinstance(owner, outcomes.NotRun):
             return self._conclude(life, owner)
-        return await self._attempt(life, owner, keyed=True)
+        permit = await self._obtain(life, owner)
+        if isinstance(permit, outcomes.NotRun):
+            return self._conclude(life, permit)
+        return await self._attempt(life, owner, permit, keyed=True)
 
     async def _try_any(self, life: _Life) -> outcomes.Outcome | None:
         """Tries a server of a service without keys, once it has room."""
+        permit = await self._obtain(life, None)
+        if isinstance(permit, outcomes.NotRun):
+            return self._conclude(life, permit)
+        if permit is not None:
+            named = self._book.get(permit.server_id)
+            if named is not None:
+                return await self._attempt(life, named, permit, keyed=False)
+            self._give_back(permit, 0.0, permits_lib.Ending.UNUSED)
         queue = self._queues.get(life.service)
         refusal = await self._wait_for_room(life, queue, life.service)
         if refusal is not None:
@@ -279,10 +309,51 @@
             server = self._choose_any(life)
             if isinstance(server, outcomes.NotRun):
                 return self._conclude(life, server)
-            return await self._attempt(life, server, keyed=False)
+            return await self._attempt(life, server, None, keyed=False)
         finally:
             queue.release(self._clock.monotonic_s() - begun_s, _place(life))
 
+    async def _obtain(
+        self, life: _Life, owner: servers_lib.Server | None
+    ) -> permit_client.Permit | outcomes.NotRun | None:
+        """Returns a permit or a refusal; None if this instance decides.
+
+        Args:
+            life: The request.
+            owner: The owner of its key; None if any server can serve it.
+        """
+        permits = self._permits
+        is_used = permits is not None and permits.is_used(self.instance_count)
+        if permits is None or not is_used or life.goes_alone:
+            return None
+        begun_s = self._clock.monotonic_s()
+        wanted = permit_client.Wanted(
+            life.service,
+            life.route.priority,
+            queueing.Due(min(life.target_s, life.deadline_s), life.deadline_s),
+            owner.listed if owner else None,
+            life.tried,
+            lambda: owner is None or self._owns(life, owner),
+        )
+        result = await permits.obtain(wanted)
+        self._metrics.queue_seconds.observe(
+            {"service": life.service}, self._clock.monotonic_s() - begun_s
+        )
+        if not isinstance(result, queueing.Refused):
+            return result
+        life.trail.append(f"no permit: {result.reason}")
+        return self._refuse(result.reason, result.retry_after_ms)
+
+    def _give_back(
+        self,
+        permit: permit_client.Permit,
+        held_s: float,
+        ending: permits_lib.Ending,
+    ) -> None:
+        """Gives a permit back."""
+        assert self._permits is not None  # by whoever gave it
+        self._permits.give_back(permit, held_s, ending)
+
     async def _wait_for_room(
         self, life: _Life, queue: queueing.TierQueue, name: str
     ) -> outcomes.NotRun | None:
@@ -364,42 +435,89 @@
             await self._table.changed.wait(min(left_s, 0.05))
 
     async def _attempt(
-        self, life: _Life, server: servers_lib.Server, *, keyed: bool
+        self,
+        life: _Life,
+        server: servers_lib.Server,
+        permit: permit_client.Permit | None,
+        *,
+        keyed: bool,
     ) -> outcomes.Outcome | None:
-        """Tries one server; None means that another try is allowed."""
-        request = life.request
+        """Tries one server; None means that another try is allowed.
+
+        Args:
+            life: The request.
+            server: Where it goes.
+            permit: Makes this instance wait for no room of its own; is given
+                back here.
+            keyed: Whether only the server can serve it.
+        """
+        held_s = 0.0
+        ending = permits_lib.Ending.UNUSED
+        try:
+            refusal = await self._enter(life, server, permit, keyed=keyed)
+            if refusal is not None:
+                return self._conclude(life, refusal)
+            started_s = self._clock.monotonic_s()
+            try:
+                result = await self._send(life, server, started_s, keyed=keyed)
+            finally:
+                held_s = self._clock.monotonic_s() - started_s
+                if permit is None:
+                    server.queue.release(held_s, _place(life))
+            if result is not None:
+                ending = permits_lib.name_ending(result)
+        finally:
+            if permit is not None:
+                self._give_back(permit, held_s, ending)
+        if result is None:
+            return None
+        self._metrics.attempt_seconds.observe({"service": life.service}, held_s)
+        kind = type(result).__name__
+        self._metrics.attempts.inc({"service": life.service, "result": kind})
+        return await self._weigh(life, server, result, held_s)
+
+    async def _enter(
+        self,
+        life: _Life,
+        server: servers_lib.Server,
+        permit: permit_client.Permit | None,
+        *,
+        keyed: bool,
+    ) -> outcomes.NotRun | None:
+        """Takes a retry and room at a server; returns a refusal if need be."""
         now_s = self._clock.monotonic_s()
-        if keyed and server.paused_until_s > now_s:
+        if permit is None and keyed and server.paused_until_s > now_s:
             life.trail.append(f"{server.listed.server_id}: left alone")
             pause_ms = (server.paused_until_s - now_s) * 1_000
-            return self._conclude(
-                life, self._refuse("the owner has no room", int(pause_ms) + 1)
-            )
+            return self._refuse("the owner has no room", int(pause_ms) + 1)
         if life.arrivals and not self._budget(life.service).spend(now_s):
             life.trail.append("no retry left in the budget")
-            return self._conclude(life, self._refuse("the budget is spent"))
-        refusal = await self._wait_for_room(
+            return self._refuse("the budget is spent")
+        if permit is not None:
+            return None
+        return await self._wait_for_room(
             life, server.queue, server.listed.server_id
         )
-        if refusal is not None:
-            return self._conclude(life, refusal)
-        started_s = self._clock.monotonic_s()
-        try:
-            if not self._still_right(life, server, started_s, keyed=keyed):
-                life.trail.append(f"{server.listed.server_id}: left meanwhile")
-                return None
-            left_ms = (life.deadline_s - started_s) * 1_000
-            life.in_flight = True
-            life.tried.add(server.listed.server_id)
-            result = await self._client.send(server.listed, request, left_ms)
-            life.in_flight = False
-        finally:
-            held_s = self._clock.monotonic_s() - started_s
-            server.queue.release(held_s, _place(life))
-        self._metrics.attempt_seconds.observe({"service": life.service}, held_s)
-        kind = type(result).__name__
-        self._metrics.attempts.inc({"service": life.service, "result": kind})
-        return await self._weigh(life, server, result, held_s)
+
+    async def _send(
+        self,
+        life: _Life,
+        server: servers_lib.Server,
+        now_s: float,
+        *,
+        keyed: bool,
+    ) -> attempts.Attempt | None:
+        """Sends a request; None if the choice no longer stands."""
+        if not self._still_right(life, server, now_s, keyed=keyed):
+            life.trail.append(f"{server.listed.server_id}: left meanwhile")
+            life.goes_alone = True
+            return None
+        left_ms = (life.deadline_s - now_s) * 1_000
+        life.in_flight = True
+        life.tried.add(server.listed.server_id)
+        result = await self._client.send(server.listed, life.request, left_ms)
+        life.in_flight = False
+        return result
 
     def _still_right(
         self,
@@ -412,8 +530,12 @@
         """Whether the choice still stands after waiting for a slot."""
         if not self._book.may_use(server, now_s):
             return False
-        if not keyed or life.request.key is None:
-            return True
+        return not keyed or self._owns(life, server)
+
+    def _owns(self, life: _Life, server: servers_lib.Server) -> bool:
+        """Whether a server owns the key of a request."""
+        if life.request.key is None:
+            return False
         owner = self._table.find(life.service, life.request.key)
         return owner is not None and owner.server_id == server.listed.server_id
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/duties.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/duties.py
@@ -200,7 +200,9 @@
         """Keeps this instance on the list, and those that are gone off it."""
         own = self._platform.peer_address
         is_weak = leadership.LeadershipSettings().is_weak(self._platform)
-        listed = beliefs.ListedInstance(self._platform.name, is_weak)
+        listed = beliefs.ListedInstance(
+            self._platform.name, is_weak, self._platform.failure_domain
+        )
         record = logs.KeyedRecord(str(own), beliefs.INSTANCES.encode(listed))
         while not self._stopping:
             self._set_instances()
--- a/libs/bridgecross-entry/src/bridgecross_entry/edge.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/edge.py
@@ -7,6 +7,7 @@
 import anyio
 
 from bridgecross_core import clock as clocks
+from bridgecross_core import codec
 from bridgecross_core import outcomes
 from bridgecross_entry import attempts
 from bridgecross_entry import dispatch
@@ -14,6 +15,8 @@
 from bridgecross_entry import listener
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import peers
+from bridgecross_entry import permit_issuer
+from bridgecross_entry import permits
 
 _BODY_MAX_BYTES = 64 * 1024 * 1024
 """For bodies before a configuration names a limit."""
@@ -165,7 +168,9 @@
     return serve
 
 
-def make_peer_app(server: peers.PeerServer) -> listener.App:
+def make_peer_app(
+    server: peers.PeerServer, issuer: permit_issuer.PermitIssuer
+) -> listener.App:
     """Returns an application that answers other instances."""
 
     async def serve(
@@ -178,8 +183,28 @@
         except ValueError:
             await listener.respond(send, 413, [], b"")
             return
-        if body is not None:
+        if body is None:
+            return
+        if scope["raw_path"] == permits.PATH:
+            reply = await _answer_permit(issuer, server, body)
+        else:
             reply = server.answer(scope["raw_path"], body)
-            await listener.respond(send, reply.status, [], reply.body)
+        await listener.respond(send, reply.status, [], reply.body)
 
     return serve
+
+
+async def _answer_permit(
+    issuer: permit_issuer.PermitIssuer, server: peers.PeerServer, body: bytes
+) -> peers.PeerReply:
+    """Answers one who asks for a permit, or gives one back."""
+    try:
+        message = permits.MESSAGES.decode(body)
+    except codec.CodecError as error:
+        return server.leave_aside(permits.PATH, error)
+    if message.back is not None:
+        issuer.take_back(message.back)
+    if message.ask is None:
+        return peers.PeerReply(200)
+    reply = await issuer.ask(message.ask)
+    return peers.PeerReply(200, permits.REPLIES.encode(reply))
--- a/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
@@ -23,6 +23,12 @@
             "Attempts at backend servers by service and result.",
             registry=self.registry,
         )
+        self.permits = aioprometheus.Counter(
+            "bridgecross_permits_total",
+            "Answers to instances that asked for a permit, by service and "
+            "verdict.",
+            registry=self.registry,
+        )
         self.log_calls = aioprometheus.Counter(
             "bridgecross_log_calls_total",
             "Calls to the platform's log by call and result.",
--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -380,14 +380,18 @@
                 return PeerReply(404)
             take(_inflate(body))
         except codec.CodecError as error:
-            self._journal.decision(
-                "peer_message_unreadable",
-                path=path.decode("ascii", "replace"),
-                reason=str(error),
-            )
-            return PeerReply(400)
+            return self.leave_aside(path, error)
         return PeerReply(_HTTP_OK)
 
+    def leave_aside(self, path: bytes, error: codec.CodecError) -> PeerReply:
+        """Tells of a message that cannot be read, and answers it."""
+        self._journal.decision(
+            "peer_message_unreadable",
+            path=path.decode("ascii", "replace"),
+            reason=str(error),
+        )
+        return PeerReply(400)
+
     def _answer_relay(self, envelope: _Envelope) -> PeerReply:
         """Answers the leader's word."""
         relay = _RELAYS.decode(_inflate(envelope.relay))
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -74,7 +74,8 @@
                 edge.make_readiness_app(self._is_ready),
             ),
             listener.Listener(
-                platform.peer_address, edge.make_peer_app(peer_server)
+                platform.peer_address,
+                edge.make_peer_app(peer_server, self._parts.issuer),
             ),
             listener.Listener(
                 platform.metrics_address,
@@ -136,6 +137,7 @@
         self._edge.draining = True
         end_s = begun_s + grace_s - self._settings.drain_margin_s
         self._parts.dispatcher.ends_s = end_s
+        self._parts.issuer.is_stopping = True
         await self._parts.duties.give_up()
         accept_until_s = begun_s + grace_s * self._settings.drain_accept_ratio
         await anyio.sleep(accept_until_s - self._clock.monotonic_s())
--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -287,6 +287,15 @@
         """Returns the known servers of a service."""
         return self._by_service.get(service, {}).values()
 
+    def domains_of(self, service: ids.ServiceName) -> set[str]:
+        """Returns the failure domains with servers of a service that stay."""
+        now_s = self._clock.monotonic_s()
+        return {
+            server.listed.failure_domain
+            for server in self.of_service(service)
+            if self.is_staying(server, now_s)
+        }
+
     def room_count(self, service: ids.ServiceName) -> RoomCount:
         """Returns how many requests this instance may have at a service."""
         now_s = self._clock.monotonic_s()
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_permit_client.py
@@ -0,0 +1,285 @@
+import dataclasses
+
+import anyio
+import anyio.lowlevel
+import entry_support as support
+import pytest
+
+from bridgecross_core import clock
+from bridgecross_core import ids
+from bridgecross_entry import exchange
+from bridgecross_entry import metrics
+from bridgecross_entry import model
+from bridgecross_entry import permit_client
+from bridgecross_entry import permit_issuer
+from bridgecross_entry import permits
+from bridgecross_entry import servers
+from bridgecross_request import queueing
+
+pytestmark = pytest.mark.anyio
+
+RAPOR = ids.ServiceName("rapor")
+OWN = support.INSTANCE.peer_address
+NEAR = model.Address("127.0.0.1", 101)
+NEXT = model.Address("127.0.0.1", 102)
+FAR = model.Address("127.0.0.1", 103)
+A = ids.ServerId("a")
+
+GRANTED = permits.Reply(permits.Verdict.GRANTED, A)
+FULL = permits.Reply(permits.Verdict.FULL, wait_s=0.5)
+WAITING = permits.Reply(permits.Verdict.WAITING)
+REFUSED = permits.Reply(
+    permits.Verdict.REFUSED, reason="the deadline", retry_after_ms=70
+)
+ELSEWHERE = permits.Reply(permits.Verdict.ELSEWHERE)
+UNCOUNTED = permits.Reply(permits.Verdict.UNCOUNTED)
+SILENT = None
+GARBLED = b"no reply"
+REFUSING = exchange.Unsent("connection refused", refused=True)
+
+
+class Issuers:
+    """Instances that answer by script; the last answer is repeated."""
+
+    def __init__(self) -> None:
+        self.scripts: dict[model.Address, list] = {}
+        self.asked: list[model.Address] = []
+        self.asks: list[permits.Ask] = []
+        self.returned: list[permits.Return] = []
+
+    def connect(self, address: model.Address) -> "_Link":
+        return _Link(self, address)
+
+
+class _Link:
+    def __init__(self, issuers: Issuers, address: model.Address) -> None:
+        self._issuers = issuers
+        self._address = address
+
+    async def exchange(self, request, accepts):
+        issuers = self._issuers
+        await anyio.lowlevel.checkpoint()
+        body = request.partition(b"\r\n\r\n")[2]
+        message = permits.MESSAGES.decode(body)
+        if message.back is not None:
+            issuers.returned.append(message.back)
+            return exchange.Reply(200, (), b"")
+        issuers.asked.append(self._address)
+        issuers.asks.append(message.ask)
+        script = issuers.scripts[self._address]
+        reply = script.pop(0) if len(script) > 1 else script[0]
+        if reply is SILENT:
+            await anyio.sleep_forever()
+        if reply is REFUSING:
+            return REFUSING
+        if reply is GARBLED:
+            return exchange.Reply(200, (), GARBLED)
+        return exchange.Reply(200, (), permits.REPLIES.encode(reply))
+
+
+@pytest.fixture
+def issuers():
+    return Issuers()
+
+
+def _make(issuers, *, domains=("hall-1",), near=(NEAR,)):
+    real = clock.SystemClock()
+    journal = support.make_journal(real)
+    book = servers.ServerBook(
+        servers.ServerSettings(), support.BOUNDS, journal, real
+    )
+    own = permit_issuer.PermitIssuer(
+        permit_issuer.IssuerSettings(),
+        servers.ServerSettings(),
+        "hall-1",
+        book,
+        journal,
+        metrics.Metrics(),
+        real,
+    )
+    at = {"hall-1": near, "hall-2": (FAR,)}
+    return permit_client.PermitClient(
+        permit_client.PermitSettings(
+            timeout_s=0.05, timeout_again_s=0.05, first_pause_s=0.2
+        ),
+        support.INSTANCE,
+        own,
+        lambda domain: at[domain],
+        lambda service: domains,
+        journal,
+        real,
+        issuers.connect,
+    )
+
+
+async def _obtain(client, *, server=None, is_current=lambda: True):
+    now_s = clock.SystemClock().monotonic_s()
+    wanted = permit_client.Wanted(
+        RAPOR,
+        1,
+        queueing.Due(now_s + 1.0, now_s + 2.0),
+        server,
+        (),
+        is_current,
+    )
+    async with anyio.create_task_group() as tasks:
+        client.start(tasks)
+        return await client.obtain(wanted)
+
+
+async def test_few_instances_need_no_permits(issuers):
+    client = _make(issuers)
+    async with anyio.create_task_group() as tasks:
+        client.start(tasks)
+    least = permit_client.PermitSettings().least_instance_count
+    assert not client.is_used(least - 1)
+    assert client.is_used(least)
+
+
+@pytest.mark.parametrize(
+    ("near", "far", "result", "asked"),
+    [
+        pytest.param([GRANTED], [GRANTED], A, [NEAR], id="near"),
+        pytest.param([FULL], [GRANTED], A, [NEAR, FAR], id="near is full"),
+        pytest.param(
+            [FULL, GRANTED],
+            [permits.Reply(permits.Verdict.FULL, wait_s=0.9)],
+            A,
+            [NEAR, FAR, NEAR],
+            id="all are full, so it waits where it takes least",
+        ),
+        pytest.param(
+            [FULL, WAITING, WAITING, GRANTED],
+            [permits.Reply(permits.Verdict.FULL, wait_s=0.9)],
+            A,
+            [NEAR, FAR, NEAR, NEAR, NEAR],
+            id="it waits for as long as it is told to",
+        ),
+        pytest.param(
+            [FULL, REFUSED],
+            [permits.Reply(permits.Verdict.FULL, wait_s=0.9)],
+            queueing.Refused("the deadline", 70),
+            [NEAR, FAR, NEAR],
+            id="there will be no slot in time",
+        ),
+        pytest.param(
+            [SILENT], [GRANTED], None, [NEAR], id="time was lost with one"
+        ),
+        pytest.param(
+            [REFUSING], [GRANTED], A, [NEAR, FAR], id="near has ended"
+        ),
+        pytest.param([GARBLED], [GRANTED], A, [NEAR, FAR], id="garbled"),
+        pytest.param(
+            [ELSEWHERE], [GRANTED], A, [NEAR, FAR], id="near is stopping"
+        ),
+    ],
+)
+async def test_where_a_permit_is_asked_for(issuers, near, far, result, asked):
+    issuers.scripts = {NEAR: list(near), FAR: list(far)}
+    client = _make(issuers, domains=("hall-2", "hall-1"))
+    got = await _obtain(client)
+    if isinstance(got, permit_client.Permit):
+        got = got.server_id
+    assert got == result
+    assert issuers.asked == asked
+
+
+async def test_only_who_counts_for_the_owner_is_asked(issuers):
+    issuers.scripts = {FAR: [GRANTED], NEAR: [GRANTED]}
+    client = _make(issuers, domains=("hall-1", "hall-2"))
+    owner = support.make_server("a", domain="hall-2")
+    await _obtain(client, server=owner)
+    assert issuers.asked == [FAR]
+    assert issuers.asks[0].server_id == A
+    assert issuers.asks[0].may_wait
+
+
+async def test_who_does_not_count_one_server_is_still_asked_for_others(issuers):
+    issuers.scripts = {NEAR: [UNCOUNTED, GRANTED], NEXT: [UNCOUNTED, GRANTED]}
+    client = _make(issuers, near=(NEAR, NEXT))
+    assert await _obtain(client, server=support.make_server("new")) is None
+    granted = await _obtain(client, server=support.make_server("a"))
+    assert isinstance(granted, permit_client.Permit)
+    assert issuers.asked[0] == issuers.asked[1]
+
+
+async def test_a_silent_one_is_left_alone_and_the_next_one_counts(issuers):
+    client = _make(issuers, near=(NEAR, NEXT))
+    issuers.scripts = {NEAR: [SILENT], NEXT: [SILENT]}
+    assert await _obtain(client) is None
+    (first,) = issuers.asked
+    other = NEXT if first == NEAR else NEAR
+    issuers.scripts[other] = [GRANTED]
+    assert isinstance(await _obtain(client), permit_client.Permit)
+    assert issuers.asked == [first, other]
+    issuers.scripts[first] = [GRANTED]
+    await anyio.sleep(0.25)
+    await _obtain(client)
+    assert issuers.asked[-1] == first
+
+
+async def test_one_that_has_ended_costs_no_time(issuers):
+    client = _make(issuers, near=(NEAR, NEXT))
+    issuers.scripts = {NEAR: [REFUSING], NEXT: [REFUSING]}
+    assert await _obtain(client) is None
+    assert len(issuers.asked) == 2
+    issuers.scripts = {NEAR: [GRANTED], NEXT: [GRANTED]}
+    assert await _obtain(client) is None
+    assert len(issuers.asked) == 2
+
+
+async def test_one_that_stops_costs_no_permit(issuers):
+    client = _make(issuers, near=(NEAR, NEXT))
+    issuers.scripts = {NEAR: [ELSEWHERE], NEXT: [ELSEWHERE]}
+    assert await _obtain(client) is None
+    assert len(issuers.asked) == 2
+
+
+async def test_a_permit_of_one_who_stopped_waiting_is_given_back(issuers):
+    issuers.scripts = {NEAR: [WAITING]}
+    client = _make(issuers)
+    owner = support.make_server("a")
+    still = [True, True, False]
+    got = await _obtain(client, server=owner, is_current=lambda: still.pop(0))
+    assert got is None
+    (back,) = issuers.returned
+    assert back.ticket == issuers.asks[0].ticket
+    assert back.ending is permits.Ending.UNUSED
+
+
+async def test_a_caller_that_leaves_gives_its_place_up(issuers):
+    issuers.scripts = {NEAR: [SILENT]}
+    client = _make(issuers)
+    async with anyio.create_task_group() as tasks:
+        client.start(tasks)
+        with anyio.move_on_after(0.02):
+            now_s = clock.SystemClock().monotonic_s()
+            await client.obtain(
+                permit_client.Wanted(
+                    RAPOR,
+                    1,
+                    queueing.Due(now_s + 1.0, now_s + 2.0),
+                    support.make_server("a"),
+                    (),
+                    lambda: True,
+                )
+            )
+    assert [each.ticket for each in issuers.returned] == [
+        issuers.asks[0].ticket
+    ]
+
+
+async def test_this_instance_is_not_called_over_the_network(issuers):
+    client = _make(issuers, near=(OWN,))
+    assert await _obtain(client) is None
+    assert not issuers.asked
+
+
+def test_all_rank_the_same_instances_alike(issuers):
+    others = dataclasses.replace(support.INSTANCE, name="entry-2")
+    assert others.peer_address == OWN
+    near = tuple(model.Address("127.0.0.1", port) for port in range(200, 240))
+    first = _make(issuers, near=near)
+    second = _make(issuers, near=tuple(reversed(near)))
+    issuer = permit_client._Issuer(RAPOR, "hall-1")
+    assert first._addresses(issuer) == second._addresses(issuer)
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_permit_issuer.py
@@ -0,0 +1,256 @@
+import anyio
+import entry_support as support
+import pytest
+
+from bridgecross_core import clock
+from bridgecross_core import ids
+from bridgecross_entry import metrics
+from bridgecross_entry import permit_issuer
+from bridgecross_entry import permits
+from bridgecross_entry import servers
+
+pytestmark = pytest.mark.anyio
+
+RAPOR = ids.ServiceName("rapor")
+A, B = ids.ServerId("a"), ids.ServerId("b")
+SLOTS = 4
+
+
+class Scene:
+    """An issuer with two servers of its failure domain, and one of another."""
+
+    def __init__(self) -> None:
+        real = clock.SystemClock()
+        journal = support.make_journal(real)
+        self.book = servers.ServerBook(
+            servers.ServerSettings(), support.BOUNDS, journal, real
+        )
+        self.book.put(support.make_server("a"))
+        self.book.put(support.make_server("b"))
+        self.book.put(support.make_server("far", domain="hall-2"))
+        self.issuer = permit_issuer.PermitIssuer(
+            permit_issuer.IssuerSettings(
+                recount_interval_s=0.0,
+                hold_s=0.02,
+                hold_again_s=0.02,
+                forget_s=0.1,
+            ),
+            servers.ServerSettings(),
+            "hall-1",
+            self.book,
+            journal,
+            metrics.Metrics(),
+            real,
+        )
+
+    async def ask(
+        self,
+        ticket,
+        *,
+        server="",
+        priority=1,
+        target_in_s=10.0,
+        deadline_in_s=20.0,
+        may_wait=True,
+        tried=(),
+    ) -> permits.Reply:
+        return await self.issuer.ask(
+            permits.Ask(
+                RAPOR,
+                ticket,
+                priority,
+                target_in_s,
+                deadline_in_s,
+                ids.ServerId(server),
+                tried,
+                may_wait,
+            )
+        )
+
+    async def fill(self, server="a") -> None:
+        """Takes all slots of a server."""
+        for number in range(SLOTS):
+            reply = await self.ask(f"{server}-{number}", server=server)
+            assert reply.verdict is permits.Verdict.GRANTED
+
+    def give_back(self, ticket, ending=permits.Ending.ANSWERED) -> None:
+        self.issuer.take_back(permits.Return(ticket, 0.1, ending))
+
+
+@pytest.fixture
+async def scene():
+    made = Scene()
+    async with anyio.create_task_group() as tasks:
+        made.issuer.start(tasks)
+        yield made
+        tasks.cancel_scope.cancel()
+
+
+async def test_no_more_are_at_the_servers_than_they_have_slots(scene):
+    sent = [
+        (await scene.ask(str(number), may_wait=False)).server_id
+        for number in range(2 * SLOTS)
+    ]
+    assert sent.count(A) == sent.count(B) == SLOTS
+    last = await scene.ask("last", may_wait=False)
+    assert last.verdict is permits.Verdict.FULL
+    assert last.wait_s > 0
+
+
+async def test_only_the_owner_of_a_key_is_waited_for(scene):
+    await scene.fill("a")
+    full = await scene.ask("x", server="a", may_wait=False)
+    assert full.verdict is permits.Verdict.FULL
+    other = await scene.ask("y", server="b", may_wait=False)
+    assert other.server_id == B
+
+
+async def test_a_slot_goes_to_the_higher_tier(scene):
+    await scene.fill()
+    for ticket, priority in (("low", 2), ("high", 0)):
+        reply = await scene.ask(ticket, server="a", priority=priority)
+        assert reply.verdict is permits.Verdict.WAITING
+    scene.give_back("a-0")
+    await anyio.sleep(0.005)
+    high = await scene.ask("high", server="a", priority=0)
+    assert high.verdict is permits.Verdict.GRANTED
+    low = await scene.ask("low", server="a", priority=2)
+    assert low.verdict is permits.Verdict.WAITING
+
+
+async def test_a_slot_that_falls_free_is_given_at_once(scene):
+    await scene.fill()
+    with anyio.fail_after(0.5):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(anyio.sleep, 0.0)
+            scene.give_back("a-0")
+            reply = await scene.ask("x", server="a")
+    assert reply.verdict is permits.Verdict.GRANTED
+
+
+async def test_what_cannot_be_served_in_time_is_refused_at_once(scene):
+    await scene.fill()
+    for ticket in [f"a-{number}" for number in range(SLOTS)]:
+        scene.give_back(ticket)
+    await scene.fill()
+    reply = await scene.ask(
+        "x", server="a", target_in_s=0.01, deadline_in_s=0.02
+    )
+    assert reply.verdict is permits.Verdict.REFUSED
+    assert reply.retry_after_ms > 0
+    assert scene.issuer.granted_count == SLOTS
+
+
+@pytest.mark.parametrize(
+    "server", [pytest.param("far", id="of another failure domain"), "unknown"]
+)
+async def test_servers_that_it_does_not_count_need_no_permit(scene, server):
+    reply = await scene.ask("x", server=server)
+    assert reply.verdict is permits.Verdict.UNCOUNTED
+
+
+async def test_others_are_asked_while_it_knows_no_server(scene):
+    for name in ("a", "b"):
+        scene.book.end(ids.ServerId(name), "test")
+    reply = await scene.ask("x")
+    assert reply.verdict is permits.Verdict.ELSEWHERE
+
+
+async def test_a_leaving_server_is_counted_for_its_keys_only(scene):
+    scene.book.put(support.make_server("a", leaving=True))
+    own = await scene.ask("x", server="a")
+    assert own.verdict is permits.Verdict.GRANTED
+    others = {(await scene.ask(str(number))).server_id for number in range(4)}
+    assert others == {B}
+
+
+async def test_others_are_asked_once_it_stops(scene):
+    scene.issuer.is_stopping = True
+    reply = await scene.ask("x")
+    assert reply.verdict is permits.Verdict.ELSEWHERE
+
+
+async def test_nobody_waits_for_a_server_that_has_ended(scene):
+    await scene.fill()
+    await scene.ask("x", server="a")
+    scene.book.end(A, "test")
+    reply = await scene.ask("x", server="a")
+    assert reply.verdict is permits.Verdict.UNCOUNTED
+
+
+async def test_a_permit_that_never_comes_back_is_given_again(scene):
+    reply = await scene.ask("lost", server="a", deadline_in_s=-0.6)
+    assert reply.verdict is permits.Verdict.GRANTED
+    await scene.fill("b")
+    scene.issuer.sweep()
+    assert scene.issuer.granted_count == SLOTS
+    await scene.fill("a")
+
+
+async def test_a_place_that_nobody_asks_for_is_given_up(scene):
+    await scene.fill()
+    await scene.ask("gone", server="a")
+    await anyio.sleep(0.15)
+    scene.issuer.sweep()
+    scene.give_back("a-0")
+    await anyio.sleep(0.005)
+    reply = await scene.ask("x", server="a", may_wait=False)
+    assert reply.verdict is permits.Verdict.GRANTED
+
+
+async def test_a_permit_that_was_given_to_one_who_waits_no_longer_is_freed(
+    scene,
+):
+    await scene.fill()
+    await scene.ask("gone", server="a")
+    scene.give_back("a-0")
+    await anyio.sleep(0.005)
+    scene.give_back("gone", permits.Ending.UNUSED)
+    reply = await scene.ask("x", server="a", may_wait=False)
+    assert reply.verdict is permits.Verdict.GRANTED
+
+
+async def test_a_permit_counts_once_however_often_it_comes_back(scene):
+    await scene.fill()
+    for _ in range(3):
+        scene.give_back("a-0")
+    scene.give_back("unknown")
+    first = await scene.ask("x", server="a", may_wait=False)
+    second = await scene.ask("y", server="a", may_wait=False)
+    assert first.verdict is permits.Verdict.GRANTED
+    assert second.verdict is permits.Verdict.FULL
+
+
+@pytest.mark.parametrize(
+    "ending", [permits.Ending.SHED, permits.Ending.INTERRUPTED]
+)
+async def test_an_owner_that_turns_requests_away_keeps_its_slots(scene, ending):
+    """It has no more of them than slots, so it does not lack room."""
+    for _ in range(5):
+        await scene.fill()
+        for number in range(SLOTS):
+            scene.give_back(f"a-{number}", ending)
+    await scene.fill()
+
+
+async def test_a_server_that_turns_requests_away_is_chosen_less(scene):
+    for number in range(10):
+        await scene.ask(str(number), server="a")
+        scene.give_back(str(number), permits.Ending.SHED)
+    for number in range(SLOTS):
+        assert (await scene.ask(f"x{number}")).server_id == B
+
+
+async def test_a_server_that_nobody_reaches_is_left_alone(scene):
+    await scene.ask("x", server="a")
+    scene.give_back("x", permits.Ending.REFUSED)
+    reply = await scene.ask("y", server="a")
+    assert reply.verdict is permits.Verdict.REFUSED
+    other = await scene.ask("z")
+    assert other.server_id == B
+
+
+async def test_a_second_try_goes_to_another_server(scene):
+    for number in range(SLOTS):
+        reply = await scene.ask(str(number), tried=(A,))
+        assert reply.server_id == B
--- a/libs/bridgecross-request/src/bridgecross_request/queueing.py
+++ b/libs/bridgecross-request/src/bridgecross_request/queueing.py
@@ -161,7 +161,7 @@
         now_s = self._clock.monotonic_s()
         waiter = _Waiter(place, due, anyio.Event())
         if self._has_room(late=self._is_late(waiter, now_s)):
-            self._grant(place.name)
+            self.take(place)
             return Granted()
         wait_s = self.estimate_wait_s(place.priority)
         if self.waiting[place.name] >= place.limit:
@@ -172,6 +172,24 @@
                 return self._refuse("the deadline cannot be met", wait_s)
         return await self._wait(waiter)
 
+    def try_acquire(self, place: TierPlace, due: Due) -> bool:
+        """Takes a slot if there is one at this moment; returns whether so."""
+        waiter = _Waiter(place, due, anyio.Event())
+        is_late = self._is_late(waiter, self._clock.monotonic_s())
+        if not self._has_room(late=is_late):
+            return False
+        self.take(place)
+        return True
+
+    def take(self, place: TierPlace) -> None:
+        """Takes a slot, also one beyond those that there are.
+
+        The holder must release it.
+        """
+        self._busy += 1
+        self._grants += 1
+        self.served[place.name] += 1
+
     def _has_room(self, *, late: bool) -> bool:
         """Whether there is a slot for a request that comes now."""
         settings = self.settings
@@ -267,12 +285,6 @@
         self.waiting[waiter.place.name] -= 1
         self._waiters.remove(waiter)
 
-    def _grant(self, tier: str) -> None:
-        """Counts a slot as given."""
-        self._busy += 1
-        self._grants += 1
-        self.served[tier] += 1
-
     def _grant_next(self) -> None:
         """Gives free slots to those that wait."""
         while self._waiters and self._busy < self.settings.slots:
@@ -281,7 +293,7 @@
                 return
             self._waiters.remove(waiter)
             self.waiting[waiter.place.name] -= 1
-            self._grant(waiter.place.name)
+            self.take(waiter.place)
             waiter.granted.set()
 
     def _may_go(self, waiter: _Waiter) -> bool:
--- a/tests/load/scene.py
+++ b/tests/load/scene.py
@@ -24,10 +24,14 @@
 from bridgecross_emulator import virtual
 from bridgecross_entry import attempts
 from bridgecross_entry import dispatch
+from bridgecross_entry import exchange
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
 from bridgecross_entry import metrics
 from bridgecross_entry import model
+from bridgecross_entry import permit_client
+from bridgecross_entry import permit_issuer
+from bridgecross_entry import permits
 from bridgecross_entry import servers
 
 _LINK_S = 0.0005
@@ -79,6 +83,11 @@
     servers: tuple[ServerKind, ...]
     callers: tuple[CallerKind, ...]
     instance_count: int = 12
+    # Whether instances ask one of their failure domain for permits, however
+    # few they are; None leaves that to their number.
+    with_permits: bool | None = None
+    # From when to when those that give out permits stand still.
+    issuers_frozen_s: tuple[float, float] = (math.inf, math.inf)
     length_s: float = 8.0
     seed: int = 1
     # From when to when no instance answers.
@@ -92,6 +101,9 @@
     judging: servers.ServerSettings = dataclasses.field(
         default_factory=servers.ServerSettings
     )
+    permits: permit_client.PermitSettings = dataclasses.field(
+        default_factory=permit_client.PermitSettings
+    )
     trying: dispatch.DispatchSettings = dataclasses.field(
         default_factory=dispatch.DispatchSettings
     )
@@ -129,6 +141,8 @@
     )
     # Requests that servers dropped without a word.
     dropped_count: int = 0
+    # Asks for permits and returns of them.
+    permit_messages_count: int = 0
 
     def note(
         self, kind: CallerKind, came_s: float, worth: float, outcome: str
@@ -221,6 +235,31 @@
         return
 
 
+class _PeerLink:
+    """An ``exchange.Exchanger`` to another instance, for permits only."""
+
+    def __init__(self, scene: "Scene", address: model.Address) -> None:
+        self._scene = scene
+        self._address = address
+
+    async def exchange(self, request, accepts):
+        del accepts  # Nothing else is on the way.
+        await anyio.sleep(_LINK_S)
+        issuer = self._scene.issuers[self._address]
+        if _holds(self._scene.load.issuers_frozen_s, self._scene.now_s):
+            await anyio.sleep_forever()
+        body = request.partition(b"\r\n\r\n")[2]
+        message = permits.MESSAGES.decode(body)
+        self._scene.report.permit_messages_count += 1
+        answer = b""
+        if message.back is not None:
+            issuer.take_back(message.back)
+        if message.ask is not None:
+            answer = permits.REPLIES.encode(await issuer.ask(message.ask))
+        await anyio.sleep(_LINK_S)
+        return exchange.Reply(200, (), answer)
+
+
 class Scene:
     """A house while it runs."""
 
@@ -236,6 +275,9 @@
         self._rng = random.Random(load.seed)
         random.seed(load.seed)
         self.instances: list[dispatch.Dispatcher] = []
+        self.issuers: dict[model.Address, permit_issuer.PermitIssuer] = {}
+        self._domains: dict[str, tuple[model.Address, ...]] = {}
+        self._clients: list[permit_client.PermitClient] = []
         self.start_instances()
 
     def _add_servers(self, kind: ServerKind) -> None:
@@ -258,10 +300,24 @@
             listed_servers.append(listed)
         self._services[kind.name] = listed_servers
 
+    @property
+    def now_s(self) -> float:
+        """The virtual time."""
+        return self._clock.monotonic_s()
+
     # Instances.
 
     def start_instances(self) -> None:
         """Starts instances that know nothing yet but lists and settings."""
+        settings = [
+            houses.make_settings(n) for n in range(self.load.instance_count)
+        ]
+        domains: dict[str, list[model.Address]] = {}
+        for each in settings:
+            at = domains.setdefault(each.failure_domain, [])
+            at.append(each.peer_address)
+        self._domains = {name: tuple(at) for name, at in domains.items()}
+        self._clients.clear()
         self.instances = [
             self._make_instance(number)
             for number in range(self.load.instance_count)
@@ -294,11 +350,58 @@
             journal,
             metrics.Metrics(),
             self._clock,
+            self._make_permits(instance, book, journal),
         )
         dispatcher.instance_count = self.load.instance_count
         dispatcher.configure(self._make_configuration())
         return dispatcher
 
+    def _make_permits(
+        self,
+        instance: model.InstanceSettings,
+        book: servers.ServerBook,
+        journal: journals.Journal,
+    ) -> permit_client.PermitClient | None:
+        if self.load.with_permits is False:
+            return None
+        issuer = permit_issuer.PermitIssuer(
+            permit_issuer.IssuerSettings(),
+            permit_issuer.SERVERS,
+            instance.failure_domain,
+            book,
+            journal,
+            metrics.Metrics(),
+            self._clock,
+        )
+        self.issuers[instance.peer_address] = issuer
+        settings = self.load.permits
+        if self.load.with_permits:
+            settings = dataclasses.replace(settings, least_instance_count=1)
+        client = permit_client.PermitClient(
+            settings,
+            instance,
+            issuer,
+            lambda domain: self._domains.get(domain, ()),
+            book.domains_of,
+            journal,
+            self._clock,
+            lambda address: _PeerLink(self, address),
+        )
+        self._clients.append(client)
+        return client
+
+    def _start_permits(self, tasks: anyio.abc.TaskGroup) -> None:
+        for issuer in self.issuers.values():
+            issuer.start(tasks)
+        for client in self._clients:
+            client.start(tasks)
+
+    async def _sweep_permits(self) -> None:
+        while True:
+            await anyio.sleep(1.0)
+            for issuer in self.issuers.values():
+                issuer.sweep()
+
     def _make_map(self, kind: ServerKind) -> keymap.KeyMap:
         """Returns a map that divides the keys by the servers' speeds."""
         total = sum(kind.speeds)
@@ -347,20 +450,29 @@
 
     async def run(self) -> Report:
         """Runs until the last caller has left."""
+        async with anyio.create_task_group() as background:
+            self._background = background
+            self._start_permits(background)
+            background.start_soon(self._sweep_permits)
+            await self._run_callers()
+            background.cancel_scope.cancel()
+        self.report.dropped_count = sum(
+            s.dropped_count for s in self.servers.values()
+        )
+        return self.report
+
+    async def _run_callers(self) -> None:
         async with anyio.create_task_group() as tasks:
             if math.isfinite(self.load.outage_s[1]):
                 tasks.start_soon(self._lose_instances)
             for number, kind in enumerate(self.load.callers):
                 rng = random.Random(self.load.seed * 100 + number)
                 tasks.start_soon(self._send_callers, kind, rng, tasks)
-        self.report.dropped_count = sum(
-            s.dropped_count for s in self.servers.values()
-        )
-        return self.report
 
     async def _lose_instances(self) -> None:
         await anyio.sleep(self.load.outage_s[1] - 1e-6)
         self.start_instances()
+        self._start_permits(self._background)
 
     async def _send_callers(
         self,
