Leave reading to the leader while the whole system starts for the first time

Change: where the platform says that the whole system starts for the first time, instances list themselves and leave all reading to the leader for 4 s; callers come ten seconds after the start. Claims come at random within a second, since nobody knows whose turn it is. A leader that cannot read says so, and then each reads for itself, as before.

Ruled out for now: the same for restarts; after the loss of all instances it would delay service by a second.

Figures: emulated, 20 instances, 2.5 calls an instance fewer or more (bound of tests/emulated/test_first_start.py); all are ready within 4 s, within 7 s if the log is away or the first leader ends at once.

--- a/libs/bridgecross-emulator/src/bridgecross_emulator/house.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/house.py
@@ -35,7 +35,9 @@
 """Steady clocks start anywhere: machines have run for up to a day or so."""
 
 
-def make_settings(number: int) -> model.InstanceSettings:
+def make_settings(
+    number: int, *, is_first_start: bool = False
+) -> model.InstanceSettings:
     """Returns what the platform tells an instance, by its number from 0."""
     address = model.Address(f"10.1.0.{number + 1}", _PEER_PORT)
     return model.InstanceSettings(
@@ -49,6 +51,7 @@
         cores=1.0,
         link_mbps=1_000.0,
         bounds=BOUNDS,
+        is_first_start=is_first_start,
     )
 
 
@@ -59,6 +62,9 @@
     instance_count: int = 5
     # Servers of the one service, which own its keys.
     server_count: int = 0
+    # Whether the platform tells the first lives of the instances that the
+    # whole system starts for the first time.
+    is_first_start: bool = False
     seed: int = 1
     log: log_model.LogSettings = dataclasses.field(
         default_factory=log_model.LogSettings
@@ -112,7 +118,8 @@
         # Every life of every instance, also those that were killed.
         self._lives: list[instances.EmulatedInstance] = []
         self.instances = [
-            self._make(number) for number in range(settings.instance_count)
+            self._make(number, is_first_start=settings.is_first_start)
+            for number in range(settings.instance_count)
         ]
         self.publish()
 
@@ -121,12 +128,14 @@
         """The virtual time."""
         return float(self._environment.now)
 
-    def _make(self, number: int) -> instances.EmulatedInstance:
+    def _make(
+        self, number: int, *, is_first_start: bool = False
+    ) -> instances.EmulatedInstance:
         """Returns a new life of an instance."""
         clock = virtual.Clock(
             self._environment, self._rng.uniform(0.0, _LONGEST_UP_S)
         )
-        settings = make_settings(number)
+        settings = make_settings(number, is_first_start=is_first_start)
         address = settings.peer_address
         life = instances.EmulatedInstance(
             settings,
--- a/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
@@ -97,7 +97,7 @@
             permit_client.PermitSettings(),
             self.settings,
             self.issuer,
-            lambda domain: self.beliefs.strong_instances(domain),
+            self._strong_instances,
             self.book.domains_of,
             journal,
             clock,
@@ -114,8 +114,9 @@
             clock,
             self.permits,
         )
+        is_first = self.settings.is_first_start
         self.beliefs = beliefs.Beliefs(
-            beliefs.BeliefSettings(),
+            beliefs.FIRST_START if is_first else beliefs.BeliefSettings(),
             self.log,
             adapter,
             self.book,
@@ -158,6 +159,10 @@
         self.backend_client.sweep(self.book.known_ids())
         self.lease_client.sweep(self.book.known_ids())
 
+    def _strong_instances(self, domain: str) -> tuple[model.Address, ...]:
+        """Returns the instances of a failure domain that may give permits."""
+        return self.beliefs.strong_instances(domain)
+
     def _configure(self, new: model.Configuration) -> None:
         """Puts a configuration in force."""
         self.dispatcher.configure(new)
--- a/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -67,6 +67,9 @@
     # after this age, 0.1 s to look, 0.01 s to read and 0.3 s for a second try:
     # 1.7 s of the 2 s allowed (docs/design/age-of-beliefs.md).
     own_read_age_s: float = 1.3
+    # For so long after its start an instance leaves all reading to the leader;
+    # see ``FIRST_START``.
+    first_read_wait_s: float = 0.0
     # A new instance waits for the leader's word until this one has read of it.
     instance_wait_ms: float = 1_200.0
     # Key maps are pushed by their coordinator; the log is the second way.
@@ -81,6 +84,14 @@
     list_fresh_s: float = 1.6
 
 
+FIRST_START = BeliefSettings(first_read_wait_s=4.0)
+"""While the whole system starts for the first time there is no hurry: callers
+come about ten seconds later, and after two a leader is found and has told
+everybody. Four reads of each instance are then one of the leader; calls to the
+log are priced and their rate is bounded, and hundreds of instances start
+together."""
+
+
 class Decoder(Protocol):
     """Reads records of the platform."""
 
@@ -227,6 +238,7 @@
                 *pace,
                 is_urgent=is_urgent,
                 own_read_age_s=own_read_age_s if is_urgent else math.inf,
+                first_read_wait_s=self._settings.first_read_wait_s,
             ),
             self._log,
             take_all,
--- a/libs/bridgecross-entry/src/bridgecross_entry/duties.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/duties.py
@@ -207,6 +207,7 @@
         while not self._stopping:
             self._set_instances()
             known = self._beliefs.knows_instances
+            known = known or self._platform.is_first_start
             missing = known and own not in self._beliefs.instances
             if missing and await self._log.put(beliefs.INSTANCE_TOPIC, record):
                 self._beliefs.instances.add(own)
--- a/libs/bridgecross-entry/src/bridgecross_entry/follower.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/follower.py
@@ -77,6 +77,9 @@
     # whatever is said. It bounds how old any instance's knowledge becomes, and
     # with it how late a change is acted upon, for those that reach the log.
     own_read_age_s: float = math.inf
+    # For so long after the start all reading is left to another instance, which
+    # then tells of it, however old that is.
+    first_read_wait_s: float = 0.0
     # The pause after a failed read. How often the log is called while it does
     # not answer is not decided here but by the circuit breaker before it.
     retry_pause_s: float = 0.3
@@ -134,6 +137,8 @@
         self._on_read = on_read
         # The offset to read on from; None before the first read.
         self.next_offset: int | None = None
+        # Until when all reading is left to another instance.
+        self._first_read_s = clock.monotonic_s() + settings.first_read_wait_s
         # When the log was last read up to there, by this instance or by the
         # one that told it; None if never.
         self.heard_s: float | None = None
@@ -305,6 +310,7 @@
     def stop_waiting(self) -> None:
         """Reads by itself from now on, until it is told something again."""
         self.relayed_s = float("-inf")
+        self._first_read_s = float("-inf")
 
     def _is_relayed(self) -> bool:
         """Whether another instance reads for this one.
@@ -312,7 +318,10 @@
         While nobody reads the topic, trying is left to whoever speaks, since
         each call costs; else what is known must not grow too old meanwhile.
         """
-        silent_s = self._clock.monotonic_s() - self.relayed_s
+        now_s = self._clock.monotonic_s()
+        if now_s < self._first_read_s:
+            return True
+        silent_s = now_s - self.relayed_s
         if silent_s >= self._settings.relay_fresh_s:
             return False
         is_lost = self.lost_since_s is not None
--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -17,6 +17,7 @@
 from collections.abc import Container
 from collections.abc import Iterable
 import dataclasses
+import random
 from typing import NamedTuple
 
 import anyio
@@ -97,6 +98,10 @@
     # all machines start within 0.3 s, and starting takes up to 1 s.
     weak_wait_s: float = 1.0
     weak_link_mbps: float = 20.0
+    # At the first start of the whole system nobody knows whose turn it is;
+    # instances claim at random within this time, so that most hear of a leader
+    # before they would.
+    first_spread_s: float = 1.0
     # The pause after a claim that the log did not take.
     retry_pause_s: float = 1.0
     # While the leader has lost the log, the others find out one after the
@@ -324,6 +329,9 @@
             self._patient_until_s = self._clock.monotonic_s()
             if self._settings.is_weak(self._instance):
                 self._patient_until_s += self._settings.weak_wait_s
+            if self._instance.is_first_start:
+                spread_s = self._settings.first_spread_s
+                self._patient_until_s += random.uniform(0.0, spread_s)
             if claim != _NO_CLAIM:
                 await self._try_claim()
             return
--- a/libs/bridgecross-entry/src/bridgecross_entry/model.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/model.py
@@ -159,6 +159,9 @@
     cores: float
     link_mbps: float
     bounds: Bounds
+    # Whether the whole system starts for the first time: nobody leads yet, and
+    # nobody is served before all have started.
+    is_first_start: bool = False
 
 
 def name_run(name: str, started_ms: int | None) -> ids.ServerId:
--- /dev/null
+++ b/tests/emulated/test_first_start.py
@@ -0,0 +1,79 @@
+"""The whole system starts for the first time: what it asks of the log.
+
+The pattern: all instances start within a second, nobody leads, and each has to
+learn of servers, configuration, key maps and the other instances. Calls to the
+log are priced, and its rate is bounded for all together; callers come ten
+seconds later. Twenty instances stand for hundreds: each of them does the same.
+"""
+
+import anyio
+import pytest
+import simpy
+
+from bridgecross_emulator import house as houses
+from bridgecross_emulator import virtual
+
+_COUNT = 20
+_READY_WITHIN_S = 4.0
+
+
+def _play(*, is_first_start: bool, trouble=None) -> tuple[float, float]:
+    """Returns calls to the log an instance, and when all were ready, in s."""
+    environment = simpy.Environment()
+
+    async def main() -> tuple[float, float]:
+        async with anyio.create_task_group() as tasks:
+            settings = houses.HouseSettings(
+                _COUNT, server_count=6, is_first_start=is_first_start
+            )
+            house = houses.House(settings, environment, tasks)
+            await house.start(settle_s=0.0)
+            if trouble is not None:
+                tasks.start_soon(trouble, house)
+            ready_s = float("inf")
+            for _ in range(80):
+                await anyio.sleep(0.1)
+                complete = [
+                    i.parts.beliefs.is_complete for i in house.instances
+                ]
+                if all(complete):
+                    ready_s = min(ready_s, house.now_s)
+            calls = sum(each.way.call_count for each in house.instances)
+            house.stop()
+        return calls / _COUNT, ready_s
+
+    return virtual.run(environment, main)
+
+
+async def _lose_the_log(house: houses.House) -> None:
+    house.log.is_away = True
+    await anyio.sleep(2.0)
+    house.log.is_away = False
+
+
+async def _kill_the_leader(house: houses.House) -> None:
+    while not [line for line in house.lines if line.event == "leads"]:
+        await anyio.sleep(0.01)
+    leader = house.leader
+    leader.kill()
+    await anyio.sleep(1.0)
+    house.restart(leader)
+
+
+def test_most_first_reads_are_left_to_the_leader():
+    calls, ready_s = _play(is_first_start=True)
+    calls_alone, _ = _play(is_first_start=False)
+    assert calls < calls_alone - 2.5
+    assert ready_s < _READY_WITHIN_S
+
+
+@pytest.mark.parametrize(
+    "trouble",
+    [
+        pytest.param(_lose_the_log, id="the log is away"),
+        pytest.param(_kill_the_leader, id="the first leader ends at once"),
+    ],
+)
+def test_all_are_ready_long_before_callers_come(trouble):
+    _, ready_s = _play(is_first_start=True, trouble=trouble)
+    assert ready_s < 7.0
