--- a/conftest.py
+++ b/conftest.py
@@ -1,6 +1,10 @@
 """Shared by all tests of the workspace, and the list of known failures."""
 
+from collections.abc import Generator
+from collections.abc import Iterable
 import pathlib
+import re
+import shutil
 from typing import NamedTuple
 
 # It asks the standard library's module platform for the interpreter; once a
@@ -21,6 +25,14 @@
 """
 
 
+KEPT_LOGS = pathlib.Path(__file__).with_name("out") / "failed"
+"""Where the logs of processes are kept when a test with them fails."""
+
+_LOG_PATTERNS = ("log", "*.log", "*.journal")
+_TAIL_LINES_COUNT = 40
+"""Lines of each log that are printed, for runs whose files are lost."""
+
+
 class KnownFailure(NamedTuple):
     """One line of the list: ``TEST | CAUSE | ISSUE``."""
 
@@ -75,6 +87,54 @@
             )
 
 
+def keep_logs(
+    name: str, folders: Iterable[pathlib.Path], into: pathlib.Path
+) -> str:
+    """Copies the logs of a failed test, so that it can be explained.
+
+    Args:
+        name: The test.
+        folders: Where its processes wrote.
+        into: Where logs are kept; those of an earlier failure are replaced.
+
+    Returns:
+        Where they are and the end of each; empty if there are none.
+    """
+    kept = into / re.sub(r"[^A-Za-z0-9.-]+", "-", name)
+    shutil.rmtree(kept, ignore_errors=True)
+    lines: list[str] = []
+    for number, folder in enumerate(folders, 1):
+        for pattern in _LOG_PATTERNS:
+            for log in sorted(folder.rglob(pattern)):
+                kept.mkdir(parents=True, exist_ok=True)
+                copy = kept / f"{number}-{log.name}"
+                shutil.copy(log, copy)
+                text = copy.read_text(encoding="utf-8", errors="replace")
+                tail = text.splitlines()[-_TAIL_LINES_COUNT:]
+                lines += [f"{copy.name}:", *tail]
+    return "\n".join([f"kept in {kept}", *lines]) if lines else ""
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(
+    item: pytest.Item,
+) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    """Keeps the logs of the processes of a failed test."""
+    report = yield
+    if report.failed:
+        values = getattr(item, "funcargs", {}).values()
+        folders = [
+            folder
+            for value in values
+            for folder in (value, *getattr(value, "log_folders", ()))
+            if isinstance(folder, pathlib.Path) and folder.is_dir()
+        ]
+        kept = keep_logs(item.nodeid, folders, KEPT_LOGS)
+        if kept:
+            report.sections.append(("logs of its processes", kept))
+    return report
+
+
 def pytest_terminal_summary(
     terminalreporter: pytest.TerminalReporter,
 ) -> None:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -69,3 +69,22 @@
 def test_a_test_that_failed_once_must_pass_like_any_other(monkeypatch):
     line = LINE.replace("| cause", "| SEEN ONCE: under load")
     assert _mark(monkeypatch, line) == []
+
+
+def test_the_logs_of_a_failed_test_are_kept(tmp_path):
+    folder = tmp_path / "house" / "entry"
+    folder.mkdir(parents=True)
+    (folder / "entry-1.log").write_text("".join(f"{n}\n" for n in range(99)))
+    (folder / "a.journal").write_text("run\n")
+    (folder / "settings.json").write_text("{}")
+    into = tmp_path / "kept"
+    told = conftest.keep_logs("a/b.py::test[x]", [tmp_path / "house"], into)
+    names = {path.name for path in into.rglob("*.*") if path.is_file()}
+    assert names == {"1-entry-1.log", "1-a.journal"}
+    assert "\n98\n" in told
+    assert "\n10\n" not in told
+
+
+def test_a_test_without_logs_keeps_nothing(tmp_path):
+    assert not conftest.keep_logs("a", [tmp_path], tmp_path / "kept")
+    assert not (tmp_path / "kept").exists()
