--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
@@ -259,7 +259,11 @@
         self, ask: permits.Ask, pool: _Pool, now_s: float
     ) -> servers_lib.Server:
         """Returns the server that would answer soonest."""
-        known = [pool.servers[server_id] for server_id in pool.staying]
+        known = [
+            server
+            for server_id, server in pool.servers.items()
+            if server_id in pool.staying
+        ]
         known = known or list(pool.servers.values())
         ready = [s for s in known if s.paused_until_s <= now_s] or known
         fresh = [s for s in ready if s.listed.server_id not in ask.tried]
