Permits: what waited for servers that have gone, and asks that are heard twice

A request that waited while every server of its failure domain went ended the issuer's process (the choice among none); one that waited for a server that was listed anew gave back a slot that the new entry never lent; an ask heard twice took two slots, one of them for good. Class: what was true when the wait began is taken for true at its end.

Tests, seen to fail before: test_permit_issuer.py, heard twice, may go while a request waits (any server), is listed again. A fault while a permit is sent back is told and ends nothing else.

--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_client.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_client.py
@@ -192,10 +192,14 @@
             self._own.take_back(back)
         elif self._tasks is not None:
             message = permits.MESSAGES.encode(permits.Message(back=back))
-            timeout_s = self._settings.timeout_s
-            self._tasks.start_soon(
-                self._call, permit.issuer, message, timeout_s
-            )
+            self._tasks.start_soon(self._return, permit.issuer, message)
+
+    async def _return(self, address: model.Address, message: bytes) -> None:
+        """Sends a permit back; a fault here must end nothing else."""
+        try:
+            await self._call(address, message, self._settings.timeout_s)
+        except Exception as error:
+            self._fail(address, repr(error))
 
     # Where to ask.
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
@@ -162,6 +162,11 @@
         turned_away = self._turn_away(ask, pool, server)
         if turned_away is not None:
             return turned_away
+        granted = self._granted.get(ask.ticket)
+        if granted is not None and ask.ticket not in self._waiting:
+            # Heard twice: one slot is enough.
+            server_id = granted.server.listed.server_id
+            return permits.Reply(permits.Verdict.GRANTED, server_id)
         waiting = self._waiting.get(ask.ticket)
         if waiting is not None:
             return await self._hold(ask, waiting, self._settings.hold_again_s)
@@ -217,19 +222,28 @@
         """Waits in a queue on behalf of a request."""
         with waiting.scope:
             slot = await queue.acquire(self._place(ask), due)
-            if isinstance(slot, queueing.Granted):
-                pool = self._pool(ask.service)
-                server = pool.servers.get(ask.server_id)
-                if ask.server_id and server is None:
-                    # The server has left meanwhile, and its queue with it.
-                    waiting.reply = permits.Reply(permits.Verdict.UNCOUNTED)
-                else:
-                    waiting.reply = self._grant(ask, pool, server)
-            else:
+            if isinstance(slot, queueing.Refused):
                 wait_s = slot.retry_after_ms / 1_000
                 waiting.reply = _refuse(slot.reason, wait_s)
+            else:
+                waiting.reply = self._grant_late(ask, queue)
         waiting.done.set()
 
+    def _grant_late(
+        self, ask: permits.Ask, queue: queueing.TierQueue
+    ) -> permits.Reply:
+        """Gives a permit to one that waited; its servers may have gone."""
+        pool = self._pool(ask.service)
+        server = pool.servers.get(ask.server_id)
+        if ask.server_id:
+            is_there = server is not None and server.queue is queue
+        else:
+            is_there = bool(pool.servers)
+        if is_there:
+            return self._grant(ask, pool, server)
+        queue.release(queue.settings.first_guess_s, self._place(ask))
+        return permits.Reply(permits.Verdict.UNCOUNTED)
+
     def _grant(
         self,
         ask: permits.Ask,
--- a/libs/bridgecross-entry/tests/test_permit_issuer.py
+++ b/libs/bridgecross-entry/tests/test_permit_issuer.py
@@ -67,10 +67,11 @@
             )
         )
 
-    async def fill(self, server="a") -> None:
-        """Takes all slots of a server."""
+    async def fill(self, server="a", name="") -> None:
+        """Takes all slots of a server, under tickets that begin with a name."""
         for number in range(SLOTS):
-            reply = await self.ask(f"{server}-{number}", server=server)
+            ticket = f"{name or server}-{number}"
+            reply = await self.ask(ticket, server=server)
             assert reply.verdict is permits.Verdict.GRANTED
 
     def give_back(self, ticket, ending=permits.Ending.ANSWERED) -> None:
@@ -254,3 +255,52 @@
     for number in range(SLOTS):
         reply = await scene.ask(str(number), tried=(A,))
         assert reply.server_id == B
+
+
+async def test_an_ask_that_is_heard_twice_takes_one_slot(scene):
+    for _ in range(3):
+        reply = await scene.ask("x", server="a")
+        assert reply == permits.Reply(permits.Verdict.GRANTED, A)
+    scene.give_back("x")
+    await scene.fill()
+
+
+@pytest.mark.parametrize(
+    "server", [pytest.param("a", id="its owner"), pytest.param("", id="all")]
+)
+async def test_the_servers_may_go_while_a_request_waits(scene, server):
+    for name in ("a", "b"):
+        await scene.fill(name)
+    # Those of the last call count for any server as well.
+    for number in range(2 * SLOTS):
+        await scene.ask(f"any-{number}", may_wait=False)
+    waiting = await scene.ask("x", server=server)
+    assert waiting.verdict is not permits.Verdict.REFUSED
+    for name in ("a", "b"):
+        scene.book.end(ids.ServerId(name), "test")
+    for number in range(SLOTS):
+        scene.give_back(f"a-{number}")
+        scene.give_back(f"any-{number}")
+    await anyio.sleep(0.03)
+    reply = await scene.ask("x", server=server)
+    assert reply.verdict in {
+        permits.Verdict.UNCOUNTED,
+        permits.Verdict.ELSEWHERE,
+    }
+
+
+async def test_an_owner_that_is_listed_again_starts_with_all_its_slots(scene):
+    """What waited for its earlier entry has no slot of the new one."""
+    await scene.fill()
+    await scene.ask("x", server="a")
+    scene.book.end(A, "test")
+    await scene.ask("y", server="b")
+    scene.book._ended.clear()
+    scene.book.put(support.make_server("a"))
+    await scene.ask("y", server="b")
+    scene.give_back("a-0")
+    await anyio.sleep(0.01)
+    scene.give_back("x", permits.Ending.UNUSED)
+    await scene.fill("a", "new")
+    full = await scene.ask("z", server="a", may_wait=False)
+    assert full.verdict is permits.Verdict.FULL
