Tests, failing: a backend server that is stopped between its look and its effect

Reproduced without the house and without an added wait: one server stand-in as a process, leases of 150 ms, eight callers, and SIGSTOP at a drawn moment until 20 ms after the lease.

Both tests fail on the code as it is: the series of stops, and one in which the clock jumps at each reading of a request in turn (a stop shows to a program only so).

--- /dev/null
+++ b/libs/bridgecross-standins/tests/test_backend_standin.py
@@ -0,0 +1,216 @@
+"""A backend server that is stopped between its last look and its effect.
+
+A server that was stopped by a signal and continued ran a request 0.163 s after
+the next owner of the key had run one, under an older token. Its last look at
+its lease came before the stop, and the effect some turns of the event loop
+later, after it: the lease was over by then. A stop shows to a program only as a
+clock that has jumped between two readings, so going through all readings of a
+request goes through all moments at which it can be stopped.
+"""
+
+import contextlib
+import pathlib
+import random
+import signal
+import sys
+import time
+import types
+from typing import NamedTuple
+
+import anyio
+import httpx
+import pytest
+
+from bridgecross_core import codec
+from bridgecross_core import ids
+from bridgecross_ownership import leases
+from bridgecross_request import backends
+from bridgecross_standins import backend_standin
+from bridgecross_standins import checker
+from bridgecross_standins import processes
+
+pytestmark = pytest.mark.anyio
+
+LEASE_MS = 150
+STOPS = 60
+"""Stops in a series: about 15 s."""
+
+SEED = 20
+CALLERS = 8
+GRANT = leases.SliceGrant(ids.SliceIndex(0), ids.Token(2))
+FRONT_TOKEN = ids.Token(1)
+
+
+class Lease(NamedTuple):
+    """When the server may act, on its own clock in seconds."""
+
+    since_s: float
+    until_s: float
+
+
+class Front:
+    """Gives a server leases and remembers them."""
+
+    def __init__(self, client: httpx.AsyncClient) -> None:
+        self.leases: list[Lease] = []
+        self._client = client
+        self._sequence = 0
+
+    async def give_lease(self, lease_ms: int) -> None:
+        """Asks for the server's clock, and gives a lease from its reading."""
+        clock = await self._exchange(None, lease_ms)
+        await self._exchange(clock, lease_ms)
+        since_s = clock.reading_ms / 1_000
+        self.leases.append(Lease(since_s, since_s + lease_ms / 1_000))
+
+    async def _exchange(
+        self, echo: leases.ClockEcho | None, lease_ms: int
+    ) -> leases.ClockEcho:
+        self._sequence += 1
+        asked = leases.LeaseRequest(
+            service=ids.ServiceName("rapor"),
+            front=ids.InstanceId("entry-1"),
+            front_token=FRONT_TOKEN,
+            sequence=self._sequence,
+            echo=echo,
+            lease_ms=lease_ms,
+            grants=[GRANT],
+        )
+        answer = await self._client.put(
+            "/bridgecross/lease", content=codec.to_json(asked)
+        )
+        return codec.from_json(answer.content, leases.LeaseReply).clock
+
+    def find_outside(
+        self, journal: list[backend_standin.JournalEntry]
+    ) -> list[backend_standin.JournalEntry]:
+        """Returns the effects at moments at which no lease ran."""
+        return [
+            entry
+            for entry in checker.list_ran(journal)
+            if not any(
+                lease.since_s <= entry.ended_s < lease.until_s
+                for lease in self.leases
+            )
+        ]
+
+
+async def _write(client: httpx.AsyncClient) -> httpx.Response:
+    """Sends one request that changes the key's value."""
+    headers = {
+        backends.SLICE_HEADER: str(GRANT.slice),
+        backends.TOKEN_HEADER: str(GRANT.token),
+        backends.FRONT_TOKEN_HEADER: str(FRONT_TOKEN),
+        backends.DEADLINE_HEADER: str(int(time.time() * 1_000) + 60_000),
+    }
+    named = {name.decode(): value for name, value in headers.items()}
+    return await client.put("/v1/rapor/k", headers=named)
+
+
+class JumpingClock:
+    """Real time, until a reading from which on it is ten seconds later."""
+
+    def __init__(self) -> None:
+        self.readings_count = 0
+        self.jumps_at = -1
+
+    def monotonic(self) -> float:
+        """Returns the reading, which may be the one with the jump."""
+        self.readings_count += 1
+        has_jumped = 0 <= self.jumps_at < self.readings_count
+        return time.monotonic() + (10.0 if has_jumped else 0.0)
+
+    def build(self) -> types.SimpleNamespace:
+        """Returns what stands in for the module ``time``."""
+        return types.SimpleNamespace(monotonic=self.monotonic, time=time.time)
+
+
+async def test_no_effect_follows_the_lease_wherever_the_server_is_stopped(
+    tmp_path, monkeypatch
+):
+    jump = 0
+    while True:
+        clock = JumpingClock()
+        monkeypatch.setattr(backend_standin, "time", clock.build())
+        path = tmp_path / f"{jump}.journal"
+        server = backend_standin.BackendStandin(
+            backend_standin.BackendStandinSettings(
+                "rapor-1", journal_path=str(path)
+            )
+        )
+        transport = httpx.ASGITransport(server.build_app())
+        async with httpx.AsyncClient(
+            transport=transport, base_url="http://server"
+        ) as client:
+            front = Front(client)
+            await front.give_lease(1_000)
+            clock.jumps_at = clock.readings_count + jump
+            answer = await _write(client)
+        journal = backend_standin.read_journal(path)
+        assert front.find_outside(journal) == [], f"stopped at reading {jump}"
+        ran = bool(checker.list_ran(journal))
+        assert ran == (answer.status_code == 200)
+        if clock.readings_count <= clock.jumps_at:
+            break
+        jump += 1
+    assert ran
+    assert jump > 2
+
+
+async def test_a_series_of_stops_lets_no_effect_follow_its_lease(tmp_path):
+    """The same with a process, real signals and requests side by side."""
+    draws = random.Random(SEED)
+    path = tmp_path / "rapor-1.journal"
+    settings = backend_standin.BackendStandinSettings(
+        "rapor-1", journal_path=str(path)
+    )
+    address = f"127.0.0.1:{processes.find_free_port()}"
+    process = _start(address, settings, tmp_path)
+    try:
+        async with httpx.AsyncClient(
+            base_url=f"http://{address}", trust_env=False, timeout=5.0
+        ) as client:
+            await _await_server(client)
+            front = Front(client)
+            for _ in range(STOPS):
+                await _stop_once(process, client, front, draws)
+    finally:
+        process.signal(signal.SIGCONT)
+        process.kill()
+    journal = backend_standin.read_journal(path)
+    assert len(checker.list_ran(journal)) > STOPS
+    assert front.find_outside(journal) == []
+
+
+def _start(address, settings, folder: pathlib.Path) -> processes.Process:
+    arguments = ["backend", "--address", address]
+    arguments += ["--settings", codec.to_json(settings)]
+    program = [sys.executable, "-m", "bridgecross_standins.main"]
+    return processes.Process("rapor-1", [*program, *arguments], folder)
+
+
+async def _await_server(client: httpx.AsyncClient) -> None:
+    with anyio.fail_after(20.0):
+        while True:
+            with contextlib.suppress(httpx.TransportError):
+                await client.get("/report")
+                return
+            await anyio.sleep(0.05)
+
+
+async def _stop_once(process, client, front: Front, draws) -> None:
+    """Gives a lease, and stops the busy server until it is over."""
+    await front.give_lease(LEASE_MS)
+    async with anyio.create_task_group() as tasks:
+
+        async def call() -> None:
+            while time.monotonic() < front.leases[-1].until_s:
+                await _write(client)
+
+        for _ in range(CALLERS):
+            tasks.start_soon(call)
+        await anyio.sleep(draws.uniform(0.0, LEASE_MS / 1_000))
+        process.signal(signal.SIGSTOP)
+        left_s = front.leases[-1].until_s - time.monotonic()
+        await anyio.sleep(max(left_s, 0.0) + 0.02)
+        process.signal(signal.SIGCONT)
