Look at the lease after the effect, not before it, in the server stand-in

Cause: the stand-in judged its lease inside the slot, left a task group, and took effect and stamped it some turns of the event loop later. A stop that falls in between puts the effect after the lease. Class: a look at a right, then an act, with a stop or a wait in between; even in one step, a look before the act proves nothing about it.

Ruled out: a lease that the front took for over too early (the series of stops has no front that gives keys on, and shows the effects after the server's own lease); a wrong clock (one machine, one monotonic clock).

--- a/libs/bridgecross-standins/src/bridgecross_standins/backend_standin.py
+++ b/libs/bridgecross-standins/src/bridgecross_standins/backend_standin.py
@@ -121,6 +121,12 @@
     ticket: _Ticket
     # The lease under which it began.
     lease_number: int
+    # When it came, monotonic.
+    began_s: float
+    # What became of it.
+    deed: Deed = Deed.CANCELLED
+    # The value of its key after the effect.
+    value: int = 0
 
 
 class BackendStandin:
@@ -229,24 +235,18 @@
         full = self._waiting >= self._settings.backlog
         if self.faults.shed_all or full:
             return self._refuse(ticket, Deed.SHED, began_s)
-        running = _Running(ticket, self._lease_number)
+        running = _Running(ticket, self._lease_number, began_s)
         self._running.append(running)
         try:
-            deed = await self._do(request, running)
+            await self._do(request, running)
         finally:
             self._running.remove(running)
-        if deed is not Deed.RAN:
-            return self._refuse(ticket, deed, began_s)
-        self._write(ticket, Deed.RAN, began_s)
-        value = self._values.get(ticket.key, 0)
-        if ticket.method not in {"GET", "HEAD"}:
-            value += 1
-            self._values[ticket.key] = value
-        return self._answer(ticket, value)
-
-    async def _do(self, request: requests.Request, running: _Running) -> Deed:
+        if running.deed is not Deed.RAN:
+            return self._refuse(ticket, running.deed, began_s)
+        return self._answer(ticket, running.value)
+
+    async def _do(self, request: requests.Request, running: _Running) -> None:
         """Spends the service time, unless the caller goes away."""
-        deed = Deed.CANCELLED
         async with anyio.create_task_group() as tasks:
 
             async def watch() -> None:
@@ -255,12 +255,11 @@
                 tasks.cancel_scope.cancel()
 
             tasks.start_soon(watch)
-            deed = await self._spend_slot(running)
+            await self._spend_slot(running)
             tasks.cancel_scope.cancel()
-        return deed
 
-    async def _spend_slot(self, running: _Running) -> Deed:
-        """Waits for a slot and spends the service time in it."""
+    async def _spend_slot(self, running: _Running) -> None:
+        """Waits for a slot, spends the service time in it, and takes effect."""
         self._waiting += 1
         try:
             await self._slots.acquire_on_behalf_of(running)
@@ -268,12 +267,32 @@
             self._waiting -= 1
         try:
             await anyio.sleep(self._find_service_s())
-            return self._judge_end(running)
+            self._take_effect(running)
         finally:
             self._slots.release_on_behalf_of(running)
 
-    def _judge_end(self, running: _Running) -> Deed:
-        """Decides at the moment of effect: the last look at the fence.
+    def _take_effect(self, running: _Running) -> None:
+        """Changes the value, and changes it back if that came too late.
+
+        The process may be stopped between any two steps. A look before the
+        effect would therefore prove nothing; the look after it proves that the
+        effect came in time, and is the moment that the journal names. Nothing
+        is awaited, so nobody sees a value that is changed back.
+        """
+        ticket = running.ticket
+        before = self._values.get(ticket.key, 0)
+        is_write = ticket.method not in {"GET", "HEAD"}
+        running.value = before + is_write
+        self._values[ticket.key] = running.value
+        ended_s = time.monotonic()
+        running.deed = self._judge(running, ended_s)
+        if running.deed is Deed.RAN:
+            self._write(ticket, Deed.RAN, running.began_s, ended_s)
+        else:
+            self._values[ticket.key] = before
+
+    def _judge(self, running: _Running, ended_s: float) -> Deed:
+        """Decides what an effect at a moment counts as.
 
         A request may end under a grant that was taken away, as the reply to
         the taking has named it as held, but not once the lease that it began
@@ -281,8 +300,9 @@
         """
         if time.time() * 1_000 > running.ticket.deadline_ms:
             return Deed.LATE
+        has_lease = ended_s * 1_000 < self._lease_until_ms
         if self._settings.checks_fences and (
-            not self._has_lease() or running.lease_number != self._lease_number
+            not has_lease or running.lease_number != self._lease_number
         ):
             return Deed.FENCED
         return Deed.RAN
@@ -305,7 +325,7 @@
         self, ticket: _Ticket, deed: Deed, began_s: float
     ) -> responses.Response:
         """Journals and answers a request that was not run."""
-        self._write(ticket, deed, began_s)
+        self._write(ticket, deed, began_s, time.monotonic())
         refusal = {
             Deed.FENCED: backends.REFUSED_BY_FENCE,
             Deed.SHED: backends.REFUSED_TO_SHED,
@@ -315,7 +335,9 @@
             status_code=503, headers={name: refusal.decode()}
         )
 
-    def _write(self, ticket: _Ticket, deed: Deed, began_s: float) -> None:
+    def _write(
+        self, ticket: _Ticket, deed: Deed, began_s: float, ended_s: float
+    ) -> None:
         """Adds a line to the journal."""
         self._entries += 1
         if self._journal is None:
@@ -324,7 +346,7 @@
             number=self._entries,
             deed=deed,
             began_s=began_s,
-            ended_s=time.monotonic(),
+            ended_s=ended_s,
             server=self._settings.server,
             service=ticket.service,
             key=ticket.key,
