Tests, failing: answers of a front that was replaced; logs of unanswered requests

What was missing to tell why: callers' requests without an answer, the balancer's looks and the instances' time line are now written beside the servers' journals (tests/test_house.py), and an instance logs each request that it does not answer, a line a second for those that end alike (_unanswered.py).

Ruled out by them: a balancer that finds no instance ready (all looks are 200). Seen: "entry-2 did not answer before it was replaced" 70 times, entry-1 25, entry-3 17, with 2 s and more left, of requests that the servers' journals have as run; in the time line three changes of coordinator within 0.2 s beside living instances, fronts of servers changing hands, and 10 retries, the whole reserve, spent within a millisecond.

test_routing.py: 4 of the 6 cases of a front that was replaced fail on the code as it is.

--- a/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
@@ -12,6 +12,7 @@
 from bridgecross_daemon import _platform
 from bridgecross_daemon import _service
 from bridgecross_daemon import _snapshots
+from bridgecross_daemon import _unanswered
 from bridgecross_daemon import control
 from bridgecross_daemon import peering
 from bridgecross_daemon import ports
@@ -134,6 +135,7 @@
             self._control_appender,
             self._clock,
         )
+        self._unanswered = _unanswered.UnansweredLog(self._me, self._clock)
         self._services: dict[ids.ServiceName, _service.ServiceParts] = {}
         self._applied_version = ids.NO_OFFSET
         self._in_flight = 0
@@ -210,6 +212,8 @@
     async def handle(self, request: requests.Request) -> outcomes.Outcome:
         """Takes a request to the owner of its key."""
         outcome = await self._services[request.service].router.handle(request)
+        if not isinstance(outcome, outcomes.Answered):
+            self._unanswered.note(request, outcome)
         if isinstance(outcome, outcomes.NotRun):
             self._ring.add(
                 events.RequestRefused(
--- /dev/null
+++ b/libs/bridgecross-daemon/tests/test_unanswered.py
@@ -0,0 +1,78 @@
+import loguru
+import pytest
+
+from bridgecross_core import ids
+from bridgecross_core import outcomes
+from bridgecross_daemon import _unanswered
+from bridgecross_request import requests
+
+UNKNOWN = outcomes.Unknown("the server did not answer")
+NOT_RUN = outcomes.NotRun(
+    outcomes.NotRunProof.REFUSED_BY_ADMISSION, "the key has no owner"
+)
+
+
+class Clock:
+    now_s = 100.0
+
+    def monotonic_s(self):
+        return self.now_s
+
+    def wall_s(self):
+        return self.now_s
+
+
+def _request(number: int) -> requests.Request:
+    return requests.Request(
+        request_id=f"id-{number}",
+        service=ids.ServiceName("rapor"),
+        key="k",
+        caller="demir",
+        tier="gold",
+        method="PUT",
+        target="/v1/rapor/k",
+        headers=(),
+        body=b"",
+        deadline_s=103.0,
+        idempotency_key="",
+    )
+
+
+@pytest.fixture
+def lines():
+    written = []
+    sink = loguru.logger.add(written.append, format="{message}")
+    yield written
+    loguru.logger.remove(sink)
+
+
+def test_a_line_names_the_request_its_outcome_and_the_reason(lines):
+    log = _unanswered.UnansweredLog(ids.InstanceId("entry-1"), Clock())
+    log.note(_request(1), UNKNOWN)
+    assert lines == [
+        "entry-1: id-1 rapor/k Unknown: the server did not answer; "
+        "3.000 s left, 0 more like it\n"
+    ]
+
+
+def test_many_alike_are_one_line_a_second_and_counted(lines):
+    clock = Clock()
+    log = _unanswered.UnansweredLog(ids.InstanceId("entry-1"), clock)
+    for number in range(50):
+        log.note(_request(number), UNKNOWN)
+    log.note(_request(50), NOT_RUN)
+    assert len(lines) == 2
+    clock.now_s += 1.0
+    log.note(_request(51), UNKNOWN)
+    assert "id-51" in lines[2]
+    assert "49 more like it" in lines[2]
+
+
+def test_reasons_without_end_take_no_memory_without_end(lines):
+    clock = Clock()
+    log = _unanswered.UnansweredLog(ids.InstanceId("entry-1"), clock)
+    for number in range(1_000):
+        clock.now_s += 0.1
+        log.note(_request(number), outcomes.Unknown(f"reason {number}"))
+    assert len(lines) == 1_000
+    assert len(log._told) <= 100
--- a/libs/bridgecross-request/tests/test_routing.py
+++ b/libs/bridgecross-request/tests/test_routing.py
@@ -1,6 +1,8 @@
 import random
 from typing import Any
+from typing import NamedTuple
 
+import anyio
 import pytest
 
 from bridgecross_core import clock
@@ -43,14 +45,29 @@
         raise AssertionError("the front is this instance")
 
 
-def _route(script: _Script, **settings: Any) -> routing.Router:
+def _make_cell(front: ids.InstanceId) -> cells.Cell:
     cell = cells.Cell(ids.ServiceName("rapor"))
     cell.slices = [cells.SliceState(SERVER, ids.Token(1), ())]
+    _seat(cell, front, 1)
+    return cell
+
+
+def _seat(cell: cells.Cell, front: ids.InstanceId, token: int) -> None:
+    """Makes an instance the front of the server."""
     cell.fronts[SERVER] = cells.FrontState(
-        ME, ids.Token(1), (), ids.ServerId(""), ()
+        front, ids.Token(token), (), ids.ServerId(""), ()
     )
+
+
+def _route(script: _Script, **settings: Any) -> routing.Router:
+    ports = _make_ports(_make_cell(ME), script)
+    limits = {"budget_ratio": 0.1, "max_attempts": 3} | settings
+    return routing.Router(retries.RetrySettings(**limits), ports)
+
+
+def _make_ports(cell: cells.Cell, script: Any) -> routing.RouterPorts:
     system = clock.SystemClock()
-    ports = routing.RouterPorts(
+    return routing.RouterPorts(
         me=ME,
         cell=cell,
         changed=pulse.Pulse(),
@@ -60,11 +77,11 @@
         ring=ring.Ring(ring.RingSettings("t"), stamps.HybridClock(system)),
         randomness=random.Random(1),
     )
-    limits = {"budget_ratio": 0.1, "max_attempts": 3} | settings
-    return routing.Router(retries.RetrySettings(**limits), ports)
 
 
-def _request(method: str, key: str = "") -> requests.Request:
+def _request(
+    method: str, key: str = "", limit_s: float = 5.0
+) -> requests.Request:
     return requests.Request(
         request_id="r",
         service=ids.ServiceName("rapor"),
@@ -75,7 +92,7 @@
         target="/",
         headers=(),
         body=b"",
-        deadline_s=clock.SystemClock().monotonic_s() + 5.0,
+        deadline_s=clock.SystemClock().monotonic_s() + limit_s,
         idempotency_key=key,
     )
 
@@ -114,3 +131,140 @@
     for _ in range(200):
         await router.handle(_request("GET"))
     assert runner.runs <= 200 * 1.1 + 11
+
+
+class _Answers(NamedTuple):
+    """What a front answers, and how long that takes."""
+
+    after_s: float
+    outcome: outcomes.Outcome
+
+
+NEVER = _Answers(100.0, UNKNOWN)
+FIRST = ids.InstanceId("entry-2")
+SECOND = ids.InstanceId("entry-3")
+BY_FIRST = outcomes.Answered(200, (), b"by the first")
+BY_SECOND = outcomes.Answered(200, (), b"by the second")
+
+
+class _Fronts:
+    """Fronts on other instances, which answer after a time."""
+
+    def __init__(self, answers: dict[ids.InstanceId, _Answers]) -> None:
+        self._answers = answers
+        self.sent: list[ids.InstanceId] = []
+        self.cut: list[ids.InstanceId] = []
+
+    async def run(self, request: requests.Request) -> outcomes.Outcome:
+        raise AssertionError("the front is another instance")
+
+    async def forward(
+        self, instance: ids.InstanceId, request: requests.Request
+    ) -> outcomes.Outcome:
+        self.sent.append(instance)
+        try:
+            await anyio.sleep(self._answers[instance].after_s)
+        except BaseException:
+            self.cut.append(instance)
+            raise
+        return self._answers[instance].outcome
+
+
+# What the first and the second front answer, the retries that are left, and
+# what the caller is told.
+REPLACED = {
+    "the first is alive, and no retry is left": (
+        _Answers(0.2, BY_FIRST),
+        NEVER,
+        0,
+        BY_FIRST,
+    ),
+    "the first answers before the second": (
+        _Answers(0.2, BY_FIRST),
+        NEVER,
+        9,
+        BY_FIRST,
+    ),
+    "the first is frozen": (NEVER, _Answers(0.05, BY_SECOND), 9, BY_SECOND),
+    "the first is frozen, the second answers late": (
+        NEVER,
+        _Answers(0.3, BY_SECOND),
+        9,
+        BY_SECOND,
+    ),
+    "the second knows of nothing, the first answers": (
+        _Answers(0.3, BY_FIRST),
+        _Answers(0.05, SHED),
+        9,
+        BY_FIRST,
+    ),
+    "the first breaks off, and no retry is left": (
+        _Answers(0.2, UNKNOWN),
+        NEVER,
+        0,
+        UNKNOWN,
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "retries_count", "told"),
+    REPLACED.values(),
+    ids=REPLACED.keys(),
+)
+async def test_an_answer_of_a_front_that_was_replaced_is_delivered(
+    first, second, retries_count, told
+):
+    """The server has run the request, and its caller was told 504.
+
+    A house lost a server, and on a busy machine its instances took one another
+    for lost as well: the log named other fronts for servers, some of them
+    twice in a second. With each such record an instance broke off all requests
+    that it had forwarded to the earlier front, though that one lived and would
+    have answered. They count as retries, and ten are allowed at once: the rest,
+    70 requests in one run, were told "entry-2 did not answer before it was
+    replaced" with more than two seconds left, while the servers' journals show
+    that they ran.
+    """
+    fronts = _Fronts({FIRST: first, SECOND: second})
+    cell = _make_cell(FIRST)
+    ports = _make_ports(cell, fronts)
+    router = routing.Router(retries.RetrySettings(0.0, 3), ports)
+    for _ in range(10 - retries_count):
+        router._budget.spend()
+    told_outcomes = []
+
+    async def ask() -> None:
+        told_outcomes.append(await router.handle(_request("PUT", limit_s=1.0)))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask)
+        await anyio.sleep(0.05)
+        _seat(cell, SECOND, 2)
+        ports.changed.notify()
+    assert told_outcomes == [told]
+    assert fronts.sent[0] == FIRST
+    assert fronts.sent[1:] == [SECOND] * bool(retries_count)
+
+
+async def test_no_attempt_outlives_its_request():
+    fronts = _Fronts({FIRST: NEVER, SECOND: _Answers(0.05, BY_SECOND)})
+    cell = _make_cell(FIRST)
+    ports = _make_ports(cell, fronts)
+    router = routing.Router(retries.RetrySettings(0.1, 3), ports)
+    with anyio.move_on_after(0.1):
+        await router.handle(_request("PUT"))
+    assert fronts.cut == [FIRST]
+
+
+async def test_a_frozen_front_costs_no_more_than_the_deadline():
+    fronts = _Fronts({FIRST: NEVER, SECOND: NEVER})
+    cell = _make_cell(FIRST)
+    router = routing.Router(
+        retries.RetrySettings(0.1, 3), _make_ports(cell, fronts)
+    )
+    begun_s = anyio.current_time()
+    outcome = await router.handle(_request("PUT", limit_s=0.3))
+    assert isinstance(outcome, outcomes.Unknown)
+    assert 0.3 <= anyio.current_time() - begun_s < 0.6
+    assert fronts.cut == [FIRST]
--- a/libs/bridgecross-standins/src/bridgecross_standins/balancer.py
+++ b/libs/bridgecross-standins/src/bridgecross_standins/balancer.py
@@ -1,5 +1,8 @@
 """A stand-in for the platform's balancer, which avoids unready instances."""
 
+import time
+from typing import NamedTuple
+
 import anyio
 import anyio.abc
 import httpx
@@ -9,6 +12,16 @@
 _HTTP_OK = 200
 
 
+class Look(NamedTuple):
+    """What the instances answered at one time, each by its caller URL."""
+
+    # Monotonic, when the last of them had answered.
+    at_s: float
+    # From the first question to the last answer.
+    took_s: float
+    answers: dict[str, str]
+
+
 class Balancer:
     """Chooses a ready entry instance for each request, in turn."""
 
@@ -21,6 +34,8 @@
         self._admin_urls = admin_urls
         self._ready: list[str] = []
         self._turn = 0
+        # The looks at which something was other than at the one before.
+        self.looks: list[Look] = []
 
     def choose(self) -> str | None:
         """Returns the base URL of a ready instance, or None."""
@@ -47,15 +62,22 @@
     async def check(self, client: httpx.AsyncClient) -> None:
         """Asks every instance once, all at the same time."""
         ready: dict[str, bool] = {}
+        answers: dict[str, str] = {}
+        begun_s = time.monotonic()
 
         async def ask(caller_url: str, admin_url: str) -> None:
             try:
                 response = await client.get(f"{admin_url}/readyz")
                 ready[caller_url] = response.status_code == _HTTP_OK
-            except httpx.HTTPError:
+                answers[caller_url] = str(response.status_code)
+            except httpx.HTTPError as error:
                 ready[caller_url] = False
+                answers[caller_url] = repr(error)
 
         async with anyio.create_task_group() as tasks:
             for caller_url, admin_url in self._admin_urls.items():
                 tasks.start_soon(ask, caller_url, admin_url)
         self._ready = [url for url in self._admin_urls if ready[url]]
+        if not self.looks or self.looks[-1].answers != answers:
+            now_s = time.monotonic()
+            self.looks.append(Look(now_s, now_s - begun_s, answers))
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -360,7 +360,26 @@
             await _await_recovery(prober)
             prober.stop()
         tasks.cancel_scope.cancel()
-    return sorted(prober.probes, key=lambda probe: probe.sent_s)
+    probes = sorted(prober.probes, key=lambda probe: probe.sent_s)
+    await _keep_record(house, probes, chooser)
+    return probes
+
+
+async def _keep_record(
+    house: processes.House,
+    probes: list[probing.Probe],
+    chooser: balancer.Balancer,
+) -> None:
+    """Writes what all saw, for a test that fails."""
+    records = {
+        "timeline": await house_tools.read_timeline(house),
+        "callers": [p for p in probes if p.outcome != "answered"],
+        "balancer": chooser.looks,
+    }
+    for name, lines in records.items():
+        path = house.shape.folder / f"{name}.journal"
+        text = "".join(f"{codec.to_json(line)}\n" for line in lines)
+        path.write_text(text, encoding="utf-8")
 
 
 async def _await_recovery(prober: probing.Prober) -> None:
