Keep what was forwarded to a front that is replaced, until it answers

Cause: with each change of a server's front in the log an instance broke off all that it had forwarded to the earlier front, alive or not, and each counted as a retry; ten are allowed at once. On a busy machine instances take one another for lost (three heartbeats of 250 ms), so fronts change hands while all live.

Change: an attempt at a front that was replaced goes on beside the next one; the first answer counts. Where no retry is left, its end is waited for: an answer is delivered, and "I am not the front any more" leads to the next front without a retry. No retry is spent once the time is over.

--- a/libs/bridgecross-request/src/bridgecross_request/routing.py
+++ b/libs/bridgecross-request/src/bridgecross_request/routing.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 import anyio
+import anyio.abc
 
 from bridgecross_core import clock as clocks
 from bridgecross_core import hashing
@@ -61,6 +62,74 @@
     front: cells.FrontState
 
 
+class _Forward:
+    """One attempt on another instance."""
+
+    def __init__(self, front: ids.InstanceId) -> None:
+        """Has not ended."""
+        self.front = front
+        # What became of it; None while it goes on.
+        self.outcome: outcomes.Outcome | None = None
+
+
+class _Forwards:
+    """The attempts of one request on other instances.
+
+    One whose front the log replaces goes on: that front may be alive, and its
+    answer is as good as any. Broken off, a request that has run would be told
+    as one that may have, and all that a front had in hand would at once ask
+    for the few retries that are allowed.
+    """
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        request: requests.Request,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Has none yet."""
+        # Why one of those that have ended may have run; None if none may.
+        self.doubt: outcomes.Unknown | None = None
+        self._forwarder = forwarder
+        self._request = request
+        self._tasks = tasks
+        self._running: list[_Forward] = []
+        # Those that have ended and that nobody has looked at.
+        self._ended: list[_Forward] = []
+        self._changed = pulse.Pulse()
+
+    def start(self, front: ids.InstanceId) -> _Forward:
+        """Begins an attempt."""
+        forward = _Forward(front)
+        self._running.append(forward)
+        self._tasks.start_soon(self._run, forward)
+        return forward
+
+    async def wait_end(self, timeout_s: float) -> _Forward | None:
+        """Returns the next attempt that ends; None if none does in time."""
+        await self._changed.wait_until(
+            lambda: bool(self._ended) or not self._running, timeout_s
+        )
+        return self._ended.pop(0) if self._ended else None
+
+    def describe_running(self) -> outcomes.Unknown | None:
+        """Returns what is told of attempts that have not ended, if any."""
+        if not self._running:
+            return None
+        front = self._running[-1].front
+        return outcomes.Unknown(f"{front} did not answer before the deadline")
+
+    async def _run(self, forward: _Forward) -> None:
+        """Carries out an attempt."""
+        outcome = await self._forwarder.forward(forward.front, self._request)
+        if isinstance(outcome, outcomes.Unknown):
+            self.doubt = outcome
+        forward.outcome = outcome
+        self._running.remove(forward)
+        self._ended.append(forward)
+        self._changed.notify()
+
+
 class Router:
     """Routes the requests of one service."""
 
@@ -88,6 +157,16 @@
         as not run only if no attempt at all may have run.
         """
         self._budget.earn()
+        async with anyio.create_task_group() as tasks:
+            forwards = _Forwards(self._ports.forwarder, request, tasks)
+            outcome = await self._try_routes(request, forwards)
+            tasks.cancel_scope.cancel()
+        return outcome
+
+    async def _try_routes(
+        self, request: requests.Request, forwards: _Forwards
+    ) -> outcomes.Outcome:
+        """Tries one route after another."""
         doubt: outcomes.Unknown | None = None
         attempt = 1
         last: outcomes.Outcome = _no_owner()
@@ -96,7 +175,17 @@
             if route is None:
                 await self._wait_for_change(request, _ROUTE_WAIT_S)
                 continue
-            last = await self._try_route(request, route)
+            ended = await self._try_route(request, route, forwards)
+            if ended is None:
+                last = _describe_replaced(route)
+                if self._may_retry(request, last, attempt):
+                    await self._back_off(request, last, attempt)
+                    attempt += 1
+                    continue
+                ended = await self._await_replaced(request, forwards)
+            if ended is None:
+                break
+            last = ended
             if isinstance(last, outcomes.Unknown):
                 doubt = last
             if self._is_stale_route(last):
@@ -106,7 +195,29 @@
                 break
             await self._back_off(request, last, attempt)
             attempt += 1
-        return doubt if doubt and isinstance(last, outcomes.NotRun) else last
+        return await self._conclude(request, last, doubt, forwards)
+
+    async def _await_replaced(
+        self, request: requests.Request, forwards: _Forwards
+    ) -> outcomes.Outcome | None:
+        """Returns what a front that was replaced answers after all."""
+        forward = await forwards.wait_end(self._left_s(request))
+        return None if forward is None else forward.outcome
+
+    async def _conclude(
+        self,
+        request: requests.Request,
+        last: outcomes.Outcome,
+        doubt: outcomes.Unknown | None,
+        forwards: _Forwards,
+    ) -> outcomes.Outcome:
+        """Returns the truth; what is under way may still be answered."""
+        if isinstance(last, outcomes.Answered):
+            return last
+        while forward := await forwards.wait_end(self._left_s(request)):
+            if isinstance(forward.outcome, outcomes.Answered):
+                return forward.outcome
+        return doubt or forwards.doubt or forwards.describe_running() or last
 
     async def _wait_for_change(
         self, request: requests.Request, longest_s: float
@@ -140,47 +251,55 @@
         return None if front is None else _Route(server, front)
 
     async def _try_route(
-        self, request: requests.Request, route: _Route
-    ) -> outcomes.Outcome:
-        """Tries a route once."""
+        self, request: requests.Request, route: _Route, forwards: _Forwards
+    ) -> outcomes.Outcome | None:
+        """Tries a route once; None if its front was replaced meanwhile."""
         if route.front.front == self._ports.me:
             return await self._ports.runner.run(request)
         if not request.may_repeat:
             return await self._ports.forwarder.forward(
                 route.front.front, request
             )
-        return await self._forward_while_current(request, route)
+        return await self._forward_while_current(request, route, forwards)
 
     async def _forward_while_current(
-        self, request: requests.Request, route: _Route
-    ) -> outcomes.Outcome:
-        """Forwards a repeatable request; gives up if the front changes.
+        self, request: requests.Request, route: _Route, forwards: _Forwards
+    ) -> outcomes.Outcome | None:
+        """Forwards a repeatable request, and waits while its front stands.
 
         A front that is frozen never answers. Once the log names another, a
-        request that may be repeated need not wait for it.
-        """
-        answer: outcomes.Outcome | None = None
-        changed = False
-
-        async def forward(scope: anyio.CancelScope) -> None:
-            nonlocal answer
-            answer = await self._ports.forwarder.forward(
-                route.front.front, request
-            )
-            scope.cancel()
+        request that may be repeated need not wait for it alone.
 
+        Returns:
+            What became of it, or an answer to an earlier attempt; None if the
+            front was replaced or the deadline has passed.
+        """
+        outcome: outcomes.Outcome | None = None
+        forward = forwards.start(route.front.front)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(forward, tasks.cancel_scope)
-            changed = await self._ports.changed.wait_until(
-                lambda: (
-                    self._ports.cell.fronts.get(route.server) != route.front
-                ),
-                self._left_s(request),
+            tasks.start_soon(
+                self._await_replacement, request, route, tasks.cancel_scope
             )
+            while ended := await forwards.wait_end(self._left_s(request)):
+                is_answer = isinstance(ended.outcome, outcomes.Answered)
+                if ended is forward or is_answer:
+                    outcome = ended.outcome
+                    break
             tasks.cancel_scope.cancel()
-        when = "it was replaced" if changed else "the deadline"
-        reason = f"{route.front.front} did not answer before {when}"
-        return answer or outcomes.Unknown(reason)
+        return outcome
+
+    async def _await_replacement(
+        self,
+        request: requests.Request,
+        route: _Route,
+        scope: anyio.CancelScope,
+    ) -> None:
+        """Cancels a scope once the log names another front."""
+        await self._ports.changed.wait_until(
+            lambda: self._ports.cell.fronts.get(route.server) != route.front,
+            self._left_s(request),
+        )
+        scope.cancel()
 
     def _is_stale_route(self, outcome: outcomes.Outcome) -> bool:
         """Returns whether only the view of the log was old."""
@@ -205,6 +324,8 @@
             return False
         if attempt >= self._budget.settings.max_attempts:
             return False
+        if self._left_s(request) <= 0:
+            return False
         return self._budget.spend()
 
     def _left_s(self, request: requests.Request) -> float:
@@ -212,6 +333,13 @@
         return request.deadline_s - self._ports.clock.monotonic_s()
 
 
+def _describe_replaced(route: _Route) -> outcomes.Unknown:
+    """Returns what is known of an attempt whose front was replaced."""
+    return outcomes.Unknown(
+        f"{route.front.front} did not answer before it was replaced"
+    )
+
+
 def _no_owner() -> outcomes.NotRun:
     """Returns the outcome of a request whose key has no owner."""
     return outcomes.NotRun(
