The order of ten events: its test as it was written, and a postmortem

What replaced it then stays under another name, as strict: pytest.raises of the refused event has become the list of exactly the two events that are refused.

--- a/libs/bridgecross-emulator/src/bridgecross_emulator/ownership_model.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/ownership_model.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 import dataclasses
 from typing import NamedTuple
+from typing import Protocol
 
 LEASE_TICKS = 2
 """How long a server holds the key after it has taken an order."""
@@ -26,6 +27,18 @@
 _SERVERS = (0, 1)
 _LEADERS = (0, 1)
 _NOBODY = -1
+_SERVER_VERBS = ("ends", "leaves", "starts again")
+_LEADER_VERBS = (
+    "claims",
+    "reads who claimed",
+    "reads of a start",
+    "has waited for the lease",
+    "is answered a release",
+    "is refused",
+    "renews",
+    "gives",
+    "moves the key",
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,6 +127,24 @@
     orders: frozenset[Order]
 
 
+class HasServers(Protocol):
+    """Something that says how the servers are."""
+
+    @property
+    def servers(self) -> tuple[Server, Server]:
+        """The servers."""
+
+
+class Replayed(NamedTuple):
+    """What came of some events."""
+
+    # The servers after the last of them.
+    servers: tuple[Server, Server]
+    state: State
+    # Those that the rules did not let happen; they left the state as it was.
+    refused: tuple[str, ...]
+
+
 class Step(NamedTuple):
     """An event, and the state after it."""
 
@@ -163,8 +194,13 @@
         depth: The number of events in an order, without the first ones.
         token_max: The highest token that is given out.
         first: The events that all the orders begin with.
+
+    Raises:
+        ValueError: Some of the first events cannot happen.
     """
-    start = replay(rules, first, token_max)
+    start, refused = _replay(rules, first, token_max)
+    if refused:
+        raise ValueError(f"cannot happen at their turn: {refused}")
     came_from: dict[State, Step | None] = {start: None}
     waiting = collections.deque([(start, 0)])
     while waiting:
@@ -180,21 +216,51 @@
     return Explored(len(came_from), None)
 
 
-def count_holders(state: State) -> int:
+def count_holders(reached: HasServers) -> int:
     """Returns how many servers hold the key."""
-    return sum(server.holds_ticks > 0 for server in state.servers)
+    return sum(server.holds_ticks > 0 for server in reached.servers)
 
 
-def replay(rules: Rules, events: tuple[str, ...], token_max: int = 3) -> State:
-    """Returns the state after some events, in their order.
+def replay(
+    rules: Rules, events: tuple[str, ...], token_max: int = 3
+) -> Replayed:
+    """Attempts some events in their order.
 
     Raises:
-        KeyError: One of them cannot happen at its turn.
+        KeyError: There is no such event.
     """
+    state, refused = _replay(rules, events, token_max)
+    return Replayed(state.servers, state, refused)
+
+
+def _replay(
+    rules: Rules, events: tuple[str, ...], token_max: int
+) -> tuple[State, tuple[str, ...]]:
+    """Returns the state after some events, and those that did not happen."""
+    known = _list_names(token_max)
     state = START
+    refused = []
     for event in events:
-        state = dict(_events(state, rules, token_max))[event]
-    return state
+        if event not in known:
+            raise KeyError(event)
+        possible = dict(_events(state, rules, token_max))
+        if event in possible:
+            state = possible[event]
+        else:
+            refused.append(event)
+    return state, tuple(refused)
+
+
+def _list_names(token_max: int) -> set[str]:
+    """Returns the names of all events."""
+    names = {"time passes", "log toggles"}
+    for index in _SERVERS:
+        tokens = range(1, token_max + 1)
+        names |= {f"server {index} {verb}" for verb in _SERVER_VERBS}
+        names |= {f"server {index} takes token {token}" for token in tokens}
+    for index in _LEADERS:
+        names |= {f"instance {index} {verb}" for verb in _LEADER_VERBS}
+    return names
 
 
 def _trace(
--- a/tests/emulated/test_ownership_model.py
+++ b/tests/emulated/test_ownership_model.py
@@ -1,5 +1,7 @@
 """All orders of events around one key: what counts as proof, and what not."""
 
+import re
+
 import pytest
 
 from bridgecross_emulator import ownership_model as model
@@ -42,7 +44,9 @@
 def test_each_guard_is_needed(rules):
     violation = model.explore(rules, DEPTH).violation
     assert violation is not None
-    assert model.count_holders(model.replay(rules, violation)) == 2
+    replayed = model.replay(rules, violation)
+    assert model.count_holders(replayed) == 2
+    assert replayed.refused == ()
 
 
 RELEASED_AND_RESTARTED = (
@@ -61,9 +65,25 @@
     Found by going through all orders of ten events. The server released the
     range, and started again at once; its new run has seen no token, so it takes
     the renewal. Within 1.5 s of the earlier leader's confirmation, and only if
-    that one does not hear of the later leader. The later one therefore does not
-    give the key yet, so the order of events cannot come about.
+    that one does not hear of the later leader.
     """
+    events = (
+        "instance 1 claims",
+        "instance 1 moves the key",
+        "instance 1 is answered a release",
+        "server 0 ends",
+        "server 0 starts again",
+        "instance 0 renews",
+        "server 0 takes token 1",
+        "instance 1 gives",
+        "server 1 takes token 2",
+    )
+    state = model.replay(model.Rules(), events)
+    assert model.count_holders(state) <= 1
+
+
+def test_a_release_that_an_earlier_leader_may_undo_is_no_proof_yet():
+    """The later leader does not give the key yet, so nobody can take it."""
     renewed = (
         *RELEASED_AND_RESTARTED,
         "instance 0 renews",
@@ -73,10 +93,33 @@
     trusting = model.Rules(releases_wait_for_earlier=False)
     broken = model.replay(trusting, (*renewed, *given))
     assert model.count_holders(broken) == 2
-    state = model.replay(model.Rules(), renewed)
-    assert model.count_holders(state) <= 1
-    with pytest.raises(KeyError, match="instance 1 gives"):
-        model.replay(model.Rules(), (*renewed, *given))
+    assert broken.refused == ()
+    held = model.replay(model.Rules(), renewed)
+    assert model.count_holders(held) <= 1
+    assert held.refused == ()
+    assert model.replay(model.Rules(), (*renewed, *given)).refused == given
+
+
+def test_an_event_that_does_not_exist_is_an_error():
+    with pytest.raises(KeyError, match="instance 1 gifs"):
+        model.replay(model.Rules(), ("instance 1 gifs",))
+    with pytest.raises(ValueError, match="instance 1 gives"):
+        model.explore(model.Rules(), 1, first=("instance 1 gives",))
+
+
+def test_the_names_of_events_are_all_that_there_are():
+    """A name that is missing would be an error where it is a refusal."""
+    every = model.Rules(refusal_is_proof=True)
+    seen: set[str] = set()
+    states = {model.START}
+    for _ in range(6):
+        steps = [s for state in states for s in model._events(state, every, 3)]
+        seen |= {step.event for step in steps}
+        states = {step.state for step in steps}
+    names = model._list_names(3)
+    assert seen <= names
+    kinds = {re.sub(r"\d", "", name) for name in names}
+    assert {re.sub(r"\d", "", name) for name in seen} == kinds
 
 
 def test_nothing_that_follows_such_a_release_gives_a_key_two_holders():
