Ask an earlier front that lives what of it goes on, instead of waiting 30 s

Cause: servers of cizim check no fences. A later front of such a server waits for the earlier one's requests by authority_ms + max_deadline_ms = 31.5 s from when that one has read its replacement, though it lives and has none. Class: the worst case waited out, where the one who knows can be asked.

Change: Office, a message between instances: all is over that this run did as the front of a server, once it has read its replacement and nothing that it sent can run any more. A front that does not answer is waited for as before; one that was replaced before it took the office up has done nothing. Names of instances are runs, so the answer names who gives it. Not for servers that check fences: what goes on there is their lease.

test_fronts.py: with asks_earlier off, as before, the two cases of a front that lives fail. For which keys it counts: those of a server that is lost or moved within 31.5 s after its front changed.

--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
@@ -268,3 +268,12 @@
         if front == self._me:
             return await self._parts.fronts.answer_release(query)
         return await self._peers.await_release(front, query)
+
+    async def is_office_over(
+        self, front: ids.InstanceId, query: releases.OfficeQuery
+    ) -> bool:
+        """Asks an earlier front; see ``releases.ReleaseSource``."""
+        if front == self._me:
+            reply = await self._parts.fronts.answer_office(query)
+            return reply.is_over
+        return await self._peers.is_office_over(front, query)
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
@@ -287,6 +287,15 @@
             return releases.ReleaseReply([])
         return await parts.fronts.answer_release(request)
 
+    async def office(
+        self, request: releases.OfficeQuery
+    ) -> releases.OfficeReply:
+        """Tells whether all is over that this one did as a server's front."""
+        parts = self._services.get(request.service)
+        if parts is None:
+            return releases.OfficeReply(self._me, is_over=False)
+        return await parts.fronts.answer_office(request)
+
     async def news(self, request: peering.NewsRequest) -> peering.NewsReply:
         """Tells what the instance has read of the control stream."""
         return self._news.answer(request)
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peer_client.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_client.py
@@ -180,6 +180,21 @@
         except peering.PeerUnreachableError:
             return releases.ReleaseReply([])
 
+    async def is_office_over(
+        self, front: ids.InstanceId, query: releases.OfficeQuery
+    ) -> bool:
+        """Asks an earlier front; see ``releases.ReleaseSource``."""
+        address = self._addresses.find_peer_address(front)
+        if address is None:
+            return False
+        try:
+            reply = await self._client.call(
+                address, peering.OFFICE, query, _RELEASE_TIMEOUT_S
+            )
+        except peering.PeerUnreachableError:
+            return False
+        return reply.instance == front and reply.is_over
+
 
 def _describe_failure(
     instance: ids.InstanceId, error: peering.PeerUnreachableError
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peer_server.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_server.py
@@ -48,6 +48,11 @@
     ) -> releases.ReleaseReply:
         """Waits until a server has let go of slices."""
 
+    async def office(
+        self, request: releases.OfficeQuery
+    ) -> releases.OfficeReply:
+        """Tells whether all is over that this one did as a front."""
+
     async def news(self, request: peering.NewsRequest) -> peering.NewsReply:
         """Tells what the instance has read of the control stream."""
 
@@ -93,6 +98,7 @@
                             self._handle(
                                 peering.AWAIT_RELEASE, service.await_release
                             ),
+                            self._handle(peering.OFFICE, service.office),
                             self._handle(peering.NEWS, service.news),
                             self._handle(peering.STATUS, service.status),
                             self._handle(peering.OWNER, service.owner),
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peering.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peering.py
@@ -223,6 +223,9 @@
 )
 """Waits until a server has let go of slices."""
 
+OFFICE = Method("Office", releases.OfficeQuery, releases.OfficeReply)
+"""Tells whether all is over that an instance did as a server's front."""
+
 NEWS = Method("News", NewsRequest, NewsReply)
 """Tells what an instance has read of the control stream."""
 
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/_earlier_fronts.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/_earlier_fronts.py
@@ -24,16 +24,24 @@
     aftermath_ms: int
     # The difference in rate that two clocks may have.
     clock_drift_ratio: float
+    # Whether it is asked what of it goes on. A front that lives knows, and
+    # saves waiting for the longest deadline that a caller may name, 30 s by
+    # default, in which the keys of a lost server are served by nobody. Not for
+    # servers that check fences: what goes on there is their lease.
+    asks_earlier: bool
 
 
 class EarlierFrontsPorts(NamedTuple):
-    """What is needed to be sure of earlier fronts.
+    """What is needed to be sure of the earlier fronts of a server.
 
     ``changed`` is notified when all that they did is over.
     """
 
+    service: ids.ServiceName
+    server: ids.ServerId
     authority: authorities.Authority
     witnesses: releases.WitnessSource
+    releases: releases.ReleaseSource
     clock: clocks.Clock
     changed: pulse.Pulse
 
@@ -51,9 +59,10 @@
         self._front = front
         self._settings = settings
         self._ports = ports
-        self._over_at_s = (
-            math.inf if front.earlier else ports.clock.monotonic_s()
-        )
+        self._over_at_s: dict[ids.Token, float] = {
+            earlier.token: math.inf for earlier in front.earlier
+        }
+        self._made_s = ports.clock.monotonic_s()
 
     @property
     def over_at_s(self) -> float:
@@ -61,26 +70,49 @@
 
         Infinite as long as one of them may still act.
         """
-        return self._over_at_s
+        return max(self._over_at_s.values(), default=self._made_s)
 
     async def run(self) -> None:
-        """Waits until all is over.
+        """Waits until all is over."""
+        async with anyio.create_task_group() as tasks:
+            for earlier in self._front.earlier:
+                tasks.start_soon(self._wait_for, earlier)
+
+    async def _wait_for(self, earlier: cells.EarlierFront) -> None:
+        """Waits until all is over that one earlier front did.
 
         An earlier front has stopped if it has read its replacement. One that
         does not answer stops by itself once no witness confirms it any more.
         """
-        if not self._front.earlier:
-            return
-        for earlier in self._front.earlier:
-            while not await self._is_stopped(earlier):
-                await anyio.sleep(_RETRY_S)
+        clock = self._ports.clock
+        while not await self._is_stopped(earlier):
+            await anyio.sleep(_RETRY_S)
         act_ms = self._ports.authority.settings.authority_ms
         act_ms += self._settings.aftermath_ms
         act_s = act_ms / 1_000 * (1 + self._settings.clock_drift_ratio)
-        self._over_at_s = self._ports.clock.monotonic_s() + act_s
-        await anyio.sleep(act_s)
+        until_s = clock.monotonic_s() + act_s
+        self._over_at_s[earlier.token] = until_s
+        while (left_s := until_s - clock.monotonic_s()) > 0:
+            if await self._says_it_is_over(earlier):
+                self._over_at_s[earlier.token] = clock.monotonic_s()
+                break
+            asks = self._settings.asks_earlier
+            await anyio.sleep(min(_RETRY_S, left_s) if asks else left_s)
         self._ports.changed.notify()
 
+    async def _says_it_is_over(self, earlier: cells.EarlierFront) -> bool:
+        """Returns whether an earlier front has nothing under way any more."""
+        if not self._settings.asks_earlier:
+            return False
+        query = releases.OfficeQuery(
+            self._ports.service,
+            self._ports.server,
+            earlier.token,
+            ids.Offset(self._front.token),
+        )
+        source = self._ports.releases
+        return await source.is_office_over(earlier.front, query)
+
     async def _is_stopped(self, earlier: cells.EarlierFront) -> bool:
         """Returns whether an earlier front cannot renew its authority."""
         offset = ids.Offset(self._front.token)
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/fronts.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/fronts.py
@@ -1,5 +1,7 @@
 """The keepers of all servers of a service that this instance fronts."""
 
+from typing import NamedTuple
+
 import anyio
 import anyio.abc
 
@@ -14,6 +16,13 @@
 _UNKNOWN_FRONT_WAIT_S = 0.2
 
 
+class _Office(NamedTuple):
+    """A server, and the token under which an instance is its front."""
+
+    server: ids.ServerId
+    token: ids.Token
+
+
 class Fronts:
     """Starts and stops keepers as the log gives and takes servers."""
 
@@ -25,6 +34,9 @@
         self._ports = ports
         self._keepers: dict[ids.ServerId, keeping.Keeper] = {}
         self._scopes: dict[ids.ServerId, anyio.CancelScope] = {}
+        # The keepers of the offices that this instance holds, and of those
+        # that it held and of which requests may still run.
+        self._held: dict[_Office, keeping.Keeper] = {}
         self._changed = pulse.Pulse()
 
     @property
@@ -63,6 +75,23 @@
             return releases.ReleaseReply([])
         return await keeper.answer_release(query)
 
+    async def answer_office(
+        self, query: releases.OfficeQuery
+    ) -> releases.OfficeReply:
+        """Answers a later front that asks whether an office of ours is over.
+
+        An office that was replaced before this instance took it up is over as
+        soon as the replacement has been read.
+        """
+        cell = self._ports.cell
+        await self._changed.wait_until(
+            lambda: cell.head >= query.head, _UNKNOWN_FRONT_WAIT_S
+        )
+        self._forget_ended()
+        is_held = _Office(query.server, query.front_token) in self._held
+        is_over = cell.head >= query.head and not is_held
+        return releases.OfficeReply(self._ports.me, is_over)
+
     async def run(self) -> None:
         """Follows the cell until it is cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -88,6 +117,7 @@
                 self._stop(server)
             elif cell.fronts[server] != keeper.front:
                 keeper.reseat(cell.fronts[server])
+                self._note_office(keeper)
         for server in mine - self._keepers.keys():
             self._start(server, tasks)
 
@@ -98,6 +128,7 @@
         scope = anyio.CancelScope()
         self._keepers[server] = keeper
         self._scopes[server] = scope
+        self._note_office(keeper)
         self._ports.ring.add(
             events.FrontChanged(
                 self._ports.cell.service, server, front.front, front.token
@@ -105,6 +136,19 @@
         )
         tasks.start_soon(_run_in_scope, keeper, scope)
 
+    def _note_office(self, keeper: keeping.Keeper) -> None:
+        """Keeps who holds an office."""
+        self._forget_ended()
+        self._held[_Office(keeper.server, keeper.front.token)] = keeper
+
+    def _forget_ended(self) -> None:
+        """Forgets the offices that are over."""
+        self._held = {
+            office: keeper
+            for office, keeper in self._held.items()
+            if keeper is self.find(office.server) or not keeper.is_idle()
+        }
+
     def _stop(self, server: ids.ServerId) -> None:
         """Stops the keeper of a server; waiting requests are woken."""
         keeper = self._keepers.pop(server)
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/keeper.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/keeper.py
@@ -263,6 +263,14 @@
             and self.find_grant_token(index) == token
         ]
 
+    def is_idle(self) -> bool:
+        """Returns whether no request of this front can run at the server."""
+        now_s = self._ports.clock.monotonic_s()
+        unanswered = self._busy_until_s.values()
+        return not self._busy and all(
+            until_s <= now_s for until_s in unanswered
+        )
+
     async def answer_release(
         self, query: releases.ReleaseQuery
     ) -> releases.ReleaseReply:
@@ -332,10 +340,14 @@
                 if settings.checks_fences
                 else settings.max_deadline_ms,
                 settings.clock_drift_ratio,
+                asks_earlier=not settings.checks_fences,
             ),
             _earlier_fronts.EarlierFrontsPorts(
+                self._ports.cell.service,
+                self.server,
                 self._ports.authority,
                 self._ports.witnesses,
+                self._ports.releases,
                 self._ports.clock,
                 self.changed,
             ),
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/releases.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/releases.py
@@ -27,6 +27,29 @@
     released: list[ids.SliceIndex]
 
 
+class OfficeQuery(NamedTuple):
+    """Asks whether all is over that an instance did as a server's front.
+
+    ``front_token`` is that of the office that is meant, and ``head`` the record
+    that replaced it: an instance that has not read so far may still act.
+    """
+
+    service: ids.ServiceName
+    server: ids.ServerId
+    front_token: ids.Token
+    head: ids.Offset
+
+
+class OfficeReply(NamedTuple):
+    """Whether nothing of the office is under way or can begin any more.
+
+    ``instance`` answers; another run at the same address knows nothing of it.
+    """
+
+    instance: ids.InstanceId
+    is_over: bool
+
+
 class Bequest(NamedTuple):
     """A slice of a lost server, handed to its heir while the log is silent.
 
@@ -52,6 +75,16 @@
             What has been let go of; nothing if the front cannot be reached.
         """
 
+    async def is_office_over(
+        self, front: ids.InstanceId, query: OfficeQuery
+    ) -> bool:
+        """Returns whether all is certainly over that an earlier front did.
+
+        Args:
+            front: The instance that was the front.
+            query: The office that is meant.
+        """
+
 
 class WitnessSource(Protocol):
     """Asks other instances how far they have read the log."""
--- a/libs/bridgecross-ownership/tests/test_fronts.py
+++ b/libs/bridgecross-ownership/tests/test_fronts.py
@@ -1,3 +1,4 @@
+import dataclasses
 import math
 
 import anyio
@@ -56,24 +57,44 @@
         return leases.LeaseReply(True, "", echo, request.grants, False)
 
 
-class _OthersAreFrozen:
-    """No other instance answers."""
+class _Others:
+    """Other instances, frozen unless they are said to live."""
+
+    def __init__(self) -> None:
+        self.live: set[ids.InstanceId] = {ME}
+        # Those that have nothing under way as an earlier front.
+        self.done: set[ids.InstanceId] = set()
+        self.asked: list[releases.OfficeQuery] = []
 
     async def await_release(
         self, front: ids.InstanceId, query: releases.ReleaseQuery
     ) -> releases.ReleaseReply:
         return releases.ReleaseReply([])
 
+    async def is_office_over(
+        self, front: ids.InstanceId, query: releases.OfficeQuery
+    ) -> bool:
+        self.asked.append(query)
+        return front in self.done
+
     async def has_read(
         self, instance: ids.InstanceId, offset: ids.Offset
     ) -> bool:
-        return instance == ME
+        return instance in self.live
 
 
 class _Bench:
-    """A service of one slice, of which rapor-1 is fronted by this instance."""
+    """A service of one slice, of which rapor-1 is fronted by this instance.
 
-    def __init__(self) -> None:
+    Before it, another instance was the front, if that is asked for.
+    """
+
+    def __init__(
+        self,
+        settings: keeping.KeeperSettings = SETTINGS,
+        *,
+        after_another: bool = False,
+    ) -> None:
         self.cell = cells.Cell(SERVICE)
         self.server = _Server()
         self._append(
@@ -82,14 +103,16 @@
                 records.Claim(SERVICE, ids.Term(-1), OTHER, 1)
             ),
         )
+        if after_another:
+            self.append_front(SERVER, OTHER)
         self.append_front(SERVER, ME)
         self.append_front(ids.ServerId("rapor-2"), OTHER)
         self.append_move("rapor-2")
         clock = clocks.SystemClock()
         hybrid = stamps.HybridClock(clock)
-        frozen = _OthersAreFrozen()
+        self.others = _Others()
         self.fronts = front_sets.Fronts(
-            SETTINGS,
+            settings,
             keeping.KeeperPorts(
                 ME,
                 self.cell,
@@ -97,8 +120,8 @@
                     authorities.AuthoritySettings(100), _FreshNews(), clock
                 ),
                 self.server,
-                frozen,
-                frozen,
+                self.others,
+                self.others,
                 clock,
                 rings.Ring(rings.RingSettings("t"), hybrid),
             ),
@@ -188,3 +211,96 @@
         assert await bench.ask_release() == [0], "it knows what is held"
         assert bench.fronts.find(SERVER) is keeper
         tasks.cancel_scope.cancel()
+
+
+TRUSTING = dataclasses.replace(
+    SETTINGS, checks_fences=False, max_deadline_ms=30_000
+)
+"""Of a service whose servers take every request, whoever sends it."""
+
+
+@pytest.mark.parametrize("becomes_done", [True, False])
+async def test_an_earlier_front_that_lives_is_asked_what_goes_on(becomes_done):
+    """Keys of a lost server were served by nobody for 29 s.
+
+    Its service's servers check no fences, so the requests of an earlier front
+    count as under way until the longest deadline of all is over, 30 s.
+    The fronts of some servers change while a house starts: cizim-1 had its
+    second at 893.7 s, was killed at 895.9 s, and its keys went to cizim-2 at
+    898.9 s, but were not served before 925.2 s, 31.5 s after the change. The
+    earlier front lived all the time and had nothing under way.
+    """
+    bench = _Bench(TRUSTING, after_another=True)
+    bench.others.live.add(OTHER)
+    async with anyio.create_task_group() as tasks:
+        await _run_until_cut_off(bench, tasks)
+        assert await bench.ask_release() == []
+        if becomes_done:
+            bench.others.done.add(OTHER)
+        expected = [0] if becomes_done else []
+        assert await bench.ask_release() == expected
+        tasks.cancel_scope.cancel()
+    office = bench.cell.fronts[SERVER].earlier[0]
+    assert {query.front_token for query in bench.others.asked} == {office.token}
+
+
+async def test_an_earlier_front_of_a_server_with_fences_is_not_asked():
+    """What goes on there is the server's lease."""
+    bench = _Bench(after_another=True)
+    bench.others.live.add(OTHER)
+    bench.others.done.add(OTHER)
+    async with anyio.create_task_group() as tasks:
+        await _run_until_cut_off(bench, tasks)
+        assert await bench.ask_release() == [0], "the server holds nothing"
+        tasks.cancel_scope.cancel()
+    assert bench.others.asked == []
+
+
+async def _ask_office(
+    bench: _Bench, token: ids.Token, head: ids.Offset
+) -> bool:
+    query = releases.OfficeQuery(SERVICE, SERVER, token, head)
+    return (await bench.fronts.answer_office(query)).is_over
+
+
+async def test_an_office_is_over_once_nothing_of_it_can_run():
+    bench = _Bench(TRUSTING)
+    token = bench.cell.fronts[SERVER].token
+    async with anyio.create_task_group() as tasks:
+        await _run_until_cut_off(bench, tasks)
+        keeper = bench.fronts.find(SERVER)
+        assert keeper is not None
+        keeper.enter(ids.SliceIndex(0))
+        keeper.enter(ids.SliceIndex(0))
+        bench.append_front(SERVER, OTHER)
+        bench.fronts.notify()
+        head = bench.cell.head
+        assert not await _ask_office(bench, token, head), "two are under way"
+        keeper.leave(ids.SliceIndex(0), 0.0)
+        keeper.leave(ids.SliceIndex(0), anyio.current_time() + 0.3)
+        assert not await _ask_office(bench, token, head), "one may run on"
+        await anyio.sleep(0.35)
+        assert await _ask_office(bench, token, head)
+        tasks.cancel_scope.cancel()
+
+
+async def test_an_office_that_was_never_taken_up_is_over_once_it_is_read():
+    bench = _Bench(TRUSTING)
+    token = bench.cell.fronts[SERVER].token
+    async with anyio.create_task_group() as tasks:
+        await _run_until_cut_off(bench, tasks)
+        unread = ids.Offset(bench.cell.head + 1)
+        other = ids.Token(token + 1)
+        assert not await _ask_office(bench, other, unread)
+        assert await _ask_office(bench, other, bench.cell.head)
+        assert not await _ask_office(bench, token, unread), "it is the front"
+        tasks.cancel_scope.cancel()
+
+
+async def test_an_office_that_this_instance_holds_now_is_not_over():
+    bench = _Bench(TRUSTING)
+    token = bench.cell.fronts[SERVER].token
+    async with anyio.create_task_group() as tasks:
+        await _run_until_cut_off(bench, tasks)
+        assert not await _ask_office(bench, token, bench.cell.head)
+        tasks.cancel_scope.cancel()
--- a/tests/matrix/fakes.py
+++ b/tests/matrix/fakes.py
@@ -243,6 +243,7 @@
     "Inherit": "inherit",
     "Heartbeat": "heartbeat",
     "AwaitRelease": "await_release",
+    "Office": "office",
     "News": "news",
 }
 
--- a/tests/matrix/guards.py
+++ b/tests/matrix/guards.py
@@ -100,7 +100,7 @@
 
     def build(self: Any, *arguments: Any, **options: Any) -> None:
         original(self, *arguments, **options)
-        self._earlier._over_at_s = 0.0
+        self._earlier._over_at_s.clear()
         self._maybe_held = set()
 
     monkeypatch.setattr(keeper.Keeper, "__init__", build)
