Tell servers a deadline that a stop of the instance cannot make later

The class of the server stand-in's fault (a look, then an act, with a stop in between) in the entrance itself: Runner._send looked at its right, took what was left before the deadline from the monotonic clock, and HttpBackend added it to the wall clock later. An instance stopped in between for 10 s told its server a deadline 10 s too late. Servers that check no fences are protected by nothing else: a key leaves them once the deadlines in flight have passed.

Change: backends.measure_limit reads the wall clock first, then the monotonic one, before the look at the right; both parts of the limit are fixed then. A deadline that has passed is told as it is (it was told as "now").

Looked at and left: HttpLeaseTransport (a lease counts from the server's echo, a stop only shortens it); the platform's entrance tells what is left in milliseconds, taken before a connection is made (0.25 s at most; servers there look at their own leases).

--- a/libs/bridgecross-daemon/src/bridgecross_daemon/serving.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/serving.py
@@ -87,7 +87,7 @@
         def make_backend(
             settings: backends.BackendSettings,
         ) -> backends.HttpBackend:
-            return backends.HttpBackend(settings, self._clock)
+            return backends.HttpBackend(settings)
 
         return ports.InstancePorts(
             clock=self._clock,
--- a/libs/bridgecross-request/src/bridgecross_request/backends.py
+++ b/libs/bridgecross-request/src/bridgecross_request/backends.py
@@ -6,6 +6,7 @@
 
 import httpcore
 
+from bridgecross_core import clock as clocks
 from bridgecross_core import ids
 from bridgecross_core import outcomes
 from bridgecross_request import requests
@@ -48,6 +49,30 @@
     front_token: ids.Token
 
 
+class Limit(NamedTuple):
+    """When a request must be over: on this machine, and for its server."""
+
+    left_s: float
+    until_unix_s: float
+
+
+def measure_limit(clock: clocks.Clock, deadline_s: float) -> Limit:
+    """Returns the limit of a request.
+
+    The wall clock is read first: a process that is stopped between the two
+    readings then tells the server an earlier time, never a later one. For
+    servers that check no fences nothing else ends the requests of a process
+    that was stopped.
+
+    Args:
+        clock: Both clocks of this machine.
+        deadline_s: The deadline on the monotonic one.
+    """
+    wall_s = clock.wall_s()
+    left_s = deadline_s - clock.monotonic_s()
+    return Limit(max(left_s, 0.0), wall_s + left_s)
+
+
 class Backend(Protocol):
     """Sends requests to backend servers."""
 
@@ -56,7 +81,7 @@
         address: str,
         request: requests.Request,
         fence: Fence,
-        left_s: float,
+        limit: Limit,
     ) -> outcomes.Outcome:
         """Sends a request once and returns what became of it.
 
@@ -64,17 +89,10 @@
             address: The server's ``host:port``.
             request: The request.
             fence: What the server checks.
-            left_s: The time that is left before the deadline.
+            limit: When it must be over.
         """
 
 
-class WallClock(Protocol):
-    """The part of a clock that a deadline for another process needs."""
-
-    def wall_s(self) -> float:
-        """Returns seconds since 1970."""
-
-
 @dataclasses.dataclass(frozen=True)
 class BackendSettings:
     """How the servers of a service are connected to."""
@@ -90,10 +108,9 @@
 class HttpBackend:
     """A ``Backend`` over HTTP, with one pool of connections a server."""
 
-    def __init__(self, settings: BackendSettings, clock: WallClock) -> None:
+    def __init__(self, settings: BackendSettings) -> None:
         """Opens no connection yet."""
         self._settings = settings
-        self._clock = clock
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     async def send(
@@ -101,7 +118,7 @@
         address: str,
         request: requests.Request,
         fence: Fence,
-        left_s: float,
+        limit: Limit,
     ) -> outcomes.Outcome:
         """Sends a request once; see ``Backend.send``.
 
@@ -113,9 +130,9 @@
             async with pool.stream(
                 request.method,
                 f"http://{address}{request.target}",
-                headers=self._build_headers(address, request, fence, left_s),
+                headers=build_headers(address, request, fence, limit),
                 content=request.body,
-                extensions={"timeout": _split_timeout(left_s)},
+                extensions={"timeout": _split_timeout(limit.left_s)},
             ) as response:
                 return await self._read_answer(response)
         except (
@@ -153,26 +170,6 @@
             )
         return self._pools[address]
 
-    def _build_headers(
-        self,
-        address: str,
-        request: requests.Request,
-        fence: Fence,
-        left_s: float,
-    ) -> list[tuple[bytes, bytes]]:
-        """Returns the headers to send."""
-        deadline_ms = int((self._clock.wall_s() + left_s) * 1_000)
-        return [
-            (b"host", address.encode()),
-            (b"content-length", b"%d" % len(request.body)),
-            (SLICE_HEADER, b"%d" % fence.slice),
-            (TOKEN_HEADER, b"%d" % fence.token),
-            (FRONT_TOKEN_HEADER, b"%d" % fence.front_token),
-            (DEADLINE_HEADER, b"%d" % deadline_ms),
-            (REQUEST_ID_HEADER, request.request_id.encode()),
-            *request.headers,
-        ]
-
     async def _read_answer(
         self, response: httpcore.Response
     ) -> outcomes.Outcome:
@@ -197,6 +194,22 @@
         )
 
 
+def build_headers(
+    address: str, request: requests.Request, fence: Fence, limit: Limit
+) -> list[tuple[bytes, bytes]]:
+    """Returns the headers of a request as its server gets it."""
+    return [
+        (b"host", address.encode()),
+        (b"content-length", b"%d" % len(request.body)),
+        (SLICE_HEADER, b"%d" % fence.slice),
+        (TOKEN_HEADER, b"%d" % fence.token),
+        (FRONT_TOKEN_HEADER, b"%d" % fence.front_token),
+        (DEADLINE_HEADER, b"%d" % int(limit.until_unix_s * 1_000)),
+        (REQUEST_ID_HEADER, request.request_id.encode()),
+        *request.headers,
+    ]
+
+
 def _split_timeout(left_s: float) -> dict[str, float]:
     """Returns the same limit for each phase that httpcore knows."""
     return dict.fromkeys(("connect", "read", "write", "pool"), left_s)
--- a/libs/bridgecross-request/src/bridgecross_request/runner.py
+++ b/libs/bridgecross-request/src/bridgecross_request/runner.py
@@ -212,16 +212,20 @@
         address = self._ports.addresses.find_address(keeper.server)
         if address is None:
             return _stale("the owner's address is not known")
+        # Taken before the check: if the process is stopped after it, the
+        # server is told a deadline that has passed.
+        limit = backends.measure_limit(
+            self._ports.clock, attempt.request.deadline_s
+        )
         # Checked last: nothing is awaited between the check and the send.
         if not keeper.is_open(attempt.slice, attempt.token):
             return _stale("the owner changed while the request waited")
         fence = backends.Fence(attempt.slice, attempt.token, keeper.front.token)
-        left_s = self._left_s(attempt.request)
         keeper.enter(attempt.slice)
         over_at_s = attempt.request.deadline_s + _WALL_CLOCK_SLACK_S
         try:
             outcome = await self._ports.backend.send(
-                address, attempt.request, fence, left_s
+                address, attempt.request, fence, limit
             )
             if not isinstance(outcome, outcomes.Unknown):
                 over_at_s = 0.0
--- /dev/null
+++ b/libs/bridgecross-request/tests/test_backends.py
@@ -0,0 +1,66 @@
+"""A stop between two readings of the clocks gives a server no more time.
+
+A server that checks no fences is protected by the deadline alone: once a key
+has moved, the requests of an instance that stood still must be over. That
+instance took what was left from one clock and added it to another one later; a
+stop in between made the deadline later by as much.
+"""
+
+import time
+
+import pytest
+
+from bridgecross_request import backends
+
+STOP_S = 10.0
+NOW_S = 1_000.0
+WALL_S = 5_000.0
+
+
+class StoppingClock:
+    """Two clocks that go on, and a stop before one of their readings."""
+
+    def __init__(self, stops_before: int) -> None:
+        self.readings_count = 0
+        self._stops_before = stops_before
+
+    def _passed_s(self) -> float:
+        self.readings_count += 1
+        return STOP_S if self.readings_count > self._stops_before else 0.0
+
+    def monotonic_s(self) -> float:
+        return NOW_S + self._passed_s()
+
+    def wall_s(self) -> float:
+        return WALL_S + self._passed_s()
+
+
+@pytest.mark.parametrize("left_s", [0.5, 30.0])
+@pytest.mark.parametrize("stops_before", range(4))
+def test_a_limit_is_never_later_than_the_deadline(left_s, stops_before):
+    clock = StoppingClock(stops_before)
+    limit = backends.measure_limit(clock, NOW_S + left_s)
+    assert limit.until_unix_s <= WALL_S + left_s
+    assert 0.0 <= limit.left_s <= left_s
+
+
+def test_a_limit_is_the_deadline_on_both_clocks():
+    limit = backends.measure_limit(StoppingClock(9), NOW_S + 2.0)
+    assert limit == backends.Limit(2.0, WALL_S + 2.0)
+
+
+def test_the_header_tells_the_limit_however_late_it_is_written():
+    limit = backends.Limit(2.0, time.time() - 5.0)
+    fence = backends.Fence(3, 5, 7)
+    headers = dict(backends.build_headers("server:1", _request(), fence, limit))
+    told_ms = int(headers[backends.DEADLINE_HEADER])
+    assert told_ms == int(limit.until_unix_s * 1_000)
+
+
+def _request():
+    class Request:
+        body = b""
+        request_id = "id"
+        headers = ()
+
+    return Request()
--- a/tests/matrix/fakes.py
+++ b/tests/matrix/fakes.py
@@ -394,13 +394,12 @@
         address: str,
         request: requests.Request,
         fence: backends.Fence,
-        left_s: float,
+        limit: backends.Limit,
     ) -> outcomes.Outcome:
         """Sends a request; see ``backends.Backend``."""
-        until_s = self._clock.wall_s() + left_s
         await self._link.gate()
         outcome: outcomes.Outcome = outcomes.Unknown("no answer")
-        with anyio.move_on_after(left_s):
+        with anyio.move_on_after(limit.left_s):
             await anyio.sleep(LATENCY_S)
             target = self._reach(address)
             if target is None:
@@ -408,7 +407,7 @@
                     outcomes.NotRunProof.NEVER_WRITTEN, "refused", reroute=True
                 )
             await target.stand()
-            outcome = await target.run(request, fence, until_s)
+            outcome = await target.run(request, fence, limit.until_unix_s)
             await anyio.sleep(LATENCY_S)
             if self._reach(address) is None:
                 outcome = outcomes.Unknown("reset")
