Count a coordinator's silence from its claim, not from before it

Symptom: living instances of the first entrance claim a service from one another up to ten times a second, for as long as the machine is busy; each claim gives servers other fronts, and callers' requests end at fronts that are none any more.

Cause: PeerWatcher.silent_s counts from the last answer of an instance, and only coordinators are asked. One that was heard 5 s ago, when it last coordinated something, counted as silent for 5 s in the moment in which it claimed anew; 0.75 s are allowed. One wrong suspicion, as on a busy machine, so led to an endless row of right ones by the rule. Class: silence counted from before there was anything to hear.

Change: Coordinator notes since when it knows the newest term; silence counts from then at the earliest. A coordinator that is really lost was seen long ago, so it is followed as soon as before.

Ruled out: a coordinator that answers late (the claims are 0.05 to 0.3 s apart, and the allowance is 0.75 s).

--- a/libs/bridgecross-ownership/src/bridgecross_ownership/coordinator.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/coordinator.py
@@ -112,6 +112,9 @@
         self._first_plan_at_s: float | None = None
         self._unclaimed_since_s = ports.clock.monotonic_s()
         self._log_since_s = math.inf
+        # The newest term that was seen in the log, and since when.
+        self._seen_term = ids.Term(ids.NO_OFFSET)
+        self._seen_since_s = ports.clock.monotonic_s()
         self._grace_term = ids.Term(ids.NO_OFFSET)
         self._grace_until_s = 0.0
         self._lost_coordinator = cells.NO_INSTANCE
@@ -119,10 +122,18 @@
     async def run(self) -> None:
         """Coordinates or stands by until it is cancelled."""
         while True:
+            self._note_term()
             if self._has_log():
                 await self._step()
             await anyio.sleep(self.settings.heartbeat_interval_ms / 1_000)
 
+    def _note_term(self) -> None:
+        """Notes since when the newest term is known."""
+        term = self._ports.cell.term
+        if term != self._seen_term:
+            self._seen_term = term
+            self._seen_since_s = self._ports.clock.monotonic_s()
+
     def _has_log(self) -> bool:
         """Returns whether the log is read; notes since when it is."""
         if not self._ports.authority.has_log():
@@ -158,10 +169,12 @@
                 return False
         else:
             # In an outage of the log no coordinator answers as such, so only
-            # silence since its end counts.
+            # silence since its end counts; nor does one before its claim.
+            now_s = ports.clock.monotonic_s()
             silent_s = min(
                 ports.peers.silent_s(current),
-                ports.clock.monotonic_s() - self._log_since_s,
+                now_s - self._log_since_s,
+                now_s - self._seen_since_s,
             )
             allowed_s = self.settings.silence_s
         return silent_s >= allowed_s + rank * self.settings.silence_s
