--- a/libs/bridgecross-core/src/bridgecross_core/__init__.py
+++ b/libs/bridgecross-core/src/bridgecross_core/__init__.py
@@ -11,6 +11,7 @@
 * ``pulse``: wakes the tasks that wait for a change.
 * ``signals``: turns the signals to stop into a call.
 * ``stamps``: a clock that orders events over all processes.
+* ``timeouts``: gives up a wait only after what has arrived was read.
 """
 
 __all__ = [
@@ -23,4 +24,5 @@
     "pulse",
     "signals",
     "stamps",
+    "timeouts",
 ]
