Say in a request's line who sent what

An id names one attempt of a caller; that the same request came before could not be seen in any line.

--- a/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
@@ -30,6 +30,8 @@
     received_s: float
     # How long the caller waits for the answer.
     patience_ms: float | None
+    # The host that it came from; empty if that is not known.
+    caller: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -683,6 +683,8 @@
         write(
             "request",
             request=life.request.request_id,
+            caller=life.request.caller,
+            target=life.request.target.decode("latin-1"),
             route=life.route.name,
             service=life.service,
             key=life.request.key,
