--- a/libs/bridgecross-emulator/src/bridgecross_emulator/house.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/house.py
@@ -60,8 +60,9 @@
     """What a house consists of."""
 
     instance_count: int = 5
-    # Servers of the one service, which own its keys.
+    # Servers of the service divided by key, and of the other one.
     server_count: int = 0
+    free_server_count: int = 0
     # Whether the platform tells the first lives of the instances that the
     # whole system starts for the first time.
     is_first_start: bool = False
@@ -112,6 +113,10 @@
         for number in range(settings.server_count):
             address = model.Address(f"10.2.0.{number + 1}", _SERVER_PORT)
             self.fleet.add(f"i-{number}", instances.SERVICE, address)
+        for number in range(settings.free_server_count):
+            address = model.Address(f"10.3.0.{number + 1}", _SERVER_PORT)
+            self.fleet.add(f"f-{number}", instances.FREE_SERVICE, address)
+        self.fleet.keyed.add(instances.SERVICE)
         self._environment = environment
         self._tasks = tasks
         self._rng = random.Random(settings.seed)
@@ -141,6 +146,7 @@
             settings,
             log_model.LogWay(self.log, clock),
             servers_lib.Orders(self.fleet, address),
+            servers_lib.Requests(self.fleet, address),
             self.network,
             clock,
             instances.Recorder(settings.name, clock, self.lines),
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/instances.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/instances.py
@@ -1,6 +1,5 @@
 """One emulated instance: real parts, and its ways to the modelled outside."""
 
-from collections.abc import Container
 from typing import Any
 from typing import NamedTuple
 
@@ -23,6 +22,12 @@
 from bridgecross_entry import model
 
 SERVICE = ids.ServiceName("rapor")
+"""The service whose servers own keys."""
+
+FREE_SERVICE = ids.ServiceName("bulgu")
+"""The service of which any server serves any request."""
+
+HOST = "house.example"
 CONFIGURATION_TOPIC = "emulated-configuration"
 CONFIGURATION_KEY = "config"
 
@@ -70,30 +75,10 @@
 
 
 def encode_configuration(version: int) -> bytes:
-    """Returns a configuration: one service, whose servers own keys."""
+    """Returns a configuration; all of them name the same services."""
     return str(version).encode()
 
 
-class _NoCallers:
-    """An ``attempts.BackendClient``: callers are not emulated."""
-
-    async def send(
-        self,
-        server: model.BackendServer,
-        request: attempts.EntryRequest,
-        left_ms: float,
-    ) -> attempts.Attempt:
-        """Reaches nobody."""
-        return attempts.NotSent("callers are not emulated")
-
-    def is_connected(self, server: model.BackendServer) -> bool:
-        """No connection is kept."""
-        return False
-
-    def sweep(self, known: Container[ids.ServerId]) -> None:
-        """Nothing is kept."""
-
-
 class _Adapter:
     """An ``assembly.Adapter`` of the emulated platform."""
 
@@ -105,11 +90,13 @@
         settings: model.InstanceSettings,
         way: log_model.LogWay,
         orders: servers.Orders,
+        requests: servers.Requests,
     ) -> None:
         """Keeps the instance's ways to the log and to servers."""
         self.settings = settings
         self._way = way
         self._orders = orders
+        self._requests = requests
 
     def make_log(self, metrics: metrics_lib.Metrics) -> logs.PlatformLog:
         """Returns the way to the log."""
@@ -117,7 +104,7 @@
 
     def make_backend_client(self) -> attempts.BackendClient:
         """Returns the client that sends requests."""
-        return _NoCallers()
+        return self._requests
 
     def make_lease_client(self) -> attempts.LeaseClient:
         """Returns the client that gives orders."""
@@ -136,10 +123,27 @@
     ) -> model.Configuration | None:
         """Returns a configuration."""
         limits = model.CallerLimits(16_384, 1 << 20, 5_000.0, 10_000.0)
-        service = model.Service(SERVICE, 130, keyed=True, warm_ms=0.0)
-        return model.Configuration(
-            int(record.value), (), {SERVICE: service}, limits
-        )
+        services = {
+            name: model.Service(name, 130, keyed=keyed, warm_ms=0.0)
+            for name, keyed in ((SERVICE, True), (FREE_SERVICE, False))
+        }
+        routes = tuple(_make_route(name) for name in services)
+        return model.Configuration(int(record.value), routes, services, limits)
+
+
+def _make_route(service: ids.ServiceName) -> model.Route:
+    """Returns the route to a service, which the path begins with."""
+    return model.Route(
+        name=service,
+        host=HOST,
+        path_prefix=f"/{service}/",
+        idempotent=True,
+        timeout_ms=500.0,
+        target_latency_ms=200.0,
+        priority=1,
+        shares=(model.WeightedService(service, 1.0),),
+        max_attempts=2,
+    )
 
 
 class EmulatedInstance:
@@ -150,6 +154,7 @@
         settings: model.InstanceSettings,
         way: log_model.LogWay,
         orders: servers.Orders,
+        requests: servers.Requests,
         network: networks.Network,
         clock: clocks.Clock,
         journal: journals.Journal,
@@ -159,7 +164,8 @@
         Args:
             settings: What the platform tells the instance.
             way: Its way to the log.
-            orders: Its way to the servers.
+            orders: Its way to the servers with orders.
+            requests: Its way to the servers with requests.
             network: Leads to the other instances.
             clock: The host's clock.
             journal: Told of decisions.
@@ -171,7 +177,7 @@
         own = settings.peer_address
         self._network = network
         self.parts = assembly.Assembly(
-            _Adapter(settings, way, orders),
+            _Adapter(settings, way, orders, requests),
             clock,
             journal,
             lambda peer: networks.PeerLink(network, own, peer),
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -1,13 +1,18 @@
 """Models of backend servers that own keys: runs, leases and fencing tokens."""
 
+import asyncio
+from collections.abc import Callable
 from collections.abc import Container
+import contextvars
 import dataclasses
+from typing import Any
 from typing import NamedTuple
 
 import anyio
 import simpy
 
 from bridgecross_core import ids
+from bridgecross_core import outcomes
 from bridgecross_emulator import log_model
 from bridgecross_emulator import network as networks
 from bridgecross_entry import attempts
@@ -29,6 +34,12 @@
     clock_ratio: float = 1.02
     # Orders without an answer are taken after this time, if they are.
     late_s: float = 2.0
+    # How long a request takes.
+    work_s: float = 0.06
+    # How long a request that ends its server takes to do so, and how long the
+    # server needs until it runs again.
+    crash_after_s: float = 0.04
+    returns_after_s: float = 1.2
 
 
 class Held(NamedTuple):
@@ -52,6 +63,16 @@
     first_key: int
 
 
+class Run(NamedTuple):
+    """A request that a server began to run."""
+
+    at_s: float
+    server: str
+    # The instance that sent it.
+    sender: model.Address
+    target: bytes
+
+
 class EmulatedServer:
     """A backend server over all its runs."""
 
@@ -76,6 +97,8 @@
         self.takes_late = False
         # When it last wrote its entry; None if the entry was removed.
         self.listed_s: float | None = None
+        # Set once the run has ended; another run has another.
+        self.ended = anyio.Event()
         self._fleet = fleet
         self._held: list[Held] = []
         # The highest token that was seen, by range.
@@ -94,12 +117,14 @@
     def crash(self) -> None:
         """Ends the run; it says nothing of it."""
         self.is_up = False
+        self.ended.set()
         self._held = []
         self._seen = []
 
     def start(self) -> None:
         """Begins a run under the same name."""
         self.is_up = True
+        self.ended = anyio.Event()
         self.is_leaving = False
         self.started_ms = max(int(self._fleet.now_s * 1_000), 1) + 1_000
         self.write_entry()
@@ -168,6 +193,13 @@
         self.servers: dict[model.Address, EmulatedServer] = {}
         # What must never be.
         self.overlaps: list[Overlap] = []
+        # Requests by their target that end each server which runs them.
+        self.deadly: set[bytes] = set()
+        # Services whose servers own keys; the others run any request.
+        self.keyed: set[str] = set()
+        # All requests that servers began to run, and when one ended by that.
+        self.runs: list[Run] = []
+        self.ends_s: list[float] = []
         self.network = network
         self._log = log
         self._environment = environment
@@ -191,6 +223,22 @@
             logs.KeyedRecord(server.name, encode_server(server)),
         )
 
+    def crash_soon(self, server: EmulatedServer) -> None:
+        """Ends a server's run a little later; another run begins after it.
+
+        That belongs to no instance: it happens also if the one whose request
+        brought it about stands still.
+        """
+        _call_later(self.settings.crash_after_s, self.crash, server)
+
+    def crash(self, server: EmulatedServer) -> None:
+        """Ends a server's run; another one begins later."""
+        if not server.is_up:
+            return
+        server.crash()
+        self.ends_s.append(self.now_s)
+        _call_later(self.settings.returns_after_s, server.start)
+
     def holders(self, key: int) -> list[EmulatedServer]:
         """Returns the servers that hold a key at this moment."""
         return [s for s in self.servers.values() if s.holds(key)]
@@ -236,6 +284,12 @@
             self._log.add(SERVER_TOPIC, logs.KeyedRecord(server.name, b""))
 
 
+def _call_later(delay_s: float, act: Callable[..., None], *args: Any) -> None:
+    """Does something after a time, on no instance's host."""
+    loop = asyncio.get_running_loop()
+    loop.call_later(delay_s, act, *args, context=contextvars.Context())
+
+
 def encode_server(server: EmulatedServer) -> bytes:
     """Returns an entry of the list."""
     state = "leaving" if server.is_leaving else "staying"
@@ -328,3 +382,60 @@
         if found.name != server.name:
             return attempts.Gone("another server has its address")
         return found
+
+
+class Requests:
+    """An ``attempts.BackendClient``: one instance's way to the servers."""
+
+    def __init__(self, fleet: Fleet, sender: model.Address) -> None:
+        """Keeps no connection."""
+        self._fleet = fleet
+        self._sender = sender
+
+    async def send(
+        self,
+        server: model.BackendServer,
+        request: attempts.EntryRequest,
+        left_ms: float,
+    ) -> attempts.Attempt:
+        """Sends one request."""
+        network = self._fleet.network
+        await network.cross(self._sender, server.address)
+        found = self._fleet.servers.get(server.address)
+        if found is None or not found.is_up:
+            return attempts.NotSent("connection refused", refused=True)
+        if not self._may_run(found, request):
+            return attempts.NotOwner(found.name)
+        self._note_run(found, request)
+        ended = found.ended
+        with anyio.move_on_after(self._fleet.settings.work_s):
+            await ended.wait()
+        if ended.is_set():
+            return attempts.Interrupted("the connection ended")
+        await network.cross(server.address, self._sender)
+        return outcomes.Answered(200, (), b"")
+
+    def _may_run(
+        self, server: EmulatedServer, request: attempts.EntryRequest
+    ) -> bool:
+        """Whether a server runs a request at all."""
+        if server.service not in self._fleet.keyed:
+            return True
+        return request.key is not None and server.holds(request.key)
+
+    def _note_run(
+        self, server: EmulatedServer, request: attempts.EntryRequest
+    ) -> None:
+        """Keeps that a request begins to run, and lets it do its harm."""
+        fleet = self._fleet
+        run = Run(fleet.now_s, server.name, self._sender, request.target)
+        fleet.runs.append(run)
+        if request.target in fleet.deadly:
+            fleet.crash_soon(server)
+
+    def is_connected(self, server: model.BackendServer) -> bool:
+        """Connections cost nothing here."""
+        return True
+
+    def sweep(self, known: Container[ids.ServerId]) -> None:
+        """Nothing is kept."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
@@ -71,6 +71,7 @@
             lambda _: None
         )
         self.settings = adapter.settings
+        self.clock = clock
         self.metrics = metrics_lib.Metrics()
         self.log = log_breaker.CircuitBreaker(
             log_breaker.BreakerSettings(),
--- /dev/null
+++ b/tests/emulated/crash_scene.py
@@ -0,0 +1,157 @@
+"""Callers of a house, one of whose requests ends the servers that run it."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import random
+import statistics
+from typing import NamedTuple
+
+import anyio
+import simpy
+
+from bridgecross_core import outcomes
+from bridgecross_emulator import house as houses
+from bridgecross_emulator import instances
+from bridgecross_emulator import virtual
+from bridgecross_entry import attempts
+
+DEADLY_KEY = 26_851
+"""The key of the requests that end servers; their owner is lost each time."""
+
+_PATIENCE_MS = 500.0
+
+
+class Told(NamedTuple):
+    """What a caller was told."""
+
+    at_s: float
+    target: bytes
+    outcome: outcomes.Outcome
+
+    @property
+    def is_served(self) -> bool:
+        """Whether a server answered."""
+        return isinstance(self.outcome, outcomes.Answered)
+
+
+class Scene:
+    """A house, and callers who keep coming."""
+
+    def __init__(self, house: houses.House, service: str, seed: int) -> None:
+        self.house = house
+        self.service = service
+        self.told: list[Told] = []
+        self._rng = random.Random(seed)
+        self._count = 0
+
+    @property
+    def deadly(self) -> bytes:
+        """What the request that ends servers asks for."""
+        return f"/{self.service}/deadly".encode()
+
+    def reachable(self) -> list[instances.EmulatedInstance]:
+        """Returns the instances that callers are sent to."""
+        return [
+            each
+            for each in self.house.instances
+            if not each.host.stands_still and each.configuration_version
+        ]
+
+    async def call(
+        self,
+        target: bytes,
+        key: int | None = None,
+        instance: instances.EmulatedInstance | None = None,
+        caller: str = "10.9.0.1",
+    ) -> outcomes.Outcome:
+        """Sends one request under an id of its own; returns its outcome."""
+        if instance is None:
+            instance = self._rng.choice(self.reachable())
+        if key is None:
+            key = self._rng.randrange(65_536)
+        self._count += 1
+        request = attempts.EntryRequest(
+            request_id=f"id-{self._count}",
+            method=b"GET",
+            target=target,
+            path=target.decode(),
+            host=instances.HOST,
+            headers=(),
+            body=b"",
+            key=key,
+            received_s=instance.parts.clock.monotonic_s(),
+            patience_ms=_PATIENCE_MS,
+            caller=caller,
+        )
+        outcome = await instance.request(request)
+        self.told.append(Told(self.house.now_s, target, outcome))
+        return outcome
+
+    async def keep_calling(
+        self, target: bytes, gap_s: float, key: int | None = None
+    ) -> None:
+        """Sends a request again and again, each time when it has ended."""
+        while True:
+            await self.call(target, key)
+            await anyio.sleep(gap_s)
+
+    async def serve_others(self, gap_s: float = 0.02) -> None:
+        """Sends harmless requests, all of them for other things."""
+        async with anyio.create_task_group() as tasks:
+            number = 0
+            while True:
+                number += 1
+                target = f"/{self.service}/harmless-{number}".encode()
+                tasks.start_soon(self.call, target)
+                await anyio.sleep(gap_s)
+
+    def run_times_s(self, target: bytes) -> list[float]:
+        """Returns when servers began to run what some target asks for."""
+        return [r.at_s for r in self.house.fleet.runs if r.target == target]
+
+    def served_ratio(self, from_s: float, prefix: bytes) -> float:
+        """Returns the part of requests served that came to an end since."""
+        served = [
+            told.is_served
+            for told in self.told
+            if told.at_s >= from_s and told.target.startswith(prefix)
+        ]
+        return statistics.fmean(served)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Play:
+    """What a scene is played with."""
+
+    service: str = instances.SERVICE
+    instance_count: int = 5
+    server_count: int = 6
+    seed: int = 1
+
+    def run(self, act: Callable[[Scene], Awaitable[None]]) -> Scene:
+        """Plays a scene; returns it as it was at its end."""
+        environment = simpy.Environment()
+
+        async def main() -> Scene:
+            async with anyio.create_task_group() as tasks:
+                house = houses.House(
+                    houses.HouseSettings(
+                        instance_count=self.instance_count,
+                        server_count=self.server_count,
+                        free_server_count=self.server_count,
+                        seed=self.seed,
+                    ),
+                    environment,
+                    tasks,
+                )
+                await house.start(8.0)
+                scene = Scene(house, self.service, self.seed)
+                async with anyio.create_task_group() as callers:
+                    await act(scene)
+                    callers.cancel_scope.cancel()
+                house.stop()
+            return scene
+
+        random.seed(self.seed)
+        return virtual.run(environment, main)
