Refuse a request under which three servers have ended

What callers saw: one caller's request, sent again under new ids, ended one server after another; up to a tenth of a service was not served meanwhile.

Cause: what became of a request was forgotten with its id (class: an identity of the attempt used as the identity of the request).

A request is known by its caller, host, method, target and body. An instance whose request broke at a server looks whether the server's address refuses connections; if so, or if the list names another run, that end counts against the request. After three ends without an answer it is refused at once, as not run. Ends are told to all instances directly, over one hop in between where they are many; new processes ask, the leader's word compares, and the log keeps what is refused for a restart of all.

--- a/libs/bridgecross-emulator/src/bridgecross_emulator/instances.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/instances.py
@@ -20,6 +20,8 @@
 from bridgecross_entry import log as logs
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import model
+from bridgecross_entry import peers
+from bridgecross_entry import poison_news
 
 SERVICE = ids.ServiceName("rapor")
 """The service whose servers own keys."""
@@ -192,11 +194,19 @@
     async def run(self) -> None:
         """Runs until cancelled."""
         context = virtual.enter(self.host)
-        answer = self.parts.duties.make_peer_server().answer
-        self._network.listen(self.settings.peer_address, answer, context)
+        self._server = self.parts.duties.make_peer_server()
+        own = self.settings.peer_address
+        self._network.listen(own, self._answer, context)
         async with anyio.create_task_group() as tasks:
             self.parts.start(tasks)
 
+    async def _answer(self, path: bytes, body: bytes) -> peers.PeerReply:
+        """Answers another instance."""
+        if path == poison_news.PATH:
+            news = self.parts.duties.poison_news
+            return await edge.answer_poison_news(news, self._server, body)
+        return self._server.answer(path, body)
+
     def kill(self) -> None:
         """Ends the process: nothing of it runs again, or says a word."""
         self.is_dead = True
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/network.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/network.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Awaitable
 from collections.abc import Callable
 import contextvars
 import dataclasses
@@ -13,7 +14,7 @@
 from bridgecross_entry import model
 from bridgecross_entry import peers
 
-Answer = Callable[[bytes, bytes], peers.PeerReply]
+Answer = Callable[[bytes, bytes], Awaitable[peers.PeerReply]]
 """Answers a message by its path and body."""
 
 
@@ -25,6 +26,10 @@
     link_s: float = 0.0005
 
 
+_ANSWERING: set[asyncio.Task[None]] = set()
+"""Tasks that make answers; the loop alone would not keep them."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Process:
     """What listens at an address."""
@@ -137,10 +142,15 @@
     loop = asyncio.get_running_loop()
     answered: asyncio.Future[peers.PeerReply] = loop.create_future()
 
-    def answer() -> None:
-        reply = process.answer(path, body)
+    async def answer() -> None:
+        reply = await process.answer(path, body)
         if not answered.done():
             answered.set_result(reply)
 
-    loop.call_soon(answer, context=process.context)
+    def begin() -> None:
+        task = loop.create_task(answer(), context=process.context)
+        _ANSWERING.add(task)
+        task.add_done_callback(_ANSWERING.discard)
+
+    loop.call_soon(begin, context=process.context)
     return await answered
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -435,7 +435,13 @@
 
     def is_connected(self, server: model.BackendServer) -> bool:
         """Connections cost nothing here."""
-        return True
+        found = self._fleet.servers.get(server.address)
+        return found is not None and found.is_up
+
+    async def is_refusing(self, server: model.BackendServer) -> bool:
+        """Whether nobody listens at a server's address."""
+        await self._fleet.network.cross(self._sender, server.address)
+        return not self.is_connected(server)
 
     def sweep(self, known: Container[ids.ServerId]) -> None:
         """Nothing is kept."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
@@ -13,6 +13,7 @@
 from bridgecross_core import clock as clocks
 from bridgecross_entry import attempts
 from bridgecross_entry import beliefs
+from bridgecross_entry import crash_watch
 from bridgecross_entry import dispatch
 from bridgecross_entry import duties
 from bridgecross_entry import edge
@@ -26,6 +27,7 @@
 from bridgecross_entry import permit_client
 from bridgecross_entry import permit_issuer
 from bridgecross_entry import servers as servers_lib
+from bridgecross_request import poison
 
 
 class Adapter(beliefs.Decoder, Protocol):
@@ -104,6 +106,15 @@
             clock,
             connect_peer,
         )
+        self.watch = crash_watch.CrashWatch(
+            crash_watch.CrashWatchSettings(),
+            poison.PoisonLedger(poison.PoisonSettings(), clock),
+            self.backend_client,
+            self.book,
+            journal,
+            self.metrics,
+            clock,
+        )
         self.dispatcher = dispatch.Dispatcher(
             dispatch.DispatchSettings(),
             self.settings,
@@ -114,6 +125,7 @@
             self.metrics,
             clock,
             self.permits,
+            self.watch,
         )
         is_first = self.settings.is_first_start
         self.beliefs = beliefs.Beliefs(
@@ -152,11 +164,13 @@
         self.duties.start(tasks)
         self.issuer.start(tasks)
         self.permits.start(tasks)
+        self.watch.start(tasks)
 
     def sweep(self) -> None:
         """Drops what is stale."""
         self.book.drop_stale()
         self.issuer.sweep()
+        self.watch.sweep()
         self.backend_client.sweep(self.book.known_ids())
         self.lease_client.sweep(self.book.known_ids())
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
@@ -80,6 +80,12 @@
     def is_connected(self, server: model.BackendServer) -> bool:
         """Whether a kept connection to a server is free."""
 
+    async def is_refusing(self, server: model.BackendServer) -> bool:
+        """Whether a server's address refuses connections; sends nothing.
+
+        A connection that comes about is kept.
+        """
+
     def sweep(self, known: Container[ids.ServerId]) -> None:
         """Closes connections that are old, or lead to servers not known."""
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/beliefs.py
@@ -30,7 +30,12 @@
 """Key maps, one record a service."""
 
 INSTANCE_TOPIC = "keyed.bridgecross-instances"
-"""Where the instances listen; the address is the key."""
+"""What all instances have to know of one another: where each listens, by its
+address, and which requests are refused. Each topic costs every instance calls
+of its own."""
+
+REFUSED_PREFIX = "refused/"
+"""Begins the keys of records that name a request that is refused."""
 
 
 class ListedInstance(NamedTuple):
@@ -159,6 +164,9 @@
             clock: For ages.
         """
         self.configuration: model.Configuration | None = None
+        # Called with the key and the value of a record that names a request
+        # that is refused, or no longer.
+        self.on_refused: Callable[[str, bytes], None] = lambda *_: None
         # Where the instances listen, this one included.
         self.instances: set[model.Address] = set()
         # Those that should lead only if no other can.
@@ -523,6 +531,9 @@
         """Adds and takes off instances."""
         self.news.notify()
         for record in records:
+            if record.key.startswith(REFUSED_PREFIX):
+                self._take_refused(record)
+                continue
             try:
                 address = model.parse_address(record.key)
             except ValueError as error:
@@ -541,6 +552,13 @@
             if listed is not None and listed.failure_domain:
                 self._set_strong(address, listed.failure_domain)
 
+    def _take_refused(self, record: logs.KeyedRecord) -> None:
+        """Passes on which request is refused, or no longer."""
+        try:
+            self.on_refused(record.key, record.value)
+        except Exception as error:
+            self._note_instance(record, error)
+
     def strong_instances(self, domain: str) -> tuple[model.Address, ...]:
         """Returns the instances of a failure domain that are not weak.
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -16,6 +16,7 @@
 from bridgecross_entry import admission
 from bridgecross_entry import attempts
 from bridgecross_entry import caller_age
+from bridgecross_entry import crash_watch
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
 from bridgecross_entry import load
@@ -27,6 +28,7 @@
 from bridgecross_entry import routes
 from bridgecross_entry import servers as servers_lib
 from bridgecross_entry import tally as tallies
+from bridgecross_request import poison
 from bridgecross_request import queueing
 
 _FIRST_ERROR_STATUS = 500
@@ -88,6 +90,8 @@
     # When an answer begins to be worth less, counted from the first attempt.
     target_s: float
     configuration_version: int
+    # What the request is known by when it comes under another id.
+    subject: poison.Subject
     # Attempts that reached a server, whatever came of them.
     arrivals: int = 0
     # Attempts that ran or may have run.
@@ -119,6 +123,7 @@
         metrics: metrics_lib.Metrics,
         clock: clocks.Clock,
         permits: permit_client.PermitClient | None = None,
+        watch: crash_watch.CrashWatch | None = None,
     ) -> None:
         """Refuses everything until there is a configuration.
 
@@ -133,6 +138,8 @@
             clock: For all times.
             permits: Asked for permits where many instances share a service;
                 none are needed, if left out.
+            watch: Finds out which requests end servers; one that nobody else
+                hears of, if left out.
         """
         self.routes: routes.RouteTable | None = None
         # How many instances take requests, this one included.
@@ -153,6 +160,15 @@
         self._metrics = metrics
         self._clock = clock
         self._permits = permits
+        self.watch = watch or crash_watch.CrashWatch(
+            crash_watch.CrashWatchSettings(),
+            poison.PoisonLedger(poison.PoisonSettings(), clock),
+            client,
+            book,
+            journal,
+            metrics,
+            clock,
+        )
         self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
         self._ages: dict[str, caller_age.CallerAge] = {}
         self._queues = admission.ServiceQueues(settings.rooms, book, clock)
@@ -252,6 +268,7 @@
             age_s,
             target_s,
             self.routes.configuration.version,
+            _name_subject(request),
         )
 
     def _age_s(
@@ -269,6 +286,9 @@
     async def _try(self, life: _Life) -> outcomes.Outcome:
         """Tries servers until one answers or none is left to try."""
         assert self.routes is not None  # by the caller
+        refusal = self._refuse_poison(life)
+        if refusal is not None:
+            return refusal
         keyed = self._is_keyed(life)
         if keyed:
             if life.request.key is None:
@@ -277,10 +297,26 @@
         attempt = self._try_owner if keyed else self._try_any
         while self._clock.monotonic_s() < life.deadline_s:
             outcome = await attempt(life)
+            outcome = outcome or self._refuse_poison(life)
             if outcome is not None:
                 return outcome
         return self._time_out(life)
 
+    def _refuse_poison(self, life: _Life) -> outcomes.Outcome | None:
+        """Refuses a request that ended every server it was sent to.
+
+        No server could answer it, and each that tried would be lost to all
+        others for as long as it takes to come back.
+        """
+        left_s = self.watch.ledger.refused_for_s(life.subject)
+        if not left_s:
+            return None
+        life.trail.append("servers end under it")
+        refusal = self._refuse(
+            "servers ended while they ran it", math.ceil(left_s * 1_000)
+        )
+        return self._conclude(life, refusal)
+
     async def _try_owner(self, life: _Life) -> outcomes.Outcome | None:
         """Tries the owner of the request's key."""
         owner = await self._choose_owner(life)
@@ -511,6 +547,8 @@
         """Sends a request; None if the choice or its time is over."""
         if now_s >= life.deadline_s:
             return None
+        if self.watch.ledger.refused_for_s(life.subject):
+            return None
         if not self._still_right(life, server, now_s, keyed=keyed):
             life.trail.append(f"{server.listed.server_id}: left meanwhile")
             life.goes_alone = True
@@ -518,7 +556,16 @@
         left_ms = (life.deadline_s - now_s) * 1_000
         life.in_flight = True
         life.tried.add(server.listed.server_id)
-        result = await self._client.send(server.listed, life.request, left_ms)
+        visit = self.watch.begin(
+            life.subject, life.request.request_id, server.listed
+        )
+        result: attempts.Attempt | None = None
+        try:
+            result = await self._client.send(
+                server.listed, life.request, left_ms
+            )
+        finally:
+            self.watch.end(visit, result)
         life.in_flight = False
         return result
 
@@ -557,17 +604,7 @@
         if isinstance(result, outcomes.Answered):
             return self._weigh_answer(life, server, result, held_s)
         if isinstance(result, attempts.Interrupted):
-            life.runs += 1
-            server.note_interrupted()
-            server.shrink_room(now_s)
-            life.trail.append(f"{server_id}: interrupted: {result.reason}")
-            # Only the owner of a key could serve it, and one that breaks the
-            # connection so soon is full: trying again is left to the caller.
-            soon_s = self._settings.full_reset_ratio * server.latency_s
-            full = self._is_keyed(life) and held_s < soon_s
-            if not full and life.route.idempotent and self._may_retry(life):
-                return None
-            return self._conclude(life, self._refuse(result.reason))
+            return await self._weigh_interrupted(life, server, result, held_s)
         if isinstance(result, attempts.NotSent):
             if result.refused:
                 server.note_refused(now_s)
@@ -594,6 +631,31 @@
         refusal = self._refuse("no server took it", self._come_back_ms(life))
         return self._conclude(life, refusal)
 
+    async def _weigh_interrupted(
+        self,
+        life: _Life,
+        server: servers_lib.Server,
+        result: attempts.Interrupted,
+        held_s: float,
+    ) -> outcomes.Outcome | None:
+        """Tries again what broke, if that does no harm."""
+        life.runs += 1
+        server.note_interrupted()
+        server.shrink_room(self._clock.monotonic_s())
+        server_id = server.listed.server_id
+        life.trail.append(f"{server_id}: interrupted: {result.reason}")
+        if self.watch.ledger.is_suspect(life.subject):
+            # Another server may end under it: first it is found out whether
+            # this one has.
+            await self.watch.wait_for_verdict(server.listed)
+        # Only the owner of a key could serve it, and one that breaks the
+        # connection so soon is full: trying again is left to the caller.
+        soon_s = self._settings.full_reset_ratio * server.latency_s
+        full = self._is_keyed(life) and held_s < soon_s
+        if not full and life.route.idempotent and self._may_retry(life):
+            return None
+        return self._conclude(life, self._refuse(result.reason))
+
     def _weigh_answer(
         self,
         life: _Life,
@@ -739,6 +801,17 @@
         return self.loads.setdefault(service, load.LoadCounter())
 
 
+def _name_subject(request: attempts.EntryRequest) -> poison.Subject:
+    """Returns what a request is known by, whatever its id and its key."""
+    return poison.name_subject(
+        request.caller,
+        request.host,
+        request.method,
+        request.target,
+        request.body,
+    )
+
+
 def _place(life: _Life) -> queueing.TierPlace:
     """Returns how a request stands in queues."""
     priority = life.route.priority
--- a/libs/bridgecross-entry/src/bridgecross_entry/duties.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/duties.py
@@ -29,6 +29,7 @@
 from bridgecross_entry import model
 from bridgecross_entry import peers
 from bridgecross_entry import planner
+from bridgecross_entry import poison_news
 from bridgecross_entry import relaying
 from bridgecross_entry import servers as servers_lib
 from bridgecross_entry import tasks as tasks_lib
@@ -110,11 +111,24 @@
             journal,
             clock,
         )
+        self.poison_news = poison_news.PoisonNews(
+            poison_news.PoisonNewsSettings(),
+            dispatcher.watch.ledger,
+            self._peer_client,
+            self._peers,
+            lambda record: log.put(beliefs.INSTANCE_TOPIC, record),
+            journal,
+            clock,
+        )
+        dispatcher.watch.on_ends = self.poison_news.tell_ends
+        dispatcher.watch.on_cleared = self.poison_news.tell_answer
+        held.on_refused = self.poison_news.take_record
         self._relayer = relaying.Relayer(
             relaying.RelaySettings(),
             held,
             self._leadership,
             self._peer_client,
+            self.poison_news,
             self._peers,
             journal,
             clock,
@@ -142,6 +156,7 @@
             self._report_load,
         ):
             tasks.start_soon(tasks_lib.keep_running, work, self._journal)
+        self.poison_news.start(tasks)
 
     def make_peer_server(self) -> peers.PeerServer:
         """Returns what answers other instances."""
@@ -213,6 +228,7 @@
                 self._beliefs.instances.add(own)
             if self._leadership.is_leader:
                 await self._drop_lost_peers()
+                await self.poison_news.drop_old_records()
             # The first look comes at once: the log may turn this instance away
             # a moment later, and nobody would know of it.
             await self._beliefs.news.wait(self._settings.register_interval_s)
--- a/libs/bridgecross-entry/src/bridgecross_entry/edge.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/edge.py
@@ -17,6 +17,7 @@
 from bridgecross_entry import peers
 from bridgecross_entry import permit_issuer
 from bridgecross_entry import permits
+from bridgecross_entry import poison_news
 
 _BODY_MAX_BYTES = 64 * 1024 * 1024
 """For bodies before a configuration names a limit."""
@@ -169,7 +170,9 @@
 
 
 def make_peer_app(
-    server: peers.PeerServer, issuer: permit_issuer.PermitIssuer
+    server: peers.PeerServer,
+    issuer: permit_issuer.PermitIssuer,
+    news: poison_news.PoisonNews,
 ) -> listener.App:
     """Returns an application that answers other instances."""
 
@@ -187,6 +190,8 @@
             return
         if scope["raw_path"] == permits.PATH:
             reply = await _answer_permit(issuer, server, body)
+        elif scope["raw_path"] == poison_news.PATH:
+            reply = await answer_poison_news(news, server, body)
         else:
             reply = server.answer(scope["raw_path"], body)
         await listener.respond(send, reply.status, [], reply.body)
@@ -194,6 +199,16 @@
     return serve
 
 
+async def answer_poison_news(
+    news: poison_news.PoisonNews, server: peers.PeerServer, body: bytes
+) -> peers.PeerReply:
+    """Answers one who tells of servers that ended under requests."""
+    try:
+        return peers.PeerReply(200, await news.answer(body))
+    except codec.CodecError as error:
+        return server.leave_aside(poison_news.PATH, error)
+
+
 async def _answer_permit(
     issuer: permit_issuer.PermitIssuer, server: peers.PeerServer, body: bytes
 ) -> peers.PeerReply:
--- a/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -308,13 +308,18 @@
         """Whether a kept connection is likely to be free for a request."""
         return bool(self._idle)
 
-    async def reach(self) -> bool:
-        """Returns whether a connection can be made, and keeps it."""
+    @property
+    def is_standing(self) -> bool:
+        """Whether a kept connection has not been closed by the other side."""
+        return any(idle.connection.usable for idle in self._idle)
+
+    async def reach(self) -> Unsent | None:
+        """Makes a connection and keeps it; returns why there is none."""
         opened = await self._open()
         if isinstance(opened, Unsent):
-            return False
+            return opened
         self._idle.append(_Idle(opened, self._clock.monotonic_s()))
-        return True
+        return None
 
     def close(self) -> None:
         """Closes the idle connections."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
@@ -23,6 +23,12 @@
             "Attempts at backend servers by service and result.",
             registry=self.registry,
         )
+        self.crashes = aioprometheus.Counter(
+            "bridgecross_ended_under_request_total",
+            "Requests at servers whose run ended before they were answered, "
+            "by service.",
+            registry=self.registry,
+        )
         self.permits = aioprometheus.Counter(
             "bridgecross_permits_total",
             "Answers to instances that asked for a permit, by service and "
--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -159,6 +159,8 @@
     counts: bool = True
     # When it was given; None if it was not.
     stamp: Stamp | None = None
+    # Sums up which requests servers ended under, as far as it knows.
+    poison_digest: int = 0
 
 
 _REPLIES = codec.Codec(RelayReply)
@@ -242,6 +244,21 @@
         body = _deflate(_SETTLED.encode(settled))
         await self._call(address, _SETTLED_PATH, body)
 
+    async def ask(
+        self, address: model.Address, path: bytes, body: bytes, timeout_s: float
+    ) -> bytes | None:
+        """Posts a message that cannot wait; None if no usable answer comes.
+
+        It is sent also to one that is left alone for a moment, and says nothing
+        of whether that one is lost: the time may be too short for any answer.
+        """
+        result: exchange.Result = exchange.Broken("no answer in time")
+        with timeouts.move_on_after(timeout_s):
+            result = await self._post(address, path, body)
+        if isinstance(result, exchange.Reply) and result.status == _HTTP_OK:
+            return result.body
+        return None
+
     def lost_for_s(self, address: model.Address) -> float:
         """Returns for how long a peer has not answered.
 
@@ -271,17 +288,11 @@
         now_s = self._clock.monotonic_s()
         if now_s < self._paused_until_s.get(address, 0.0):
             return _Answer(self._last[address])
-        pool = self._pools.get(address)
-        if pool is None:
-            pool = self._connect(address)
-            self._pools[address] = pool
-        head = b"POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n"
-        request = head % (path, str(address).encode(), len(body)) + body
         result: exchange.Result = exchange.Broken("no answer in time")
         timeout_s = self._settings.timeout_s
         timeout_s += len(body) / self._settings.least_bytes_per_s
         with timeouts.move_on_after(timeout_s):
-            result = await pool.exchange(request, lambda reply: True)
+            result = await self._post(address, path, body)
         if isinstance(result, exchange.Reply):
             self._lost_since_s.pop(address, None)
             if result.status == _HTTP_OK:
@@ -301,6 +312,18 @@
         self._journal.decision("peer_lost", address=str(address), reason=reason)
         return _Answer(self._last[address])
 
+    async def _post(
+        self, address: model.Address, path: bytes, body: bytes
+    ) -> exchange.Result:
+        """Posts a message."""
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._connect(address)
+            self._pools[address] = pool
+        head = b"POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n"
+        request = head % (path, str(address).encode(), len(body)) + body
+        return await pool.exchange(request, lambda reply: True)
+
 
 def encode_relay(relay: Relay) -> bytes:
     """Returns a relay as bytes, made once for all peers."""
--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/poison_news.py
@@ -0,0 +1,542 @@
+"""Tells all instances which requests servers ended under.
+
+Whoever sees a server end under a request tells all others at once, without the
+log and without the leader. Many instances are told over one hop in between: the
+first of each group passes the word on and answers once it has, so that the
+teller knows whom it has to tell itself. Who is not reached is tried again until
+it is.
+
+Three more ways are for those who were not there: a new process asks others; the
+answers to the leader's word hold a digest, by which it finds who knows another
+thing; and what is refused stands in the log, for the case that all processes
+end.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import math
+import random
+from typing import NamedTuple
+
+import anyio
+import anyio.abc
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import codec
+from bridgecross_core import hashing
+from bridgecross_core import pulse
+from bridgecross_entry import beliefs
+from bridgecross_entry import journal as journals
+from bridgecross_entry import log as logs
+from bridgecross_entry import model
+from bridgecross_entry import peers
+from bridgecross_entry import tasks as tasks_lib
+from bridgecross_request import poison
+
+PATH = b"/poison"
+"""Where an instance is told of requests that servers ended under."""
+
+
+class ToldEnd(NamedTuple):
+    """A ``poison.End`` between hosts, whose steady clocks differ."""
+
+    subject: bytes
+    server: str
+    sent_ago_s: float
+    ended_ago_s: float
+
+
+class ToldAnswer(NamedTuple):
+    """A ``poison.Answer`` between hosts."""
+
+    subject: bytes
+    answered_ago_s: float
+
+
+class Word(NamedTuple):
+    """What one instance tells another."""
+
+    ends: tuple[ToldEnd, ...] = ()
+    # Of the same requests, as far as they were answered.
+    answers: tuple[ToldAnswer, ...] = ()
+    # Whom the receiver tells as well.
+    pass_on: tuple[model.Address, ...] = ()
+    # Whether the answer is to hold all that is known.
+    asks_all: bool = False
+
+
+class Reply(NamedTuple):
+    """What the receiver of a word answers."""
+
+    # Those whom it should have told and did not reach.
+    unreached: tuple[model.Address, ...] = ()
+    # What it and those whom it told know beyond the word, of the same requests.
+    ends: tuple[ToldEnd, ...] = ()
+    answers: tuple[ToldAnswer, ...] = ()
+
+
+class Refused(NamedTuple):
+    """The record of a request that is refused, for later processes."""
+
+    # Ages are as of then, in seconds since 1970.
+    written_wall_s: float
+    ends: tuple[ToldEnd, ...]
+
+
+_WORDS = codec.Codec(Word)
+_REPLIES = codec.Codec(Reply)
+_RECORDS = codec.Codec(Refused)
+_NO_REPLY = Reply()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoisonNewsSettings:
+    """How others are told."""
+
+    # Ends are gathered for so long: a server that ends has several requests.
+    gather_s: float = 0.005
+    # The pause between two rounds of words, which bounds what is spent on them
+    # when servers end by the dozen.
+    round_pause_s: float = 0.05
+    # Up to so many others are told directly, at 1 ms of processor time each.
+    direct_max_count: int = 16
+    # Who passes a word on has told its group within some ms; who does not
+    # answer for so long is gone, frozen or cut off.
+    pass_on_timeout_s: float = 0.1
+    direct_timeout_s: float = 0.08
+    # Those who were not reached are tried again so often, and for so long; by
+    # then an instance that is gone is off the list.
+    again_interval_s: float = 0.1
+    again_for_s: float = 30.0
+    # How many of them are tried at a time; as soon as one of them is reached,
+    # all are told.
+    again_max_count: int = 12
+    # Ends in one word, the newest: 60 bytes each.
+    ends_max_count: int = 64
+    # A new process asks so many others, and goes on until one has answered.
+    asked_first_count: int = 3
+    ask_first_pause_s: float = 0.05
+    # Who knows another thing than the leader is told at most so often.
+    compare_pause_s: float = 2.0
+    # How long a record that the log did not take is tried again.
+    record_pause_s: float = 0.5
+    record_for_s: float = 60.0
+
+
+class PoisonNews:
+    """Tells others of ends, and hears of them."""
+
+    def __init__(
+        self,
+        settings: PoisonNewsSettings,
+        ledger: poison.PoisonLedger,
+        client: peers.PeerClient,
+        addresses: Callable[[], tuple[model.Address, ...]],
+        put_record: Callable[[logs.KeyedRecord], Awaitable[bool]],
+        journal: journals.Journal,
+        clock: clocks.Clock,
+    ) -> None:
+        """Has told nobody.
+
+        Args:
+            settings: How others are told.
+            ledger: What is known here.
+            client: Calls other instances.
+            addresses: Where the others listen.
+            put_record: Writes a record to the log; returns whether it was
+                taken.
+            journal: Told of requests that are refused from now on.
+            clock: For ages.
+        """
+        self._settings = settings
+        self._ledger = ledger
+        self._client = client
+        self._addresses = addresses
+        self._put_record = put_record
+        self._journal = journal
+        self._clock = clock
+        self._news = pulse.Pulse()
+        # What the others have not been told yet.
+        self._ends: list[poison.End] = []
+        self._answers: dict[poison.Subject, poison.Answer] = {}
+        # Until when those who were not reached are tried again.
+        self._owed: dict[model.Address, float] = {}
+        # When one that knew another thing may be told again.
+        self._compare_s: dict[model.Address, float] = {}
+        # When the records in the log were written, by their keys.
+        self._recorded_wall_s: dict[str, float] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Begins to tell others, and asks them what they know."""
+        self._tasks = tasks
+        for work in (self._tell_news, self._tell_owed, self._ask_first):
+            tasks.start_soon(tasks_lib.keep_running, work, self._journal)
+
+    # What happens here.
+
+    def tell_ends(self, ends: list[poison.End]) -> None:
+        """Tells all others of servers that ended under requests."""
+        self._ends.extend(ends)
+        del self._ends[: -self._settings.ends_max_count]
+        self._news.notify()
+        for subject in {end.subject for end in ends}:
+            if self._ledger.refused_for_s(subject):
+                self._refuse(subject)
+
+    def tell_answer(self, subject: poison.Subject) -> None:
+        """Tells all others that a request was answered after all."""
+        answer = self._ledger.answer_of(subject)
+        if answer is None:
+            return
+        self._answers[subject] = answer
+        self._news.notify()
+        self._journal.decision("poison_cleared", subject=subject.hex())
+        key = beliefs.REFUSED_PREFIX + subject.hex()
+        if key in self._recorded_wall_s:
+            self._write_soon(logs.KeyedRecord(key, b""))
+
+    def _refuse(self, subject: poison.Subject) -> None:
+        """Writes that a request is refused from now on."""
+        ends = self._ledger.ends_of(subject)
+        self._journal.lifecycle(
+            "poison_refused",
+            subject=subject.hex(),
+            servers=[end.server for end in ends],
+            refused_for_s=round(self._ledger.refused_for_s(subject), 1),
+        )
+        record = Refused(
+            self._clock.wall_s(), tuple(self._age_end(end) for end in ends)
+        )
+        key = beliefs.REFUSED_PREFIX + subject.hex()
+        self._recorded_wall_s[key] = record.written_wall_s
+        self._write_soon(logs.KeyedRecord(key, _RECORDS.encode(record)))
+
+    # Telling.
+
+    async def _tell_news(self) -> None:
+        """Tells all others what is new, round by round."""
+        while True:
+            if not self._ends and not self._answers:
+                await self._news.wait(60.0)
+                continue
+            await anyio.sleep(self._settings.gather_s)
+            word = Word(
+                tuple(self._age_end(end) for end in self._ends),
+                tuple(
+                    self._age_answer(each) for each in self._answers.values()
+                ),
+            )
+            self._ends.clear()
+            self._answers.clear()
+            assert self._tasks is not None  # by start
+            self._tasks.start_soon(self._tell_all, word, self._addresses())
+            await anyio.sleep(self._settings.round_pause_s)
+
+    async def _tell_all(
+        self, word: Word, addresses: tuple[model.Address, ...]
+    ) -> None:
+        """Tells some others, and keeps who was not reached."""
+        reply = await self._spread(word, addresses)
+        until_s = self._clock.monotonic_s() + self._settings.again_for_s
+        for address in reply.unreached:
+            self._owed[address] = until_s
+        refused = {
+            subject
+            for subject in {poison.Subject(end.subject) for end in word.ends}
+            if self._ledger.refused_for_s(subject)
+        }
+        self._take(reply.ends, reply.answers)
+        for subject in refused:
+            if not self._ledger.refused_for_s(subject):
+                self.tell_answer(subject)
+
+    async def _spread(
+        self, word: Word, addresses: tuple[model.Address, ...]
+    ) -> Reply:
+        """Tells others, over one hop where they are many."""
+        replies: list[Reply] = []
+        async with anyio.create_task_group() as calls:
+            for group in self._divide(addresses):
+                calls.start_soon(self._tell_group, word, group, replies)
+        return _join(replies)
+
+    def _divide(
+        self, addresses: tuple[model.Address, ...]
+    ) -> list[tuple[model.Address, ...]]:
+        """Divides others into groups, whose first members pass words on."""
+        count = len(addresses)
+        if count <= self._settings.direct_max_count:
+            return [(address,) for address in addresses]
+        shuffled = random.sample(addresses, count)
+        group_count = math.ceil(math.sqrt(count))
+        return [tuple(shuffled[n::group_count]) for n in range(group_count)]
+
+    async def _tell_group(
+        self,
+        word: Word,
+        group: tuple[model.Address, ...],
+        replies: list[Reply],
+    ) -> None:
+        """Tells a group by its first member, and the rest if that fails."""
+        settings = self._settings
+        first, rest = group[0], group[1:]
+        timeout_s = (
+            settings.pass_on_timeout_s if rest else settings.direct_timeout_s
+        )
+        reply = await self._send(first, word._replace(pass_on=rest), timeout_s)
+        if reply is None:
+            reply = Reply(unreached=group)
+        left = tuple(each for each in reply.unreached if each != first)
+        if not left:
+            replies.append(reply)
+            return
+        again = await self._tell_each(word, left)
+        lost = () if first not in reply.unreached else (first,)
+        replies.append(reply._replace(unreached=lost))
+        replies.append(again)
+
+    async def _tell_each(
+        self, word: Word, addresses: tuple[model.Address, ...]
+    ) -> Reply:
+        """Tells each of some others directly."""
+        replies: list[Reply] = []
+
+        async def tell(address: model.Address) -> None:
+            timeout_s = self._settings.direct_timeout_s
+            reply = await self._send(address, word, timeout_s)
+            replies.append(reply or Reply(unreached=(address,)))
+
+        async with anyio.create_task_group() as calls:
+            for address in addresses:
+                calls.start_soon(tell, address)
+        return _join(replies)
+
+    async def _send(
+        self, address: model.Address, word: Word, timeout_s: float
+    ) -> Reply | None:
+        """Tells one other; None if it gives no usable answer."""
+        body = await self._client.ask(
+            address, PATH, _WORDS.encode(word), timeout_s
+        )
+        if body is None:
+            return None
+        try:
+            reply = _REPLIES.decode(body)
+        except codec.CodecError as error:
+            self._journal.decision(
+                "peer_message_unreadable",
+                path=PATH.decode(),
+                address=str(address),
+                reason=str(error),
+            )
+            return None
+        self._owed.pop(address, None)
+        return reply
+
+    # Telling those who were not reached, or were not there.
+
+    async def _tell_owed(self) -> None:
+        """Tries again those who were not reached."""
+        while True:
+            await anyio.sleep(self._settings.again_interval_s)
+            now_s = self._clock.monotonic_s()
+            present = set(self._addresses())
+            for address, until_s in list(self._owed.items()):
+                if until_s < now_s or address not in present:
+                    del self._owed[address]
+            if self._owed:
+                await self._try_owed()
+
+    async def _try_owed(self) -> None:
+        """Tries some of those who are owed; all, if one is reached."""
+        word = self._say_all()
+        count = min(len(self._owed), self._settings.again_max_count)
+        tried = tuple(random.sample(sorted(self._owed), count))
+        reply = await self._tell_each(word, tried)
+        self._take(reply.ends, reply.answers)
+        if self._owed and len(reply.unreached) < len(tried):
+            owed = tuple(sorted(self._owed))
+            found = await self._spread(word, owed)
+            for address in set(owed) - set(found.unreached):
+                self._owed.pop(address, None)
+            self._take(found.ends, found.answers)
+
+    async def _ask_first(self) -> None:
+        """Asks others what they know, when this process is new."""
+        settings = self._settings
+        while True:
+            addresses = self._addresses()
+            count = min(len(addresses), settings.asked_first_count)
+            asked = tuple(random.sample(addresses, count))
+            reply = await self._tell_each(Word(asks_all=True), asked)
+            self._take(reply.ends, reply.answers)
+            if len(reply.unreached) < count:
+                return
+            await anyio.sleep(settings.ask_first_pause_s)
+
+    @property
+    def digest(self) -> int:
+        """Sums up what counts here; 0 if nothing does."""
+        digest = 0
+        for subject in self._ledger.suspects():
+            for end in self._ledger.ends_of(subject):
+                digest ^= hashing.hash_key(f"{subject.hex()} {end.server}")
+        return digest
+
+    def compare(self, address: model.Address, digest: int) -> None:
+        """Tells one that knows another thing, and asks what that is."""
+        now_s = self._clock.monotonic_s()
+        if digest == self.digest or self._tasks is None:
+            return
+        if now_s < self._compare_s.get(address, -math.inf):
+            return
+        self._compare_s[address] = now_s + self._settings.compare_pause_s
+        self._tasks.start_soon(self._exchange_all, address)
+
+    async def _exchange_all(self, address: model.Address) -> None:
+        """Tells one other all that is known, and takes what it knows."""
+        word = self._say_all()._replace(asks_all=True)
+        reply = await self._send(
+            address, word, self._settings.pass_on_timeout_s
+        )
+        if reply is not None:
+            self._take(reply.ends, reply.answers)
+
+    # Hearing.
+
+    async def answer(self, body: bytes) -> bytes:
+        """Takes another instance's word; returns the answer.
+
+        Raises:
+            codec.CodecError: It cannot be read.
+        """
+        word = _WORDS.decode(body)
+        known = self._say_all() if word.asks_all else self._say_more(word)
+        self._take(word.ends, word.answers)
+        told = _NO_REPLY
+        if word.pass_on:
+            told = await self._tell_each(
+                word._replace(pass_on=()), word.pass_on
+            )
+        return _REPLIES.encode(
+            _join([told, Reply((), known.ends, known.answers)])
+        )
+
+    def take_record(self, key: str, value: bytes) -> None:
+        """Takes in a record of the log; its key begins with the prefix.
+
+        Raises:
+            codec.CodecError: It cannot be read.
+        """
+        if not value:
+            self._recorded_wall_s.pop(key, None)
+            return
+        record = _RECORDS.decode(value)
+        self._recorded_wall_s[key] = record.written_wall_s
+        # Clocks of hosts differ; nothing is younger than its record.
+        passed_s = max(self._clock.wall_s() - record.written_wall_s, 0.0)
+        self._take(
+            tuple(
+                end._replace(
+                    sent_ago_s=end.sent_ago_s + passed_s,
+                    ended_ago_s=end.ended_ago_s + passed_s,
+                )
+                for end in record.ends
+            ),
+            (),
+        )
+
+    async def drop_old_records(self) -> None:
+        """Takes records out of the log that say nothing any more."""
+        oldest_s = self._clock.wall_s() - self._ledger.settings.remember_s
+        for key, written_s in list(self._recorded_wall_s.items()):
+            is_old = written_s < oldest_s
+            if is_old and await self._put_record(logs.KeyedRecord(key, b"")):
+                self._recorded_wall_s.pop(key, None)
+
+    def _take(
+        self, ends: Iterable[ToldEnd], answers: Iterable[ToldAnswer]
+    ) -> None:
+        """Takes in what others know."""
+        now_s = self._clock.monotonic_s()
+        for told in answers:
+            subject = poison.Subject(told.subject)
+            answered_s = now_s - told.answered_ago_s
+            self._ledger.put_answer(poison.Answer(subject, answered_s))
+        for end in ends:
+            self._ledger.put_end(
+                poison.End(
+                    poison.Subject(end.subject),
+                    end.server,
+                    now_s - end.sent_ago_s,
+                    now_s - end.ended_ago_s,
+                )
+            )
+
+    def _say_all(self) -> Word:
+        """Returns all that is known, or the newest of it."""
+        subjects = self._ledger.suspects()
+        return self._say(subjects)
+
+    def _say_more(self, word: Word) -> Word:
+        """Returns what is known of the requests that a word names."""
+        named = {poison.Subject(end.subject) for end in word.ends}
+        told = {(end.subject, end.server) for end in word.ends}
+        known = self._say(named)
+        more = tuple(
+            end for end in known.ends if (end.subject, end.server) not in told
+        )
+        return known._replace(ends=more)
+
+    def _say(self, subjects: Iterable[poison.Subject]) -> Word:
+        """Returns what is known of some requests."""
+        subjects = list(subjects)
+        ends = [e for s in subjects for e in self._ledger.ends_of(s)]
+        answers = [self._ledger.answer_of(subject) for subject in subjects]
+        newest = ends[-self._settings.ends_max_count :]
+        return Word(
+            tuple(self._age_end(end) for end in newest),
+            tuple(self._age_answer(each) for each in answers if each),
+        )
+
+    def _age_end(self, end: poison.End) -> ToldEnd:
+        """Returns an end as others are told of it."""
+        now_s = self._clock.monotonic_s()
+        return ToldEnd(
+            end.subject, end.server, now_s - end.sent_s, now_s - end.ended_s
+        )
+
+    def _age_answer(self, answer: poison.Answer) -> ToldAnswer:
+        """Returns an answer as others are told of it."""
+        now_s = self._clock.monotonic_s()
+        return ToldAnswer(answer.subject, now_s - answer.answered_s)
+
+    # The log.
+
+    def _write_soon(self, record: logs.KeyedRecord) -> None:
+        """Writes a record, as soon as the log takes it."""
+        if self._tasks is not None:
+            self._tasks.start_soon(self._write, record)
+
+    async def _write(self, record: logs.KeyedRecord) -> None:
+        """Writes a record, trying again for a while."""
+        settings = self._settings
+        until_s = self._clock.monotonic_s() + settings.record_for_s
+        while not await self._put_record(record):
+            if self._clock.monotonic_s() > until_s:
+                self._journal.decision("poison_not_recorded", key=record.key)
+                return
+            await anyio.sleep(settings.record_pause_s)
+
+
+def _join(replies: Iterable[Reply]) -> Reply:
+    """Returns several answers as one."""
+    replies = list(replies)
+    return Reply(
+        tuple(each for reply in replies for each in reply.unreached),
+        tuple(end for reply in replies for end in reply.ends),
+        tuple(answer for reply in replies for answer in reply.answers),
+    )
--- a/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
@@ -21,6 +21,7 @@
 from bridgecross_entry import leadership
 from bridgecross_entry import model
 from bridgecross_entry import peers
+from bridgecross_entry import poison_news
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,6 +74,7 @@
         held: beliefs.Beliefs,
         lead: leadership.Leadership,
         client: peers.PeerClient,
+        news: poison_news.PoisonNews,
         addresses: Callable[[], tuple[model.Address, ...]],
         journal: journals.Journal,
         clock: clocks.Clock,
@@ -84,6 +86,7 @@
             held: What this instance knows.
             lead: Whether it is for this one to speak.
             client: Calls other instances.
+            news: Compared with those who take a word.
             addresses: Where they listen.
             journal: Told who has to be told more.
             clock: For when words were sent.
@@ -94,6 +97,7 @@
         self._beliefs = held
         self._leadership = lead
         self._client = client
+        self._news = news
         self._addresses = addresses
         self._journal = journal
         self._clock = clock
@@ -195,6 +199,7 @@
             self._beliefs.news_beyond(relay.batches) if relay.asks else (),
             self._leadership.knows_claims,
             peers.Stamp(self._life, self._clock.monotonic_s()),
+            self._news.digest,
         )
 
     def _delay_s(self, echo: peers.Echo | None) -> float | None:
@@ -256,6 +261,7 @@
         if answer.reception is peers.Reception.ACCEPTED:
             self._known[peer] = answer.reply.offsets or word.offsets
             self._beliefs.take_found(answer.reply.batches)
+            self._news.compare(peer, answer.reply.poison_digest)
         return answer
 
     def _make_echo(
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -75,7 +75,11 @@
             ),
             listener.Listener(
                 platform.peer_address,
-                edge.make_peer_app(peer_server, self._parts.issuer),
+                edge.make_peer_app(
+                    peer_server,
+                    self._parts.issuer,
+                    self._parts.duties.poison_news,
+                ),
             ),
             listener.Listener(
                 platform.metrics_address,
--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -5,6 +5,7 @@
 for a short while as a last resort.
 """
 
+from collections.abc import Callable
 from collections.abc import Container
 from collections.abc import Iterable
 import dataclasses
@@ -240,6 +241,8 @@
         """Knows no server yet."""
         self.settings = settings
         self.changed = pulse.Pulse()
+        # Called with each run that has certainly ended.
+        self.on_run_ended: Callable[[ids.ServerId], None] = lambda _: None
         # When the list was heard of before what is being taken in.
         self.heard_before_s: float | None = None
         self._instance_count = settings.first_instance_count
@@ -377,6 +380,7 @@
         """Takes in that the run of a server has certainly ended."""
         self._ended.add(server_id)
         self._forget(server_id, reason)
+        self.on_run_ended(server_id)
 
     def _forget(self, server_id: ids.ServerId, reason: str) -> None:
         """Takes a server out."""
@@ -468,8 +472,16 @@
             address=str(listed.address),
             leaving=listed.leaving,
         )
+        self._note_replaced(listed)
         self.changed.notify()
 
+    def _note_replaced(self, listed: model.BackendServer) -> None:
+        """Tells that the runs have ended whose address a new one has."""
+        for server_id, server in list(self._servers.items()):
+            is_other = server_id != listed.server_id
+            if is_other and server.listed.address == listed.address:
+                self.on_run_ended(server_id)
+
     def _note_leaving(self, server: Server, reason: str) -> None:
         """Keeps since when a server has been leaving."""
         now_s = self._clock.monotonic_s()
--- a/libs/bridgecross-entry/src/bridgecross_entry/tally.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/tally.py
@@ -36,6 +36,7 @@
     "left meanwhile": "server_left",
     "out of time": "out_of_time",
     "instance is stopping": "instance_stopping",
+    "servers end under it": "poison",
 }
 """Why requests are not served, by what the last entry of their trail says."""
 
--- a/libs/bridgecross-entry/tests/test_dispatch.py
+++ b/libs/bridgecross-entry/tests/test_dispatch.py
@@ -50,6 +50,9 @@
     def is_connected(self, server):
         return True
 
+    async def is_refusing(self, server):
+        return False
+
     def sweep(self, known):
         return
 
--- a/libs/bridgecross-entry/tests/test_duties.py
+++ b/libs/bridgecross-entry/tests/test_duties.py
@@ -23,6 +23,9 @@
     def is_connected(self, server):
         return False
 
+    async def is_refusing(self, server):
+        return False
+
 
 class Scene:
     """The duties of one instance, whose log holds a service with keys."""
--- a/libs/bridgecross-entry/tests/test_relaying.py
+++ b/libs/bridgecross-entry/tests/test_relaying.py
@@ -15,7 +15,9 @@
 from bridgecross_entry import log
 from bridgecross_entry import model
 from bridgecross_entry import peers
+from bridgecross_entry import poison_news
 from bridgecross_entry import relaying
+from bridgecross_request import poison
 
 pytestmark = pytest.mark.anyio
 
@@ -75,6 +77,7 @@
             self.reader.beliefs,
             self.lead,
             self.wire,
+            self.make_news(platform_log, real),
             lambda: tuple(a for a in members if a != self.address),
             journal,
             real,
@@ -87,6 +90,18 @@
             journal,
         )
 
+    def make_news(self, platform_log, real) -> poison_news.PoisonNews:
+        journal = support.make_journal(real)
+        return poison_news.PoisonNews(
+            poison_news.PoisonNewsSettings(),
+            poison.PoisonLedger(poison.PoisonSettings(), real),
+            peers.PeerClient(peers.PeerSettings(), journal, real),
+            tuple,
+            lambda record: platform_log.put("instances", record),
+            journal,
+            real,
+        )
+
     async def tell(self) -> None:
         async with anyio.create_task_group() as tasks:
             await self.relayer.tell(tasks)
--- /dev/null
+++ b/libs/bridgecross-request/src/bridgecross_request/poison.py
@@ -0,0 +1,227 @@
+"""Poison requests: those under which one server after another ends.
+
+Such a request comes again under another id, at any instance. So requests are
+known by what they ask for and who asks, and what became of them is remembered:
+on which runs of servers one was at work when the run ended, and when one was
+last answered. Being at work where a server ends proves nothing, since a server
+may end for any reason; what tells a poison request from a popular one is that
+no run of it ever comes to an answer.
+
+Pure bookkeeping: bounded in entries and in time, without I/O.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import math
+from typing import NamedTuple
+from typing import NewType
+
+import xxhash
+
+from bridgecross_core import clock as clocks
+
+Subject = NewType("Subject", bytes)
+"""Names a request whatever its id, by who asks and what for; 16 bytes."""
+
+
+def name_subject(
+    caller: str, host: str, method: bytes, target: bytes, body: bytes
+) -> Subject:
+    """Returns what a request is known by when it comes again.
+
+    Args:
+        caller: Who asks, such as the address that the request came from.
+        host: The host that is asked.
+        method: What is to be done.
+        target: The path and the query.
+        body: All of the body.
+    """
+    digest = xxhash.xxh3_128()
+    for part in (caller.encode(), host.encode(), method, target, body):
+        # Lengths keep parts apart: no two requests read the same in a row.
+        digest.update(b"%d:" % len(part))
+        digest.update(part)
+    return Subject(digest.digest())
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoisonSettings:
+    """When a request counts as poison, and what is remembered."""
+
+    # Servers that may end under a request before it is refused. One or two are
+    # chance: servers end for other reasons, and requests are at work there.
+    ends_max_count: int = 3
+    # For how long an end counts. A request that is refused wrongly is served
+    # again after that; one that is poison may end servers once more.
+    remember_s: float = 600.0
+    # A request that was answered so shortly before servers ended is one that
+    # servers can run. Ends at the same time then have another cause, such as
+    # the loss of a failure domain, and count as one.
+    answered_for_s: float = 10.0
+    # Requests whose ends are remembered, 0.5 KB each.
+    subjects_max_count: int = 1_024
+    # Requests whose answers are remembered, 0.2 KB each: at 400 a second those
+    # of ten seconds, and at ten times that the ones of one second, in which
+    # whoever asks often enough to be at three servers has been answered.
+    answers_max_count: int = 4_096
+
+
+class End(NamedTuple):
+    """A server's run that ended while a request was at work there."""
+
+    subject: Subject
+    # Names the run.
+    server: str
+    # When the request went there, and when its connection broke, on the
+    # steady clock of whoever reads this.
+    sent_s: float
+    ended_s: float
+
+
+class Answer(NamedTuple):
+    """A request has been answered by a server."""
+
+    subject: Subject
+    answered_s: float
+
+
+class _Suspect:
+    """A request that was at work at servers that ended."""
+
+    def __init__(self) -> None:
+        """Knows of no end."""
+        self.ends: dict[str, End] = {}
+        self.answered_s = -math.inf
+
+
+class PoisonLedger:
+    """What is remembered of requests, by their subject."""
+
+    def __init__(self, settings: PoisonSettings, clock: clocks.Clock) -> None:
+        """Remembers nothing yet.
+
+        Args:
+            settings: When a request counts as poison.
+            clock: For how long ago something was.
+        """
+        self.settings = settings
+        self._clock = clock
+        # Both with the newest last.
+        self._suspects: dict[Subject, _Suspect] = {}
+        self._answers: dict[Subject, float] = {}
+
+    def note_answer(self, subject: Subject) -> None:
+        """Remembers that a server has just answered a request."""
+        self.put_answer(Answer(subject, self._clock.monotonic_s()))
+
+    def put_answer(self, answer: Answer) -> None:
+        """Remembers when a request was answered."""
+        known_s = self._answers.pop(answer.subject, -math.inf)
+        self._answers[answer.subject] = max(known_s, answer.answered_s)
+        if len(self._answers) > self.settings.answers_max_count:
+            del self._answers[next(iter(self._answers))]
+        suspect = self._suspects.get(answer.subject)
+        if suspect is not None:
+            suspect.answered_s = max(suspect.answered_s, answer.answered_s)
+
+    def put_end(self, end: End) -> bool:
+        """Remembers that a run ended under a request.
+
+        Returns:
+            Whether that was not known.
+        """
+        suspect = self._suspects.pop(end.subject, None)
+        if suspect is None:
+            suspect = _Suspect()
+            suspect.answered_s = self._answers.get(end.subject, -math.inf)
+            self._make_room()
+        self._suspects[end.subject] = suspect
+        if end.server in suspect.ends:
+            return False
+        suspect.ends[end.server] = end
+        if len(suspect.ends) > self.settings.ends_max_count:
+            # Any that are not the newest say nothing more.
+            oldest = min(suspect.ends.values(), key=lambda each: each.ended_s)
+            del suspect.ends[oldest.server]
+        return True
+
+    def _make_room(self) -> None:
+        """Forgets the oldest suspect; one that is refused, last of all."""
+        if len(self._suspects) < self.settings.subjects_max_count:
+            return
+        for subject in self._suspects:
+            if not self.refused_for_s(subject):
+                del self._suspects[subject]
+                return
+        del self._suspects[next(iter(self._suspects))]
+
+    def is_suspect(self, subject: Subject) -> bool:
+        """Whether a server ended under a request, with no answer since."""
+        return bool(self.ends_of(subject))
+
+    def refused_for_s(self, subject: Subject) -> float:
+        """Returns for how much longer a request is to be refused; 0 if not."""
+        suspect = self._suspects.get(subject)
+        if suspect is None or len(suspect.ends) < self.settings.ends_max_count:
+            return 0.0
+        ends = self.ends_of(subject)
+        if self._count(suspect, ends) < self.settings.ends_max_count:
+            return 0.0
+        newest_s = max(end.ended_s for end in ends)
+        left_s = newest_s + self.settings.remember_s
+        return max(left_s - self._clock.monotonic_s(), 0.0)
+
+    def ends_of(self, subject: Subject) -> list[End]:
+        """Returns the ends that count: no answer has come since."""
+        suspect = self._suspects.get(subject)
+        if suspect is None:
+            return []
+        from_s = self._clock.monotonic_s() - self.settings.remember_s
+        return [
+            end
+            for end in suspect.ends.values()
+            # An answer to a run that began later is as good: whatever ended
+            # the server, it was not the request alone.
+            if end.sent_s > suspect.answered_s and end.ended_s > from_s
+        ]
+
+    def _count(self, suspect: _Suspect, ends: list[End]) -> int:
+        """Returns how many ends speak against a request."""
+        first_s = min((end.sent_s for end in ends), default=math.inf)
+        if first_s - suspect.answered_s > self.settings.answered_for_s:
+            return len(ends)
+        return _count_in_turn(ends)
+
+    def suspects(self) -> list[Subject]:
+        """Returns the requests with ends that count, the newest last."""
+        return [each for each in self._suspects if self.ends_of(each)]
+
+    def answer_of(self, subject: Subject) -> Answer | None:
+        """Returns when a request was last answered, as far as remembered."""
+        answered_s = self._answers.get(subject)
+        suspect = self._suspects.get(subject)
+        if suspect is not None:
+            answered_s = max(suspect.answered_s, answered_s or -math.inf)
+        if answered_s is None or math.isinf(answered_s):
+            return None
+        return Answer(subject, answered_s)
+
+    def forget_old(self) -> None:
+        """Drops what no longer counts."""
+        for subject in list(self._suspects):
+            if not self.ends_of(subject):
+                del self._suspects[subject]
+
+
+def _count_in_turn(ends: Iterable[End]) -> int:
+    """Returns how many ends lie one after the other.
+
+    Each of them is of a run that got the request after the one before ended.
+    """
+    count = 0
+    free_s = -math.inf
+    for end in sorted(ends, key=lambda each: each.ended_s):
+        if end.sent_s >= free_s:
+            count += 1
+            free_s = end.ended_s
+    return count
--- a/tests/emulated/crash_scene.py
+++ b/tests/emulated/crash_scene.py
@@ -42,6 +42,8 @@
         self.house = house
         self.service = service
         self.told: list[Told] = []
+        # From when nothing is wrong any more.
+        self.calm_s = 0.0
         self._rng = random.Random(seed)
         self._count = 0
 
--- a/tests/load/scene.py
+++ b/tests/load/scene.py
@@ -231,6 +231,9 @@
     def is_connected(self, server):
         return True
 
+    async def is_refusing(self, server):
+        return False
+
     def sweep(self, known):
         return
 
