--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_crash_watch.py
@@ -0,0 +1,151 @@
+import anyio
+import entry_support as support
+import pytest
+
+from bridgecross_core import clock
+from bridgecross_core import ids
+from bridgecross_core import outcomes
+from bridgecross_entry import attempts
+from bridgecross_entry import crash_watch
+from bridgecross_entry import metrics
+from bridgecross_entry import servers
+from bridgecross_request import poison
+
+pytestmark = pytest.mark.anyio
+
+SUBJECT = poison.Subject(b"s" * 16)
+BROKEN = attempts.Interrupted("reset")
+REFUSED = attempts.NotSent("refused", refused=True)
+ANSWERED = outcomes.Answered(200, (), b"")
+FAILED = outcomes.Answered(500, (), b"")
+
+
+class Backends:
+    """An ``attempts.BackendClient`` of whose servers some refuse."""
+
+    def __init__(self, *refusing: bool) -> None:
+        self.refusing = list(refusing)
+        self.looks_count = 0
+
+    async def is_refusing(self, server):
+        self.looks_count += 1
+        return self.refusing.pop(0) if self.refusing else False
+
+
+class Scene:
+    """A watch over one server."""
+
+    def __init__(self, *refusing: bool) -> None:
+        real = clock.SystemClock()
+        journal = support.make_journal(real)
+        self.backends = Backends(*refusing)
+        self.book = servers.ServerBook(
+            servers.ServerSettings(), support.BOUNDS, journal, real
+        )
+        self.server = support.make_server("a")
+        self.book.put(self.server)
+        self.ledger = poison.PoisonLedger(poison.PoisonSettings(), real)
+        self.watch = crash_watch.CrashWatch(
+            crash_watch.CrashWatchSettings(),
+            self.ledger,
+            self.backends,
+            self.book,
+            journal,
+            metrics.Metrics(),
+            real,
+        )
+        self.told = []
+        self.watch.on_ends = self.told.extend
+
+    def visit(self, result):
+        """Sends a request to the server, of which something comes."""
+        visit = self.watch.begin(SUBJECT, "id", self.server)
+        self.watch.end(visit, result)
+        return visit
+
+    @property
+    def counted(self) -> int:
+        return len(self.ledger.ends_of(SUBJECT))
+
+
+async def _play(
+    scene: Scene, *results: attempts.Attempt | None, wait_s: float = 0.1
+) -> int:
+    """Returns how many ends count after some requests."""
+    async with anyio.create_task_group() as tasks:
+        scene.watch.start(tasks)
+        for result in results:
+            scene.visit(result)
+            await anyio.sleep(wait_s)
+    return scene.counted
+
+
+@pytest.mark.parametrize(
+    ("refusing", "results", "counted"),
+    [
+        pytest.param([True], [BROKEN], 1, id="broken, then it refuses"),
+        pytest.param([False, True], [BROKEN], 1, id="refuses a moment later"),
+        pytest.param([False, False], [BROKEN], 0, id="broken, but it lives"),
+        pytest.param([], [BROKEN, REFUSED], 1, id="refuses another request"),
+        pytest.param([], [None, REFUSED], 1, id="given up, then it refuses"),
+        pytest.param([], [ANSWERED, REFUSED], 0, id="answered before"),
+        pytest.param([], [FAILED, REFUSED], 0, id="failed, which is an answer"),
+        pytest.param([], [REFUSED], 0, id="never there"),
+        pytest.param([], [attempts.Shed(503), REFUSED], 0, id="shed"),
+        pytest.param([], [attempts.NotOwner("a"), REFUSED], 0, id="denied"),
+    ],
+)
+async def test_what_counts_as_an_end_under_a_request(
+    refusing, results, counted
+):
+    scene = Scene(*refusing)
+    assert await _play(scene, *results) == counted
+    assert len(scene.told) == counted
+
+
+async def test_a_server_that_refuses_while_it_works_has_not_ended():
+    scene = Scene()
+    running = scene.watch.begin(SUBJECT, "id", scene.server)
+    assert await _play(scene, REFUSED) == 0
+    scene.watch.end(running, ANSWERED)
+    assert scene.counted == 0
+
+
+async def test_a_server_that_starts_again_at_once_has_ended():
+    scene = Scene(False, False)
+    assert await _play(scene, BROKEN) == 0
+    scene.book.end(ids.ServerId("a"), "another has its address")
+    assert scene.counted == 1
+
+
+async def test_a_newer_run_at_the_address_shows_the_end():
+    scene = Scene(False, False)
+    assert await _play(scene, BROKEN) == 0
+    scene.book.put(support.make_server("b"))
+    assert scene.counted == 1
+
+
+async def test_a_refusal_long_after_says_nothing():
+    scene = Scene(False, False)
+    assert await _play(scene, BROKEN, wait_s=1.1) == 0
+    scene.visit(REFUSED)
+    assert scene.counted == 0
+
+
+async def test_many_that_break_at_once_cost_one_look():
+    scene = Scene(True)
+    async with anyio.create_task_group() as tasks:
+        scene.watch.start(tasks)
+        for _ in range(20):
+            scene.visit(BROKEN)
+    assert scene.backends.looks_count == 1
+    assert scene.counted == 1
+
+
+async def test_what_left_without_an_answer_is_bounded():
+    scene = Scene()
+    limit_count = crash_watch.CrashWatchSettings().left_max_count
+    for _ in range(limit_count + 100):
+        scene.visit(None)
+    scene.visit(REFUSED)
+    assert len(scene.told) <= limit_count
