--- a/libs/bridgecross-core/src/bridgecross_core/clock.py
+++ b/libs/bridgecross-core/src/bridgecross_core/clock.py
@@ -1,5 +1,6 @@
 """Where the time comes from, so that tests can bring their own."""
 
+from collections.abc import Callable
 import time
 from typing import Protocol
 
@@ -17,10 +18,20 @@
 class SystemClock:
     """The clock of the machine."""
 
+    def __init__(
+        self, read: Callable[[int], float] = time.clock_gettime
+    ) -> None:
+        """Reads nothing yet.
+
+        Args:
+            read: Returns what the machine's clock of an id shows, in seconds.
+        """
+        self._read = read
+
     def monotonic_s(self) -> float:
         """Returns the machine's monotonic time in seconds."""
-        return time.monotonic()
+        return self._read(time.CLOCK_MONOTONIC)
 
     def wall_s(self) -> float:
         """Returns the machine's wall clock in seconds since 1970."""
-        return time.time()
+        return self._read(time.CLOCK_REALTIME)
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/house.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/house.py
@@ -137,8 +137,9 @@
         self, number: int, *, is_first_start: bool = False
     ) -> instances.EmulatedInstance:
         """Returns a new life of an instance."""
+        host = virtual.Host()
         clock = virtual.Clock(
-            self._environment, self._rng.uniform(0.0, _LONGEST_UP_S)
+            self._environment, self._rng.uniform(0.0, _LONGEST_UP_S), host
         )
         settings = make_settings(number, is_first_start=is_first_start)
         address = settings.peer_address
@@ -148,6 +149,7 @@
             servers_lib.Orders(self.fleet, address),
             servers_lib.Requests(self.fleet, address),
             self.network,
+            host,
             clock,
             instances.Recorder(settings.name, clock, self.lines),
         )
@@ -206,6 +208,15 @@
         if not instance.is_dead:
             instance.host.run_again(asyncio.get_running_loop())
 
+    async def suspend(
+        self, instance: instances.EmulatedInstance, for_s: float
+    ) -> None:
+        """Suspends the machine of an instance for a while."""
+        self.freeze(instance)
+        await anyio.sleep(for_s)
+        instance.host.suspended_s += for_s
+        self.thaw(instance)
+
     def restart(self, instance: instances.EmulatedInstance) -> None:
         """Starts another life of an instance that was killed."""
         number = self.instances.index(instance)
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/instances.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/instances.py
@@ -158,6 +158,7 @@
         orders: servers.Orders,
         requests: servers.Requests,
         network: networks.Network,
+        host: virtual.Host,
         clock: clocks.Clock,
         journal: journals.Journal,
     ) -> None:
@@ -169,12 +170,13 @@
             orders: Its way to the servers with orders.
             requests: Its way to the servers with requests.
             network: Leads to the other instances.
+            host: Where it runs.
             clock: The host's clock.
             journal: Told of decisions.
         """
         self.settings = settings
         self.way = way
-        self.host = virtual.Host()
+        self.host = host
         self.is_dead = False
         own = settings.peer_address
         self._network = network
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/virtual.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/virtual.py
@@ -10,12 +10,15 @@
 from collections.abc import Callable
 import contextvars
 import selectors
+import time
 from typing import TypeVar
 from typing import TypeVarTuple
 
 import anyio
 import simpy
 
+from bridgecross_core import clock as clocks
+
 T = TypeVar("T")
 Ts = TypeVarTuple("Ts")
 
@@ -26,6 +29,9 @@
     def __init__(self) -> None:
         """Runs."""
         self.stands_still = False
+        # For how long its machine has been suspended. Neither its steady
+        # clock nor its timers count that time.
+        self.suspended_s = 0.0
         # What became due while it stood still, in order.
         self._held: list[asyncio.Handle] = []
 
@@ -121,15 +127,21 @@
         if host is None:
             return super().call_at(when, callback, *args, context=context)
 
+        begun_s = host.suspended_s
+
         def fire() -> None:
-            if not host.stands_still:
-                callback(*args)
+            missed_s = host.suspended_s - begun_s
+            if host.stands_still:
+                # It can still be cancelled, as one that is due can.
+                handle = asyncio.Handle(fire, (), self, context)
+                host.hold(handle)
+            elif timer.cancelled():
                 return
-            # It can still be cancelled, as one that is due can.
-            host.hold(asyncio.Handle(run_unless_cancelled, (), self, context))
-
-        def run_unless_cancelled() -> None:
-            if not timer.cancelled():
+            elif self.time() < when + missed_s:
+                super(VirtualLoop, self).call_at(
+                    when + missed_s, fire, context=context
+                )
+            else:
                 callback(*args)
 
         timer = super().call_at(when, fire, context=context)
@@ -144,25 +156,35 @@
     )
 
 
-class Clock:
-    """A ``clocks.Clock`` of one host, whose start nobody else knows."""
+class Clock(clocks.SystemClock):
+    """The clock of one host, whose start nobody else knows.
+
+    It reads the host's clocks as it would read a real machine's.
+    """
 
     def __init__(
-        self, environment: simpy.Environment, started_s: float = 0.0
+        self,
+        environment: simpy.Environment,
+        started_s: float = 0.0,
+        host: Host | None = None,
     ) -> None:
         """Shows the virtual time, and for how long the host has run.
 
         Args:
             environment: Whose time it is.
             started_s: What the steady clock shows at time 0.
+            host: May be suspended; one that never is, if left out.
         """
+        super().__init__(self._read)
         self._environment = environment
         self._started_s = started_s
-
-    def monotonic_s(self) -> float:
-        """Returns seconds since some moment of the host's own."""
-        return self._started_s + float(self._environment.now)
-
-    def wall_s(self) -> float:
-        """Returns the virtual time."""
-        return float(self._environment.now)
+        self._host = host or Host()
+
+    def _read(self, clock_id: int) -> float:
+        """Returns what one of the host's clocks shows, in seconds."""
+        now_s = float(self._environment.now)
+        if clock_id == time.CLOCK_REALTIME:
+            return now_s
+        if clock_id == time.CLOCK_BOOTTIME:
+            return self._started_s + now_s
+        return self._started_s + now_s - self._host.suspended_s
--- a/libs/bridgecross-entry/src/bridgecross_entry/duties.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/duties.py
@@ -145,6 +145,11 @@
         """The services that this instance coordinates."""
         return len(self._coordinators)
 
+    @property
+    def may_order(self) -> bool:
+        """Whether this instance leads for certain at this moment."""
+        return self._leadership.may_order
+
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Starts all duties."""
         self._tasks = tasks
