First entrance: refuse a request under which three servers have ended

Fronts remember answers and ends in the same ledger (bridgecross_request.poison); after a request that broke they look whether the server's address refuses connections; what they find, all listed instances are told directly, again until they are reached, and a new process asks. What hosts tell one another of ends is one set of types now, checked in one place.

Not kept over a restart of all instances: nothing of it is in the log there.

--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
@@ -25,6 +25,7 @@
 from bridgecross_ownership import releases
 from bridgecross_ownership import reports
 from bridgecross_request import backends
+from bridgecross_request import poison
 from bridgecross_request import requests
 from bridgecross_request import routing
 from bridgecross_request import runner as runners
@@ -50,6 +51,8 @@
     make_backend: Callable[[backends.BackendSettings], ports.ServiceBackend]
     control: appenders.Appender
     intents: appenders.Appender
+    ledger: poison.PoisonLedger
+    tell_others: Callable[[poison.Subject], None]
 
 
 class ServiceParts:
@@ -231,6 +234,8 @@
             heirs=self._forwarder,
             me=shared.me,
             clock=shared.clock,
+            ledger=shared.ledger,
+            tell_others=shared.tell_others,
         )
 
     def _router_ports(self) -> routing.RouterPorts:
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
@@ -7,6 +7,7 @@
 from bridgecross_core import hashing
 from bridgecross_core import ids
 from bridgecross_core import outcomes
+from bridgecross_daemon import _ends
 from bridgecross_daemon import _heartbeats
 from bridgecross_daemon import _news
 from bridgecross_daemon import _platform
@@ -23,6 +24,7 @@
 from bridgecross_ownership import membership as memberships
 from bridgecross_ownership import releases
 from bridgecross_request import intents
+from bridgecross_request import poison
 from bridgecross_request import requests
 from bridgecross_settings import policy as policies
 from bridgecross_settings import process
@@ -117,6 +119,14 @@
             self._addresses,
             self._clock,
         )
+        self._ledger = poison.PoisonLedger(poison.PoisonSettings(), self._clock)
+        self._ends = _ends.EndTeller(
+            self._me,
+            self._ledger,
+            self._peer_client,
+            self._addresses,
+            self._clock,
+        )
         self._leases = outside.make_leases(self._addresses)
         self._heartbeats = _heartbeats.HeartbeatSender(
             _heartbeats.HeartbeatSettings(
@@ -161,6 +171,7 @@
             tasks.start_soon(self._heartbeats.run)
             tasks.start_soon(self._take_snapshots)
             tasks.start_soon(self._news.run)
+            tasks.start_soon(self._ends.run)
             tasks.start_soon(self._start_from_peers)
             await self._stopping.wait()
             await self._drain()
@@ -296,6 +307,10 @@
             return releases.OfficeReply(self._me, is_over=False)
         return await parts.fronts.answer_office(request)
 
+    async def ends(self, request: poison.Told) -> poison.Told:
+        """Takes in which requests servers ended under."""
+        return self._ends.answer(request)
+
     async def news(self, request: peering.NewsRequest) -> peering.NewsReply:
         """Tells what the instance has read of the control stream."""
         return self._news.answer(request)
@@ -451,6 +466,8 @@
             news=self._news,
             control=self._control_appender,
             intents=self._intent_appender,
+            ledger=self._ledger,
+            tell_others=self._ends.tell,
         )
 
     def _make_heartbeats(self) -> dict[ids.InstanceId, peering.Heartbeat]:
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peer_server.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_server.py
@@ -13,6 +13,7 @@
 from bridgecross_core import stamps
 from bridgecross_daemon import peering
 from bridgecross_ownership import releases
+from bridgecross_request import poison
 from bridgecross_request import requests
 
 Q = TypeVar("Q")
@@ -56,6 +57,9 @@
     async def news(self, request: peering.NewsRequest) -> peering.NewsReply:
         """Tells what the instance has read of the control stream."""
 
+    async def ends(self, request: poison.Told) -> poison.Told:
+        """Takes in which requests servers ended under."""
+
     async def status(
         self, request: peering.StatusRequest
     ) -> peering.InstanceStatus:
@@ -100,6 +104,7 @@
                             ),
                             self._handle(peering.OFFICE, service.office),
                             self._handle(peering.NEWS, service.news),
+                            self._handle(peering.ENDS, service.ends),
                             self._handle(peering.STATUS, service.status),
                             self._handle(peering.OWNER, service.owner),
                             self._handle(peering.DRAIN, service.drain),
--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -405,7 +405,7 @@
             return self.leave_aside(path, error)
         return PeerReply(_HTTP_OK)
 
-    def leave_aside(self, path: bytes, error: codec.CodecError) -> PeerReply:
+    def leave_aside(self, path: bytes, error: ValueError) -> PeerReply:
         """Tells of a message that cannot be read, and answers it."""
         self._journal.decision(
             "peer_message_unreadable",
--- a/libs/bridgecross-entry/src/bridgecross_entry/poison_news.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/poison_news.py
@@ -42,28 +42,12 @@
 """Where an instance is told of requests that servers ended under."""
 
 
-class ToldEnd(NamedTuple):
-    """A ``poison.End`` between hosts, whose steady clocks differ."""
-
-    subject: bytes
-    server: str
-    sent_ago_s: float
-    ended_ago_s: float
-
-
-class ToldAnswer(NamedTuple):
-    """A ``poison.Answer`` between hosts."""
-
-    subject: bytes
-    answered_ago_s: float
-
-
 class Word(NamedTuple):
     """What one instance tells another."""
 
-    ends: tuple[ToldEnd, ...] = ()
+    ends: tuple[poison.ToldEnd, ...] = ()
     # Of the same requests, as far as they were answered.
-    answers: tuple[ToldAnswer, ...] = ()
+    answers: tuple[poison.ToldAnswer, ...] = ()
     # Whom the receiver tells as well.
     pass_on: tuple[model.Address, ...] = ()
     # Whether the answer is to hold all that is known.
@@ -76,8 +60,8 @@
     # Those whom it should have told and did not reach.
     unreached: tuple[model.Address, ...] = ()
     # What it and those whom it told know beyond the word, of the same requests.
-    ends: tuple[ToldEnd, ...] = ()
-    answers: tuple[ToldAnswer, ...] = ()
+    ends: tuple[poison.ToldEnd, ...] = ()
+    answers: tuple[poison.ToldAnswer, ...] = ()
 
 
 class Refused(NamedTuple):
@@ -85,7 +69,7 @@
 
     # Ages are as of then, in seconds since 1970.
     written_wall_s: float
-    ends: tuple[ToldEnd, ...]
+    ends: tuple[poison.ToldEnd, ...]
 
 
 _WORDS = codec.Codec(Word)
@@ -227,10 +211,8 @@
 
     def _record(self, subject: poison.Subject) -> None:
         """Lets the log keep that a request is refused."""
-        ends = self._ledger.ends_of(subject)
-        record = Refused(
-            self._clock.wall_s(), tuple(self._age_end(end) for end in ends)
-        )
+        told = self._ledger.tell([subject], self._settings.ends_max_count)
+        record = Refused(self._clock.wall_s(), told.ends)
         key = beliefs.REFUSED_PREFIX + subject.hex()
         self._recorded_wall_s[key] = record.written_wall_s
         self._write_soon(logs.KeyedRecord(key, _RECORDS.encode(record)))
@@ -302,7 +284,7 @@
         named |= {poison.Subject(each.subject) for each in reply.answers}
         counted = {subject: self._what_counts(subject) for subject in named}
         refused = {s for s in named if self._ledger.refused_for_s(s)}
-        self._take(reply.ends, reply.answers)
+        self._take(poison.Told(reply.ends, reply.answers))
         for subject in named:
             if self._what_counts(subject) != counted[subject]:
                 self._tell_soon(subject)
@@ -388,8 +370,8 @@
             return None
         try:
             reply = _REPLIES.decode(body)
-            _check(reply.ends, reply.answers)
-        except codec.CodecError as error:
+            poison.check(poison.Told(reply.ends, reply.answers))
+        except (codec.CodecError, poison.UntrueError) as error:
             self._journal.decision(
                 "peer_message_unreadable",
                 path=PATH.decode(),
@@ -439,7 +421,7 @@
             count = min(len(addresses), settings.asked_first_count)
             asked = tuple(random.sample(addresses, count))
             reply = await self._tell_each(Word(asks_all=True), asked)
-            self._take(reply.ends, reply.answers)
+            self._take(poison.Told(reply.ends, reply.answers))
             if len(reply.unreached) < count:
                 return
             is_quick = self._clock.monotonic_s() < quick_until_s
@@ -491,20 +473,24 @@
             codec.CodecError: It cannot be read.
         """
         word = _WORDS.decode(body)
-        _check(word.ends, word.answers)
+        told = poison.Told(word.ends, word.answers)
+        poison.check(told)
         known = self._say_all() if word.asks_all else self._say_more(word)
-        self._take(word.ends, word.answers)
-        told = _NO_REPLY
+        self._take(told)
+        passed_on = _NO_REPLY
         if word.pass_on:
             # Only to those who are known here: nobody is to be called on the
             # word of whoever can reach this address.
             present = set(self._addresses())
             known_here = tuple(a for a in word.pass_on if a in present)
-            told = await self._tell_each(word._replace(pass_on=()), known_here)
+            passed_on = await self._tell_each(
+                word._replace(pass_on=()), known_here
+            )
             missing = tuple(a for a in word.pass_on if a not in present)
-            told = told._replace(unreached=told.unreached + missing)
+            unreached = passed_on.unreached + missing
+            passed_on = passed_on._replace(unreached=unreached)
         return _REPLIES.encode(
-            _join([told, Reply((), known.ends, known.answers)])
+            _join([passed_on, Reply((), known.ends, known.answers)])
         )
 
     def take_record(self, key: str, value: bytes) -> None:
@@ -517,20 +503,18 @@
             self._recorded_wall_s.pop(key, None)
             return
         record = _RECORDS.decode(value)
-        _check(record.ends, ())
+        poison.check(poison.Told(record.ends))
         self._recorded_wall_s[key] = record.written_wall_s
         # Clocks of hosts differ; nothing is younger than its record.
         passed_s = max(self._clock.wall_s() - record.written_wall_s, 0.0)
-        self._take(
-            tuple(
-                end._replace(
-                    sent_ago_s=end.sent_ago_s + passed_s,
-                    ended_ago_s=end.ended_ago_s + passed_s,
-                )
-                for end in record.ends
-            ),
-            (),
-        )
+        ends = [
+            end._replace(
+                sent_ago_s=end.sent_ago_s + passed_s,
+                ended_ago_s=end.ended_ago_s + passed_s,
+            )
+            for end in record.ends
+        ]
+        self._take(poison.Told(tuple(ends)))
 
     async def drop_old_records(self) -> None:
         """Takes records out of the log that say nothing any more."""
@@ -540,34 +524,14 @@
             if is_old and await self._put_record(logs.KeyedRecord(key, b"")):
                 self._recorded_wall_s.pop(key, None)
 
-    def _take(
-        self, ends: tuple[ToldEnd, ...], answers: tuple[ToldAnswer, ...]
-    ) -> None:
+    def _take(self, told: poison.Told) -> None:
         """Takes in what others know."""
-        named = {poison.Subject(end.subject) for end in ends}
-        refused = {s for s in named if self._ledger.refused_for_s(s)}
-        now_s = self._clock.monotonic_s()
-        for told in answers:
-            subject = poison.Subject(told.subject)
-            answered_s = now_s - told.answered_ago_s
-            self._ledger.put_answer(poison.Answer(subject, answered_s))
-        for end in ends:
-            self._ledger.put_end(
-                poison.End(
-                    poison.Subject(end.subject),
-                    end.server,
-                    now_s - end.sent_ago_s,
-                    now_s - end.ended_ago_s,
-                )
-            )
-        for subject in named - refused:
-            if self._ledger.refused_for_s(subject):
-                self._write_refused(subject)
+        for subject in self._ledger.take(told):
+            self._write_refused(subject)
 
     def _say_all(self) -> Word:
         """Returns all that is known, or the newest of it."""
-        subjects = self._ledger.suspects()
-        return self._say(subjects)
+        return self._say(self._ledger.suspects())
 
     def _say_more(self, word: Word) -> Word:
         """Returns what is known of the requests that a word names."""
@@ -581,26 +545,7 @@
 
     def _say(self, subjects: Iterable[poison.Subject]) -> Word:
         """Returns what is known of some requests."""
-        subjects = list(subjects)
-        ends = [e for s in subjects for e in self._ledger.ends_of(s)]
-        answers = [self._ledger.answer_of(subject) for subject in subjects]
-        newest = ends[-self._settings.ends_max_count :]
-        return Word(
-            tuple(self._age_end(end) for end in newest),
-            tuple(self._age_answer(each) for each in answers if each),
-        )
-
-    def _age_end(self, end: poison.End) -> ToldEnd:
-        """Returns an end as others are told of it."""
-        now_s = self._clock.monotonic_s()
-        return ToldEnd(
-            end.subject, end.server, now_s - end.sent_s, now_s - end.ended_s
-        )
-
-    def _age_answer(self, answer: poison.Answer) -> ToldAnswer:
-        """Returns an answer as others are told of it."""
-        now_s = self._clock.monotonic_s()
-        return ToldAnswer(answer.subject, now_s - answer.answered_s)
+        return Word(*self._ledger.tell(subjects, self._settings.ends_max_count))
 
     # The log.
 
@@ -619,30 +564,6 @@
             await anyio.sleep(settings.record_pause_s)
 
 
-def _check(ends: tuple[ToldEnd, ...], answers: tuple[ToldAnswer, ...]) -> None:
-    """Looks whether what another says can be true.
-
-    Raises:
-        codec.CodecError: It cannot.
-    """
-    for number, end in enumerate(ends):
-        ages_s = (end.sent_ago_s, end.ended_ago_s)
-        _check_entry(f"ends[{number}]", end.subject, ages_s)
-    for number, answer in enumerate(answers):
-        _check_entry(
-            f"answers[{number}]", answer.subject, (answer.answered_ago_s,)
-        )
-
-
-def _check_entry(place: str, subject: bytes, ages_s: Iterable[float]) -> None:
-    """Looks whether one entry can be true."""
-    if len(subject) != poison.SUBJECT_BYTES:
-        raise codec.CodecError(f"{place}: the subject has {len(subject)} bytes")
-    for age_s in ages_s:
-        if not math.isfinite(age_s) or age_s < 0:
-            raise codec.CodecError(f"{place}: the age is {age_s} s")
-
-
 def _join(replies: Iterable[Reply]) -> Reply:
     """Returns several answers as one."""
     replies = list(replies)
--- a/libs/bridgecross-entry/tests/test_poison_news.py
+++ b/libs/bridgecross-entry/tests/test_poison_news.py
@@ -59,10 +59,10 @@
 
 
 def _end(server="a", subject=SUBJECT, sent_ago_s=0.2, ended_ago_s=0.1):
-    return poison_news.ToldEnd(subject, server, sent_ago_s, ended_ago_s)
+    return poison.ToldEnd(subject, server, sent_ago_s, ended_ago_s)
 
 
-def _word(*ends: poison_news.ToldEnd, **fields: object) -> poison_news.Word:
+def _word(*ends: poison.ToldEnd, **fields: object) -> poison_news.Word:
     return poison_news.Word(ends, **fields)
 
 
@@ -89,7 +89,7 @@
         ),
         pytest.param(
             WORDS.encode(
-                _word(answers=(poison_news.ToldAnswer(SUBJECT, math.inf),))
+                _word(answers=(poison.ToldAnswer(SUBJECT, math.inf),))
             ),
             "answers[0]: the age is inf s",
             id="answered never",
@@ -98,7 +98,7 @@
 )
 async def test_a_word_that_makes_no_sense_is_left_aside(body, place):
     scene = Scene()
-    with pytest.raises(codec.CodecError) as caught:
+    with pytest.raises((codec.CodecError, poison.UntrueError)) as caught:
         await scene.news.answer(body)
     if "[" in place:
         assert place in str(caught.value)
--- a/libs/bridgecross-request/src/bridgecross_request/backends.py
+++ b/libs/bridgecross-request/src/bridgecross_request/backends.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
+import anyio
 import httpcore
 
 from bridgecross_core import clock as clocks
@@ -38,6 +39,9 @@
 REFUSED_AS_LATE = b"deadline"
 """The value of ``REFUSED_HEADER`` for a deadline that has passed."""
 
+_LOOK_TIMEOUT_S = 0.1
+"""Nearby addresses refuse within some ms; a caller waits for the look."""
+
 _RETRY_AFTER_SHED_MS = 200
 
 
@@ -92,6 +96,13 @@
             limit: When it must be over.
         """
 
+    async def is_refusing(self, address: str) -> bool:
+        """Whether an address refuses connections; sends nothing.
+
+        Args:
+            address: The server's ``host:port``.
+        """
+
 
 @dataclasses.dataclass(frozen=True)
 class BackendSettings:
@@ -150,6 +161,17 @@
         ) as error:
             return outcomes.Unknown(f"the server did not answer: {error!r}")
 
+    async def is_refusing(self, address: str) -> bool:
+        """Whether an address refuses connections; see ``Backend``."""
+        host, _, port = address.rpartition(":")
+        with anyio.move_on_after(_LOOK_TIMEOUT_S):
+            try:
+                stream = await anyio.connect_tcp(host, int(port))
+            except OSError as error:
+                return isinstance(error.__cause__, ConnectionRefusedError)
+            await stream.aclose()
+        return False
+
     def replace_settings(self, settings: BackendSettings) -> None:
         """Puts new settings into force; pools that exist keep their size."""
         self._settings = settings
--- a/libs/bridgecross-request/src/bridgecross_request/poison.py
+++ b/libs/bridgecross-request/src/bridgecross_request/poison.py
@@ -87,6 +87,33 @@
     answered_s: float
 
 
+class ToldEnd(NamedTuple):
+    """An ``End`` between hosts, whose steady clocks differ."""
+
+    subject: bytes
+    server: str
+    sent_ago_s: float
+    ended_ago_s: float
+
+
+class ToldAnswer(NamedTuple):
+    """An ``Answer`` between hosts."""
+
+    subject: bytes
+    answered_ago_s: float
+
+
+class Told(NamedTuple):
+    """What one host tells another of some requests."""
+
+    ends: tuple[ToldEnd, ...] = ()
+    answers: tuple[ToldAnswer, ...] = ()
+
+
+class UntrueError(ValueError):
+    """What a host tells cannot be true; says where."""
+
+
 class _Suspect:
     """A request that was at work at servers that ended."""
 
@@ -198,6 +225,10 @@
         """Returns the requests with ends that count, the newest last."""
         return [each for each in self._suspects if self.ends_of(each)]
 
+    def known_subjects(self) -> list[Subject]:
+        """Returns all requests that servers ended under, answered or not."""
+        return list(self._suspects)
+
     def answer_of(self, subject: Subject) -> Answer | None:
         """Returns when a request was last answered, as far as remembered."""
         answered_s = self._answers.get(subject)
@@ -208,6 +239,63 @@
             return None
         return Answer(subject, answered_s)
 
+    # Between hosts.
+
+    def tell(self, subjects: Iterable[Subject], ends_max_count: int) -> Told:
+        """Returns what is known of some requests, as of now.
+
+        Args:
+            subjects: The requests.
+            ends_max_count: Ends that are told, the last of them.
+        """
+        now_s = self._clock.monotonic_s()
+        subjects = list(subjects)
+        ends = [end for each in subjects for end in self.ends_of(each)]
+        answers = [self.answer_of(each) for each in subjects]
+        return Told(
+            tuple(
+                ToldEnd(
+                    end.subject,
+                    end.server,
+                    now_s - end.sent_s,
+                    now_s - end.ended_s,
+                )
+                for end in ends[-ends_max_count:]
+            ),
+            tuple(
+                ToldAnswer(each.subject, now_s - each.answered_s)
+                for each in answers
+                if each is not None
+            ),
+        )
+
+    def take(self, told: Told) -> list[Subject]:
+        """Takes in what another host knows.
+
+        Returns:
+            The requests that are refused from now on.
+
+        Raises:
+            UntrueError: It cannot be true; nothing of it is taken in.
+        """
+        check(told)
+        named = {Subject(end.subject) for end in told.ends}
+        passed = [each for each in named if not self.refused_for_s(each)]
+        now_s = self._clock.monotonic_s()
+        for answer in told.answers:
+            answered_s = now_s - answer.answered_ago_s
+            self.put_answer(Answer(Subject(answer.subject), answered_s))
+        for end in told.ends:
+            self.put_end(
+                End(
+                    Subject(end.subject),
+                    end.server,
+                    now_s - end.sent_ago_s,
+                    now_s - end.ended_ago_s,
+                )
+            )
+        return [each for each in passed if self.refused_for_s(each)]
+
     def forget_old(self) -> None:
         """Drops what no longer counts."""
         for subject in list(self._suspects):
@@ -215,6 +303,29 @@
                 del self._suspects[subject]
 
 
+def check(told: Told) -> None:
+    """Looks whether what another host tells can be true.
+
+    Raises:
+        UntrueError: It cannot.
+    """
+    for number, end in enumerate(told.ends):
+        ages_s = (end.sent_ago_s, end.ended_ago_s)
+        _check_entry(f"ends[{number}]", end.subject, ages_s)
+    for number, answer in enumerate(told.answers):
+        place = f"answers[{number}]"
+        _check_entry(place, answer.subject, (answer.answered_ago_s,))
+
+
+def _check_entry(place: str, subject: bytes, ages_s: Iterable[float]) -> None:
+    """Looks whether one entry can be true."""
+    if len(subject) != SUBJECT_BYTES:
+        raise UntrueError(f"{place}: the subject has {len(subject)} bytes")
+    for age_s in ages_s:
+        if not math.isfinite(age_s) or age_s < 0:
+            raise UntrueError(f"{place}: the age is {age_s} s")
+
+
 def _count_in_turn(ends: Iterable[End]) -> int:
     """Returns how many ends lie one after the other.
 
--- a/libs/bridgecross-request/src/bridgecross_request/runner.py
+++ b/libs/bridgecross-request/src/bridgecross_request/runner.py
@@ -1,7 +1,9 @@
 """Runs a request on the instance that fronts the key's owner."""
 
 import collections
+from collections.abc import Callable
 import dataclasses
+import math
 from typing import NamedTuple
 from typing import Protocol
 
@@ -16,6 +18,7 @@
 from bridgecross_ownership import releases
 from bridgecross_request import backends
 from bridgecross_request import intents
+from bridgecross_request import poison
 from bridgecross_request import queueing
 from bridgecross_request import requests
 
@@ -23,6 +26,7 @@
 _NO_LOG_RETRY_MS = 1_000
 _WALL_CLOCK_SLACK_S = 0.25
 _FIRST_GUESS_S = 0.01
+_FIRST_ERROR_STATUS = 500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,6 +71,10 @@
     heirs: HeirForwarder
     me: ids.InstanceId
     clock: clocks.Clock
+    # What is known of requests that servers ended under, and who is told of
+    # a request of which more is known.
+    ledger: poison.PoisonLedger
+    tell_others: Callable[[poison.Subject], None]
 
 
 class _Attempt(NamedTuple):
@@ -91,6 +99,8 @@
         self._settings = settings
         self._ports = ports
         self.queues: dict[ids.ServerId, queueing.TierQueue] = {}
+        # When servers were last seen to have ended.
+        self._ended_s: dict[ids.ServerId, float] = {}
         # Requests by tier that wait for an owner able to serve or for a slot.
         self.waiting: collections.Counter[str] = collections.Counter()
 
@@ -102,6 +112,9 @@
 
     async def run(self, request: requests.Request) -> outcomes.Outcome:
         """Runs a request once, if this instance fronts the key's owner."""
+        refusal = self._refuse_poison(request)
+        if refusal is not None:
+            return refusal
         cell = self._ports.cell
         if not cell.slices:
             return _stale("the service has no slices yet")
@@ -122,6 +135,9 @@
         self, request: requests.Request, bequest: releases.Bequest
     ) -> outcomes.Outcome:
         """Runs a request at the heir of its key's owner, fronted here."""
+        refusal = self._refuse_poison(request)
+        if refusal is not None:
+            return refusal
         front = self._ports.cell.fronts.get(bequest.owner)
         keeper = self._ports.fronts.find(front.heir) if front else None
         if keeper is None or not keeper.inherit(bequest):
@@ -217,12 +233,16 @@
         limit = backends.measure_limit(
             self._ports.clock, attempt.request.deadline_s
         )
+        refusal = self._refuse_poison(attempt.request)
+        if refusal is not None:
+            return refusal
         # Checked last: nothing is awaited between the check and the send.
         if not keeper.is_open(attempt.slice, attempt.token):
             return _stale("the owner changed while the request waited")
         fence = backends.Fence(attempt.slice, attempt.token, keeper.front.token)
         keeper.enter(attempt.slice)
         over_at_s = attempt.request.deadline_s + _WALL_CLOCK_SLACK_S
+        sent_s = self._ports.clock.monotonic_s()
         try:
             outcome = await self._ports.backend.send(
                 address, attempt.request, fence, limit
@@ -231,8 +251,58 @@
                 over_at_s = 0.0
         finally:
             keeper.leave(attempt.slice, over_at_s)
+        await self._remember(attempt, address, sent_s, outcome)
         return outcome
 
+    def _refuse_poison(
+        self, request: requests.Request
+    ) -> outcomes.NotRun | None:
+        """Refuses a request that ended every server it was sent to."""
+        left_s = self._ports.ledger.refused_for_s(_name_subject(request))
+        if not left_s:
+            return None
+        return outcomes.NotRun(
+            outcomes.NotRunProof.REFUSED_BY_ADMISSION,
+            "servers ended while they ran it",
+            retry_after_ms=math.ceil(left_s * 1_000),
+        )
+
+    async def _remember(
+        self,
+        attempt: _Attempt,
+        address: str,
+        sent_s: float,
+        outcome: outcomes.Outcome,
+    ) -> None:
+        """Remembers an answer, or that the server ended under the request."""
+        ports = self._ports
+        subject = _name_subject(attempt.request)
+        if isinstance(outcome, outcomes.Answered):
+            if outcome.status < _FIRST_ERROR_STATUS:
+                was_suspect = ports.ledger.is_suspect(subject)
+                ports.ledger.note_answer(subject)
+                if was_suspect:
+                    ports.tell_others(subject)
+            return
+        ended_s = ports.clock.monotonic_s()
+        is_late = ended_s >= attempt.request.deadline_s
+        if not isinstance(outcome, outcomes.Unknown) or is_late:
+            return
+        if await ports.backend.is_refusing(address):
+            run = self._name_run(attempt.keeper.server, sent_s, ended_s)
+            end = poison.End(subject, run, sent_s, ended_s)
+            if ports.ledger.put_end(end):
+                ports.tell_others(subject)
+
+    def _name_run(
+        self, server: ids.ServerId, sent_s: float, ended_s: float
+    ) -> str:
+        """Names a server's run by its end, the same for all at work then."""
+        if sent_s >= self._ended_s.get(server, -math.inf):
+            self._ended_s[server] = ended_s
+        ended_ms = int(self._ended_s[server] * 1_000)
+        return f"{server}/{self._ports.me}/{ended_ms}"
+
     def _describe_closed(self, attempt: _Attempt) -> outcomes.NotRun:
         """Returns the outcome when the owner did not become able to serve."""
         if attempt.keeper.find_grant_token(attempt.slice) != attempt.token:
@@ -273,6 +343,17 @@
         return max(request.deadline_s - self._ports.clock.monotonic_s(), 0.0)
 
 
+def _name_subject(request: requests.Request) -> poison.Subject:
+    """Returns what a request is known by, whatever its id."""
+    return poison.name_subject(
+        request.caller,
+        request.service,
+        request.method.encode(),
+        request.target.encode(),
+        request.body,
+    )
+
+
 def _stale(reason: str) -> outcomes.NotRun:
     """Returns the outcome of a request that met an old view of the log."""
     return outcomes.NotRun(
--- a/libs/bridgecross-request/tests/test_backends.py
+++ b/libs/bridgecross-request/tests/test_backends.py
@@ -8,6 +8,8 @@
 
 import time
 
+import anyio
+import anyio.abc
 import pytest
 
 from bridgecross_request import backends
@@ -64,3 +66,15 @@
         headers = ()
 
     return Request()
+
+
+@pytest.mark.anyio
+async def test_a_closed_address_refuses_and_an_open_one_does_not():
+    backend = backends.HttpBackend(backends.BackendSettings(1, 1_000))
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    address = f"127.0.0.1:{port}"
+    assert not await backend.is_refusing(address)
+    await listener.aclose()
+    assert await backend.is_refusing(address)
+    await backend.aclose()
--- a/tests/matrix/fakes.py
+++ b/tests/matrix/fakes.py
@@ -4,6 +4,7 @@
 before and after each call. What was already under way goes on.
 """
 
+import asyncio
 import dataclasses
 from typing import Any
 
@@ -22,6 +23,8 @@
 from bridgecross_request import requests
 from bridgecross_standins import backend_standin
 
+CRASH_AFTER_S = 0.02
+RETURNS_AFTER_S = 1.2
 LATENCY_S = 0.002
 
 
@@ -245,6 +248,7 @@
     "AwaitRelease": "await_release",
     "Office": "office",
     "News": "news",
+    "Ends": "ends",
 }
 
 
@@ -268,6 +272,30 @@
         self._lease_until_ms = 0.0
         self._lease_number = 0
         self._running: list[backends.Fence] = []
+        # Requests by their target that end this server, and when each began.
+        self.deadly: set[str] = set()
+        self.deadly_runs_s: list[float] = []
+        self.ends_s: list[float] = []
+
+    async def _end_by_request(self) -> outcomes.Outcome:
+        """Ends this run a little later; another one begins after it."""
+        self.deadly_runs_s.append(self._clock.wall_s())
+        await anyio.sleep(CRASH_AFTER_S)
+        if not self.lost:
+            self.lost = True
+            self.ends_s.append(self._clock.wall_s())
+            loop = asyncio.get_running_loop()
+            loop.call_later(RETURNS_AFTER_S, self._start_again)
+        return outcomes.Unknown("the connection ended")
+
+    def _start_again(self) -> None:
+        """Begins a run that holds and knows nothing."""
+        self.lost = False
+        self._incarnation = f"run-{len(self.ends_s) + 1}"
+        self._front_token = -1
+        self._sequence = 0
+        self._grants = {}
+        self._lease_until_ms = 0.0
 
     async def stand(self) -> None:
         """Waits while the server is frozen; for ever once it is lost."""
@@ -322,6 +350,8 @@
         began_s = self._clock.wall_s()
         if self.is_fenced(fence):
             return _refuse("fence", reroute=True)
+        if request.target in self.deadly:
+            return await self._end_by_request()
         number = self._lease_number
         self._running.append(fence)
         try:
@@ -414,6 +444,12 @@
         await self._link.gate()
         return outcome
 
+    async def is_refusing(self, address: str) -> bool:
+        """Whether no process listens; see ``backends.Backend``."""
+        await self._link.gate()
+        await anyio.sleep(LATENCY_S)
+        return self._servers[address].lost
+
     def replace_settings(self, settings: backends.BackendSettings) -> None:
         """Has nothing to change."""
 
