--- /dev/null
+++ b/tests/emulated/test_evacuation.py
@@ -0,0 +1,195 @@
+"""When the servers of an evacuated failure domain get nothing any more.
+
+The operator's word comes by the way of a configuration; the bound is 5 s from
+when the log took it, for instances in touch. Requests without a key stop as
+soon as an instance knows; keys go on being served by their owners while they
+move, for a part of the bound. How the times add up is worked out in
+``docs/design/evacuation-and-warmup.md``.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+
+import anyio
+import pytest
+import simpy
+
+from bridgecross_emulator import house as houses
+from bridgecross_emulator import instances
+from bridgecross_emulator import virtual
+from tests.emulated import crash_scene
+from tests.emulated import troubles
+
+IN_FORCE_WITHIN_S = 5.0
+DOMAIN = "zone-1"
+# Before a change, the house has run for as long.
+RUN_S = (6.0, 6.35, 6.7)
+# After an evacuation the domain stays empty for so long.
+EMPTY_S = 9.0
+
+
+def _find_late(scene, trouble, taken_s, until_s):
+    """Returns requests that instances in touch sent to the domain too late."""
+    house = scene.house
+    domain_of = {s.name: s.domain for s in house.fleet.servers.values()}
+    disturbed_s = {
+        each.settings.peer_address: at_s
+        for each, at_s in trouble.disturbed_s.items()
+    }
+    late = []
+    for run in house.fleet.runs:
+        if domain_of[run.server] != DOMAIN:
+            continue
+        touched_s = disturbed_s.get(run.sender, float("-inf"))
+        due_s = max(
+            taken_s + IN_FORCE_WITHIN_S, touched_s + troubles.IN_TOUCH_AFTER_S
+        )
+        if due_s < run.at_s < until_s:
+            late.append(run)
+    return late
+
+
+def _play(
+    act: Callable[[crash_scene.Scene], Awaitable[None]],
+    run_s: float,
+    **settings: int,
+) -> crash_scene.Scene:
+    """Plays a house with servers in three failure domains."""
+    environment = simpy.Environment()
+    chosen = {
+        "server_count": 6,
+        "free_server_count": 6,
+        "server_domain_count": 3,
+    } | settings
+
+    async def main() -> crash_scene.Scene:
+        async with anyio.create_task_group() as tasks:
+            house = houses.House(
+                houses.HouseSettings(**chosen), environment, tasks
+            )
+            await house.start(run_s)
+            scene = crash_scene.Scene(house, instances.SERVICE, 1)
+            async with anyio.create_task_group() as callers:
+                for service in (instances.SERVICE, instances.FREE_SERVICE):
+                    callers.start_soon(_call, scene, service)
+                await act(scene)
+                callers.cancel_scope.cancel()
+            house.stop()
+        return scene
+
+    random.seed(1)
+    return virtual.run(environment, main)
+
+
+async def _call(scene: crash_scene.Scene, service: str) -> None:
+    """Sends requests for random keys, some 60 a second."""
+    number = 0
+    async with anyio.create_task_group() as tasks:
+        while True:
+            number += 1
+            target = f"/{service}/{number}".encode()
+            tasks.start_soon(scene.call, target)
+            await anyio.sleep(1 / 60)
+
+
+@pytest.mark.parametrize("run_s", RUN_S)
+@pytest.mark.parametrize("happen", troubles.ALL.values(), ids=troubles.ALL)
+def test_an_evacuated_domain_gets_nothing_after_the_bound(happen, run_s):
+    found = []
+
+    async def act(scene):
+        trouble = troubles.Scene(scene.house)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(happen, trouble)
+            await anyio.sleep(0.05)
+            taken_s = scene.house.evacuate(DOMAIN)
+            await anyio.sleep(IN_FORCE_WITHIN_S + EMPTY_S)
+            found.extend(_find_late(scene, trouble, taken_s, scene.house.now_s))
+            tasks.cancel_scope.cancel()
+
+    scene = _play(act, run_s)
+    assert found == []
+    assert scene.house.fleet.overlaps == []
+
+
+def test_the_rest_is_served_while_a_domain_is_emptied():
+    async def act(scene):
+        await anyio.sleep(2.0)
+        scene.house.evacuate(DOMAIN)
+        await anyio.sleep(8.0)
+
+    scene = _play(act, 6.0)
+    for service in (instances.SERVICE, instances.FREE_SERVICE):
+        prefix = f"/{service}/".encode()
+        assert scene.served_ratio(8.0, prefix) > 0.99
+    assert scene.house.fleet.overlaps == []
+
+
+def test_the_only_domain_of_the_servers_can_be_evacuated():
+    """Nothing can be served then, and callers are told so at once."""
+
+    async def act(scene):
+        scene.house.evacuate("zone-0")
+        await anyio.sleep(8.0)
+        runs = len(scene.house.fleet.runs)
+        await anyio.sleep(3.0)
+        assert len(scene.house.fleet.runs) == runs
+        told = [t for t in scene.told if t.at_s > scene.house.now_s - 3.0]
+        assert told
+        assert not any(t.is_served for t in told)
+        assert {t.outcome.status for t in told} == {503}
+        scene.house.take_back("zone-0")
+        await anyio.sleep(6.0)
+        assert scene.served_ratio(scene.house.now_s - 1.0, b"/") > 0.95
+
+    _play(act, 6.0, server_domain_count=1)
+
+
+def test_two_domains_can_be_evacuated_and_taken_back_in_turn():
+    async def act(scene):
+        house = scene.house
+        begun_s = house.evacuate("zone-0")
+        await anyio.sleep(1.0)
+        house.evacuate("zone-1")
+        await anyio.sleep(8.0)
+        house.take_back("zone-0")
+        await anyio.sleep(8.0)
+        domain_of = {s.name: s.domain for s in house.fleet.servers.values()}
+        from_s = begun_s + 1.0 + IN_FORCE_WITHIN_S
+        late = [r for r in house.fleet.runs if r.at_s > from_s]
+        assert "zone-1" not in {domain_of[r.server] for r in late}
+        assert "zone-0" not in {
+            domain_of[r.server] for r in late if r.at_s < begun_s + 9.0
+        }
+
+    scene = _play(act, 6.0)
+    assert scene.house.fleet.overlaps == []
+    assert scene.served_ratio(14.0, b"/") > 0.99
+
+
+def test_a_history_that_was_forgotten_evacuates_nothing_twice():
+    """What the newest records do not hold any more is over."""
+
+    async def act(scene):
+        house = scene.house
+        house.evacuate(DOMAIN)
+        await anyio.sleep(3.0)
+        house.log.is_away = True
+        await anyio.sleep(2.0)
+        house.take_back(DOMAIN)
+        house.evacuate("zone-2")
+        house.log.forget(instances.CONFIGURATION_TOPIC)
+        house.log.is_away = False
+        await anyio.sleep(9.0)
+        domain_of = {s.name: s.domain for s in house.fleet.servers.values()}
+        free = [
+            domain_of[r.server]
+            for r in house.fleet.runs
+            if r.at_s > house.now_s - 3.0
+            and r.target.startswith(f"/{instances.FREE_SERVICE}/".encode())
+        ]
+        assert DOMAIN in free
+        assert "zone-2" not in free
+
+    _play(act, 6.0)
