Fill cold servers by permits of one certain issuer

Cause: how long a server is cold was a factor of two in its cost and bounded nothing; nobody counted for all instances. Ruled out: a rate for each instance, since an even share is a fifth of a request a second.

Change: what is not known to be warm gets a request only under a permit that was counted against what it bears, by the instance that ranks first for its failure domain and is certain of that: its list of instances is at most 3 s old and has not changed for 3.5 s, so two that are certain would have known one list of the same moment. It gives out half of what is allowed in 1.75 s (a second, 0.5 s to use a permit, 0.25 s to connect), so that a second issuer, or what a frozen instance held up, fits as well. A server counts as cold by its entry, after a start that is seen, after a refused connection, and when its failure domain is taken back. Where the list is older than 2 s, a new connection asks the server itself first. Keys go to cold servers for half of what their permits allow.

--- a/libs/bridgecross-emulator/src/bridgecross_emulator/house.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/house.py
@@ -166,7 +166,7 @@
             settings,
             log_model.LogWay(self.log, clock),
             servers_lib.Orders(self.fleet, address),
-            servers_lib.Requests(self.fleet, address),
+            servers_lib.Requests(self.fleet, address, clock),
             self.network,
             host,
             clock,
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/instances.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/instances.py
@@ -173,6 +173,7 @@
         warm_ms=0.0,
         warmup_ms=1_000.0 * warmup.for_s,
         warmup_rate_per_s=warmup.rate_per_s,
+        health_path="/health",
     )
 
 
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -5,12 +5,14 @@
 from collections.abc import Container
 import contextvars
 import dataclasses
+import math
 from typing import Any
 from typing import NamedTuple
 
 import anyio
 import simpy
 
+from bridgecross_core import clock as clocks
 from bridgecross_core import ids
 from bridgecross_core import outcomes
 from bridgecross_emulator import log_model
@@ -427,10 +429,34 @@
 class Requests:
     """An ``attempts.BackendClient``: one instance's way to the servers."""
 
-    def __init__(self, fleet: Fleet, sender: model.Address) -> None:
-        """Keeps no connection."""
+    def __init__(
+        self, fleet: Fleet, sender: model.Address, clock: clocks.Clock
+    ) -> None:
+        """Knows no run of any server."""
         self._fleet = fleet
         self._sender = sender
+        self._clock = clock
+        # The run that a connection is kept to, of each server, and since when
+        # on the instance's clock; always, if the server has told how it is.
+        self._kept: dict[model.Address, tuple[int, float]] = {}
+
+    async def ask_warmup_s(
+        self, server: model.BackendServer, path: str, known_s: float
+    ) -> float | None:
+        """Finds out whether the run that was known of a server goes on."""
+        found = self._fleet.servers.get(server.address)
+        run, since_s = self._kept.get(server.address, (None, math.inf))
+        goes_on = found and found.is_up and run == found.started_ms
+        if goes_on and since_s <= known_s:
+            return 0.0
+        await self._fleet.network.cross(self._sender, server.address)
+        found = self._fleet.servers.get(server.address)
+        if found is None or not found.is_up:
+            return None
+        left_s = found.told_cold_s
+        self._kept[server.address] = (found.started_ms, -math.inf)
+        await self._fleet.network.cross(server.address, self._sender)
+        return left_s
 
     async def send(
         self,
@@ -444,6 +470,9 @@
         found = self._fleet.servers.get(server.address)
         if found is None or not found.is_up:
             return attempts.NotSent("connection refused", refused=True)
+        if self._kept.get(server.address, (None,))[0] != found.started_ms:
+            now_s = self._clock.monotonic_s()
+            self._kept[server.address] = (found.started_ms, now_s)
         if not self._may_run(found, request):
             return attempts.NotOwner(found.name)
         self._note_run(found, request)
--- a/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
@@ -27,6 +27,7 @@
 from bridgecross_entry import permit_client
 from bridgecross_entry import permit_issuer
 from bridgecross_entry import servers as servers_lib
+from bridgecross_entry import warmups
 from bridgecross_request import poison
 
 
@@ -95,6 +96,9 @@
             journal,
             self.metrics,
             clock,
+            lambda service: self._certainty.is_certain(
+                service, self.settings.failure_domain
+            ),
         )
         self.permits = permit_client.PermitClient(
             permit_client.PermitSettings(),
@@ -138,6 +142,14 @@
             journal,
             clock,
         )
+        self.dispatcher.list_heard_s = lambda: self.beliefs.list_heard_s
+        self._certainty = warmups.IssuerCertainty(
+            warmups.WarmupSettings(),
+            self.settings.peer_address,
+            self._strong_instances,
+            lambda: self.beliefs.instances_age_s,
+            lambda: self.beliefs.instances_settled_s,
+        )
         self.dispatcher.configuration_age_s = lambda: (
             self.beliefs.configuration_age_s
         )
@@ -180,6 +192,7 @@
 
     def _configure(self, new: model.Configuration) -> None:
         """Puts a configuration in force."""
+        self.book.configure(new.services)
         self.dispatcher.configure(new)
         self.on_configuration(new)
         self.duties.match_coordinators()
--- a/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
@@ -80,6 +80,25 @@
     def is_connected(self, server: model.BackendServer) -> bool:
         """Whether a kept connection to a server is free."""
 
+    async def ask_warmup_s(
+        self, server: model.BackendServer, path: str, known_s: float
+    ) -> float | None:
+        """Finds out whether the run that was known of a server goes on.
+
+        The request that is sent next, without anything awaited in between, goes
+        by the connection that tells it.
+
+        Args:
+            server: The server.
+            path: Where it tells how it is.
+            known_s: When it was last known whether the server is cold. A
+                connection that was there by then leads to the same run.
+
+        Returns:
+            For how much longer it is cold as it says itself; 0 if it is not, or
+            if it has gone on; None if it does not answer.
+        """
+
     async def is_refusing(self, server: model.BackendServer) -> bool:
         """Whether a server's address refuses connections; sends nothing.
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
@@ -27,6 +27,7 @@
 from bridgecross_entry import model
 from bridgecross_entry import planner
 from bridgecross_entry import servers as servers_lib
+from bridgecross_entry import warmups
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,6 +53,9 @@
     list_wait_max_s: float = 5.0
     # The pause before the log is tried again.
     log_pause_s: float = 0.1
+    # The part of what a cold server may get that its keys may draw on average.
+    # Requests come at random; what is beyond its permits is turned away.
+    cold_room_ratio: float = 0.5
     # How often it is looked whether a renewal or a plan is due.
     look_interval_s: float = 0.1
 
@@ -204,7 +208,7 @@
 
     async def _found(self) -> bool:
         """Writes the first map of the service."""
-        rooms = self._loads.rooms(self._takers())
+        rooms = self._rooms(self._takers())
         if not rooms:
             return False
         ranges: tuple[keymap.KeyRange, ...] = (
@@ -357,6 +361,34 @@
             and not self._keeper.is_unreachable(server.listed.server_id)
         ]
 
+    def _rooms(
+        self, takers: list[model.BackendServer]
+    ) -> dict[ids.ServerId, float]:
+        """Returns the requests a second that servers can work on.
+
+        Cold ones that bear next to nothing are left out, if there are others.
+        """
+        rooms = self._loads.rooms(takers)
+        warm = {}
+        for server_id, room in rooms.items():
+            cold_room = self._cold_room_per_s(server_id)
+            if cold_room is None:
+                warm[server_id] = room
+            elif cold_room > 0:
+                warm[server_id] = min(room, cold_room)
+        return warm or rooms
+
+    def _cold_room_per_s(self, server_id: ids.ServerId) -> float | None:
+        """Returns what keys of a cold server may draw; None if it is warm."""
+        server = self._book.get(server_id)
+        rate_per_s = self._book.cold_rate_per_s(server) if server else None
+        if rate_per_s is None:
+            return None
+        settings = warmups.WarmupSettings()
+        bounds = self._instance.bounds
+        issued = warmups.count_issued(settings, bounds, rate_per_s)
+        return self._settings.cold_room_ratio * issued / settings.window_s
+
     async def _plan(
         self, tasks: anyio.abc.TaskGroup, *, with_relief: bool
     ) -> None:
@@ -366,7 +398,7 @@
             return
         self._book.note_owners(self._service, self._holders())
         self._loads.advance(takers, self._clock.monotonic_s())
-        rooms = self._loads.rooms(takers)
+        rooms = self._rooms(takers)
         still = tuple(
             r for r in self._ranges if r.first_key not in self._moving
         )
@@ -409,7 +441,12 @@
             for r in still
             if self._book.latest_run(r.owner) != r.owner
         ]
-        return tuple(m for m in moves if m.owner in rooms)
+        # What is cold takes no more than others would give it.
+        return tuple(
+            m
+            for m in moves
+            if m.owner in rooms and self._cold_room_per_s(m.owner) is None
+        )
 
     def _prompt_moves(self) -> int:
         """Returns how many moves are under way that will end soon.
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -28,10 +28,15 @@
 from bridgecross_entry import routes
 from bridgecross_entry import servers as servers_lib
 from bridgecross_entry import tally as tallies
+from bridgecross_entry import warmups as warmups_lib
 from bridgecross_request import poison
 from bridgecross_request import queueing
 
 _FIRST_ERROR_STATUS = 500
+_EVENTS_MAX_COUNT = 20
+"""Things that may befall a request before it is given up; servers that answer
+at once that they cannot take it would else be asked until its deadline."""
+
 _QUEUE_MAX_COUNT = 64
 """Requests of one priority that wait for one server at one instance."""
 
@@ -75,6 +80,14 @@
     rooms: admission.AdmissionSettings = dataclasses.field(
         default_factory=admission.AdmissionSettings
     )
+    # A list of servers that is older does not tell which of them have started
+    # again since, and are cold. While all is well it grows 1.2 s old, and an
+    # instance that hears nothing of it has tried to read it at 1.7 s.
+    list_doubt_age_s: float = 2.0
+    # How cold servers are filled.
+    warmups: warmups_lib.WarmupSettings = dataclasses.field(
+        default_factory=warmups_lib.WarmupSettings
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -145,6 +158,8 @@
         # How many instances take requests, this one included.
         self.instance_count = 1
         self.loads: dict[ids.ServiceName, load.LoadCounter] = {}
+        # When the list of servers was last known to be the newest one.
+        self.list_heard_s: Callable[[], float | None] = lambda: None
         # How long ago it was known that the configuration is the newest one.
         self.configuration_age_s: Callable[[], float] = lambda: 0.0
         # When this instance ends at the latest, on the monotonic clock.
@@ -296,6 +311,9 @@
             self._load(life.service).count_key(life.request.key)
         attempt = self._try_owner if keyed else self._try_any
         while self._clock.monotonic_s() < life.deadline_s:
+            if len(life.trail) > _EVENTS_MAX_COUNT:
+                refusal = self._refuse("no server took it")
+                return self._conclude(life, refusal)
             outcome = await attempt(life)
             outcome = outcome or self._refuse_poison(life)
             if outcome is not None:
@@ -359,10 +377,12 @@
             life: The request.
             owner: The owner of its key; None if any server can serve it.
         """
+        needs_one = self._needs_permit(life, owner)
         permits = self._permits
         is_used = permits is not None and permits.is_used(self.instance_count)
-        if permits is None or not is_used or life.goes_alone:
-            return None
+        is_used = needs_one or (is_used and not life.goes_alone)
+        if permits is None or not is_used:
+            return self._refuse_cold(life, owner) if needs_one else None
         begun_s = self._clock.monotonic_s()
         wanted = permit_client.Wanted(
             life.service,
@@ -371,16 +391,62 @@
             owner.listed if owner else None,
             life.tried,
             lambda: owner is None or self._owns(life, owner),
+            lambda domain: self._is_allowed(life.route, domain),
         )
         result = await permits.obtain(wanted)
         self._metrics.queue_seconds.observe(
             {"service": life.service}, self._clock.monotonic_s() - begun_s
         )
         if not isinstance(result, queueing.Refused):
-            return result
+            if not needs_one or self._covers(result):
+                return result
+            if result is not None:
+                self._give_back(result, 0.0, permits_lib.Ending.UNUSED)
+            return self._refuse_cold(life, owner)
         life.trail.append(f"no permit: {result.reason}")
         return self._refuse(result.reason, result.retry_after_ms)
 
+    def _is_allowed(self, route: model.Route, domain: str) -> bool:
+        """Whether requests of a route may be served in a failure domain."""
+        areas = route.allowed_areas
+        return not areas or self._instance.area_of_domain.get(domain) in areas
+
+    def _usable(self, life: _Life) -> list[servers_lib.Server]:
+        """Returns the servers that a request without a key may be sent to."""
+        now_s = self._clock.monotonic_s()
+        return [
+            server
+            for server in self._book.of_service(life.service)
+            if self._book.may_use_any(server, now_s)
+            and self._is_allowed(life.route, server.listed.failure_domain)
+        ]
+
+    def _needs_permit(
+        self, life: _Life, owner: servers_lib.Server | None
+    ) -> bool:
+        """Whether only cold servers could serve a request."""
+        if owner is not None:
+            return self._book.is_cold(owner)
+        usable = self._usable(life)
+        return bool(usable) and all(map(self._book.is_cold, usable))
+
+    def _refuse_cold(
+        self, life: _Life, owner: servers_lib.Server | None
+    ) -> outcomes.NotRun:
+        """Refuses a request that only servers could serve that are cold."""
+        servers = [owner] if owner else self._usable(life)
+        warm_s = min(server.cold_until_s for server in servers)
+        left_s = max(warm_s - self._clock.monotonic_s(), 0.0)
+        life.trail.append("warming up")
+        return self._refuse("servers are warming up", math.ceil(left_s * 1_000))
+
+    def _covers(self, permit: permit_client.Permit | None) -> bool:
+        """Whether a permit still allows to send to a cold server."""
+        if permit is None or not permit.covers_cold:
+            return False
+        age_s = self._clock.monotonic_s() - permit.asked_s
+        return age_s < self._settings.warmups.use_within_s
+
     def _give_back(
         self,
         permit: permit_client.Permit,
@@ -422,13 +488,13 @@
     def _choose_any(self, life: _Life) -> servers_lib.Server | outcomes.NotRun:
         """Returns the server that would answer soonest."""
         now_s = self._clock.monotonic_s()
-        usable = [
-            s
-            for s in self._book.of_service(life.service)
-            if self._book.may_use_any(s, now_s)
-        ]
+        usable = self._usable(life)
         if not usable:
+            life.trail.append("no server may be used")
             return self._refuse("no server of the service may be used")
+        usable = [s for s in usable if not self._book.is_cold(s)]
+        if not usable:
+            return self._refuse_cold(life, None)
         staying = [s for s in usable if self._book.is_staying(s, now_s)]
         pool = staying or usable
         ready = [s for s in pool if s.paused_until_s <= now_s]
@@ -457,6 +523,14 @@
             waited_s = now_s - begun_s
             owner = self._table.find(life.service, key)
             server = self._book.get(owner.server_id) if owner else None
+            if server and not self._is_allowed(
+                life.route, server.listed.failure_domain
+            ):
+                life.trail.append(f"key {key} is owned in another area")
+                return self._refuse(
+                    "the owner of the key is in another area",
+                    settings.retry_again_after_ms,
+                )
             if owner and server and self._book.may_use(server, now_s):
                 left_s = settings.move_wait_ratio * target_s - waited_s
                 if owner.settled or left_s <= 0:
@@ -496,7 +570,7 @@
                 return self._conclude(life, refusal)
             started_s = self._clock.monotonic_s()
             try:
-                result = await self._send(life, server, started_s, keyed=keyed)
+                result = await self._send(life, server, permit, keyed=keyed)
             finally:
                 held_s = self._clock.monotonic_s() - started_s
                 if permit is None:
@@ -540,11 +614,14 @@
         self,
         life: _Life,
         server: servers_lib.Server,
-        now_s: float,
+        permit: permit_client.Permit | None,
         *,
         keyed: bool,
     ) -> attempts.Attempt | None:
         """Sends a request; None if the choice or its time is over."""
+        if not await self._is_known(life, server):
+            return None
+        now_s = self._clock.monotonic_s()
         if now_s >= life.deadline_s:
             return None
         if self.watch.ledger.refused_for_s(life.subject):
@@ -553,6 +630,10 @@
             life.trail.append(f"{server.listed.server_id}: left meanwhile")
             life.goes_alone = True
             return None
+        if self._book.is_cold(server) and not self._covers(permit):
+            life.trail.append(f"{server.listed.server_id}: it is cold")
+            life.goes_alone = True
+            return None
         left_ms = (life.deadline_s - now_s) * 1_000
         life.in_flight = True
         life.tried.add(server.listed.server_id)
@@ -569,6 +650,33 @@
         life.in_flight = False
         return result
 
+    async def _is_known(self, life: _Life, server: servers_lib.Server) -> bool:
+        """Whether it is known of a server whether it is cold.
+
+        The list says so, but one that is old may have missed that the server
+        has started again under its name.
+        """
+        service = self._book.service_of(server)
+        heard_s = self.list_heard_s()
+        if service is None or service.warmup_rate_per_s is None:
+            return True
+        now_s = self._clock.monotonic_s()
+        if heard_s is None or not service.health_path:
+            return True
+        if now_s - heard_s < self._settings.list_doubt_age_s:
+            return True
+        left_s = await self._client.ask_warmup_s(
+            server.listed, service.health_path, heard_s
+        )
+        if left_s is None:
+            life.trail.append(f"{server.listed.server_id}: does not answer")
+            server.note_unreachable(self._clock.monotonic_s())
+            life.goes_alone = True
+            return False
+        if left_s > 0:
+            server.cool(self._clock.monotonic_s() + left_s)
+        return True
+
     def _still_right(
         self,
         life: _Life,
@@ -578,6 +686,8 @@
         keyed: bool,
     ) -> bool:
         """Whether the choice still stands after waiting for a slot."""
+        if not self._is_allowed(life.route, server.listed.failure_domain):
+            return False
         if not keyed:
             return self._book.may_use_any(server, now_s)
         return self._book.may_use(server, now_s) and self._owns(life, server)
--- a/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -94,7 +94,7 @@
 class _Connection(asyncio.Protocol):
     """One connection, on which one exchange runs at a time."""
 
-    def __init__(self, settings: ConnectionSettings) -> None:
+    def __init__(self, settings: ConnectionSettings, opened_s: float) -> None:
         """Waits for the transport."""
         self._settings = settings
         self._parser = httptools.HttpResponseParser(self)
@@ -111,6 +111,10 @@
         self._wants_head_only = False
         self.reusable = True
         self.idle_limit_s = settings.idle_timeout_s
+        # From when on it has led to the same process of the other side; its own
+        # opening, unless the other side has told since how it is.
+        self.opened_s = opened_s
+        self.is_vouched_for = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport and bounds silence of the peer."""
@@ -313,6 +317,47 @@
         """Whether a kept connection has not been closed by the other side."""
         return any(idle.connection.usable for idle in self._idle)
 
+    def prefer_known(self, known_s: float) -> bool:
+        """Lets the next exchange go by a connection that is vouched for.
+
+        Args:
+            known_s: One that was opened before needs nobody to vouch for it.
+
+        Returns:
+            Whether there is one.
+        """
+        now_s = self._clock.monotonic_s()
+        for index in reversed(range(len(self._idle))):
+            idle = self._idle[index]
+            connection = idle.connection
+            is_known = (
+                connection.is_vouched_for or connection.opened_s <= known_s
+            )
+            if is_known and self._is_fresh(idle, now_s):
+                self._idle.append(self._idle.pop(index))
+                return True
+        return False
+
+    async def exchange_anew(self, request: bytes, accepts: Accepts) -> Result:
+        """Sends one request by a new connection, and vouches for it.
+
+        If it was answered, the next exchange goes by the same connection.
+        """
+        opened = await self._open()
+        if isinstance(opened, Unsent):
+            return opened
+        try:
+            result = await opened.exchange(request, accepts)
+        except asyncio.CancelledError:
+            opened.abort()
+            raise
+        if isinstance(result, Reply) and opened.usable:
+            opened.is_vouched_for = True
+            self._idle.append(_Idle(opened, self._clock.monotonic_s()))
+            return result
+        opened.abort()
+        return Broken("the connection was not kept")
+
     async def reach(self) -> Unsent | None:
         """Makes a connection and keeps it; returns why there is none."""
         opened = await self._open()
@@ -364,11 +409,12 @@
     async def _open(self) -> _Connection | Unsent:
         """Connects."""
         loop = asyncio.get_running_loop()
+        opened_s = self._clock.monotonic_s()
         self.opened_count += 1
         try:
             async with asyncio.timeout(self._settings.connect_timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(self._settings),
+                    lambda: _Connection(self._settings, opened_s),
                     self.address.host,
                     self.address.port,
                 )
--- a/libs/bridgecross-entry/src/bridgecross_entry/model.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/model.py
@@ -81,6 +81,8 @@
     shares: tuple[WeightedService, ...]
     # Backend servers that one request may be sent to.
     max_attempts: int
+    # The areas in which its requests may be served; any, if empty.
+    allowed_areas: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +100,8 @@
     warmup_ms: float = 0.0
     # Requests a second that a cold server bears; None if it bears all.
     warmup_rate_per_s: float | None = None
+    # Where a server tells how it is; empty if it does not.
+    health_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,6 +176,8 @@
     # Whether the whole system starts for the first time: nobody leads yet, and
     # nobody is served before all have started.
     is_first_start: bool = False
+    # The area that each failure domain lies in.
+    area_of_domain: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 def name_run(name: str, started_ms: int | None) -> ids.ServerId:
--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_client.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_client.py
@@ -17,7 +17,6 @@
 
 from bridgecross_core import clock as clocks
 from bridgecross_core import codec
-from bridgecross_core import hashing
 from bridgecross_core import ids
 from bridgecross_core import timeouts
 from bridgecross_entry import exchange
@@ -82,6 +81,8 @@
     tried: Iterable[ids.ServerId]
     # Whether that server can still serve it; asked while it waits.
     is_current: Callable[[], bool]
+    # Whether it may be served in a failure domain.
+    is_allowed: Callable[[str], bool] = lambda _: True
 
 
 class Permit(NamedTuple):
@@ -91,6 +92,10 @@
     ticket: str
     # Who gave it.
     issuer: model.Address
+    # Whether it was counted against what a cold server bears, and when it was
+    # asked for.
+    covers_cold: bool = False
+    asked_s: float = 0.0
 
 
 class _Issuer(NamedTuple):
@@ -169,6 +174,7 @@
         issuers = [
             _Issuer(wanted.service, domain)
             for domain in self._domains(wanted.service)
+            if wanted.is_allowed(domain)
         ]
         issuers.sort(key=lambda each: self._rank(each, wanted))
         for issuer in issuers[: self._settings.domains_max_count]:
@@ -222,9 +228,7 @@
         candidates = self._candidates(issuer.domain)
         known = self._ranked.get(issuer)
         if known is None or known[0] is not candidates:
-            by_name = {str(address): address for address in candidates}
-            names = hashing.rank_by_rendezvous("/".join(issuer), by_name)
-            known = (candidates, [by_name[name] for name in names])
+            known = (candidates, permits.rank_issuers(*issuer, candidates))
             self._ranked[issuer] = known
         now_s = self._clock.monotonic_s()
         return [
@@ -278,6 +282,7 @@
         ticket = f"{self._life:x}-{self._sequence}"
         permit = Permit(ids.ServerId(""), ticket, address)
         decided: permits.Reply | None = None
+        asked_s = self._clock.monotonic_s()
         timeout_s = self._settings.timeout_s
         try:
             while decided is None and wanted.is_current():
@@ -293,7 +298,11 @@
                 # It may have been given to one who waits no longer.
                 self.give_back(permit, 0.0, permits.Ending.UNUSED)
         if decided and decided.verdict is permits.Verdict.GRANTED:
-            return permit._replace(server_id=decided.server_id)
+            return permit._replace(
+                server_id=decided.server_id,
+                covers_cold=decided.covers_cold,
+                asked_s=asked_s,
+            )
         return decided
 
     def _word(
--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
@@ -5,7 +5,9 @@
 and each may fill them; the servers' own queues take that up.
 """
 
+from collections.abc import Callable
 import dataclasses
+import math
 from typing import NamedTuple
 
 import anyio
@@ -17,6 +19,7 @@
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import permits
 from bridgecross_entry import servers as servers_lib
+from bridgecross_entry import warmups as warmups_lib
 from bridgecross_request import queueing
 
 
@@ -97,6 +100,8 @@
         journal: journals.Journal,
         metrics: metrics_lib.Metrics,
         clock: clocks.Clock,
+        is_certain: Callable[[ids.ServiceName], bool] = lambda _: False,
+        warmups: warmups_lib.WarmupSettings | None = None,
     ) -> None:
         """Has given out nothing.
 
@@ -108,6 +113,9 @@
             journal: Told of permits that never came back.
             metrics: Counts verdicts.
             clock: For all times.
+            is_certain: Whether no other instance counts for the servers of a
+                service here; if left out, cold ones get nothing.
+            warmups: How cold servers are filled.
         """
         # Whether others should be asked instead.
         self.is_stopping = False
@@ -118,6 +126,10 @@
         self._journal = journal
         self._metrics = metrics
         self._clock = clock
+        self._is_certain = is_certain
+        self._warmups = warmups_lib.WarmupLedger(
+            warmups or warmups_lib.WarmupSettings(), book.bounds, clock
+        )
         self._pools: dict[ids.ServiceName, _Pool] = {}
         self._granted: dict[str, _Granted] = {}
         self._waiting: dict[str, _Waiting] = {}
@@ -165,18 +177,30 @@
             return turned_away
         granted = self._granted.get(ask.ticket)
         if granted is not None and ask.ticket not in self._waiting:
-            # Heard twice: one slot is enough.
+            # Heard twice: one slot is enough. It covers no cold server, since
+            # nobody can tell how old it is.
             server_id = granted.server.listed.server_id
             return permits.Reply(permits.Verdict.GRANTED, server_id)
         waiting = self._waiting.get(ask.ticket)
         if waiting is not None:
             return await self._hold(ask, waiting, self._settings.hold_again_s)
+        return await self._ask_first(ask, pool, server)
+
+    async def _ask_first(
+        self,
+        ask: permits.Ask,
+        pool: _Pool,
+        server: servers_lib.Server | None,
+    ) -> permits.Reply:
+        """Answers one who has not asked for this request before."""
         now_s = self._clock.monotonic_s()
         queue = server.queue if server is not None else pool.queue
         due = queueing.Due(now_s + ask.target_in_s, now_s + ask.deadline_in_s)
         if queue.try_acquire(self._place(ask), due):
-            return self._grant(ask, pool, server)
-        if not ask.may_wait:
+            return self._grant(ask, pool, server, may_be_cold=True)
+        is_cold = server is not None and self._is_cold(server)
+        if is_cold or not ask.may_wait:
+            # Who waits for a cold one would not know how old a permit is.
             wait_s = queue.estimate_wait_s(ask.priority)
             return permits.Reply(permits.Verdict.FULL, wait_s=wait_s)
         waiting = _Waiting(anyio.CancelScope(), anyio.Event(), now_s)
@@ -199,7 +223,38 @@
         if server is None:
             return permits.Reply(permits.Verdict.UNCOUNTED)
         pause_s = server.paused_until_s - self._clock.monotonic_s()
-        return _refuse("left alone", pause_s) if pause_s > 0 else None
+        if pause_s > 0:
+            return _refuse("left alone", pause_s)
+        wait_s = self._cold_wait_s(ask.service, server)
+        return _refuse("the server is warming up", wait_s) if wait_s else None
+
+    # Cold servers.
+
+    def _is_cold(self, server: servers_lib.Server) -> bool:
+        """Whether a server must be taken for cold."""
+        return self._cold_rate_per_s(server) is not None
+
+    def _cold_rate_per_s(self, server: servers_lib.Server) -> float | None:
+        """Returns what a server bears if it is cold; None if it is not."""
+        known = self._book.get(server.listed.server_id)
+        return None if known is None else self._book.cold_rate_per_s(known)
+
+    def _cold_wait_s(
+        self, service: ids.ServiceName, server: servers_lib.Server
+    ) -> float:
+        """Returns how long until a server may have one more; 0 if at once."""
+        rate_per_s = self._cold_rate_per_s(server)
+        if rate_per_s is None:
+            return 0.0
+        server_id = server.listed.server_id
+        wait_s = math.inf
+        if self._is_certain(service):
+            wait_s = self._warmups.wait_s(server_id, rate_per_s)
+        known = self._book.get(server_id)
+        if known is None:
+            return wait_s
+        # By then it is warm.
+        return min(wait_s, known.cold_until_s - self._clock.monotonic_s())
 
     async def _hold(
         self, ask: permits.Ask, waiting: _Waiting, hold_s: float
@@ -241,7 +296,7 @@
         else:
             is_there = bool(pool.servers)
         if is_there:
-            return self._grant(ask, pool, server)
+            return self._grant(ask, pool, server, may_be_cold=False)
         queue.release(queue.settings.first_guess_s, self._place(ask))
         return permits.Reply(permits.Verdict.UNCOUNTED)
 
@@ -250,6 +305,8 @@
         ask: permits.Ask,
         pool: _Pool,
         server: servers_lib.Server | None,
+        *,
+        may_be_cold: bool,
     ) -> permits.Reply:
         """Gives a permit; the slot in the queue has been taken.
 
@@ -257,29 +314,70 @@
             ask: The request.
             pool: The servers of its service.
             server: The only one that can serve it; None if any can.
+            may_be_cold: Whether it may be for a cold server; who waited may
+                have asked long ago.
         """
         now_s = self._clock.monotonic_s()
         place = self._place(ask)
         is_shared = server is None
-        if server is None:
-            server = self._choose(ask, pool, now_s)
+        chosen = server or self._choose(
+            ask, pool, now_s, may_be_cold=may_be_cold
+        )
+        if chosen is None:
+            pool.queue.release(pool.queue.settings.first_guess_s, place)
+            return self._put_off(ask, pool)
+        server = chosen
+        if is_shared:
             server.queue.take(place)
+        covers_cold = may_be_cold and self._is_cold(server)
+        if covers_cold:
+            self._warmups.take(server.listed.server_id)
         expires_s = now_s + ask.deadline_in_s + self._settings.expiry_margin_s
         self._granted[ask.ticket] = _Granted(
             ask.service, server, place, is_shared, expires_s
         )
-        return permits.Reply(permits.Verdict.GRANTED, server.listed.server_id)
+        return permits.Reply(
+            permits.Verdict.GRANTED,
+            server.listed.server_id,
+            covers_cold=covers_cold,
+        )
+
+    def _put_off(self, ask: permits.Ask, pool: _Pool) -> permits.Reply:
+        """Says when there may be room at servers that are all cold."""
+        wait_s = min(
+            self._cold_wait_s(ask.service, server)
+            for server in pool.servers.values()
+        )
+        if ask.may_wait:
+            return _refuse("the servers are warming up", wait_s)
+        return permits.Reply(permits.Verdict.FULL, wait_s=wait_s)
 
     def _choose(
-        self, ask: permits.Ask, pool: _Pool, now_s: float
-    ) -> servers_lib.Server:
-        """Returns the server that would answer soonest."""
+        self,
+        ask: permits.Ask,
+        pool: _Pool,
+        now_s: float,
+        *,
+        may_be_cold: bool,
+    ) -> servers_lib.Server | None:
+        """Returns the server that would answer soonest.
+
+        None if all that there are are cold and have had what they bear.
+        """
         known = [
             server
             for server_id, server in pool.servers.items()
             if server_id in pool.staying
         ]
         known = known or list(pool.servers.values())
+        known = [
+            server
+            for server in known
+            if not self._is_cold(server)
+            or (may_be_cold and not self._cold_wait_s(ask.service, server))
+        ]
+        if not known:
+            return None
         ready = [s for s in known if s.paused_until_s <= now_s] or known
         fresh = [s for s in ready if s.listed.server_id not in ask.tried]
         candidates = fresh or ready
@@ -323,6 +421,7 @@
 
     def sweep(self) -> None:
         """Forgets what nobody asks for, and permits that never came back."""
+        self._warmups.sweep()
         now_s = self._clock.monotonic_s()
         for ticket, waiting in list(self._waiting.items()):
             if now_s - waiting.heard_s > self._settings.forget_s:
@@ -391,12 +490,19 @@
             else:
                 known.listed = each
         slots = sum(
-            s.queue.settings.slots
+            self._usable_slots(s)
             for s in pool.servers.values()
             if s.paused_until_s <= now_s and s.listed.server_id in pool.staying
         )
         pool.queue.settings = self._queue_settings(max(slots, 1))
 
+    def _usable_slots(self, server: servers_lib.Server) -> int:
+        """Returns how many requests a server is counted for.
+
+        A cold one works on about one at a time at the rate that it bears.
+        """
+        return 1 if self._is_cold(server) else server.queue.settings.slots
+
     def _make_queue(self, slots: int) -> queueing.TierQueue:
         """Returns a queue in front of some slots."""
         return queueing.TierQueue(self._queue_settings(slots), self._clock)
--- a/libs/bridgecross-entry/src/bridgecross_entry/permits.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permits.py
@@ -12,13 +12,16 @@
 The types here are what instances tell one another about permits.
 """
 
+from collections.abc import Iterable
 import enum
 from typing import NamedTuple
 
 from bridgecross_core import codec
+from bridgecross_core import hashing
 from bridgecross_core import ids
 from bridgecross_core import outcomes
 from bridgecross_entry import attempts
+from bridgecross_entry import model
 
 PATH = b"/permits"
 """Where an instance is asked for permits, and given them back."""
@@ -98,6 +101,8 @@
     reason: str = ""
     # When to come back, if refused.
     retry_after_ms: int = 0
+    # Whether it was counted against what a cold server bears.
+    covers_cold: bool = False
 
 
 class Return(NamedTuple):
@@ -120,6 +125,21 @@
 REPLIES = codec.Codec(Reply)
 
 
+def rank_issuers(
+    service: ids.ServiceName, domain: str, candidates: Iterable[model.Address]
+) -> list[model.Address]:
+    """Returns who counts for the servers of a failure domain, the best first.
+
+    Args:
+        service: The service of the servers.
+        domain: Their failure domain.
+        candidates: The instances of that domain that may count.
+    """
+    by_name = {str(address): address for address in candidates}
+    names = hashing.rank_by_rendezvous(f"{service}/{domain}", by_name)
+    return [by_name[name] for name in names]
+
+
 def name_ending(result: attempts.Attempt) -> Ending:
     """Returns what the end of an attempt says of the server."""
     if isinstance(result, outcomes.Answered):
--- a/libs/bridgecross-entry/src/bridgecross_entry/server_list.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/server_list.py
@@ -188,9 +188,12 @@
 ) -> bool:
     """Whether others must be told of a change of an entry.
 
-    The rest of the time for which a server is slow runs off by itself.
+    The rest of the time for which a server is cold runs off by itself; others
+    must be told if it has grown, since the server has turned cold again.
     """
     if known is None or listed is None:
         return known is not listed
     left_ms = listed.warmup_left_ms
+    if left_ms > known.warmup_left_ms:
+        return True
     return dataclasses.replace(known, warmup_left_ms=left_ms) != listed
--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Container
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import math
 import random
@@ -126,6 +127,10 @@
         # Whether its run has certainly ended.
         self.ended = False
         self.paused_until_s = 0.0
+        # Until when it must be taken for cold, and for how long it is after a
+        # start.
+        self.cold_until_s = float("-inf")
+        self.warmup_s = 0.0
         # Requests that this instance may have at the server at a time, and
         # the most that this may grow to.
         self._room = float(queue.settings.slots)
@@ -205,6 +210,12 @@
         self.note_interrupted()
         self._pause_s = self._settings.longest_pause_s
         self.paused_until_s = now_s + self._pause_s
+        # Whoever answers there next has just started.
+        self.cool(now_s + self.warmup_s)
+
+    def cool(self, until_s: float) -> None:
+        """Takes it for cold until a time at least."""
+        self.cold_until_s = max(self.cold_until_s, until_s)
 
     def note_interrupted(self) -> None:
         """Counts an attempt without a whole answer."""
@@ -245,8 +256,10 @@
         self.evacuations = evacuations_lib.Evacuations(
             evacuations_lib.EvacuationSettings(), bounds, journal, clock
         )
+        # What holds for the servers of each service.
+        self._services: Mapping[ids.ServiceName, model.Service] = {}
         self._instance_count = settings.first_instance_count
-        self._bounds = bounds
+        self.bounds = bounds
         self._journal = journal
         self._clock = clock
         self._servers: dict[ids.ServerId, Server] = {}
@@ -335,6 +348,7 @@
             self._add(listed)
             return
         known.listed = listed
+        self._note_warmup(known)
         if listed.leaving:
             self._note_leaving(known, "it says that it is leaving")
         elif returned:
@@ -397,13 +411,50 @@
         )
         self.changed.notify()
 
+    def configure(
+        self, services: Mapping[ids.ServiceName, model.Service]
+    ) -> None:
+        """Takes what holds for the servers of each service."""
+        self._services = services
+        for server in self._servers.values():
+            self._set_warmup(server)
+
+    def _set_warmup(self, server: Server) -> None:
+        """Sets for how long a server is cold after a start."""
+        service = self._services.get(server.listed.service)
+        server.warmup_s = service.warmup_ms / 1_000 if service else 0.0
+
+    def _note_warmup(self, server: Server) -> None:
+        """Takes in for how long a server says that it is cold."""
+        left_s = server.listed.warmup_left_ms / 1_000
+        if left_s > 0:
+            server.cool(self._clock.monotonic_s() + left_s)
+
+    def service_of(self, server: Server) -> model.Service | None:
+        """Returns what holds for the servers of a server's service."""
+        return self._services.get(server.listed.service)
+
+    def cold_rate_per_s(self, server: Server) -> float | None:
+        """Returns how many requests a second a server bears that is cold.
+
+        None if it bears what others bear, or must not be taken for cold.
+        """
+        if self._clock.monotonic_s() >= server.cold_until_s:
+            return None
+        service = self._services.get(server.listed.service)
+        return service.warmup_rate_per_s if service else None
+
+    def is_cold(self, server: Server) -> bool:
+        """Whether a server must be taken for one that bears few requests."""
+        return self.cold_rate_per_s(server) is not None
+
     def drop_stale(self) -> None:
         """Forgets servers that have been gone from the list for long.
 
         By then no lease that one may have been given runs any more.
         """
         now_s = self._clock.monotonic_s()
-        keep_s = (self._bounds.drain_ms + self._bounds.lease_max_ms) / 1_000
+        keep_s = (self.bounds.drain_ms + self.bounds.lease_max_ms) / 1_000
         if len(self._latest) > _LATEST_MAX_COUNT:
             self._latest = {
                 server.listed.name: server.listed
@@ -424,7 +475,7 @@
             return False
         if since_s is None:
             return True
-        drain_s = self._bounds.drain_ms / 1_000
+        drain_s = self.bounds.drain_ms / 1_000
         until_s = since_s + drain_s * self.settings.drain_use_ratio
         if server.staying_until_s is not None:
             age_s = drain_s * self.settings.drain_age_ratio
@@ -458,7 +509,12 @@
             known_s: When that was last known before; None if never.
         """
         before = self.evacuations.domains
-        self.evacuations.take(words, known_s)
+        ended = self.evacuations.take(words, known_s)
+        now_s = self._clock.monotonic_s()
+        for server in self._servers.values():
+            if server.listed.failure_domain in ended:
+                # It may have turned cold shortly before.
+                server.cool(now_s + server.warmup_s)
         if self.evacuations.domains != before:
             self.changed.notify()
 
@@ -505,12 +561,18 @@
         of_service[listed.server_id] = server
         if listed.leaving:
             server.leaving_since_s = now_s
+        self._set_warmup(server)
+        self._note_warmup(server)
+        if self.heard_before_s is not None:
+            # It was not there before, whatever its entry leaves out.
+            server.cool(now_s + server.warmup_s)
         self._journal.decision(
             "server_joined",
             server=listed.server_id,
             service=listed.service,
             address=str(listed.address),
             leaving=listed.leaving,
+            cold_for_s=round(max(server.cold_until_s - now_s, 0.0), 3),
         )
         self._note_replaced(listed)
         self.changed.notify()
--- a/libs/bridgecross-entry/tests/test_beliefs.py
+++ b/libs/bridgecross-entry/tests/test_beliefs.py
@@ -109,6 +109,16 @@
     assert not any(batch.records for batch in news.values())
 
 
+async def test_a_server_that_turns_cold_again_is_told(platform_log):
+    reader, told, teller = await _make_pair(platform_log)
+    _add(platform_log, "servers", "a", b"rapor 3000")
+    await reader.read()
+    teller.tell(told)
+    server = told.book.get(ids.ServerId("a"))
+    assert server is not None
+    assert server.cold_until_s > clock.SystemClock().monotonic_s() + 2.0
+
+
 async def test_news_that_were_missed_are_told_again(platform_log):
     reader, told, teller = await _make_pair(platform_log)
     for name in "bcdefghij":
--- a/libs/bridgecross-entry/tests/test_exchange.py
+++ b/libs/bridgecross-entry/tests/test_exchange.py
@@ -209,3 +209,36 @@
         assert not pool.has_idle
         assert isinstance(await _ask(pool), exchange.Reply)
         assert used == [1, 1, 1]
+
+
+async def test_a_connection_that_was_there_is_vouched_for():
+    async with _serving([OK % b"1", OK % b"1"]) as (pool, used):
+        await _ask(pool)
+        now_s = clock.SystemClock().monotonic_s()
+        assert pool.prefer_known(now_s)
+        assert not pool.prefer_known(now_s - 60.0)
+        await _ask(pool)
+        assert used == [2]
+
+
+async def test_an_answer_vouches_for_its_connection_only():
+    async with _serving([OK % b"1"], [OK % b"1", OK % b"1"]) as (pool, used):
+        await _ask(pool)
+        begun_s = clock.SystemClock().monotonic_s() - 60.0
+        assert not pool.prefer_known(begun_s)
+        reply = await pool.exchange_anew(
+            b"GET /health HTTP/1.1\r\n\r\n", lambda _: True
+        )
+        assert isinstance(reply, exchange.Reply)
+        assert pool.prefer_known(begun_s)
+        await _ask(pool)
+        assert used == [1, 2]
+
+
+async def test_a_connection_that_gives_no_answer_is_not_kept():
+    async with _serving([None]) as (pool, _):
+        reply = await pool.exchange_anew(
+            b"GET /health HTTP/1.1\r\n\r\n", lambda _: True
+        )
+        assert isinstance(reply, exchange.Broken)
+        assert not pool.has_idle
--- a/libs/bridgecross-entry/tests/test_permit_issuer.py
+++ b/libs/bridgecross-entry/tests/test_permit_issuer.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 import anyio
 import entry_support as support
 import pytest
@@ -5,6 +7,7 @@
 from bridgecross_core import clock
 from bridgecross_core import ids
 from bridgecross_entry import metrics
+from bridgecross_entry import model
 from bridgecross_entry import permit_issuer
 from bridgecross_entry import permits
 from bridgecross_entry import servers
@@ -14,6 +17,10 @@
 RAPOR = ids.ServiceName("rapor")
 A, B = ids.ServerId("a"), ids.ServerId("b")
 SLOTS = 4
+RATE_PER_S = 5.8
+# Permits for a cold server in a window: half of 5.8 and nothing on top, by the
+# bounds of these tests.
+COLD_COUNT = 2
 
 
 class Scene:
@@ -28,6 +35,8 @@
         self.book.put(support.make_server("a"))
         self.book.put(support.make_server("b"))
         self.book.put(support.make_server("far", domain="hall-2"))
+        # Whether this issuer is certain to count alone.
+        self.is_certain = True
         self.issuer = permit_issuer.PermitIssuer(
             permit_issuer.IssuerSettings(
                 recount_interval_s=0.0,
@@ -41,7 +50,21 @@
             journal,
             metrics.Metrics(),
             real,
+            lambda _: self.is_certain,
+        )
+
+    def cool(self, *names: str) -> None:
+        """Makes servers cold for a minute."""
+        service = model.Service(
+            RAPOR, 130, False, 0, warmup_ms=3_000, warmup_rate_per_s=RATE_PER_S
         )
+        self.book.configure({RAPOR: service})
+        for name in names:
+            self.book.put(
+                dataclasses.replace(
+                    support.make_server(name), warmup_left_ms=60_000
+                )
+            )
 
     async def ask(
         self,
@@ -304,3 +327,65 @@
     await scene.fill("a", "new")
     full = await scene.ask("z", server="a", may_wait=False)
     assert full.verdict is permits.Verdict.FULL
+
+
+async def test_a_cold_server_gets_few_permits(scene):
+    scene.cool("a", "b")
+    replies = []
+    for number in range(10):
+        reply = await scene.ask(str(number), may_wait=False)
+        replies.append(reply)
+        if reply.verdict is permits.Verdict.GRANTED:
+            scene.give_back(str(number))
+    granted = [r for r in replies if r.verdict is permits.Verdict.GRANTED]
+    assert all(reply.covers_cold for reply in granted)
+    assert [r.server_id for r in granted].count(A) == COLD_COUNT
+    assert [r.server_id for r in granted].count(B) == COLD_COUNT
+    last = await scene.ask("waits")
+    assert last.verdict is permits.Verdict.REFUSED
+    assert 0 < last.wait_s < 2.0
+
+
+async def test_warm_servers_take_what_cold_ones_may_not(scene):
+    scene.cool("a")
+    granted = []
+    for number in range(20):
+        reply = await scene.ask(str(number), may_wait=False)
+        granted.append(reply.server_id)
+        scene.give_back(str(number))
+    assert granted.count(A) <= COLD_COUNT
+    assert granted.count(B) >= 20 - COLD_COUNT
+
+
+async def test_a_cold_owner_is_not_waited_for(scene):
+    scene.cool("a")
+    for number in range(COLD_COUNT):
+        reply = await scene.ask(str(number), server="a")
+        assert reply.covers_cold
+    refused = await scene.ask("beyond", server="a")
+    assert refused.verdict is permits.Verdict.REFUSED
+
+
+async def test_one_that_is_not_certain_gives_nothing_for_cold_servers(scene):
+    scene.cool("a", "b")
+    scene.is_certain = False
+    refused = await scene.ask("owner", server="a")
+    assert refused.verdict is permits.Verdict.REFUSED
+    full = await scene.ask("any", may_wait=False)
+    assert full.verdict is permits.Verdict.FULL
+    warm = await scene.ask("other", server="b")
+    assert warm.verdict is permits.Verdict.REFUSED
+
+
+async def test_who_waited_gets_no_cold_server(scene):
+    """Nobody could tell how old its permit is."""
+    for number in range(2 * SLOTS):
+        await scene.ask(str(number))
+    waiting = await scene.ask("waits")
+    assert waiting.verdict is permits.Verdict.WAITING
+    scene.cool("a", "b")
+    scene.give_back("0")
+    await anyio.sleep(0.01)
+    reply = await scene.ask("waits")
+    assert not reply.covers_cold
+    assert reply.verdict is not permits.Verdict.GRANTED
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_warmups.py
@@ -0,0 +1,120 @@
+import math
+
+import entry_support as support
+import pytest
+
+from bridgecross_core import ids
+from bridgecross_entry import model
+from bridgecross_entry import permits
+from bridgecross_entry import warmups
+
+SETTINGS = warmups.WarmupSettings()
+BOUNDS = model.Bounds(
+    drain_ms=2_000,
+    grace_ms=6_000,
+    retry_ratio=0.2,
+    retry_window_ms=10_000,
+    retry_slack=62,
+    lease_max_ms=10_000,
+    configuration_ms=2_000,
+    warmup_overage_ratio=1.5,
+    warmup_slack=8,
+)
+RAPOR = ids.ServiceName("rapor")
+A, B = ids.ServerId("a"), ids.ServerId("b")
+RATE_PER_S = 5.8
+ALLOWED = RATE_PER_S * 1.5 + 8
+INSTANCES = tuple(model.Address("10.1.0.1", port) for port in (1, 2, 3))
+
+
+@pytest.fixture
+def clock():
+    return support.ManualClock()
+
+
+@pytest.fixture
+def ledger(clock):
+    return warmups.WarmupLedger(SETTINGS, BOUNDS, clock)
+
+
+def test_two_that_count_at_once_stay_within_what_is_allowed():
+    issued = warmups.count_issued(SETTINGS, BOUNDS, RATE_PER_S)
+    assert 0 < 2 * issued <= ALLOWED
+
+
+def test_no_window_holds_more_than_is_issued(ledger, clock):
+    issued = warmups.count_issued(SETTINGS, BOUNDS, RATE_PER_S)
+    given_s = []
+    for _ in range(4_000):
+        clock.now_s += 0.003
+        if not ledger.wait_s(A, RATE_PER_S):
+            ledger.take(A)
+            given_s.append(clock.now_s)
+    for first_s, next_s in zip(given_s, given_s[issued:], strict=False):
+        assert next_s - first_s >= SETTINGS.window_s
+    # And no less than that.
+    assert len(given_s) >= issued * int(12.0 / SETTINGS.window_s)
+
+
+def test_the_wait_that_is_told_is_the_one_that_it_takes(ledger, clock):
+    while not ledger.wait_s(A, RATE_PER_S):
+        ledger.take(A)
+        clock.now_s += 0.05
+    clock.now_s += ledger.wait_s(A, RATE_PER_S) + 0.001
+    assert ledger.wait_s(A, RATE_PER_S) == 0.0
+
+
+def test_each_server_has_a_budget_of_its_own(ledger):
+    while not ledger.wait_s(A, RATE_PER_S):
+        ledger.take(A)
+    assert ledger.wait_s(B, RATE_PER_S) == 0.0
+
+
+def test_one_that_bears_nothing_gets_nothing(clock):
+    bounds = support.BOUNDS
+    ledger = warmups.WarmupLedger(SETTINGS, bounds, clock)
+    assert ledger.wait_s(A, 0.0) == math.inf
+
+
+def test_what_is_over_is_forgotten(ledger, clock):
+    ledger.take(A)
+    clock.now_s += SETTINGS.window_s + 0.1
+    ledger.sweep()
+    assert ledger._given_s == {}
+
+
+@pytest.mark.parametrize(
+    ("own", "age_s", "settled_s", "expected"),
+    [
+        pytest.param(0, 0.5, 60.0, True, id="first of a list that is known"),
+        pytest.param(1, 0.5, 60.0, False, id="second"),
+        pytest.param(0, 3.1, 60.0, False, id="the list is old"),
+        pytest.param(0, math.inf, 60.0, False, id="no list"),
+        pytest.param(0, 0.5, 3.0, False, id="the list has just changed"),
+        pytest.param(None, 0.5, 60.0, False, id="not on the list"),
+    ],
+)
+def test_only_the_first_of_a_settled_list_is_certain(
+    own, age_s, settled_s, expected
+):
+    ranked = permits.rank_issuers(RAPOR, "hall-1", INSTANCES)
+    elsewhere = model.Address("10.1.0.9", 9)
+    certainty = warmups.IssuerCertainty(
+        SETTINGS,
+        elsewhere if own is None else ranked[own],
+        lambda _: INSTANCES,
+        lambda: age_s,
+        lambda: settled_s,
+    )
+    assert certainty.is_certain(RAPOR, "hall-1") is expected
+
+
+def test_nobody_is_certain_where_nobody_counts():
+    certainty = warmups.IssuerCertainty(
+        SETTINGS, INSTANCES[0], lambda _: (), lambda: 0.0, lambda: 60.0
+    )
+    assert not certainty.is_certain(RAPOR, "hall-1")
+
+
+def test_two_that_are_certain_have_known_the_list_of_one_moment():
+    assert SETTINGS.settle_s > SETTINGS.list_age_max_s
