Serve requests in the areas that their route names

Routes may name areas; the settings say which failure domain lies in which. Choice, owners of keys, permits and what has waited for a slot obey; where nothing that is allowed is left, callers are refused at once.

--- a/libs/bridgecross-entry/tests/test_dispatch.py
+++ b/libs/bridgecross-entry/tests/test_dispatch.py
@@ -10,6 +10,7 @@
 from bridgecross_core import outcomes
 from bridgecross_entry import attempts
 from bridgecross_entry import dispatch
+from bridgecross_entry import evacuations
 from bridgecross_entry import keymap
 from bridgecross_entry import metrics
 from bridgecross_entry import model
@@ -382,3 +383,78 @@
     assert isinstance(again, outcomes.NotRun)
     assert first.retry_after_ms == 100
     assert again.retry_after_ms == 1_000
+
+
+HOMES = {"hall-1": "north", "hall-2": "south", "hall-3": "south"}
+
+
+class Homes(Scene):
+    """Servers in two areas, and a route that may be served in one."""
+
+    def __init__(
+        self, backends: Backends, *areas: str, keyed: bool = False
+    ) -> None:
+        super().__init__(backends, keyed=keyed)
+        self.book.put(support.make_server("south-2", domain="hall-2"))
+        self.book.put(support.make_server("south-3", domain="hall-3"))
+        self.book.put(support.make_server("nowhere", domain="hall-9"))
+        self.dispatcher._instance = dataclasses.replace(
+            support.INSTANCE, area_of_domain=HOMES
+        )
+        route = dataclasses.replace(
+            support.make_route(max_attempts=4), allowed_areas=frozenset(areas)
+        )
+        self.dispatcher.configure(
+            support.make_configuration(route, keyed=keyed, version=2)
+        )
+
+
+@pytest.mark.parametrize(
+    ("areas", "allowed"),
+    [
+        pytest.param(("south",), {"south-2", "south-3"}, id="not its own"),
+        pytest.param(("north",), {"a", "b"}, id="its own"),
+        pytest.param(
+            ("north", "south"), {"a", "b", "south-2", "south-3"}, id="both"
+        ),
+    ],
+)
+async def test_requests_stay_in_the_areas_of_their_route(areas, allowed):
+    backends = Backends(*[FAILED] * 8)
+    scene = Homes(backends, *areas)
+    for _ in range(2):
+        await scene.ask()
+    assert len(backends.sent) == 8
+    assert set(backends.sent) <= allowed
+
+
+async def test_a_route_without_a_server_in_its_areas_is_refused_at_once():
+    backends = Backends()
+    scene = Homes(backends, "nowhere at all")
+    begun_s = time.monotonic()
+    outcome = await scene.ask()
+    assert isinstance(outcome, outcomes.NotRun)
+    assert outcome.status == 503
+    assert time.monotonic() - begun_s < 0.1
+
+
+async def test_a_key_that_is_owned_in_another_area_is_refused_at_once():
+    backends = Backends(OK)
+    scene = Homes(backends, "south", keyed=True)
+    scene.put_map(1, _owned_by("a"))
+    outcome = await scene.ask()
+    assert isinstance(outcome, outcomes.NotRun)
+    assert backends.sent == []
+    scene.put_map(2, _owned_by("south-2", token=2))
+    assert await scene.ask() is OK
+
+
+async def test_nothing_is_sent_to_a_domain_that_was_evacuated_meanwhile():
+    backends = Backends(OK)
+    scene = Scene(backends)
+    scene.book.evacuate(
+        [evacuations.Word("hall-1", is_evacuated=True)], known_s=None
+    )
+    outcome = await scene.ask()
+    assert isinstance(outcome, outcomes.NotRun)
+    assert backends.sent == []
