Ask for permits where an instance's share of a server's slots is small

They began at 100 instances, by a number. What makes an instance blind is not how many others there are but how little of a server it has: with less than a fifth of a slot it meets a server less than once a second. The share follows the servers' entries and the list of instances, with a rest so that one more or less changes nothing. 8 instances with 6 slots and 11 with 4 go on as before; 74 with 3 and 78 with 4 ask.

--- a/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
@@ -109,6 +109,7 @@
             journal,
             clock,
             connect_peer,
+            self.book.slot_share,
         )
         self.watch = crash_watch.CrashWatch(
             crash_watch.CrashWatchSettings(),
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -379,7 +379,7 @@
         """
         needs_one = self._needs_permit(life, owner)
         permits = self._permits
-        is_used = permits is not None and permits.is_used(self.instance_count)
+        is_used = permits is not None and permits.is_used(life.service)
         is_used = needs_one or (is_used and not life.goes_alone)
         if permits is None or not is_used:
             return self._refuse_cold(life, owner) if needs_one else None
--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_client.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_client.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import math
 import random
 from typing import NamedTuple
 
@@ -36,9 +37,17 @@
 class PermitSettings:
     """When permits are asked for, and how."""
 
-    # With fewer instances, each goes by what it sees: it meets every server
-    # often enough, and its share of their slots is not much below one.
-    least_instance_count: int = 100
+    # Permits are asked for where an instance's even share of a server's slots
+    # is smaller than this. With a greater one it meets each server about once a
+    # second and may go by what it sees itself; with a smaller one, the one
+    # request that it may always have there is many times its share, and what
+    # all have is more than the server's queue takes.
+    slot_share_least: float = 0.2
+    # Once they are asked for, until the share is greater by this ratio, so that
+    # one instance or server more or less changes nothing back and forth.
+    slot_share_rest_ratio: float = 1.25
+    # How often the share is looked up.
+    slot_share_interval_s: float = 0.5
     # An ask is answered within 0.1 s and the 5 ms of a link; whoever does not
     # answer by then is gone, frozen or choked.
     timeout_s: float = 0.2
@@ -118,6 +127,7 @@
         journal: journals.Journal,
         clock: clocks.Clock,
         connect: Callable[[model.Address], exchange.Exchanger] | None = None,
+        slot_share: Callable[[ids.ServiceName], float] = lambda _: math.inf,
     ) -> None:
         """Asks nobody yet.
 
@@ -131,6 +141,9 @@
             journal: Told of instances that do not answer.
             clock: For all times.
             connect: The way to another instance; by HTTP, if left out.
+            slot_share: Returns how many slots each instance has of a server of
+                a service, if all have the same; permits are never asked for,
+                if left out.
         """
         self._settings = settings
         self._instance = instance
@@ -140,6 +153,9 @@
         self._journal = journal
         self._clock = clock
         self._connect = connect or self._make_pool
+        self._slot_share = slot_share
+        # Whether permits are asked for, and when that was looked up.
+        self._used: dict[ids.ServiceName, tuple[bool, float]] = {}
         self._pools: dict[model.Address, exchange.Exchanger] = {}
         self._ranked: dict[
             _Issuer, tuple[tuple[model.Address, ...], list[model.Address]]
@@ -161,10 +177,26 @@
         """
         self._tasks = tasks
 
-    def is_used(self, instance_count: int) -> bool:
-        """Whether requests should have permits."""
-        is_many = instance_count >= self._settings.least_instance_count
-        return is_many and self._tasks is not None
+    def is_used(self, service: ids.ServiceName) -> bool:
+        """Whether requests to a service should have permits."""
+        if self._tasks is None:
+            return False
+        now_s = self._clock.monotonic_s()
+        is_used, looked_s = self._used.get(service, (False, -math.inf))
+        if now_s - looked_s < self._settings.slot_share_interval_s:
+            return is_used
+        limit = self._settings.slot_share_least
+        if is_used:
+            limit *= self._settings.slot_share_rest_ratio
+        share = self._slot_share(service)
+        self._used[service] = (share < limit, now_s)
+        if (share < limit) != is_used:
+            self._journal.lifecycle(
+                "permits_begin" if share < limit else "permits_end",
+                service=service,
+                slot_share=round(share, 3),
+            )
+        return share < limit
 
     async def obtain(self, wanted: Wanted) -> Permit | queueing.Refused | None:
         """Returns a permit, or why there is none; None if nobody counts."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -325,6 +325,21 @@
         room = settings.room_spread * share + settings.room_margin_count
         return RoomCount(math.ceil(room), self._late_slots(share))
 
+    def slot_share(self, service: ids.ServiceName) -> float:
+        """Returns how many slots each instance has of a server, if even.
+
+        Infinite if no server is known.
+        """
+        now_s = self._clock.monotonic_s()
+        slots = [
+            server.listed.slots
+            for server in self.of_service(service)
+            if self.is_staying(server, now_s)
+        ]
+        if not slots:
+            return math.inf
+        return sum(slots) / len(slots) / self._instance_count
+
     def _late_slots(self, share: float) -> float:
         """Returns the slots for late requests, by the even share of all."""
         settings = self.settings
--- a/libs/bridgecross-entry/tests/test_permit_client.py
+++ b/libs/bridgecross-entry/tests/test_permit_client.py
@@ -1,4 +1,5 @@
 import dataclasses
+import math
 
 import anyio
 import anyio.lowlevel
@@ -82,7 +83,9 @@
     return Issuers()
 
 
-def _make(issuers, *, domains=("hall-1",), near=(NEAR,)):
+def _make(
+    issuers, *, domains=("hall-1",), near=(NEAR,), slot_share=lambda _: 0.0
+):
     real = clock.SystemClock()
     journal = support.make_journal(real)
     book = servers.ServerBook(
@@ -100,7 +103,10 @@
     at = {"hall-1": near, "hall-2": (FAR,)}
     return permit_client.PermitClient(
         permit_client.PermitSettings(
-            timeout_s=0.05, timeout_again_s=0.05, first_pause_s=0.2
+            timeout_s=0.05,
+            timeout_again_s=0.05,
+            first_pause_s=0.2,
+            slot_share_interval_s=0.0,
         ),
         support.INSTANCE,
         own,
@@ -109,6 +115,7 @@
         journal,
         real,
         issuers.connect,
+        slot_share,
     )
 
 
@@ -127,13 +134,67 @@
         return await client.obtain(wanted)
 
 
-async def test_few_instances_need_no_permits(issuers):
-    client = _make(issuers)
+LEAST = permit_client.PermitSettings().slot_share_least
+REST = LEAST * permit_client.PermitSettings().slot_share_rest_ratio
+
+
+@pytest.mark.parametrize(
+    ("shares", "expected"),
+    [
+        pytest.param([LEAST], [False], id="few instances"),
+        pytest.param([0.99 * LEAST], [True], id="many instances"),
+        pytest.param([math.inf], [False], id="no server is known"),
+        pytest.param(
+            [0.9 * LEAST, 1.1 * LEAST, 0.9 * LEAST],
+            [True, True, True],
+            id="some instances less for a moment",
+        ),
+        pytest.param(
+            [1.1 * LEAST, 0.9 * LEAST, 1.01 * REST, 1.1 * LEAST],
+            [False, True, False, False],
+            id="they become many and few again",
+        ),
+    ],
+)
+async def test_permits_are_asked_for_where_shares_are_small(
+    issuers, shares, expected
+):
+    left = list(shares)
+    client = _make(issuers, slot_share=lambda _: left.pop(0))
+    async with anyio.create_task_group() as tasks:
+        client.start(tasks)
+    assert [client.is_used(RAPOR) for _ in shares] == expected
+
+
+@pytest.mark.parametrize(
+    ("slots", "instance_count", "is_used"),
+    [
+        (4, 2, False),
+        (4, 11, False),
+        (6, 8, False),
+        (3, 74, True),
+        (4, 78, True),
+        (4, 195, True),
+    ],
+)
+async def test_shares_follow_slots_and_instances(
+    slots, instance_count, is_used
+):
+    real = clock.SystemClock()
+    book = servers.ServerBook(
+        servers.ServerSettings(),
+        support.BOUNDS,
+        support.make_journal(real),
+        real,
+    )
+    for name in ("a", "b"):
+        listed = support.make_server(name)
+        book.put(dataclasses.replace(listed, slots=slots))
+    book.set_instances(instance_count)
+    client = _make(Issuers(), slot_share=book.slot_share)
     async with anyio.create_task_group() as tasks:
         client.start(tasks)
-    least = permit_client.PermitSettings().least_instance_count
-    assert not client.is_used(least - 1)
-    assert client.is_used(least)
+    assert client.is_used(RAPOR) is is_used
 
 
 @pytest.mark.parametrize(
--- a/tests/load/scene.py
+++ b/tests/load/scene.py
@@ -379,7 +379,7 @@
         self.issuers[instance.peer_address] = issuer
         settings = self.load.permits
         if self.load.with_permits:
-            settings = dataclasses.replace(settings, least_instance_count=1)
+            settings = dataclasses.replace(settings, slot_share_least=math.inf)
         client = permit_client.PermitClient(
             settings,
             instance,
@@ -389,6 +389,7 @@
             journal,
             self._clock,
             lambda address: _PeerLink(self, address),
+            book.slot_share,
         )
         self._clients.append(client)
         return client
