Choose servers in a module of their own, by what they say of their pace

Two changes in one commit, by mistake; each stands for itself.

Areas, cold servers and the choice move from dispatch.py to choosing.py. On the way: a request whose last server went while a permit was asked for was ended by an exception; it is refused now. Where permits are in use, the servers are no longer listed once more for each request.

Answers may say how long work takes at a server at the moment; nothing read it.

--- a/libs/bridgecross-core/src/bridgecross_core/outcomes.py
+++ b/libs/bridgecross-core/src/bridgecross_core/outcomes.py
@@ -48,6 +48,9 @@
     headers: tuple[Header, ...]
     # The whole body.
     body: bytes
+    # How many times as long as usual work takes at the server at this moment,
+    # as it says itself; None if it does not.
+    pace_ratio: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import math
 
@@ -16,6 +17,7 @@
 from bridgecross_entry import admission
 from bridgecross_entry import attempts
 from bridgecross_entry import caller_age
+from bridgecross_entry import choosing
 from bridgecross_entry import crash_watch
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
@@ -59,10 +61,6 @@
     # Attempts beyond those allowed to run, for answers that prove that
     # nothing ran.
     extra_attempts: int = 2
-    # The share by which a server looks slower that a connection must first be
-    # made to. It costs 1 ms of a slot and a price; among many servers each
-    # instance so keeps to some, and others to others.
-    connect_penalty_ratio: float = 0.25
     # A connection that breaks within this part of what a server needs for a
     # request was reset for want of room; answers break off after the work.
     full_reset_ratio: float = 0.25
@@ -73,6 +71,10 @@
     # a lost server, whose keys others may take after 2 to 3 s. Callers come a
     # few times; at 0.1 s apart, all of them are turned away in half a second.
     retry_again_after_ms: int = 1_000
+    # How servers are weighed against each other.
+    choice: choosing.ChoiceSettings = dataclasses.field(
+        default_factory=choosing.ChoiceSettings
+    )
     # How the age of callers is learned, and how rooms follow the list.
     ages: caller_age.CallerAgeSettings = dataclasses.field(
         default_factory=caller_age.CallerAgeSettings
@@ -186,6 +188,9 @@
         )
         self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
         self._ages: dict[str, caller_age.CallerAge] = {}
+        self._choice = choosing.ServerChoice(
+            settings.choice, instance, book, client, clock
+        )
         self._queues = admission.ServiceQueues(settings.rooms, book, clock)
 
     def configure(self, configuration: model.Configuration) -> None:
@@ -377,12 +382,18 @@
             life: The request.
             owner: The owner of its key; None if any server can serve it.
         """
-        needs_one = self._needs_permit(life, owner)
         permits = self._permits
         is_used = permits is not None and permits.is_used(life.service)
-        is_used = needs_one or (is_used and not life.goes_alone)
+        # Those that could serve it, if a permit alone leads to them.
+        cold: list[servers_lib.Server] = []
+        if owner is not None:
+            cold = [owner] if self._book.is_cold(owner) else []
+        elif not is_used or life.goes_alone:
+            usable = self._choice.list_usable(life.route, life.service)
+            cold = usable if self._choice.are_cold(usable) else []
+        is_used = bool(cold) or (is_used and not life.goes_alone)
         if permits is None or not is_used:
-            return self._refuse_cold(life, owner) if needs_one else None
+            return self._refuse_cold(life, cold) if cold else None
         begun_s = self._clock.monotonic_s()
         wanted = permit_client.Wanted(
             life.service,
@@ -391,52 +402,26 @@
             owner.listed if owner else None,
             life.tried,
             lambda: owner is None or self._owns(life, owner),
-            lambda domain: self._is_allowed(life.route, domain),
+            lambda domain: self._choice.is_allowed(life.route, domain),
         )
         result = await permits.obtain(wanted)
         self._metrics.queue_seconds.observe(
             {"service": life.service}, self._clock.monotonic_s() - begun_s
         )
         if not isinstance(result, queueing.Refused):
-            if not needs_one or self._covers(result):
+            if not cold or self._covers(result):
                 return result
             if result is not None:
                 self._give_back(result, 0.0, permits_lib.Ending.UNUSED)
-            return self._refuse_cold(life, owner)
+            return self._refuse_cold(life, cold)
         life.trail.append(f"no permit: {result.reason}")
         return self._refuse(result.reason, result.retry_after_ms)
 
-    def _is_allowed(self, route: model.Route, domain: str) -> bool:
-        """Whether requests of a route may be served in a failure domain."""
-        areas = route.allowed_areas
-        return not areas or self._instance.area_of_domain.get(domain) in areas
-
-    def _usable(self, life: _Life) -> list[servers_lib.Server]:
-        """Returns the servers that a request without a key may be sent to."""
-        now_s = self._clock.monotonic_s()
-        return [
-            server
-            for server in self._book.of_service(life.service)
-            if self._book.may_use_any(server, now_s)
-            and self._is_allowed(life.route, server.listed.failure_domain)
-        ]
-
-    def _needs_permit(
-        self, life: _Life, owner: servers_lib.Server | None
-    ) -> bool:
-        """Whether only cold servers could serve a request."""
-        if owner is not None:
-            return self._book.is_cold(owner)
-        usable = self._usable(life)
-        return bool(usable) and all(map(self._book.is_cold, usable))
-
     def _refuse_cold(
-        self, life: _Life, owner: servers_lib.Server | None
+        self, life: _Life, servers: Sequence[servers_lib.Server]
     ) -> outcomes.NotRun:
-        """Refuses a request that only servers could serve that are cold."""
-        servers = [owner] if owner else self._usable(life)
-        warm_s = min(server.cold_until_s for server in servers)
-        left_s = max(warm_s - self._clock.monotonic_s(), 0.0)
+        """Refuses a request that only cold servers could serve."""
+        left_s = self._choice.warm_in_s(servers)
         life.trail.append("warming up")
         return self._refuse("servers are warming up", math.ceil(left_s * 1_000))
 
@@ -452,10 +437,22 @@
         permit: permit_client.Permit,
         held_s: float,
         ending: permits_lib.Ending,
+        pace_ratio: float = 0.0,
     ) -> None:
         """Gives a permit back."""
         assert self._permits is not None  # by whoever gave it
-        self._permits.give_back(permit, held_s, ending)
+        self._permits.give_back(permit, held_s, ending, pace_ratio)
+
+    def _note_pace(
+        self, server: servers_lib.Server, result: attempts.Attempt
+    ) -> float:
+        """Takes a server's word of its pace; returns it, 0 if there is none."""
+        if not isinstance(result, outcomes.Answered):
+            return 0.0
+        if result.pace_ratio is None:
+            return 0.0
+        server.note_pace(result.pace_ratio, self._clock.monotonic_s())
+        return result.pace_ratio
 
     async def _wait_for_room(
         self, life: _Life, queue: queueing.TierQueue, name: str
@@ -487,27 +484,12 @@
 
     def _choose_any(self, life: _Life) -> servers_lib.Server | outcomes.NotRun:
         """Returns the server that would answer soonest."""
-        now_s = self._clock.monotonic_s()
-        usable = self._usable(life)
+        usable = self._choice.list_usable(life.route, life.service)
         if not usable:
             life.trail.append("no server may be used")
             return self._refuse("no server of the service may be used")
-        usable = [s for s in usable if not self._book.is_cold(s)]
-        if not usable:
-            return self._refuse_cold(life, None)
-        staying = [s for s in usable if self._book.is_staying(s, now_s)]
-        pool = staying or usable
-        ready = [s for s in pool if s.paused_until_s <= now_s]
-        pool = ready or pool
-        fresh = [s for s in pool if s.listed.server_id not in life.tried]
-        return min(fresh or pool, key=lambda s: self._cost_s(s, now_s))
-
-    def _cost_s(self, server: servers_lib.Server, now_s: float) -> float:
-        """Returns how dear a request at a server would be, as a time."""
-        cost_s = server.cost_s(self._instance.failure_domain, now_s)
-        if not self._client.is_connected(server.listed):
-            cost_s *= 1.0 + self._settings.connect_penalty_ratio
-        return cost_s
+        chosen = self._choice.choose(usable, life.tried)
+        return chosen or self._refuse_cold(life, usable)
 
     async def _choose_owner(
         self, life: _Life
@@ -523,7 +505,7 @@
             waited_s = now_s - begun_s
             owner = self._table.find(life.service, key)
             server = self._book.get(owner.server_id) if owner else None
-            if server and not self._is_allowed(
+            if server and not self._choice.is_allowed(
                 life.route, server.listed.failure_domain
             ):
                 life.trail.append(f"key {key} is owned in another area")
@@ -563,6 +545,7 @@
             keyed: Whether only the server can serve it.
         """
         held_s = 0.0
+        pace_ratio = 0.0
         ending = permits_lib.Ending.UNUSED
         try:
             refusal = await self._enter(life, server, permit, keyed=keyed)
@@ -577,9 +560,10 @@
                     server.queue.release(held_s, _place(life))
             if result is not None:
                 ending = permits_lib.name_ending(result)
+                pace_ratio = self._note_pace(server, result)
         finally:
             if permit is not None:
-                self._give_back(permit, held_s, ending)
+                self._give_back(permit, held_s, ending, pace_ratio)
         if result is None:
             return None
         self._metrics.attempt_seconds.observe({"service": life.service}, held_s)
@@ -686,7 +670,9 @@
         keyed: bool,
     ) -> bool:
         """Whether the choice still stands after waiting for a slot."""
-        if not self._is_allowed(life.route, server.listed.failure_domain):
+        if not self._choice.is_allowed(
+            life.route, server.listed.failure_domain
+        ):
             return False
         if not keyed:
             return self._book.may_use_any(server, now_s)
--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_client.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_client.py
@@ -223,10 +223,14 @@
         return _usable(await self._obtain_at(least, wanted, may_wait=True))
 
     def give_back(
-        self, permit: Permit, held_s: float, ending: permits.Ending
+        self,
+        permit: Permit,
+        held_s: float,
+        ending: permits.Ending,
+        pace_ratio: float = 0.0,
     ) -> None:
         """Gives a permit back; returns at once."""
-        back = permits.Return(permit.ticket, held_s, ending)
+        back = permits.Return(permit.ticket, held_s, ending, pace_ratio)
         if permit.issuer == self._instance.peer_address:
             self._own.take_back(back)
         elif self._tasks is not None:
--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
@@ -398,6 +398,8 @@
         """Takes in what came of a permit."""
         now_s = self._clock.monotonic_s()
         ending = back.ending
+        if back.pace_ratio > 0:
+            server.note_pace(back.pace_ratio, now_s)
         if ending is permits.Ending.ANSWERED:
             server.note_answer(back.held_s, failed=False)
         elif ending in (permits.Ending.FAILED, permits.Ending.SHED):
--- a/libs/bridgecross-entry/src/bridgecross_entry/permits.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permits.py
@@ -112,6 +112,9 @@
     # For how long the request was at the server.
     held_s: float
     ending: Ending
+    # How many times as long as usual work takes there, as it says; 0 if it
+    # does not.
+    pace_ratio: float = 0.0
 
 
 class Message(NamedTuple):
--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -97,6 +97,9 @@
     shed_pause_max_s: float = 4.0
     shed_pause_shrink_ratio: float = 0.6
     grow_per_answer: float = 0.05
+    # How long a server's word of its own pace counts: after this time by a
+    # third. What else runs on its machine changes several times a second.
+    pace_trust_s: float = 0.3
     # How many instances there are, as long as no coordinator has told: the
     # users run 8 to 11.
     first_instance_count: int = 8
@@ -137,6 +140,11 @@
         self._room_max = float(queue.settings.slots)
         self._shrunk_s = float("-inf")
         self._shed_pause_s = 0.0
+        # How many times as long as usual work takes, as it said last and when,
+        # and on average.
+        self._pace_ratio = 1.0
+        self._paced_s = float("-inf")
+        self._mean_pace_ratio = 1.0
         self._pause_s = settings.first_pause_s
         self._settings = settings
 
@@ -149,6 +157,19 @@
         self.failure_ratio += 2 * ratio * (target - self.failure_ratio)
         self._pause_s = self._settings.first_pause_s
 
+    def note_pace(self, pace_ratio: float, now_s: float) -> None:
+        """Takes the server's word of how long work takes there now."""
+        ratio = self._settings.smoothing_ratio
+        self._mean_pace_ratio += ratio * (pace_ratio - self._mean_pace_ratio)
+        self._pace_ratio = pace_ratio
+        self._paced_s = now_s
+
+    def _pace_factor(self, now_s: float) -> float:
+        """Returns how many times its mean a request is about to take."""
+        age_s = now_s - self._paced_s
+        trust = math.exp(-age_s / self._settings.pace_trust_s)
+        return 1.0 + trust * (self._pace_ratio / self._mean_pace_ratio - 1.0)
+
     def resize(self, settings: queueing.QueueSettings) -> None:
         """Sets the most room that this instance may use."""
         was_full = self._room >= self._room_max
@@ -225,7 +246,7 @@
     def cost_s(self, domain: str, now_s: float) -> float:
         """Returns how long a request sent here now would about take."""
         waiting = self.queue.busy + self.queue.waiting.total()
-        cost_s = self.latency_s * (1.0 + waiting)
+        cost_s = self.latency_s * (1.0 + waiting) * self._pace_factor(now_s)
         cost_s *= 1.0 + self._settings.failure_penalty * self.failure_ratio
         if self.listed.failure_domain != domain:
             cost_s *= 1.0 + self._settings.distance_penalty_ratio
--- a/tests/load/scene.py
+++ b/tests/load/scene.py
@@ -54,6 +54,12 @@
     # What becomes of others: "shed", "reset" or "silent".
     on_full: str = "silent"
     keyed: bool = False
+    # The part of the time in which work takes so many times as long, in spells
+    # of so many seconds; servers say so in their answers.
+    noise_share: float = 0.0
+    noise_ratio: float = 1.0
+    noise_spell_s: float = 0.4
+    tells_pace: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -181,10 +187,18 @@
         else:
             self.busy += 1
         try:
-            await anyio.sleep(work_s / self.speed)
+            await anyio.sleep(work_s * self._pace_ratio() / self.speed)
         finally:
             self._free()
-        return outcomes.Answered(200, (), b"")
+        told = self._pace_ratio() if self._kind.tells_pace else None
+        return outcomes.Answered(200, (), b"", told)
+
+    def _pace_ratio(self) -> float:
+        """Returns how many times as long as usual work takes."""
+        spell = int(anyio.current_time() / self._kind.noise_spell_s)
+        name = f"{self.listed.server_id} {spell}"
+        is_noisy = random.Random(name).random() < self._kind.noise_share
+        return self._kind.noise_ratio if is_noisy else 1.0
 
     async def _wait(self) -> None:
         turn = anyio.Event()
