Emulated servers are cold when their domain is taken back; faults that the warm-up tests find

Four known faults are put back into the program (nothing is taken for cold, a domain that is taken back is not, an old list is trusted, permits without a budget) and found.

--- a/libs/bridgecross-emulator/src/bridgecross_emulator/house.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/house.py
@@ -219,8 +219,9 @@
         return self.now_s
 
     def take_back(self, domain: str) -> None:
-        """Lets the operator take an evacuated failure domain back."""
+        """Lets the operator take a failure domain back; it is cold then."""
         self.evacuated_s.pop(domain, None)
+        self.fleet.cool(domain)
         key = instances.EVACUATION_PREFIX + domain
         self.log.add(instances.CONFIGURATION_TOPIC, logs.KeyedRecord(key, b""))
 
--- a/tests/emulated/test_warmup.py
+++ b/tests/emulated/test_warmup.py
@@ -13,6 +13,7 @@
 
 import collections
 import random
+from unittest import mock
 
 import anyio
 import pytest
@@ -21,6 +22,9 @@
 from bridgecross_emulator import house as houses
 from bridgecross_emulator import instances
 from bridgecross_emulator import virtual
+from bridgecross_entry import dispatch
+from bridgecross_entry import servers
+from bridgecross_entry import warmups
 from tests.emulated import crash_scene
 
 WARMUP = instances.Warmup()
@@ -230,3 +234,53 @@
     scene = play(act)
     cold = [run for run in scene.house.fleet.runs if run.is_cold]
     assert len(cold) >= 12 * 4
+
+
+def _take_all_for_warm():
+    return mock.patch.object(
+        servers.ServerBook, "cold_rate_per_s", return_value=None
+    )
+
+
+def _trust_an_old_list():
+    """One that is cut off goes on as if nothing had started again."""
+
+    async def is_known(self, life, server):
+        return True
+
+    return mock.patch.object(dispatch.Dispatcher, "_is_known", is_known)
+
+
+def _let_nothing_turn_cold():
+    return mock.patch.object(servers.Server, "cool", return_value=None)
+
+
+def _give_all_that_is_asked_for():
+    return mock.patch.object(warmups.WarmupLedger, "wait_s", return_value=0.0)
+
+
+@pytest.mark.parametrize(
+    ("put_back", "happen"),
+    [
+        pytest.param(_take_all_for_warm, _a_domain_comes_back, id="all warm"),
+        pytest.param(
+            _let_nothing_turn_cold,
+            _all_are_taken_back,
+            id="nothing turns cold",
+        ),
+        pytest.param(
+            _trust_an_old_list, _some_instances_know_nothing, id="old list"
+        ),
+        pytest.param(
+            _give_all_that_is_asked_for, _all_come_back, id="no budget"
+        ),
+    ],
+)
+def test_a_known_fault_is_found(put_back, happen):
+    async def act(scene):
+        await happen(scene)
+        await anyio.sleep(4.0)
+
+    with put_back():
+        scene = play(act)
+    assert find_overruns(scene)
