Permits for cold servers: no way around the budget by waiting, and a refused connection counts for all

By reading: who waited for the owner of a key got a permit that was counted nowhere if the owner turned cold meanwhile, and used it if it did not know so yet; and a refused connection was known to the instance that met it, not to the one that gives the permits. Both tests fail on the commit before.

Found by reading, not seen in a play.

--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
@@ -295,6 +295,11 @@
             is_there = server is not None and server.queue is queue
         else:
             is_there = bool(pool.servers)
+        if server is not None and self._is_cold(server):
+            # It has turned cold meanwhile, and the permit would not count.
+            queue.release(queue.settings.first_guess_s, self._place(ask))
+            wait_s = self._cold_wait_s(ask.service, server)
+            return _refuse("the server is warming up", wait_s)
         if is_there:
             return self._grant(ask, pool, server, may_be_cold=False)
         queue.release(queue.settings.first_guess_s, self._place(ask))
@@ -411,6 +416,10 @@
             server.note_interrupted()
         elif ending is permits.Ending.REFUSED:
             server.note_refused(now_s)
+            known = self._book.get(server.listed.server_id)
+            if known is not None:
+                # Whoever answers there next has just started, for all.
+                known.cool(now_s + known.warmup_s)
         elif ending is permits.Ending.UNREACHABLE:
             server.note_unreachable(now_s)
 
--- a/libs/bridgecross-entry/tests/test_permit_issuer.py
+++ b/libs/bridgecross-entry/tests/test_permit_issuer.py
@@ -77,18 +77,17 @@
         may_wait=True,
         tried=(),
     ) -> permits.Reply:
-        return await self.issuer.ask(
-            permits.Ask(
-                RAPOR,
-                ticket,
-                priority,
-                target_in_s,
-                deadline_in_s,
-                ids.ServerId(server),
-                tried,
-                may_wait,
-            )
+        self.last_ask = permits.Ask(
+            RAPOR,
+            ticket,
+            priority,
+            target_in_s,
+            deadline_in_s,
+            ids.ServerId(server),
+            tried,
+            may_wait,
         )
+        return await self.issuer.ask(self.last_ask)
 
     async def fill(self, server="a", name="") -> None:
         """Takes all slots of a server, under tickets that begin with a name."""
@@ -389,3 +388,26 @@
     reply = await scene.ask("waits")
     assert not reply.covers_cold
     assert reply.verdict is not permits.Verdict.GRANTED
+
+
+async def test_an_owner_that_turned_cold_meanwhile_is_not_waited_for(scene):
+    await scene.fill("a")
+    waiting = await scene.ask("waits", server="a")
+    assert waiting.verdict is permits.Verdict.WAITING
+    scene.cool("a")
+    scene.give_back("a-0")
+    await anyio.sleep(0.01)
+    reply = await scene.issuer._hold(
+        scene.last_ask, scene.issuer._waiting["waits"], 0.0
+    )
+    assert reply.verdict is permits.Verdict.REFUSED
+
+
+async def test_a_refused_connection_of_one_counts_for_all(scene):
+    """Whoever answers there next has just started."""
+    scene.cool()
+    await scene.ask("one", server="a")
+    scene.give_back("one", permits.Ending.REFUSED)
+    known = scene.book.get(A)
+    assert known is not None
+    assert scene.book.is_cold(known)
