--- a/libs/bridgecross-entry/src/bridgecross_entry/warmups.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/warmups.py
@@ -17,6 +17,10 @@
 from bridgecross_entry import model
 from bridgecross_entry import permits
 
+_ISSUED_MAX_COUNT = 10_000
+"""Permits in a window that are remembered for a server; one that bears more
+need not be taken for cold."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WarmupSettings:
@@ -91,7 +95,7 @@
         rate_per_s: Requests a second that a cold server bears.
     """
     allowed = rate_per_s * bounds.warmup_overage_ratio + bounds.warmup_slack
-    return math.floor(allowed * settings.issued_ratio)
+    return math.floor(min(allowed * settings.issued_ratio, _ISSUED_MAX_COUNT))
 
 
 class WarmupLedger:
--- a/libs/bridgecross-entry/tests/test_warmups.py
+++ b/libs/bridgecross-entry/tests/test_warmups.py
@@ -64,6 +64,11 @@
     assert ledger.wait_s(A, RATE_PER_S) == 0.0
 
 
+def test_what_is_told_without_measure_is_bounded():
+    issued = warmups.count_issued(SETTINGS, BOUNDS, 1e308)
+    assert issued == warmups.count_issued(SETTINGS, BOUNDS, 1e9) < 100_000
+
+
 def test_each_server_has_a_budget_of_its_own(ledger):
     while not ledger.wait_s(A, RATE_PER_S):
         ledger.take(A)
