--- a/libs/bridgecross-entry/tests/test_warmups.py
+++ b/libs/bridgecross-entry/tests/test_warmups.py
@@ -1,3 +1,4 @@
+import dataclasses
 import math
 
 import entry_support as support
@@ -9,16 +10,8 @@
 from bridgecross_entry import warmups
 
 SETTINGS = warmups.WarmupSettings()
-BOUNDS = model.Bounds(
-    drain_ms=2_000,
-    grace_ms=6_000,
-    retry_ratio=0.2,
-    retry_window_ms=10_000,
-    retry_slack=62,
-    lease_max_ms=10_000,
-    configuration_ms=2_000,
-    warmup_overage_ratio=1.5,
-    warmup_slack=8,
+BOUNDS = dataclasses.replace(
+    support.BOUNDS, warmup_overage_ratio=1.5, warmup_slack=8
 )
 RAPOR = ids.ServiceName("rapor")
 A, B = ids.ServerId("a"), ids.ServerId("b")
--- a/tests/emulated/crash_scene.py
+++ b/tests/emulated/crash_scene.py
@@ -108,6 +108,16 @@
                 tasks.start_soon(self.call, target)
                 await anyio.sleep(gap_s)
 
+    async def ask_at_rate(self, service: str, rate_per_s: float) -> None:
+        """Sends requests to a service for random keys."""
+        number = 0
+        async with anyio.create_task_group() as tasks:
+            while True:
+                number += 1
+                target = f"/{service}/{number}".encode()
+                tasks.start_soon(self.call, target)
+                await anyio.sleep(1 / rate_per_s)
+
     def run_times_s(self, target: bytes) -> list[float]:
         """Returns when servers began to run what some target asks for."""
         return [r.at_s for r in self.house.fleet.runs if r.target == target]
@@ -130,6 +140,13 @@
     instance_count: int = 5
     server_count: int = 6
     seed: int = 1
+    # Failure domains of the servers.
+    server_domain_count: int = 1
+    warmup: instances.Warmup | None = None
+    # For how long the house runs before anything happens.
+    settle_s: float = 8.0
+    # Requests a second to each of the services, all the while.
+    asks_per_s: float = 0.0
 
     def run(self, act: Callable[[Scene], Awaitable[None]]) -> Scene:
         """Plays a scene; returns it as it was at its end."""
@@ -142,14 +159,21 @@
                         instance_count=self.instance_count,
                         server_count=self.server_count,
                         free_server_count=self.server_count,
+                        server_domain_count=self.server_domain_count,
+                        warmup=self.warmup,
                         seed=self.seed,
                     ),
                     environment,
                     tasks,
                 )
-                await house.start(8.0)
+                await house.start(self.settle_s)
                 scene = Scene(house, self.service, self.seed)
                 async with anyio.create_task_group() as callers:
+                    if self.asks_per_s:
+                        for each in (instances.SERVICE, instances.FREE_SERVICE):
+                            callers.start_soon(
+                                scene.ask_at_rate, each, self.asks_per_s
+                            )
                     await act(scene)
                     callers.cancel_scope.cancel()
                 house.stop()
--- a/tests/emulated/test_evacuation.py
+++ b/tests/emulated/test_evacuation.py
@@ -9,15 +9,11 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import random
 
 import anyio
 import pytest
-import simpy
 
-from bridgecross_emulator import house as houses
 from bridgecross_emulator import instances
-from bridgecross_emulator import virtual
 from tests.emulated import crash_scene
 from tests.emulated import troubles
 
@@ -53,44 +49,14 @@
 def _play(
     act: Callable[[crash_scene.Scene], Awaitable[None]],
     run_s: float,
-    **settings: int,
+    server_domain_count: int = 3,
 ) -> crash_scene.Scene:
-    """Plays a house with servers in three failure domains."""
-    environment = simpy.Environment()
-    chosen = {
-        "server_count": 6,
-        "free_server_count": 6,
-        "server_domain_count": 3,
-    } | settings
-
-    async def main() -> crash_scene.Scene:
-        async with anyio.create_task_group() as tasks:
-            house = houses.House(
-                houses.HouseSettings(**chosen), environment, tasks
-            )
-            await house.start(run_s)
-            scene = crash_scene.Scene(house, instances.SERVICE, 1)
-            async with anyio.create_task_group() as callers:
-                for service in (instances.SERVICE, instances.FREE_SERVICE):
-                    callers.start_soon(_call, scene, service)
-                await act(scene)
-                callers.cancel_scope.cancel()
-            house.stop()
-        return scene
-
-    random.seed(1)
-    return virtual.run(environment, main)
-
-
-async def _call(scene: crash_scene.Scene, service: str) -> None:
-    """Sends requests for random keys, some 60 a second."""
-    number = 0
-    async with anyio.create_task_group() as tasks:
-        while True:
-            number += 1
-            target = f"/{service}/{number}".encode()
-            tasks.start_soon(scene.call, target)
-            await anyio.sleep(1 / 60)
+    """Plays a house with servers in some failure domains."""
+    return crash_scene.Play(
+        server_domain_count=server_domain_count,
+        settle_s=run_s,
+        asks_per_s=60.0,
+    ).run(act)
 
 
 @pytest.mark.parametrize("run_s", RUN_S)
--- a/tests/emulated/test_warmup.py
+++ b/tests/emulated/test_warmup.py
@@ -12,16 +12,12 @@
 """
 
 import collections
-import random
 from unittest import mock
 
 import anyio
 import pytest
-import simpy
 
-from bridgecross_emulator import house as houses
 from bridgecross_emulator import instances
-from bridgecross_emulator import virtual
 from bridgecross_entry import dispatch
 from bridgecross_entry import servers
 from bridgecross_entry import warmups
@@ -52,47 +48,20 @@
     return found
 
 
-def play(act, *, seed: int = 1, **settings: int) -> crash_scene.Scene:
+def play(act, *, seed: int = 1) -> crash_scene.Scene:
     """Plays a house with servers in three failure domains."""
-    environment = simpy.Environment()
-    chosen = {
-        "instance_count": 8,
-        "server_count": 6,
-        "free_server_count": 6,
-        "server_domain_count": 3,
-        "warmup": WARMUP,
-        "seed": seed,
-    } | settings
-
-    async def main() -> crash_scene.Scene:
-        async with anyio.create_task_group() as tasks:
-            house = houses.House(
-                houses.HouseSettings(**chosen), environment, tasks
-            )
-            await house.start(8.0)
-            scene = crash_scene.Scene(house, instances.SERVICE, seed)
-            async with anyio.create_task_group() as callers:
-                for service in (instances.SERVICE, instances.FREE_SERVICE):
-                    callers.start_soon(_call, scene, service)
-                await anyio.sleep(2.0)
-                await act(scene)
-                callers.cancel_scope.cancel()
-            house.stop()
-        return scene
-
-    random.seed(seed)
-    return virtual.run(environment, main)
-
-
-async def _call(scene: crash_scene.Scene, service: str) -> None:
-    """Sends requests for random keys."""
-    number = 0
-    async with anyio.create_task_group() as tasks:
-        while True:
-            number += 1
-            target = f"/{service}/{number}".encode()
-            tasks.start_soon(scene.call, target)
-            await anyio.sleep(1 / CALLS_PER_S)
+
+    async def act_later(scene):
+        await anyio.sleep(2.0)
+        await act(scene)
+
+    return crash_scene.Play(
+        instance_count=8,
+        server_domain_count=3,
+        warmup=WARMUP,
+        seed=seed,
+        asks_per_s=CALLS_PER_S,
+    ).run(act_later)
 
 
 def _servers(scene, *domains: str):
