Sight: a move that is done says by what its prior owner was known to hold nothing

keys_moved named who owned a range before and after, and not whether the prior owner had answered a release, had let its lease run out, was taken for ended, or was never asked; nor whether the move had been made before. No decision is changed: take_back returns what it knew as a type, in place of a bare text.

--- a/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
@@ -26,6 +26,7 @@
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import model
 from bridgecross_entry import planner
+from bridgecross_entry import proofs
 from bridgecross_entry import servers as servers_lib
 from bridgecross_entry import warmups
 
@@ -126,9 +127,9 @@
         self._wake = pulse.Pulse()
         # Ranges whose move is under way, by first key.
         self._moving: set[int] = set()
-        # What was handed over by prior owners that hold ranges no longer, by
-        # token and first key, until their next owners have taken them.
-        self._handovers: dict[tuple[int, int], str] = {}
+        # Ranges that their prior owners hold no longer, by token and first
+        # key, until their next owners have taken them.
+        self._taken_back: dict[tuple[int, int], proofs.TakenBack] = {}
         # Since when the log has not been told that moves have ended; None if
         # it has.
         self._unwritten_since_s: float | None = None
@@ -594,8 +595,8 @@
         begun_s = self._clock.monotonic_s()
         try:
             prior = key_range.prior_owner
-            handover = await self._take_back(key_range, resumed)
-            granted = await self._keeper.give(key_range, handover)
+            taken = await self._take_back(key_range, resumed)
+            granted = await self._keeper.give(key_range, taken.handover)
             if granted:
                 self._settle(key_range)
         finally:
@@ -610,7 +611,9 @@
             prior=prior,
             to=key_range.owner,
             token=key_range.token,
-            warm=bool(handover),
+            proof=taken.proof,
+            resumed=resumed,
+            warm=bool(taken.handover),
             granted=granted,
             took_ms=round((self._clock.monotonic_s() - begun_s) * 1_000),
         )
@@ -619,21 +622,23 @@
 
     async def _take_back(
         self, key_range: keymap.KeyRange, resumed: bool
-    ) -> str:
+    ) -> proofs.TakenBack:
         """Takes a range from its old owner; returns what it handed over."""
         prior = key_range.prior_owner
-        if not prior or prior == key_range.owner:
-            return ""
+        if not prior:
+            return proofs.TakenBack(proofs.Proof.NO_PRIOR_OWNER)
+        if prior == key_range.owner:
+            return proofs.TakenBack(proofs.Proof.SAME_SERVER)
         move = (key_range.token, key_range.first_key)
-        if move not in self._handovers:
-            self._handovers[move] = await self._keeper.take_back(
+        if move not in self._taken_back:
+            self._taken_back[move] = await self._keeper.take_back(
                 prior, key_range, asked_before=resumed
             )
-        return self._handovers[move]
+        return self._taken_back[move]
 
     def _settle(self, key_range: keymap.KeyRange) -> None:
         """Keeps that the owner of a range holds it."""
-        self._handovers.pop((key_range.token, key_range.first_key), None)
+        self._taken_back.pop((key_range.token, key_range.first_key), None)
         self._ranges = tuple(
             r._replace(prior_owner=keymap.NO_SERVER)
             if r.first_key == key_range.first_key and r.token == key_range.token
--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -20,6 +20,7 @@
 from bridgecross_entry import keymap
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import model
+from bridgecross_entry import proofs
 from bridgecross_entry import servers as servers_lib
 
 
@@ -174,7 +175,7 @@
         key_range: keymap.KeyRange,
         *,
         asked_before: bool = False,
-    ) -> str:
+    ) -> proofs.TakenBack:
         """Waits until a server holds a range no longer.
 
         A release is answered once nothing runs on the range any more. One that
@@ -191,7 +192,7 @@
             asked_before: Whether an earlier leader may have asked already.
 
         Returns:
-            What makes the next owner start warm; empty if there is nothing.
+            By what that is known, and what the server hands over.
         """
         settings = self._settings
         lease_over_s = self._clock.monotonic_s() + self._lease_s()
@@ -203,7 +204,8 @@
             # latest one, so that is asked.
             holder = self._book.latest_run(prior)
             if self._holds_no_more(prior, holder, key_range):
-                return handover or ""
+                proof = self._name_proof(prior, holder, key_range)
+                return proofs.TakenBack(proof, handover or "")
             server = self._book.get(holder)
             answered_early = handover is not None and not self.earlier_is_over
             if server is None or answered_early:
@@ -227,10 +229,11 @@
                 if asked_before:
                     await self._wait_until(lease_over_s)
                 if is_proof:
-                    return handover
+                    return proofs.TakenBack(proofs.Proof.RELEASED, handover)
                 continue
             if self._shows_end(holder, result):
-                return handover or ""
+                proof = proofs.Proof.RUN_ENDED
+                return proofs.TakenBack(proof, handover or "")
             if isinstance(result, attempts.NoReply):
                 asked_before = True
             await anyio.sleep(self._settings.order_pause_s)
@@ -256,6 +259,19 @@
             return True
         return self._may_hold_no_more(prior) and self._may_hold_no_more(holder)
 
+    def _name_proof(
+        self,
+        prior: ids.ServerId,
+        holder: ids.ServerId,
+        key_range: keymap.KeyRange,
+    ) -> proofs.Proof:
+        """Returns what shows that a server holds a range no longer."""
+        if holder != prior and holder == key_range.owner:
+            return proofs.Proof.SAME_SERVER
+        if holder == prior and self._book.has_ended(prior):
+            return proofs.Proof.RUN_ENDED
+        return proofs.Proof.LEASE_OVER
+
     def _release_timeout_s(self, *runs: ids.ServerId) -> float:
         """Returns how long to wait for a release to be answered.
 
--- a/libs/bridgecross-entry/tests/test_leases.py
+++ b/libs/bridgecross-entry/tests/test_leases.py
@@ -11,6 +11,7 @@
 from bridgecross_entry import keymap
 from bridgecross_entry import leases
 from bridgecross_entry import metrics
+from bridgecross_entry import proofs
 from bridgecross_entry import servers
 
 pytestmark = pytest.mark.anyio
@@ -103,7 +104,8 @@
     await keeper.renew(A, RANGES, lambda _: True)
     lease_servers.silent.add(A)
     moving = keymap.KeyRange(0, 9, ids.ServerId("b"), 2, A)
-    assert await keeper.take_back(A, moving) == ""
+    taken = await keeper.take_back(A, moving)
+    assert taken == proofs.TakenBack(proofs.Proof.LEASE_OVER)
     assert lease_servers.holder(5) is None
 
 
@@ -189,7 +191,8 @@
     keeper._book.put(support.make_server("a", leaving=leaving))
     begun_s = anyio.current_time()
     moving = keymap.KeyRange(0, 9, ids.ServerId("b"), 2, A)
-    assert await keeper.take_back(A, moving) == ""
+    taken = await keeper.take_back(A, moving)
+    assert taken == proofs.TakenBack(proofs.Proof.LEASE_OVER)
     assert anyio.current_time() - begun_s > 0.19
     assert lease_servers.holder(5) is None
 
@@ -247,7 +250,8 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(keeper.renew, A, RANGES[:1], lambda _: True)
         await anyio.sleep(0.005)
-        assert await keeper.take_back(A, moving) == ""
+        taken = await keeper.take_back(A, moving)
+        assert taken == proofs.TakenBack(proofs.Proof.LEASE_OVER)
         await anyio.sleep(0.03)
         assert slow.holder(5) is None
 
@@ -340,7 +344,8 @@
     lead.known_s = begun_s
     lead.known_to_all_s = begun_s if known_to_all else float("inf")
     moving = keymap.KeyRange(0, 9, ids.ServerId("b"), 2, A)
-    assert await keeper.take_back(A, moving) == "state"
+    taken = await keeper.take_back(A, moving)
+    assert taken == proofs.TakenBack(proofs.Proof.RELEASED, "state")
     assert least_s <= time.monotonic() - begun_s < least_s + 0.1
     assert restarting.holder(5) is None
 
@@ -350,6 +355,7 @@
 ):
     await keeper.renew(A, RANGES, lambda _: True)
     moving = keymap.KeyRange(0, 9, ids.ServerId("b"), 2, A)
-    assert await keeper.take_back(A, moving) == "state"
+    taken = await keeper.take_back(A, moving)
+    assert taken == proofs.TakenBack(proofs.Proof.RELEASED, "state")
     orders = [order[0] for order in lease_servers.orders]
     assert orders.count("release") == 1
