Ask for the right to an order right before its first byte

What callers could see: a key served by two servers.

Cause: the right is checked, then a connection is awaited, then bytes are written. The limit of the time in between was a timer of the same process: when a host goes on, what has come (the connection) is handled before timers.

Class: a check, an await, an act without another check. Looked for in leases: renewals, grants of moved ranges and releases now ask whether the lead is still confirmed, whether the range is still to be given and whether the order's time is not over, with nothing awaited before the bytes. One that is withdrawn says so (order_withdrawn) and says nothing of the server: it does not count as silent, and prolongs no lease that others wait for.

In test_leases.py a test counted how often it was asked whether a range is held; it now compares which ranges were asked for, as each is asked once more.

--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -379,8 +379,11 @@
         token: int,
         lease_ms: float,
         handover: str,
+        may_order: attempts.MayOrder,
     ) -> attempts.GrantResult:
         """Gives or renews a range; both ends are inside."""
+        if not may_order():
+            return attempts.Withdrawn()
         found = await self._reach(server)
         if not isinstance(found, EmulatedServer):
             return found
@@ -400,8 +403,11 @@
         first_key: int,
         last_key: int,
         token: int,
+        may_order: attempts.MayOrder,
     ) -> attempts.ReleaseResult:
         """Takes a range back."""
+        if not may_order():
+            return attempts.Withdrawn()
         found = await self._reach(server)
         if not isinstance(found, EmulatedServer):
             return found
--- a/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
@@ -1,5 +1,6 @@
 """How one attempt at one backend server ended, as tagged dataclasses."""
 
+from collections.abc import Callable
 from collections.abc import Container
 import dataclasses
 from typing import Protocol
@@ -162,8 +163,19 @@
     reason: str
 
 
-GrantResult = Granted | Outranked | Gone | Refused | NoReply | NotTaken
-ReleaseResult = Released | Gone | Refused | NoReply | NotTaken
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """Not one byte was sent, as the right to give it had ended by then."""
+
+
+GrantResult = (
+    Granted | Outranked | Gone | Refused | NoReply | NotTaken | Withdrawn
+)
+ReleaseResult = Released | Gone | Refused | NoReply | NotTaken | Withdrawn
+
+MayOrder = Callable[[], bool]
+"""Tells whether an order may still be given; asked right before its first
+byte, whatever was waited for until then."""
 
 
 class LeaseClient(Protocol):
@@ -180,6 +192,7 @@
         token: int,
         lease_ms: float,
         handover: str,
+        may_order: MayOrder,
     ) -> GrantResult:
         """Gives or renews a range; both ends are inside."""
 
@@ -192,5 +205,6 @@
         first_key: int,
         last_key: int,
         token: int,
+        may_order: MayOrder,
     ) -> ReleaseResult:
         """Takes a range back; answered once nothing runs on it any more."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
@@ -30,6 +30,8 @@
 from bridgecross_entry import servers as servers_lib
 from bridgecross_entry import warmups
 
+_PRIOR_OWNER = keymap.KeyRange._fields.index("prior_owner")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CoordinatorSettings:
@@ -351,6 +353,14 @@
             and key_range in self._ranges
         )
 
+    def _still_gives(self, key_range: keymap.KeyRange) -> bool:
+        """Whether a range is still to be given to its owner."""
+        if self._is_superseded():
+            return False
+        # Its prior owner may have been struck out meanwhile.
+        wanted = key_range[:_PRIOR_OWNER]
+        return any(r[:_PRIOR_OWNER] == wanted for r in self._ranges)
+
     def _takers(self) -> list[model.BackendServer]:
         """Returns the servers that can take keys."""
         now_s = self._clock.monotonic_s()
@@ -596,7 +606,9 @@
         try:
             prior = key_range.prior_owner
             taken = await self._take_back(key_range, resumed)
-            granted = await self._keeper.give(key_range, taken.handover)
+            granted = await self._keeper.give(
+                key_range, taken.handover, self._still_gives
+            )
             if granted:
                 self._settle(key_range)
         finally:
--- a/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -71,6 +71,8 @@
     reason: str
     # Whether the address refused the connection.
     refused: bool
+    # Whether it was not to be sent any more once there was a connection.
+    withdrawn: bool = False
 
 
 class Broken(NamedTuple):
@@ -83,6 +85,15 @@
 Accepts = Callable[[Reply], bool]
 """Tells whether an answer belongs to the request that was sent."""
 
+MayWrite = Callable[[], bool]
+"""Tells whether a request may still be sent; nothing is awaited between this
+and its first byte."""
+
+
+def _always() -> bool:
+    """Whatever may be written at any time."""
+    return True
+
 
 class Exchanger(Protocol):
     """Exchanges messages with one address."""
@@ -285,7 +296,9 @@
         self._clock = clock
         self._idle: list[_Idle] = []
 
-    async def exchange(self, request: bytes, accepts: Accepts) -> Result:
+    async def exchange(
+        self, request: bytes, accepts: Accepts, may_write: MayWrite = _always
+    ) -> Result:
         """Sends one request; the caller bounds the time by cancelling."""
         begun_s = self._clock.monotonic_s()
         connection = self._take_idle()
@@ -294,6 +307,13 @@
             if isinstance(opened, Unsent):
                 return opened
             connection = opened
+        if not may_write():
+            # Connecting takes as long as this host is held up; a limit of that
+            # time is a timer of the same process, and comes too late.
+            self._idle.append(_Idle(connection, self._clock.monotonic_s()))
+            return Unsent(
+                "not to be sent any more", refused=False, withdrawn=True
+            )
         try:
             result = await connection.exchange(request, accepts)
         except asyncio.CancelledError:
--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -23,6 +23,9 @@
 from bridgecross_entry import proofs
 from bridgecross_entry import servers as servers_lib
 
+_NEVER_TAKEN = (attempts.Refused, attempts.NotTaken, attempts.Withdrawn)
+"""Results of an order that the server has not seen and never will."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseSettings:
@@ -215,12 +218,15 @@
                 continue
             is_proof = self.earlier_is_over
             result: attempts.ReleaseResult = attempts.NoReply("too slow")
-            with anyio.move_on_after(self._release_timeout_s(holder, prior)):
+            timeout_s = self._release_timeout_s(holder, prior)
+            is_in_time = self._limit(timeout_s)
+            with anyio.move_on_after(timeout_s):
                 result = await self._client.release(
                     server.listed,
                     key_range.first_key,
                     key_range.last_key,
                     key_range.token,
+                    is_in_time,
                 )
             self._count("release", result)
             if isinstance(result, attempts.Released):
@@ -291,17 +297,37 @@
         """Waits for a time on the steady clock."""
         await anyio.sleep(max(time_s - self._clock.monotonic_s(), 0.0))
 
-    async def give(self, key_range: keymap.KeyRange, handover: str) -> bool:
-        """Grants a range to its new owner; returns whether it holds it."""
-        for _ in range(self._settings.give_tries):
+    async def give(
+        self,
+        key_range: keymap.KeyRange,
+        handover: str,
+        still_owns: Callable[[keymap.KeyRange], bool],
+    ) -> bool:
+        """Grants a range to its new owner; returns whether it holds it.
+
+        Args:
+            key_range: The range.
+            handover: Makes the new owner start warm; empty if nothing does.
+            still_owns: Asked right before each order whether the range is
+                still to be given.
+        """
+        tries_count = 0
+        while tries_count < self._settings.give_tries:
             while not self._lead.may_order:
                 await anyio.sleep(self._settings.order_pause_s)
             server = self._book.get(key_range.owner)
             if server is None or self.is_unreachable(key_range.owner):
                 return False
-            result = await self._grant(server, key_range, handover)
+            if not still_owns(key_range):
+                return False
+            result = await self._grant(server, key_range, handover, still_owns)
             if isinstance(result, attempts.Granted):
                 return True
+            if isinstance(result, attempts.Withdrawn):
+                # That says nothing of the server.
+                await anyio.sleep(self._settings.order_pause_s)
+                continue
+            tries_count += 1
             if self._shows_end(key_range.owner, result):
                 return False
             if isinstance(result, attempts.Outranked):
@@ -334,15 +360,15 @@
     ) -> bool:
         """Renews one range; returns whether the server goes on."""
         server_id = server.listed.server_id
-        result = await self._grant(server, key_range, "")
+        result = await self._grant(server, key_range, "", still_holds)
         if not self._lead.may_order:
             # Whether it answers is not known; another may lead by now.
             return False
         unanswered = isinstance(result, (attempts.NoReply, attempts.NotTaken))
         if unanswered and still_holds(key_range):
             # One lost packet is no reason to give a server up.
-            result = await self._grant(server, key_range, "")
-        if isinstance(result, attempts.Granted):
+            result = await self._grant(server, key_range, "", still_holds)
+        if isinstance(result, (attempts.Granted, attempts.Withdrawn)):
             return True
         if self._shows_end(server_id, result):
             return False
@@ -382,10 +408,15 @@
         server: servers_lib.Server,
         key_range: keymap.KeyRange,
         handover: str,
+        still_holds: Callable[[keymap.KeyRange], bool],
     ) -> attempts.GrantResult:
-        """Gives or renews one range."""
-        if not self._lead.may_order:
-            return attempts.NoReply("the lead is not confirmed")
+        """Gives or renews one range, while it may."""
+        is_in_time = self._limit(self._settings.grant_timeout_s)
+
+        def may_order() -> bool:
+            has_right = self._lead.may_order and still_holds(key_range)
+            return has_right and is_in_time()
+
         lease_ms = min(self._settings.lease_ms, self._bounds.lease_max_ms)
         server_id = server.listed.server_id
         result: attempts.GrantResult = attempts.NoReply("no answer in time")
@@ -399,15 +430,30 @@
                     key_range.token,
                     lease_ms,
                     handover,
+                    may_order,
                 )
         finally:
             # One without an answer may still arrive until it timed out.
             self._under_way[server_id] -= 1
-            if not isinstance(result, (attempts.Refused, attempts.NotTaken)):
+            if not isinstance(result, _NEVER_TAKEN):
                 self._note_held(server_id)
         self._count("grant", result)
+        if isinstance(result, attempts.Withdrawn):
+            self._journal.decision(
+                "order_withdrawn",
+                service=self._service,
+                server=server_id,
+                first_key=key_range.first_key,
+                token=key_range.token,
+                leads=self._lead.may_order,
+            )
         return result
 
+    def _limit(self, time_s: float) -> attempts.MayOrder:
+        """Returns what tells whether some time from now is not over yet."""
+        until_s = self._clock.monotonic_s() + time_s
+        return lambda: self._clock.monotonic_s() < until_s
+
     def _note_held(self, server_id: ids.ServerId) -> None:
         """Keeps until when a server holds what it is given at this moment.
 
--- a/libs/bridgecross-entry/tests/entry_fakes.py
+++ b/libs/bridgecross-entry/tests/entry_fakes.py
@@ -143,8 +143,10 @@
         self.fences: dict[str, int] = collections.defaultdict(lambda: -1)
 
     async def grant(
-        self, server, first_key, last_key, token, lease_ms, handover
+        self, server, first_key, last_key, token, lease_ms, handover, may_order
     ):
+        if not may_order():
+            return attempts.Withdrawn()
         name = server.name
         self.orders.append(("grant", name, first_key, last_key, token))
         if name in self.replaced:
@@ -167,7 +169,9 @@
         self.grants.append(Grant(name, first_key, last_key, token, until_s))
         return attempts.Granted()
 
-    async def release(self, server, first_key, last_key, token):
+    async def release(self, server, first_key, last_key, token, may_order):
+        if not may_order():
+            return attempts.Withdrawn()
         name = server.name
         self.orders.append(("release", name, first_key, last_key, token))
         if name in self.replaced:
--- a/libs/bridgecross-entry/tests/test_leases.py
+++ b/libs/bridgecross-entry/tests/test_leases.py
@@ -69,7 +69,7 @@
 
     await keeper.renew(A, RANGES, still_holds)
     assert [order[2] for order in lease_servers.orders] == [0, 20]
-    assert len(asked) == 3
+    assert set(asked) == set(RANGES)
 
 
 async def test_a_silent_server_gets_no_orders_until_it_is_reached(
@@ -115,11 +115,11 @@
     lead.may_order = False
     await keeper.renew(A, RANGES, lambda _: True)
     with anyio.move_on_after(0.1):
-        await keeper.give(RANGES[0], "")
+        await keeper.give(RANGES[0], "", lambda _: True)
     assert not lease_servers.orders
     assert not keeper.is_lost(A)
     lead.may_order = True
-    assert await keeper.give(RANGES[0], "")
+    assert await keeper.give(RANGES[0], "", lambda _: True)
 
 
 class SlowReleases(fakes.LeaseServers):
@@ -129,7 +129,7 @@
         super().__init__()
         self.releases = 0
 
-    async def release(self, server, first_key, last_key, token):
+    async def release(self, *order: object):
         self.releases += 1
         if self.releases == 1:
             await anyio.sleep(0.15)
@@ -232,6 +232,45 @@
         assert not keeper._may_hold_no_more(A)
 
 
+class HeldUpServers(fakes.LeaseServers):
+    """Orders reach them only after a time in which the host stood still."""
+
+    def __init__(self, time_source, stood_s: float) -> None:
+        super().__init__()
+        self.time_source = time_source
+        self.stood_s = stood_s
+
+    async def grant(self, *order: object):
+        self.time_source.now_s += self.stood_s
+        return await super().grant(*order)
+
+    async def release(self, *order: object):
+        self.time_source.now_s += self.stood_s
+        return await super().release(*order)
+
+
+# An order went out later than whoever waits for its end counted on: a timer
+# limited its time, and none fires while the host stands still.
+@pytest.mark.parametrize(
+    ("stood_s", "orders_count"),
+    [
+        pytest.param(0.02, 1, id="within its time"),
+        pytest.param(0.04, 0, id="beyond its time"),
+        pytest.param(60.0, 0, id="a minute later"),
+    ],
+)
+async def test_an_order_is_written_within_its_time_or_not_at_all(
+    lead, stood_s, orders_count
+):
+    time_source = support.ManualClock()
+    held_up = HeldUpServers(time_source, stood_s)
+    keeper = _make_keeper(held_up, lead, time_source)
+    await keeper.renew(A, RANGES[:1], lambda _: True)
+    assert len(held_up.orders) == orders_count
+    assert (A in keeper._held_until_s) == bool(orders_count)
+    assert keeper.is_heard(A)
+
+
 class SlowServers(fakes.LeaseServers):
     """Takes grants late, and says nothing to releases."""
 
@@ -296,7 +335,7 @@
     time_source = support.ManualClock()
     keeper = _make_keeper(Half(), lead, time_source)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(keeper.give, RANGES[0], "")
+        tasks.start_soon(keeper.give, RANGES[0], "", lambda _: True)
         await anyio.sleep(0.001)
         tasks.start_soon(keeper.renew, A, RANGES[1:], lambda _: True)
         await anyio.sleep(0.005)
@@ -321,8 +360,8 @@
 class Restarting(fakes.LeaseServers):
     """Starts again after a release; an earlier leader renews its new run."""
 
-    async def release(self, server, first_key, last_key, token):
-        answer = await super().release(server, first_key, last_key, token)
+    async def release(self, server, first_key, last_key, *rest: object):
+        answer = await super().release(server, first_key, last_key, *rest)
         released = [order for order in self.orders if order[0] == "release"]
         if len(released) == 1:
             until_s = time.monotonic() + 10
