A move that ends while the log is written to has ended

What callers saw: keys that nobody served, refused with 421 and 503, until the new owner was given them again, up to a lease and 0.5 s later.

Cause: the next map is made up, the log is waited for, and the map then replaced what was known meanwhile: a move that had ended in that time counted as under way again. It was made a second time, with a wait for a lease that nobody held, and its owner was renewed by nobody in that time. Class: a state that is written back whole after an await.

Mend: whatever map is taken up, moves that are known to have ended are struck out, by the one function that did so at the start of a coordinator. A map of our own that was done late goes the same way.

Seen failing before: test_a_move_that_ends_while_the_log_is_written_to_has_ended (the key had no holder). Ruled out: a wait of the new owner itself, which holds the keys when the append ends.

--- a/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
@@ -201,12 +201,19 @@
         """Goes on from a map that another coordinator wrote."""
         self._version = newest.version
         self._keeper.assume_held(newest.ranges)
-        # Moves that this instance was told have ended need no second release.
+        self._take_ranges(newest)
+
+    def _take_ranges(self, key_map: keymap.KeyMap) -> None:
+        """Goes by the ranges of a map.
+
+        Moves that have ended since it was made up, or of whose end this
+        instance was told, need no second release.
+        """
         self._ranges = tuple(
             r._replace(prior_owner=keymap.NO_SERVER)
             if self._table.is_settled(self._service, r)
             else r
-            for r in newest.ranges
+            for r in key_map.ranges
         )
 
     async def _found(self) -> bool:
@@ -242,8 +249,8 @@
         result = await self._log.append(self._topic, record, expected_end)
         if isinstance(result, logs.Appended):
             self._version = new.version
-            self._ranges = new.ranges
             self._table.put(new, "written")
+            self._take_ranges(new)
             self._follower.note_own_append(result.offset, record)
             await self._publish_map(new)
             return True
@@ -318,7 +325,7 @@
         if newest is None or newest.version <= self._version:
             return False
         self._version = newest.version
-        self._ranges = newest.ranges
+        self._take_ranges(newest)
         return True
 
     async def _watch_list(self) -> None:
--- a/libs/bridgecross-entry/tests/test_coordinator.py
+++ b/libs/bridgecross-entry/tests/test_coordinator.py
@@ -497,3 +497,37 @@
         working.end_work(second)
         await fakes.until(lambda: working.holder(KEY) not in {None, second})
     assert not working.given_on
+
+
+# Keys were unserved for seconds: a move that ended while another was written to
+# the log counted as under way again, and waited for a lease that nobody held.
+async def test_a_move_that_ends_while_the_log_is_written_to_has_ended():
+    class SlowLog(fakes.MemoryLog):
+        slow_s = 0.0
+
+        async def append(self, topic, record, expected_end):
+            await anyio.sleep(self.slow_s)
+            return await super().append(topic, record, expected_end)
+
+    platform_log, working = SlowLog(), WorkingServers()
+    bench = fakes.Bench(platform_log, working, lease_settings=LONG_LEASES)
+    for name in "abcd":
+        bench.book.put(support.make_server(name))
+    async with _running(bench):
+        await fakes.until(lambda: working.holder(KEY) == "a")
+        working.begin_work("a")
+        second = await _empty(bench, working, "a")
+        platform_log.slow_s = 0.2
+        other = next(n for n in "bcd" if n != second)
+        bench.book.put(support.make_server(other, leaving=True))
+        await anyio.sleep(0.1)
+        working.end_work("a")
+        await fakes.until(lambda: working.holder(KEY) == second)
+        platform_log.slow_s = 0.0
+        asked_count = len(working.released("a"))
+        deadline_s = time.monotonic() + 1.5
+        while time.monotonic() < deadline_s:
+            assert working.holder(KEY) == second
+            await anyio.sleep(0.02)
+    assert len(working.released("a")) == asked_count
+    assert not working.given_on
