--- a/libs/bridgecross-entry/tests/test_coordinator.py
+++ b/libs/bridgecross-entry/tests/test_coordinator.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bridgecross_core import ids
+from bridgecross_entry import attempts
 from bridgecross_entry import keymap
 from bridgecross_entry import load
 from bridgecross_entry import log
@@ -499,6 +500,46 @@
     assert not working.given_on
 
 
+class OutrankingServers(fakes.LeaseServers):
+    """One of them refuses the next renewal, as if it knew a higher token.
+
+    A renewal that is overtaken by a release of a part of the range is answered
+    so, though nothing is wrong.
+    """
+
+    def __init__(self, name: str) -> None:
+        super().__init__()
+        self.name = name
+        # Called when it refuses; set while it is to refuse.
+        self.on_refusal = None
+
+    async def grant(self, server, *order: object):
+        if self.on_refusal and server.name == self.name:
+            self.on_refusal()
+            self.on_refusal = None
+            return attempts.Outranked()
+        return await super().grant(server, *order)
+
+
+# A key was given on within milliseconds, and its last holder, which nobody had
+# asked for it, worked on: the next owner had refused a token, so the same map
+# gave it a new one, with itself as the prior owner.
+async def test_a_range_is_taken_back_before_an_outranked_server_gets_it():
+    outranking = OutrankingServers("b")
+    bench = fakes.Bench(fakes.MemoryLog(), outranking)
+    for name in "ab":
+        bench.book.put(support.make_server(name))
+    async with _running(bench):
+        await fakes.until(lambda: outranking.holder(KEY) == "a")
+        outranking.on_refusal = lambda: bench.book.put(
+            support.make_server("a", leaving=True)
+        )
+        await fakes.until(lambda: outranking.holder(KEY) == "b")
+    asked = [order[1] for order in outranking.orders if order[0] == "release"]
+    assert "a" in asked
+    assert not outranking.overlaps
+
+
 # Keys were unserved for seconds: a move that ended while another was written to
 # the log counted as under way again, and waited for a lease that nobody held.
 async def test_a_move_that_ends_while_the_log_is_written_to_has_ended():
