An order that is withdrawn costs neither a connection nor a round

Both ends are checked now, and a renewal that was withdrawn for its time alone is given again at once.

--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -26,6 +26,9 @@
 _NEVER_TAKEN = (attempts.Refused, attempts.NotTaken, attempts.Withdrawn)
 """Results of an order that the server has not seen and never will."""
 
+_MISSED = (attempts.NoReply, attempts.NotTaken, attempts.Withdrawn)
+"""Results of an order that may fare better at once."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseSettings:
@@ -367,9 +370,10 @@
         if not self._lead.may_order:
             # Whether it answers is not known; another may lead by now.
             return False
-        unanswered = isinstance(result, (attempts.NoReply, attempts.NotTaken))
-        if unanswered and still_holds(key_range):
-            # One lost packet is no reason to give a server up.
+        is_missed = isinstance(result, _MISSED)
+        if is_missed and still_holds(key_range):
+            # One lost packet is no reason to give a server up, and one halt of
+            # this host none to leave a range for the next round.
             result = await self._grant(server, key_range, "", still_holds)
         if isinstance(result, (attempts.Granted, attempts.Withdrawn)):
             return True
@@ -414,6 +418,8 @@
         still_holds: Callable[[keymap.KeyRange], bool],
     ) -> attempts.GrantResult:
         """Gives or renews one range, while it may."""
+        if not self._lead.may_order:
+            return attempts.Withdrawn()
         is_in_time = self._limit(self._settings.grant_timeout_s)
 
         def may_order() -> bool:
