Wait for the lease that an earlier leader may have renewed last

What callers could see: work that ends with 500, or two servers with one key, where a release got its answer only the second time. Then the end of the lease is waited for, counted from when the move began; an earlier leader may have renewed it for up to 2 s after that, and an order of our own been under way for 0.5 s. Added up with the program's figures: up to 1.35 s too early.

Mend: the wait is counted from the last moment at which an order for the prior owner can have been taken, by whoever gave it. Found by review; seen failing before: the new test, 0.09 s too early at a lease of 0.2 s.

--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -202,9 +202,7 @@
             By what that is known, and what the server hands over.
         """
         settings = self._settings
-        lease_over_s = self._clock.monotonic_s() + self._lease_s()
-        if asked_before:
-            lease_over_s += settings.earlier_order_s
+        begun_s = self._clock.monotonic_s()
         while True:
             # Orders that were meant for an earlier run may have reached the
             # latest one, so that is asked.
@@ -222,7 +220,7 @@
             result = await self._release(server, key_range, timeout_s)
             if isinstance(result, attempts.Released):
                 if asked_before:
-                    await self._wait_until(lease_over_s)
+                    await self._wait_until(self._lease_over_s(begun_s))
                 return proofs.TakenBack(proofs.Proof.RELEASED, result.handover)
             if self._shows_end(holder, result):
                 return proofs.TakenBack(proofs.Proof.RUN_ENDED)
@@ -299,6 +297,19 @@
             settings.release_timeout_s, max(left_s, settings.order_pause_s)
         )
 
+    def _lease_over_s(self, moved_s: float) -> float:
+        """Returns when the lease of a range is over that has been moved.
+
+        Nobody has renewed it since but who had an order under way, or led
+        before.
+
+        Args:
+            moved_s: From when on this instance gave no order for its prior
+                owner.
+        """
+        last_s = moved_s + self._settings.earlier_order_s
+        return max(last_s, self._earlier_until_s()) + self._lease_s()
+
     async def _wait_until(self, time_s: float) -> None:
         """Waits for a time on the steady clock."""
         await anyio.sleep(max(time_s - self._clock.monotonic_s(), 0.0))
--- a/libs/bridgecross-entry/tests/test_leases.py
+++ b/libs/bridgecross-entry/tests/test_leases.py
@@ -235,6 +235,41 @@
         assert not keeper._may_hold_no_more(A)
 
 
+class LostReleases:
+    """Releases are lost at first; an earlier leader renews until then.
+
+    The first release that is taken waits for work, which goes on until the
+    lease is over; the ones after it find nothing held.
+    """
+
+    def __init__(self, begun_s: float) -> None:
+        self.taken_s = begun_s + 0.18
+        # The earlier leader may order for 0.2 s after it; its last renewal.
+        self.lease_until_s = begun_s + 0.17 + 0.2
+        self.is_released = False
+
+    async def release(self, *_: object):
+        if time.monotonic() < self.taken_s:
+            await anyio.sleep_forever()
+        if not self.is_released:
+            self.is_released = True
+            await anyio.sleep(self.lease_until_s - time.monotonic())
+        return attempts.Released("")
+
+
+# A key was given on while work went on under a lease that an earlier leader had
+# renewed since the range was first asked for.
+async def test_a_second_answer_waits_for_what_an_earlier_leader_renewed(lead):
+    begun_s = time.monotonic()
+    lead.known_s, lead.known_to_all_s = begun_s, math.inf
+    servers_of_a = LostReleases(begun_s)
+    keeper = _make_keeper(servers_of_a, lead, clock.SystemClock())
+    moving = keymap.KeyRange(0, 9, ids.ServerId("b"), 2, A)
+    keeper.assume_held(RANGES)
+    await keeper.take_back(A, moving, asked_before=True)
+    assert time.monotonic() >= servers_of_a.lease_until_s
+
+
 class HeldUpServers(fakes.LeaseServers):
     """Orders reach them only after a time in which the host stood still."""
 
