What is given up is not sent again by the kernel

The connection of an exchange that is given up is reset, so that nothing of it is sent any more; that holds for requests whose caller has left as well. While a host stands still its kernel goes on: open.

Found by review; seen failing before: test_what_is_given_up_is_not_sent_again.

--- a/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import dataclasses
 import socket
+import struct
 from typing import NamedTuple
 from typing import Protocol
 from typing import cast
@@ -154,6 +155,18 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _reset(self) -> None:
+        """Closes the connection; what the other side lacks is not sent again.
+
+        The kernel would go on for seconds with a request that was given up.
+        """
+        transport = self._transport
+        sock = transport.get_extra_info("socket") if transport else None
+        if sock is not None:
+            at_once = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, at_once)
+        self.abort()
+
     async def exchange(
         self, request: bytes, accepts: Accepts
     ) -> Reply | Broken:
@@ -169,7 +182,7 @@
         try:
             return await self._result
         except asyncio.CancelledError:
-            self.abort()
+            self._reset()
             raise
         finally:
             self._result = None
--- a/libs/bridgecross-entry/tests/test_exchange.py
+++ b/libs/bridgecross-entry/tests/test_exchange.py
@@ -166,6 +166,22 @@
         assert used == [0, 1]
 
 
+# An order that was given up was taken seconds later: the kernel went on sending
+# it again after its connection had been closed.
+async def test_what_is_given_up_is_not_sent_again():
+    listening = socket.create_server(("127.0.0.1", 0))
+    address = model.Address(*listening.getsockname())
+    pool = exchange.Pool(
+        address, exchange.ConnectionSettings(), clock.SystemClock()
+    )
+    with anyio.move_on_after(0.1):
+        await pool.exchange(b"POST / HTTP/1.1\r\n\r\n", lambda _: True)
+    await anyio.sleep(0.05)
+    other_side, _ = listening.accept()
+    with other_side, listening, pytest.raises(ConnectionResetError):
+        other_side.makefile("rb").read()
+
+
 async def test_a_refused_connection_is_told_as_such():
     server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
     address = model.Address(*server.sockets[0].getsockname()[:2])
