Sight: what a server says of itself in its answers is read and logged

Callers see nothing of this yet; no decision changes.

It tells `Notices` while the answer is read, so also where whoever waited is cancelled in that moment; a field of each kind of result would miss that, and health and lease orders have no result to carry it.

New lines: `server_says_leaving` once a run, `server_asks_rest` once a rest; the trail of a request names the rest; gauges `servers_said_leaving`, `servers_resting`.

--- a/libs/bridgecross-cli/src/bridgecross_cli/journals.py
+++ b/libs/bridgecross-cli/src/bridgecross_cli/journals.py
@@ -32,6 +32,7 @@
         "server_lapsed",
         "server_leaving",
         "server_returned",
+        "server_says_leaving",
         "server_silent",
         "standstill",
         "task_failed",
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -365,6 +365,7 @@
 
     def __init__(self, fleet: Fleet, sender: model.Address) -> None:
         """Keeps no connection."""
+        self.on_notice: attempts.Hear = attempts.hear_nothing
         self._fleet = fleet
         self._sender = sender
 
@@ -433,6 +434,7 @@
         self, fleet: Fleet, sender: model.Address, clock: clocks.Clock
     ) -> None:
         """Knows no run of any server."""
+        self.on_notice: attempts.Hear = attempts.hear_nothing
         self._fleet = fleet
         self._sender = sender
         self._clock = clock
--- a/libs/bridgecross-entry/src/bridgecross_entry/__init__.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/__init__.py
@@ -5,6 +5,7 @@
 * ``exchange``: HTTP/1.1 exchanges over kept connections.
 * ``routes``: host and path to route, route to service.
 * ``servers``: backend servers with what this instance saw of them.
+* ``notices``: what servers say of themselves in their answers.
 * ``retry_budget``: retries over a sliding window, shared by all instances.
 * ``dispatch``: the life of a request.
 * ``edge``: the listener towards callers.
--- a/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
@@ -87,6 +87,8 @@
         self.book = servers_lib.ServerBook(
             servers_lib.ServerSettings(), self.settings.bounds, journal, clock
         )
+        self.backend_client.on_notice = self.book.notices.hear
+        self.lease_client.on_notice = self.book.notices.hear
         self.table = keymap.KeyTable(journal)
         self.issuer = permit_issuer.PermitIssuer(
             permit_issuer.IssuerSettings(),
--- a/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
@@ -1,7 +1,9 @@
 """How one attempt at one backend server ended, as tagged dataclasses."""
 
+from collections.abc import Callable
 from collections.abc import Container
 import dataclasses
+from typing import NamedTuple
 from typing import Protocol
 
 from bridgecross_core import ids
@@ -69,9 +71,33 @@
 """The ways in which one attempt ends."""
 
 
+class Notice(NamedTuple):
+    """What a server says of itself beside an answer."""
+
+    # Whether its run is leaving.
+    is_leaving: bool = False
+    # For how long it wants to be left alone by whoever it answers; 0 if not.
+    rest_s: float = 0.0
+    # Why something that it says counts for nothing; empty if all is well.
+    problem: str = ""
+
+
+Hear = Callable[[model.BackendServer, Notice], None]
+"""Told what a server says of itself; must not fail, and returns at once."""
+
+
+def hear_nothing(server: model.BackendServer, notice: Notice) -> None:
+    """Takes in nothing of what a server says."""
+    del server, notice
+
+
 class BackendClient(Protocol):
     """Sends requests to backend servers."""
 
+    on_notice: Hear
+    """Told by each answer of the server that was meant, as soon as it is read:
+    also if whoever waited for it has been cancelled at the same moment."""
+
     async def send(
         self, server: model.BackendServer, request: EntryRequest, left_ms: float
     ) -> Attempt:
@@ -169,6 +195,9 @@
 class LeaseClient(Protocol):
     """Gives ranges of keys to backend servers and takes them back."""
 
+    on_notice: Hear
+    """Told by each answer, as ``BackendClient.on_notice`` is."""
+
     def sweep(self, known: Container[ids.ServerId]) -> None:
         """Closes connections that are old, or lead to servers not known."""
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -710,7 +710,9 @@
         elif isinstance(result, attempts.Shed):
             server.note_answer(held_s, failed=True)
             server.shrink_room(now_s)
-            life.trail.append(f"{server_id}: shed with {result.status}")
+            rest_s = self._book.notices.rest_left_s(server_id)
+            asks = f", asks for {rest_s:.1f} s of rest" if rest_s else ""
+            life.trail.append(f"{server_id}: shed with {result.status}{asks}")
         else:
             life.trail.append(f"{server_id}: not the owner")
             other = result.answered_by != server.listed.name
--- /dev/null
+++ b/libs/bridgecross-entry/src/bridgecross_entry/notices.py
@@ -0,0 +1,98 @@
+"""What backend servers say of themselves in their answers, and what holds then.
+
+Whatever the list of servers says, a server's own word counts at the instance
+that was told: that its run is leaving, until the run ends, and that it wants to
+be left alone, for as long as it asked. It is kept by runs, since their entries
+come and go.
+"""
+
+from bridgecross_core import clock as clocks
+from bridgecross_core import ids
+from bridgecross_entry import attempts
+from bridgecross_entry import journal as journals
+from bridgecross_entry import left_aside
+from bridgecross_entry import model
+
+_RUNS_MAX_COUNT = 10_000
+"""Runs whose word is remembered, 0.2 KB each: 180 servers are replaced on an
+ordinary day, and what is forgotten has left weeks ago."""
+
+
+class Notices:
+    """What servers said to this instance."""
+
+    def __init__(self, journal: journals.Journal, clock: clocks.Clock) -> None:
+        """Was told nothing.
+
+        Args:
+            journal: Told of what is new, and of what makes no sense.
+            clock: For all times; must go on while the machine is suspended.
+        """
+        self._journal = journal
+        self._clock = clock
+        self._unreadable = left_aside.LeftAside("answers", journal)
+        # When each run that is leaving first said so, the first of them first.
+        self._leaving_told_s: dict[ids.ServerId, float] = {}
+        # Until when each run wants to be left alone, the last to say so last.
+        self._rest_until_s: dict[ids.ServerId, float] = {}
+
+    @property
+    def leaving_count(self) -> int:
+        """How many runs are remembered that said that they leave."""
+        return len(self._leaving_told_s)
+
+    @property
+    def resting_count(self) -> int:
+        """How many runs want to be left alone at this moment."""
+        now_s = self._clock.monotonic_s()
+        return sum(until_s > now_s for until_s in self._rest_until_s.values())
+
+    def rest_left_s(self, server_id: ids.ServerId) -> float:
+        """Returns for how long a run wants to be left alone; 0 if not."""
+        until_s = self._rest_until_s.get(server_id)
+        if until_s is None:
+            return 0.0
+        return max(until_s - self._clock.monotonic_s(), 0.0)
+
+    def hear(
+        self, server: model.BackendServer, notice: attempts.Notice
+    ) -> None:
+        """Takes in what a server said in an answer."""
+        if notice.problem:
+            self._unreadable.note(
+                "notice_unreadable",
+                server.server_id,
+                ValueError(notice.problem),
+            )
+        if notice.is_leaving:
+            self._take_leaving(server)
+        if notice.rest_s > 0:
+            self._take_rest(server, notice.rest_s)
+
+    def _take_leaving(self, server: model.BackendServer) -> None:
+        """Takes in that a run is leaving; the first word of it counts."""
+        server_id = server.server_id
+        if server_id in self._leaving_told_s:
+            return
+        if len(self._leaving_told_s) >= _RUNS_MAX_COUNT:
+            del self._leaving_told_s[next(iter(self._leaving_told_s))]
+        self._leaving_told_s[server_id] = self._clock.monotonic_s()
+        self._journal.decision(
+            "server_says_leaving", server=server_id, service=server.service
+        )
+
+    def _take_rest(self, server: model.BackendServer, rest_s: float) -> None:
+        """Takes in that a run wants to be left alone."""
+        server_id = server.server_id
+        now_s = self._clock.monotonic_s()
+        before_s = self._rest_until_s.pop(server_id, now_s)
+        if len(self._rest_until_s) >= _RUNS_MAX_COUNT:
+            del self._rest_until_s[next(iter(self._rest_until_s))]
+        self._rest_until_s[server_id] = max(before_s, now_s + rest_s)
+        if before_s <= now_s:
+            self._journal.decision(
+                "server_asks_rest",
+                server=server_id,
+                service=server.service,
+                rest_s=rest_s,
+            )
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -205,6 +205,9 @@
             self._parts.metrics.topics.set(labels, count)
         evacuated = self._parts.book.evacuations.domains
         beliefs.set({"what": "evacuated_domains"}, len(evacuated))
+        notices = self._parts.book.notices
+        beliefs.set({"what": "servers_said_leaving"}, notices.leaving_count)
+        beliefs.set({"what": "servers_resting"}, notices.resting_count)
         beliefs.set(
             {"what": "instances"}, self._parts.dispatcher.instance_count
         )
--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -20,6 +20,7 @@
 from bridgecross_entry import evacuations as evacuations_lib
 from bridgecross_entry import journal as journals
 from bridgecross_entry import model
+from bridgecross_entry import notices as notices_lib
 from bridgecross_request import queueing
 
 _LATEST_MAX_COUNT = 10_000
@@ -277,6 +278,8 @@
         self.evacuations = evacuations_lib.Evacuations(
             evacuations_lib.EvacuationSettings(), bounds, journal, clock
         )
+        # What servers say of themselves.
+        self.notices = notices_lib.Notices(journal, clock)
         # What holds for the servers of each service.
         self._services: Mapping[ids.ServiceName, model.Service] = {}
         self._instance_count = settings.first_instance_count
