--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -98,6 +98,8 @@
         self.started_ms = started_ms
         self.is_up = True
         self.is_leaving = False
+        # Whether its answers say that it leaves, whatever its entry says.
+        self.answers_leaving = False
         # Until when it is cold.
         self.cold_until_s = 0.0
         # Whether its heartbeats reach the log.
@@ -123,6 +125,11 @@
         """For how long it says that it is cold, counted from its start."""
         return max(self.cold_until_s - self._fleet.now_s, 0.0)
 
+    @property
+    def notice(self) -> attempts.Notice:
+        """What it says of itself in its answers."""
+        return attempts.Notice(self.is_leaving or self.answers_leaving)
+
     def holds(self, key: int) -> bool:
         """Whether it holds a key at this moment."""
         return any(h.first_key <= key <= h.last_key for h in self.held())
@@ -145,6 +152,7 @@
         self.is_up = True
         self.ended = anyio.Event()
         self.is_leaving = False
+        self.answers_leaving = False
         self.cold_until_s = self._fleet.now_s + self._fleet.warmup_s
         self.started_ms = max(int(self._fleet.now_s * 1_000), 1) + 1_000
         self.write_entry()
@@ -222,6 +230,8 @@
         # All requests that servers began to run, and when one ended by that.
         self.runs: list[Run] = []
         self.ends_s: list[float] = []
+        # When an answer told an instance first that a server's run leaves.
+        self.told_leaving_s: dict[tuple[model.Address, str, int], float] = {}
         self.network = network
         self._log = log
         self._environment = environment
@@ -243,6 +253,12 @@
         self.servers[address] = server
         server.start()
 
+    def note_told(self, sender: model.Address, server: EmulatedServer) -> None:
+        """Keeps what an answer has told an instance."""
+        if server.notice.is_leaving:
+            told = (sender, server.name, server.started_ms)
+            self.told_leaving_s.setdefault(told, self.now_s)
+
     def write_entry(self, server: EmulatedServer) -> None:
         """Writes an entry of the list."""
         server.listed_s = self.now_s
@@ -393,6 +409,7 @@
             first_key, last_key, token, lease_ms / 1e3, late=False
         )
         await self._fleet.network.cross(server.address, self._sender)
+        self.on_notice(server, found.notice)
         return result
 
     async def release(
@@ -408,6 +425,7 @@
             return found
         found.release(first_key, last_key, token)
         await self._fleet.network.cross(server.address, self._sender)
+        self.on_notice(server, found.notice)
         return attempts.Released("state")
 
     async def reach(self, server: model.BackendServer) -> bool:
@@ -476,6 +494,7 @@
             now_s = self._clock.monotonic_s()
             self._kept[server.address] = (found.started_ms, now_s)
         if not self._may_run(found, request):
+            self._hear(server, found)
             return attempts.NotOwner(found.name)
         self._note_run(found, request)
         ended = found.ended
@@ -484,8 +503,15 @@
         if ended.is_set():
             return attempts.Interrupted("the connection ended")
         await network.cross(server.address, self._sender)
+        self._hear(server, found)
         return outcomes.Answered(200, (), b"")
 
+    def _hear(self, server: model.BackendServer, found: EmulatedServer) -> None:
+        """Takes in what an answer says of its server."""
+        if found.name == server.name:
+            self._fleet.note_told(self._sender, found)
+            self.on_notice(server, found.notice)
+
     def _may_run(
         self, server: EmulatedServer, request: attempts.EntryRequest
     ) -> bool:
--- a/libs/bridgecross-entry/tests/test_coordinator.py
+++ b/libs/bridgecross-entry/tests/test_coordinator.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bridgecross_core import ids
+from bridgecross_entry import attempts
 from bridgecross_entry import keymap
 from bridgecross_entry import load
 from bridgecross_entry import log
@@ -58,6 +59,16 @@
     assert not lease_servers.overlaps
 
 
+async def test_a_server_whose_answers_say_it_leaves_hands_its_keys_over():
+    _, lease_servers, bench = _make("a", "b")
+    async with _running(bench):
+        await fakes.until(lambda: lease_servers.holder(KEY) == "a")
+        leaving = attempts.Notice(is_leaving=True)
+        bench.book.notices.hear(support.make_server("a"), leaving)
+        await fakes.until(lambda: lease_servers.holder(KEY) == "b")
+    assert not lease_servers.overlaps
+
+
 async def test_keys_stay_with_their_owner_while_an_earlier_leader_may_order():
     """A release would be no proof yet; a server that leaves still serves."""
     _, lease_servers, bench = _make("a", "b")
--- a/libs/bridgecross-entry/tests/test_notices.py
+++ b/libs/bridgecross-entry/tests/test_notices.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 import entry_support as support
 import pytest
 
@@ -5,6 +7,7 @@
 from bridgecross_entry import attempts
 from bridgecross_entry import journal
 from bridgecross_entry import notices
+from bridgecross_entry import servers
 
 LEAVING = attempts.Notice(is_leaving=True)
 SERVER = support.make_server("a")
@@ -81,3 +84,109 @@
     assert heard.leaving_count == 10
     assert len(heard._rest_until_s) == 10
     assert ids.ServerId("s49") in heard._leaving_told_s
+
+
+DRAIN_S = support.BOUNDS.drain_ms / 1_000
+
+
+@pytest.fixture
+def book(clock, lines):
+    made = servers.ServerBook(
+        servers.ServerSettings(), support.BOUNDS, lines, clock
+    )
+    made.put(SERVER)
+    return made
+
+
+def _say_it_stays(book):
+    book.put(SERVER)
+
+
+def _say_it_stays_anew(book):
+    book.put(dataclasses.replace(SERVER, slots=9))
+
+
+def _go_and_return(book):
+    book.remove(SERVER.server_id, log_was_away=False)
+    book.put(SERVER)
+
+
+def _lapse_and_return(book):
+    book.remove(SERVER.server_id, log_was_away=True)
+    book.put(SERVER)
+
+
+def _change_service(book):
+    book.put(dataclasses.replace(SERVER, service=ids.ServiceName("bulgu")))
+    book.put(SERVER)
+
+
+def _say_it_again(book):
+    book.notices.hear(SERVER, LEAVING)
+
+
+def _be_heard_without_it(book):
+    book.notices.hear(SERVER, attempts.Notice())
+
+
+@pytest.mark.parametrize(
+    "happen",
+    [
+        pytest.param(lambda book: None, id="nothing"),
+        pytest.param(_say_it_stays, id="its entry says that it stays"),
+        pytest.param(_say_it_stays_anew, id="a newer entry says so"),
+        pytest.param(_go_and_return, id="it returns to the list"),
+        pytest.param(_lapse_and_return, id="its entry lapses and returns"),
+        pytest.param(_change_service, id="it is rebuilt"),
+        pytest.param(_say_it_again, id="it says so again"),
+        pytest.param(_be_heard_without_it, id="an answer says nothing"),
+    ],
+)
+def test_the_first_word_of_a_run_that_leaves_stands(book, clock, happen):
+    book.notices.hear(SERVER, LEAVING)
+    clock.now_s += 0.9
+    happen(book)
+    server = book.get(SERVER.server_id)
+    assert not book.is_staying(server, clock.now_s)
+    assert book.may_use(server, clock.now_s)
+    clock.now_s += DRAIN_S - 0.9 - 0.1
+    assert not book.may_use(server, clock.now_s)
+    assert not book.is_staying(server, clock.now_s)
+
+
+def test_the_word_outlasts_that_its_server_is_forgotten(book, clock):
+    book.notices.hear(SERVER, LEAVING)
+    book.remove(SERVER.server_id, log_was_away=False)
+    clock.now_s += 60
+    book.drop_stale()
+    assert book.get(SERVER.server_id) is None
+    book.put(SERVER)
+    server = book.get(SERVER.server_id)
+    assert not book.may_use(server, clock.now_s)
+
+
+def test_what_the_list_says_first_counts_first(book, clock):
+    book.put(dataclasses.replace(SERVER, leaving=True))
+    clock.now_s += 0.5
+    book.notices.hear(SERVER, LEAVING)
+    server = book.get(SERVER.server_id)
+    list_use_s = DRAIN_S * book.settings.drain_use_ratio
+    assert not book.may_use(server, clock.now_s + list_use_s - 0.4)
+
+
+def test_another_run_of_its_name_is_free_of_the_word(book, clock):
+    first = support.make_server("b", started_ms=1)
+    following = support.make_server("b", started_ms=2)
+    book.put(first)
+    book.notices.hear(first, LEAVING)
+    clock.now_s += 60
+    book.put(following)
+    server = book.get(following.server_id)
+    assert book.is_staying(server, clock.now_s)
+    assert book.may_use(server, clock.now_s)
+
+
+def test_whoever_waits_for_servers_to_change_is_woken(book):
+    count = book.changed.count
+    book.notices.hear(SERVER, LEAVING)
+    assert book.changed.count == count + 1
