DRAIN: a server's own word that it leaves counts, whatever the list says

What callers saw: nothing at first; requests went on to a server that had said for seconds that it leaves, and that could end under them. Cause: instances knew of it by the list of servers only, and the log was away when the server said so. Ruled out: an older entry that undid the word (no line of it, and nothing could be read), and requests that were held for long (both came in after the bound, 12 ms before they reached it).

Now the first such word of a run counts at the instance that was told, by the run, until the run ends; no entry undoes it. From then on the server is one that does not stay: others first, and an instance that leads moves its keys. After 0.8 of the bound it gets nothing; a key that it still owns is refused at once, to come back in 1 s, since a move would have been over by then.

Why it holds: the bound counts requests that callers send later than it after the answer was passed on.

--- a/libs/bridgecross-cli/src/bridgecross_cli/journals.py
+++ b/libs/bridgecross-cli/src/bridgecross_cli/journals.py
@@ -132,6 +132,12 @@
         "its time was over before an answer came",
         "see how long the attempt took: took_ms, and the server's others",
     ),
+    Cause(
+        r"said that it leaves",
+        "the owner of its key said in an answer that it leaves, and still owns "
+        "the key after the time in which such a server may be used",
+        "see server_says_leaving, and log_lost: keys move only with the log",
+    ),
     Cause(
         r"left meanwhile",
         "its server left, or lost the key, while it waited for a slot",
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -513,6 +513,13 @@
                     "the owner of the key is in another area",
                     settings.retry_again_after_ms,
                 )
+            if owner and self._book.notices.has_left(owner.server_id, now_s):
+                # Its keys have not moved in all that time; nobody knows when.
+                life.trail.append(f"{owner.server_id}: said that it leaves")
+                return self._refuse(
+                    "the owner of the key has left",
+                    settings.retry_again_after_ms,
+                )
             if owner and server and self._book.may_use(server, now_s):
                 left_s = settings.move_wait_ratio * target_s - waited_s
                 if owner.settled or left_s <= 0:
--- a/libs/bridgecross-entry/src/bridgecross_entry/notices.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/notices.py
@@ -6,6 +6,9 @@
 come and go.
 """
 
+from collections.abc import Callable
+import dataclasses
+
 from bridgecross_core import clock as clocks
 from bridgecross_core import ids
 from bridgecross_entry import attempts
@@ -18,16 +21,43 @@
 ordinary day, and what is forgotten has left weeks ago."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoticeSettings:
+    """How long what servers say is heeded."""
+
+    # The part of the platform's drain bound in which a server that says that
+    # it leaves may still be used. The bound runs from when the answer has been
+    # passed on, and for callers who send after it; this runs from when the
+    # answer was read, until a request is written. So all waits are inside, and
+    # the rest is for clocks that differ, and for work that is to end in peace.
+    leaving_use_ratio: float = 0.8
+
+
 class Notices:
     """What servers said to this instance."""
 
-    def __init__(self, journal: journals.Journal, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        settings: NoticeSettings,
+        bounds: model.Bounds,
+        journal: journals.Journal,
+        clock: clocks.Clock,
+        on_leaving: Callable[[], None] = lambda: None,
+    ) -> None:
         """Was told nothing.
 
         Args:
+            settings: How long what is said is heeded.
+            bounds: How long it may take.
             journal: Told of what is new, and of what makes no sense.
             clock: For all times; must go on while the machine is suspended.
+            on_leaving: Called when a run says for the first time that it
+                leaves.
         """
+        self._leaving_use_s = (
+            bounds.drain_ms / 1_000 * settings.leaving_use_ratio
+        )
+        self._on_leaving = on_leaving
         self._journal = journal
         self._clock = clock
         self._unreadable = left_aside.LeftAside("answers", journal)
@@ -47,6 +77,18 @@
         now_s = self._clock.monotonic_s()
         return sum(until_s > now_s for until_s in self._rest_until_s.values())
 
+    def is_leaving(self, server_id: ids.ServerId) -> bool:
+        """Whether a run has said that it leaves."""
+        return server_id in self._leaving_told_s
+
+    def has_left(self, server_id: ids.ServerId, now_s: float) -> bool:
+        """Whether a run said so long ago that it leaves that it gets nothing.
+
+        No entry of the list undoes that, only another run.
+        """
+        told_s = self._leaving_told_s.get(server_id)
+        return told_s is not None and now_s >= told_s + self._leaving_use_s
+
     def rest_left_s(self, server_id: ids.ServerId) -> float:
         """Returns for how long a run wants to be left alone; 0 if not."""
         until_s = self._rest_until_s.get(server_id)
@@ -80,6 +122,7 @@
         self._journal.decision(
             "server_says_leaving", server=server_id, service=server.service
         )
+        self._on_leaving()
 
     def _take_rest(self, server: model.BackendServer, rest_s: float) -> None:
         """Takes in that a run wants to be left alone."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -279,7 +279,13 @@
             evacuations_lib.EvacuationSettings(), bounds, journal, clock
         )
         # What servers say of themselves.
-        self.notices = notices_lib.Notices(journal, clock)
+        self.notices = notices_lib.Notices(
+            notices_lib.NoticeSettings(),
+            bounds,
+            journal,
+            clock,
+            self.changed.notify,
+        )
         # What holds for the servers of each service.
         self._services: Mapping[ids.ServiceName, model.Service] = {}
         self._instance_count = settings.first_instance_count
@@ -512,6 +518,8 @@
         domain = server.listed.failure_domain
         if server.ended or not self.evacuations.may_serve_keys(domain, now_s):
             return False
+        if self.notices.has_left(server.listed.server_id, now_s):
+            return False
         if since_s is None:
             return True
         drain_s = self.bounds.drain_ms / 1_000
@@ -533,6 +541,8 @@
         since_s = server.leaving_since_s
         if server.ended or (since_s is not None and since_s <= now_s):
             return False
+        if self.notices.is_leaving(server.listed.server_id):
+            return False
         domain = server.listed.failure_domain
         return not self.evacuations.is_evacuated(domain)
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/tally.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/tally.py
@@ -34,6 +34,7 @@
     "shed with": "shed",
     "failed with": "failed_by_server",
     "left meanwhile": "server_left",
+    "said that it leaves": "server_left",
     "out of time": "out_of_time",
     "instance is stopping": "instance_stopping",
     "servers end under it": "poison",
--- a/libs/bridgecross-entry/tests/test_notices.py
+++ b/libs/bridgecross-entry/tests/test_notices.py
@@ -38,7 +38,9 @@
 
 @pytest.fixture
 def heard(clock, lines):
-    return notices.Notices(lines, clock)
+    return notices.Notices(
+        notices.NoticeSettings(), support.BOUNDS, lines, clock
+    )
 
 
 def test_that_a_run_leaves_is_told_once(heard, lines):
--- a/libs/bridgecross-entry/tests/test_tally.py
+++ b/libs/bridgecross-entry/tests/test_tally.py
@@ -61,6 +61,7 @@
         (["s1: the deadline cannot be met"], "no_room"),
         (["s1: the deadline has passed"], "waited_for_room"),
         (["s1: shed with 503", "s1: left alone"], "server_left_alone"),
+        (["s1: said that it leaves"], "server_left"),
         (["key 7 has no owner"], "no_owner"),
         (["s1: interrupted: reset"], "interrupted"),
         (["s1: interrupted: reset", "out of time"], "out_of_time"),
