--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -77,6 +77,15 @@
     is_cold: bool = False
 
 
+class TurnedAway(NamedTuple):
+    """A request that a server turned away."""
+
+    at_s: float
+    server: str
+    # The instance that sent it.
+    sender: model.Address
+
+
 class EmulatedServer:
     """A backend server over all its runs."""
 
@@ -100,6 +109,9 @@
         self.is_leaving = False
         # Whether its answers say that it leaves, whatever its entry says.
         self.answers_leaving = False
+        # For how long it wants to be left alone by whoever sends it a request;
+        # it turns all of them away. 0 if it works.
+        self.rest_s = 0.0
         # Until when it is cold.
         self.cold_until_s = 0.0
         # Whether its heartbeats reach the log.
@@ -128,7 +140,8 @@
     @property
     def notice(self) -> attempts.Notice:
         """What it says of itself in its answers."""
-        return attempts.Notice(self.is_leaving or self.answers_leaving)
+        is_leaving = self.is_leaving or self.answers_leaving
+        return attempts.Notice(is_leaving, self.rest_s)
 
     def holds(self, key: int) -> bool:
         """Whether it holds a key at this moment."""
@@ -153,6 +166,7 @@
         self.ended = anyio.Event()
         self.is_leaving = False
         self.answers_leaving = False
+        self.rest_s = 0.0
         self.cold_until_s = self._fleet.now_s + self._fleet.warmup_s
         self.started_ms = max(int(self._fleet.now_s * 1_000), 1) + 1_000
         self.write_entry()
@@ -230,6 +244,8 @@
         # All requests that servers began to run, and when one ended by that.
         self.runs: list[Run] = []
         self.ends_s: list[float] = []
+        # All requests that servers turned away.
+        self.turned_away: list[TurnedAway] = []
         # When an answer told an instance first that a server's run leaves.
         self.told_leaving_s: dict[tuple[model.Address, str, int], float] = {}
         self.network = network
@@ -409,7 +425,7 @@
             first_key, last_key, token, lease_ms / 1e3, late=False
         )
         await self._fleet.network.cross(server.address, self._sender)
-        self.on_notice(server, found.notice)
+        self.on_notice(server, found.notice._replace(rest_s=0.0))
         return result
 
     async def release(
@@ -425,7 +441,7 @@
             return found
         found.release(first_key, last_key, token)
         await self._fleet.network.cross(server.address, self._sender)
-        self.on_notice(server, found.notice)
+        self.on_notice(server, found.notice._replace(rest_s=0.0))
         return attempts.Released("state")
 
     async def reach(self, server: model.BackendServer) -> bool:
@@ -493,6 +509,13 @@
         if self._kept.get(server.address, (None,))[0] != found.started_ms:
             now_s = self._clock.monotonic_s()
             self._kept[server.address] = (found.started_ms, now_s)
+        if found.rest_s > 0:
+            now_s = self._fleet.now_s
+            turned_away = TurnedAway(now_s, found.name, self._sender)
+            self._fleet.turned_away.append(turned_away)
+            await network.cross(server.address, self._sender)
+            self._hear(server, found)
+            return attempts.Shed(503)
         if not self._may_run(found, request):
             self._hear(server, found)
             return attempts.NotOwner(found.name)
--- a/libs/bridgecross-entry/tests/test_permit_issuer.py
+++ b/libs/bridgecross-entry/tests/test_permit_issuer.py
@@ -6,6 +6,7 @@
 
 from bridgecross_core import clock
 from bridgecross_core import ids
+from bridgecross_entry import attempts
 from bridgecross_entry import metrics
 from bridgecross_entry import model
 from bridgecross_entry import permit_issuer
@@ -411,3 +412,48 @@
     known = scene.book.get(A)
     assert known is not None
     assert scene.book.is_cold(known)
+
+
+REST_S = 3.0
+
+
+def _tell_rest(scene, *names: str) -> None:
+    for name in names:
+        server = support.make_server(name)
+        scene.book.notices.hear(server, attempts.Notice(rest_s=REST_S))
+
+
+async def test_no_permit_is_given_for_one_that_wants_to_be_left_alone(scene):
+    _tell_rest(scene, "a")
+    for number in range(SLOTS):
+        reply = await scene.ask(str(number), may_wait=False)
+        assert reply.server_id == B
+    owner = await scene.ask("x", server="a")
+    assert owner.verdict is permits.Verdict.REFUSED
+    assert REST_S - 0.5 < owner.retry_after_ms / 1_000 < REST_S + 0.5
+
+
+@pytest.mark.parametrize(
+    ("may_wait", "verdict"),
+    [
+        pytest.param(True, permits.Verdict.REFUSED, id="may wait"),
+        pytest.param(False, permits.Verdict.FULL, id="asks elsewhere too"),
+    ],
+)
+async def test_nobody_waits_for_servers_that_all_rest(scene, may_wait, verdict):
+    _tell_rest(scene, "a", "b")
+    reply = await scene.ask("x", may_wait=may_wait)
+    assert reply.verdict is verdict
+    assert REST_S - 0.5 < reply.wait_s < REST_S + 0.5
+
+
+async def test_who_waited_gets_no_permit_for_one_that_rests_by_then(scene):
+    await scene.fill("a")
+    waiting = await scene.ask("x", server="a")
+    assert waiting.verdict is permits.Verdict.WAITING
+    _tell_rest(scene, "a")
+    scene.give_back("a-0")
+    await anyio.sleep(0.01)
+    reply = await scene.issuer.ask(scene.last_ask)
+    assert reply.verdict is permits.Verdict.REFUSED
+    assert scene.issuer.granted_count == SLOTS - 1
