BUDGET: a server that asks for rest gets nothing from this instance until then

What callers saw: a server that had turned everything away was asked again and again; callers of its keys were refused after four vain tries within milliseconds, told to come back in 0.1 s, and refused again. Cause: the time in a server's 503 was read nowhere; a 503 cut this instance's room at most once in 0.15 s and paused the server only when no room was left. A request went back to the same server at once, also where nobody else could take it. Ruled out: permits of another instance (none were in use), and requests that had been on the way (they came 0.9 s and 1.0 s after the 503).

Others are tried; if all that could serve a request rest, it is refused at once, to come back after the shortest rest, spread over 0.25 s. A request that a server has shed goes to another one, or back to the caller: never to the same one twice in a row.

Instances don't tell each other: the word binds whoever is told, each is told by its first request, and one that speaks for others would keep them off a server that has room for them. An issuer is the exception, since it counts the server's slots for all.

The checks before a request is sent stand in one function, `_may_go`.

--- a/libs/bridgecross-cli/src/bridgecross_cli/journals.py
+++ b/libs/bridgecross-cli/src/bridgecross_cli/journals.py
@@ -85,6 +85,12 @@
         "its server had no room before the answer would have been late",
         "compare the server's queue and attempt times with its neighbours'",
     ),
+    Cause(
+        r"to be left alone|it rests",
+        "the servers that could serve it had turned this instance away and "
+        "asked it for rest",
+        "see server_asks_rest, and what fills those servers",
+    ),
     Cause(
         r"left alone",
         "its owner had turned this instance's requests away or could not be "
--- a/libs/bridgecross-cli/tests/test_journals.py
+++ b/libs/bridgecross-cli/tests/test_journals.py
@@ -35,6 +35,8 @@
         (["s1: the deadline cannot be met"], "no room"),
         (["s1: shed with 503", "no retry left in the budget"], "budget"),
         (["s1: left alone"], "left alone for a while"),
+        (["its servers want to be left alone"], "asked it for rest"),
+        (["s1: it rests"], "asked it for rest"),
         (["s1: said that it leaves"], "said in an answer that it leaves"),
         (["key 7 has no owner"], "nobody held its key"),
         (["s1: not the owner"], "did not hold the key"),
--- a/libs/bridgecross-entry/src/bridgecross_entry/choosing.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/choosing.py
@@ -67,6 +67,47 @@
             and self.is_allowed(route, server.listed.failure_domain)
         ]
 
+    def list_awake(
+        self, servers: Sequence[servers_lib.Server]
+    ) -> list[servers_lib.Server]:
+        """Returns those servers that do not want to be left alone."""
+        notices = self._book.notices
+        if not notices.are_any_resting:
+            return list(servers)
+        return [
+            s for s in servers if not notices.is_resting(s.listed.server_id)
+        ]
+
+    def list_with_room(
+        self,
+        servers: Sequence[servers_lib.Server],
+        shed_by: ids.ServerId | None,
+    ) -> list[servers_lib.Server]:
+        """Returns those servers that did not just say that they have no room.
+
+        Args:
+            servers: Those that may be used.
+            shed_by: Which one has just turned the request away.
+        """
+        awake = self.list_awake(servers)
+        return [s for s in awake if s.listed.server_id != shed_by]
+
+    def resting_ids(self, service: ids.ServiceName) -> set[ids.ServerId]:
+        """Returns which servers of a service want to be left alone."""
+        notices = self._book.notices
+        if not notices.are_any_resting:
+            return set()
+        servers = self._book.of_service(service)
+        known = [server.listed.server_id for server in servers]
+        return set(filter(notices.is_resting, known))
+
+    def rest_left_s(self, servers: Sequence[servers_lib.Server]) -> float:
+        """Returns how long until the first of some servers has rested."""
+        rest_left_s = self._book.notices.rest_left_s
+        return min(
+            (rest_left_s(s.listed.server_id) for s in servers), default=0
+        )
+
     def are_cold(self, servers: Sequence[servers_lib.Server]) -> bool:
         """Whether there are servers, all of them cold."""
         return bool(servers) and all(map(self._book.is_cold, servers))
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 import dataclasses
 import math
+import random
 
 from bridgecross_core import clock as clocks
 from bridgecross_core import ids
@@ -71,6 +72,9 @@
     # a lost server, whose keys others may take after 2 to 3 s. Callers come a
     # few times; at 0.1 s apart, all of them are turned away in half a second.
     retry_again_after_ms: int = 1_000
+    # Those that are refused until a server has rested are told to come back
+    # within this time after it: at once, they would fill it again.
+    rest_spread_s: float = 0.25
     # How servers are weighed against each other.
     choice: choosing.ChoiceSettings = dataclasses.field(
         default_factory=choosing.ChoiceSettings
@@ -107,6 +111,8 @@
     configuration_version: int
     # What the request is known by when it comes under another id.
     subject: poison.Subject
+    # Which server turned it away last for lack of room.
+    shed_by: ids.ServerId | None = None
     # Attempts that reached a server, whatever came of them.
     arrivals: int = 0
     # Attempts that ran or may have run.
@@ -345,6 +351,9 @@
         owner = await self._choose_owner(life)
         if isinstance(owner, outcomes.NotRun):
             return self._conclude(life, owner)
+        refusal = self._refuse_full(life, [owner])
+        if refusal is not None:
+            return self._conclude(life, refusal)
         permit = await self._obtain(life, owner)
         if isinstance(permit, outcomes.NotRun):
             return self._conclude(life, permit)
@@ -352,12 +361,17 @@
 
     async def _try_any(self, life: _Life) -> outcomes.Outcome | None:
         """Tries a server of a service without keys, once it has room."""
+        if life.shed_by is not None or self._book.notices.are_any_resting:
+            usable = self._choice.list_usable(life.route, life.service)
+            refusal = self._refuse_full(life, usable)
+            if refusal is not None:
+                return self._conclude(life, refusal)
         permit = await self._obtain(life, None)
         if isinstance(permit, outcomes.NotRun):
             return self._conclude(life, permit)
         if permit is not None:
             named = self._book.get(permit.server_id)
-            if named is not None:
+            if named and self._choice.list_with_room([named], life.shed_by):
                 return await self._attempt(life, named, permit, keyed=False)
             self._give_back(permit, 0.0, permits_lib.Ending.UNUSED)
         queue = self._queues.get(life.service)
@@ -390,7 +404,8 @@
             cold = [owner] if self._book.is_cold(owner) else []
         elif not is_used or life.goes_alone:
             usable = self._choice.list_usable(life.route, life.service)
-            cold = usable if self._choice.are_cold(usable) else []
+            awake = self._choice.list_awake(usable)
+            cold = awake if self._choice.are_cold(awake) else []
         is_used = bool(cold) or (is_used and not life.goes_alone)
         if permits is None or not is_used:
             return self._refuse_cold(life, cold) if cold else None
@@ -400,7 +415,7 @@
             life.route.priority,
             queueing.Due(min(life.target_s, life.deadline_s), life.deadline_s),
             owner.listed if owner else None,
-            life.tried,
+            life.tried | self._choice.resting_ids(life.service),
             lambda: owner is None or self._owns(life, owner),
             lambda domain: self._choice.is_allowed(life.route, domain),
         )
@@ -417,6 +432,37 @@
         life.trail.append(f"no permit: {result.reason}")
         return self._refuse(result.reason, result.retry_after_ms)
 
+    def _refuse_full(
+        self, life: _Life, servers: Sequence[servers_lib.Server]
+    ) -> outcomes.NotRun | None:
+        """Refuses a request if all that could serve it have no room.
+
+        Each wants to be left alone, or has just turned this request away: it
+        would do so again.
+
+        Args:
+            life: The request.
+            servers: Those that could serve it; if there are none, other
+                reasons to refuse it are better.
+        """
+        if not servers or self._choice.list_with_room(servers, life.shed_by):
+            return None
+        names = ", ".join(s.listed.server_id for s in servers[:3])
+        if self._choice.list_awake(servers):
+            life.trail.append(f"{names}: no other server")
+            return self._refuse("no server took it", self._come_back_ms(life))
+        return self._refuse_resting(life, servers)
+
+    def _refuse_resting(
+        self, life: _Life, servers: Sequence[servers_lib.Server]
+    ) -> outcomes.NotRun:
+        """Refuses a request whose servers all want to be left alone."""
+        left_s = self._choice.rest_left_s(servers)
+        # Those that are told so at the same time do not come back at once.
+        left_s += random.uniform(0.0, self._settings.rest_spread_s)
+        life.trail.append("its servers want to be left alone")
+        return self._refuse("its servers are full", math.ceil(left_s * 1_000))
+
     def _refuse_cold(
         self, life: _Life, servers: Sequence[servers_lib.Server]
     ) -> outcomes.NotRun:
@@ -488,8 +534,12 @@
         if not usable:
             life.trail.append("no server may be used")
             return self._refuse("no server of the service may be used")
-        chosen = self._choice.choose(usable, life.tried)
-        return chosen or self._refuse_cold(life, usable)
+        awake = self._choice.list_awake(usable)
+        if not awake:
+            return self._refuse_resting(life, usable)
+        others = self._choice.list_with_room(awake, life.shed_by)
+        chosen = self._choice.choose(others or awake, life.tried)
+        return chosen or self._refuse_cold(life, awake)
 
     async def _choose_owner(
         self, life: _Life
@@ -612,19 +662,9 @@
         """Sends a request; None if the choice or its time is over."""
         if not await self._is_known(life, server):
             return None
-        now_s = self._clock.monotonic_s()
-        if now_s >= life.deadline_s:
-            return None
-        if self.watch.ledger.refused_for_s(life.subject):
-            return None
-        if not self._still_right(life, server, now_s, keyed=keyed):
-            life.trail.append(f"{server.listed.server_id}: left meanwhile")
-            life.goes_alone = True
-            return None
-        if self._book.is_cold(server) and not self._covers(permit):
-            life.trail.append(f"{server.listed.server_id}: it is cold")
-            life.goes_alone = True
+        if not self._may_go(life, server, permit, keyed=keyed):
             return None
+        now_s = self._clock.monotonic_s()
         left_ms = (life.deadline_s - now_s) * 1_000
         life.in_flight = True
         life.tried.add(server.listed.server_id)
@@ -641,6 +681,36 @@
         life.in_flight = False
         return result
 
+    def _may_go(
+        self,
+        life: _Life,
+        server: servers_lib.Server,
+        permit: permit_client.Permit | None,
+        *,
+        keyed: bool,
+    ) -> bool:
+        """Whether a request may be sent to a server at this very moment.
+
+        The one place that is asked, whatever way led to the server. Nothing may
+        be awaited between this and the first byte.
+        """
+        now_s = self._clock.monotonic_s()
+        if now_s >= life.deadline_s:
+            return False
+        if self.watch.ledger.refused_for_s(life.subject):
+            return False
+        if self._book.notices.is_resting(server.listed.server_id):
+            reason = "it rests"
+        elif not self._still_right(life, server, now_s, keyed=keyed):
+            reason = "left meanwhile"
+        elif self._book.is_cold(server) and not self._covers(permit):
+            reason = "it is cold"
+        else:
+            return True
+        life.trail.append(f"{server.listed.server_id}: {reason}")
+        life.goes_alone = True
+        return False
+
     async def _is_known(self, life: _Life, server: servers_lib.Server) -> bool:
         """Whether it is known of a server whether it is cold.
 
@@ -715,6 +785,7 @@
                 server.note_unreachable(now_s)
             life.trail.append(f"{server_id}: not sent: {result.reason}")
         elif isinstance(result, attempts.Shed):
+            life.shed_by = server_id
             server.note_answer(held_s, failed=True)
             server.shrink_room(now_s)
             rest_s = self._book.notices.rest_left_s(server_id)
--- a/libs/bridgecross-entry/src/bridgecross_entry/notices.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/notices.py
@@ -31,6 +31,9 @@
     # answer was read, until a request is written. So all waits are inside, and
     # the rest is for clocks that differ, and for work that is to end in peace.
     leaving_use_ratio: float = 0.8
+    # A rest is kept for as many times as long as was asked: clocks that run
+    # slow by 2% are within the platform's promises.
+    rest_clock_ratio: float = 1.02
 
 
 class Notices:
@@ -57,6 +60,7 @@
         self._leaving_use_s = (
             bounds.drain_ms / 1_000 * settings.leaving_use_ratio
         )
+        self._rest_clock_ratio = settings.rest_clock_ratio
         self._on_leaving = on_leaving
         self._journal = journal
         self._clock = clock
@@ -65,6 +69,8 @@
         self._leaving_told_s: dict[ids.ServerId, float] = {}
         # Until when each run wants to be left alone, the last to say so last.
         self._rest_until_s: dict[ids.ServerId, float] = {}
+        # When the last of them has rested.
+        self._all_rested_s = float("-inf")
 
     @property
     def leaving_count(self) -> int:
@@ -89,6 +95,15 @@
         told_s = self._leaving_told_s.get(server_id)
         return told_s is not None and now_s >= told_s + self._leaving_use_s
 
+    @property
+    def are_any_resting(self) -> bool:
+        """Whether any run wants to be left alone at this moment."""
+        return self._clock.monotonic_s() < self._all_rested_s
+
+    def is_resting(self, server_id: ids.ServerId) -> bool:
+        """Whether a run wants to be left alone by this instance."""
+        return self.rest_left_s(server_id) > 0
+
     def rest_left_s(self, server_id: ids.ServerId) -> float:
         """Returns for how long a run wants to be left alone; 0 if not."""
         until_s = self._rest_until_s.get(server_id)
@@ -131,7 +146,9 @@
         before_s = self._rest_until_s.pop(server_id, now_s)
         if len(self._rest_until_s) >= _RUNS_MAX_COUNT:
             del self._rest_until_s[next(iter(self._rest_until_s))]
-        self._rest_until_s[server_id] = max(before_s, now_s + rest_s)
+        until_s = now_s + rest_s * self._rest_clock_ratio
+        self._rest_until_s[server_id] = max(before_s, until_s)
+        self._all_rested_s = max(self._all_rested_s, until_s)
         if before_s <= now_s:
             self._journal.decision(
                 "server_asks_rest",
--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
@@ -225,9 +225,19 @@
         pause_s = server.paused_until_s - self._clock.monotonic_s()
         if pause_s > 0:
             return _refuse("left alone", pause_s)
+        rest_s = self._rest_left_s(server)
+        if rest_s > 0:
+            return _refuse("the server wants to be left alone", rest_s)
         wait_s = self._cold_wait_s(ask.service, server)
         return _refuse("the server is warming up", wait_s) if wait_s else None
 
+    def _rest_left_s(self, server: servers_lib.Server) -> float:
+        """Returns for how long a server wants nothing from this instance.
+
+        Whoever asks for a permit may not have been told, but would be.
+        """
+        return self._book.notices.rest_left_s(server.listed.server_id)
+
     # Cold servers.
 
     def _is_cold(self, server: servers_lib.Server) -> bool:
@@ -300,6 +310,10 @@
             queue.release(queue.settings.first_guess_s, self._place(ask))
             wait_s = self._cold_wait_s(ask.service, server)
             return _refuse("the server is warming up", wait_s)
+        rest_s = self._rest_left_s(server) if server is not None else 0.0
+        if rest_s > 0:
+            queue.release(queue.settings.first_guess_s, self._place(ask))
+            return _refuse("the server wants to be left alone", rest_s)
         if is_there:
             return self._grant(ask, pool, server, may_be_cold=False)
         queue.release(queue.settings.first_guess_s, self._place(ask))
@@ -348,13 +362,18 @@
         )
 
     def _put_off(self, ask: permits.Ask, pool: _Pool) -> permits.Reply:
-        """Says when there may be room at servers that are all cold."""
+        """Says when there may be room at servers that all rest or are cold."""
         wait_s = min(
-            self._cold_wait_s(ask.service, server)
+            max(
+                self._rest_left_s(server),
+                self._cold_wait_s(ask.service, server),
+            )
             for server in pool.servers.values()
         )
         if ask.may_wait:
-            return _refuse("the servers are warming up", wait_s)
+            are_resting = all(map(self._rest_left_s, pool.servers.values()))
+            what = "want to be left alone" if are_resting else "are warming up"
+            return _refuse(f"the servers {what}", wait_s)
         return permits.Reply(permits.Verdict.FULL, wait_s=wait_s)
 
     def _choose(
@@ -367,14 +386,20 @@
     ) -> servers_lib.Server | None:
         """Returns the server that would answer soonest.
 
-        None if all that there are are cold and have had what they bear.
+        None if all that there are rest, or are cold and have had what they
+        bear.
         """
+        awake = {
+            server_id: server
+            for server_id, server in pool.servers.items()
+            if not self._rest_left_s(server)
+        }
         known = [
             server
-            for server_id, server in pool.servers.items()
+            for server_id, server in awake.items()
             if server_id in pool.staying
         ]
-        known = known or list(pool.servers.values())
+        known = known or list(awake.values())
         known = [
             server
             for server in known
@@ -503,7 +528,9 @@
         slots = sum(
             self._usable_slots(s)
             for s in pool.servers.values()
-            if s.paused_until_s <= now_s and s.listed.server_id in pool.staying
+            if s.paused_until_s <= now_s
+            and s.listed.server_id in pool.staying
+            and not self._rest_left_s(s)
         )
         pool.queue.settings = self._queue_settings(max(slots, 1))
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/tally.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/tally.py
@@ -25,6 +25,9 @@
     "the queue of the tier is full": "no_room",
     "the deadline cannot be met": "no_room",
     "the deadline has passed": "waited_for_room",
+    # Before what is a part of it.
+    "to be left alone": "server_rests",
+    "it rests": "server_rests",
     "left alone": "server_left_alone",
     "no retry left": "no_retry_left",
     "has no owner": "no_owner",
@@ -32,6 +35,7 @@
     "interrupted": "interrupted",
     "not sent": "not_sent",
     "shed with": "shed",
+    "no other server": "shed",
     "failed with": "failed_by_server",
     "left meanwhile": "server_left",
     "said that it leaves": "server_left",
