--- a/libs/bridgecross-entry/tests/test_exchange.py
+++ b/libs/bridgecross-entry/tests/test_exchange.py
@@ -242,3 +242,35 @@
         )
         assert isinstance(reply, exchange.Broken)
         assert not pool.has_idle
+
+
+# Guards against: what was checked before a connection was set up was sent on it
+# a quarter of a second later, to a server that wanted nothing any more.
+@pytest.mark.parametrize("is_kept", [True, False])
+async def test_nothing_is_written_that_may_not_be_sent_any_more(is_kept):
+    async with _serving([OK % b"1", OK % b"1", OK % b"1"]) as (pool, used):
+        if is_kept:
+            await _ask(pool)
+        asked = []
+
+        def may_send() -> bool:
+            asked.append(pool.opened_count)
+            return False
+
+        result = await pool.exchange(b"GET / HTTP/1.1\r\n\r\n", bool, may_send)
+        assert result == exchange.Unsent("withheld", False, is_withheld=True)
+        # It was asked once the connection was there, and that is kept.
+        assert asked == [1]
+        assert isinstance(await _ask(pool), exchange.Reply)
+        assert (pool.opened_count, used) == (1, [1 + is_kept])
+
+
+async def test_no_question_is_written_that_may_not_be_sent_any_more():
+    async with _serving([OK % b"1"]) as (pool, used):
+        result = await pool.exchange_anew(
+            b"GET / HTTP/1.1\r\n\r\n", bool, lambda: False
+        )
+        assert isinstance(result, exchange.Unsent)
+        assert result.is_withheld
+        assert isinstance(await _ask(pool), exchange.Reply)
+        assert used == [1]
