By construction: what forbids a request is asked again before its first byte

Cause of what test_last_check.py shows: the check in `Dispatcher._send` stood before two waits, the question how a server is and the set-up of a connection (up to 0.25 s, longer on a slow machine). A server that left, asked for rest, was evacuated, lost the key or turned cold meanwhile was sent the request all the same, as was one that had turned out harmful or whose time was over.

Now `_may_go` is handed down to `exchange.Pool`, which asks it once there is a connection and awaits nothing before the first byte. What it forbids comes back as `Withheld`: nothing reached the server, the connection is kept (as old as it is), a permit goes back unused, and the request goes on by another way or is refused. It is asked before the server is asked how it is, too, so nothing at all goes to one that rests.

Why it holds: every way to a server goes by `_send`, and `BackendClient.send` and `ask_warmup_s` are called there only; the check has no default in the protocol, so a client that is not given one does not type.

--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -477,7 +477,11 @@
         self._kept: dict[model.Address, tuple[int, float]] = {}
 
     async def ask_warmup_s(
-        self, server: model.BackendServer, path: str, known_s: float
+        self,
+        server: model.BackendServer,
+        path: str,
+        known_s: float,
+        may_send: attempts.MaySend,
     ) -> float | None:
         """Finds out whether the run that was known of a server goes on."""
         found = self._fleet.servers.get(server.address)
@@ -485,6 +489,8 @@
         goes_on = found and found.is_up and run == found.started_ms
         if goes_on and since_s <= known_s:
             return 0.0
+        if not may_send():
+            return None
         await self._fleet.network.cross(self._sender, server.address)
         found = self._fleet.servers.get(server.address)
         if found is None or not found.is_up:
@@ -499,8 +505,11 @@
         server: model.BackendServer,
         request: attempts.EntryRequest,
         left_ms: float,
-    ) -> attempts.Attempt:
+        may_send: attempts.MaySend,
+    ) -> attempts.Attempt | attempts.Withheld:
         """Sends one request."""
+        if not may_send():
+            return attempts.Withheld()
         network = self._fleet.network
         await network.cross(self._sender, server.address)
         found = self._fleet.servers.get(server.address)
--- a/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
@@ -67,10 +67,20 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withheld:
+    """Nothing was sent, since it may not be sent to that server any more."""
+
+
 Attempt = outcomes.Answered | Shed | NotOwner | NotSent | Interrupted
 """The ways in which one attempt ends."""
 
 
+MaySend = Callable[[], bool]
+"""Tells whether something may still be sent to a server; never waits. It is
+asked once there is a connection; nothing is awaited before the first byte."""
+
+
 class Notice(NamedTuple):
     """What a server says of itself beside an answer."""
 
@@ -99,15 +109,23 @@
     also if whoever waited for it has been cancelled at the same moment."""
 
     async def send(
-        self, server: model.BackendServer, request: EntryRequest, left_ms: float
-    ) -> Attempt:
+        self,
+        server: model.BackendServer,
+        request: EntryRequest,
+        left_ms: float,
+        may_send: MaySend,
+    ) -> Attempt | Withheld:
         """Sends one request; cancelling it tells the server to stop."""
 
     def is_connected(self, server: model.BackendServer) -> bool:
         """Whether a kept connection to a server is free."""
 
     async def ask_warmup_s(
-        self, server: model.BackendServer, path: str, known_s: float
+        self,
+        server: model.BackendServer,
+        path: str,
+        known_s: float,
+        may_send: MaySend,
     ) -> float | None:
         """Finds out whether the run that was known of a server goes on.
 
@@ -119,10 +137,11 @@
             path: Where it tells how it is.
             known_s: When it was last known whether the server is cold. A
                 connection that was there by then leads to the same run.
+            may_send: Whether the server may be asked anything.
 
         Returns:
             For how much longer it is cold as it says itself; 0 if it is not, or
-            if it has gone on; None if it does not answer.
+            if it has gone on; None if it does not answer, or was not asked.
         """
 
     async def is_refusing(self, server: model.BackendServer) -> bool:
--- a/libs/bridgecross-entry/src/bridgecross_entry/crash_watch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/crash_watch.py
@@ -135,7 +135,11 @@
         self._visits.setdefault(server.server_id, set()).add(visit)
         return visit
 
-    def end(self, visit: Visit, result: attempts.Attempt | None) -> None:
+    def end(
+        self,
+        visit: Visit,
+        result: attempts.Attempt | attempts.Withheld | None,
+    ) -> None:
         """Takes in how a visit ended.
 
         Args:
@@ -160,7 +164,9 @@
         else:
             self._look_soon(visit.server)
 
-    def _take_result(self, visit: Visit, result: attempts.Attempt) -> None:
+    def _take_result(
+        self, visit: Visit, result: attempts.Attempt | attempts.Withheld
+    ) -> None:
         """Takes in an answer, or that nobody listens at the server."""
         if isinstance(result, outcomes.Answered):
             if result.status < _FIRST_ERROR_STATUS:
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -660,26 +660,34 @@
         keyed: bool,
     ) -> attempts.Attempt | None:
         """Sends a request; None if the choice or its time is over."""
-        if not await self._is_known(life, server):
-            return None
-        if not self._may_go(life, server, permit, keyed=keyed):
+
+        def may_send() -> bool:
+            return self._may_go(life, server, permit, keyed=keyed)
+
+        # It is asked once more when there is a connection.
+        if not may_send() or not await self._is_known(life, server, may_send):
             return None
-        now_s = self._clock.monotonic_s()
-        left_ms = (life.deadline_s - now_s) * 1_000
+        server_id = server.listed.server_id
+        before = server_id in life.tried
+        left_ms = (life.deadline_s - self._clock.monotonic_s()) * 1_000
         life.in_flight = True
-        life.tried.add(server.listed.server_id)
+        life.tried.add(server_id)
         visit = self.watch.begin(
             life.subject, life.request.request_id, server.listed
         )
-        result: attempts.Attempt | None = None
+        result: attempts.Attempt | attempts.Withheld | None = None
         try:
             result = await self._client.send(
-                server.listed, life.request, left_ms
+                server.listed, life.request, left_ms, may_send
             )
         finally:
             self.watch.end(visit, result)
         life.in_flight = False
-        return result
+        if not isinstance(result, attempts.Withheld):
+            return result
+        if not before:
+            life.tried.discard(server_id)
+        return None
 
     def _may_go(
         self,
@@ -707,11 +715,18 @@
             reason = "it is cold"
         else:
             return True
-        life.trail.append(f"{server.listed.server_id}: {reason}")
+        event = f"{server.listed.server_id}: {reason}"
+        if event not in life.trail[-1:]:
+            life.trail.append(event)
         life.goes_alone = True
         return False
 
-    async def _is_known(self, life: _Life, server: servers_lib.Server) -> bool:
+    async def _is_known(
+        self,
+        life: _Life,
+        server: servers_lib.Server,
+        may_send: attempts.MaySend,
+    ) -> bool:
         """Whether it is known of a server whether it is cold.
 
         The list says so, but one that is old may have missed that the server
@@ -727,8 +742,10 @@
         if now_s - heard_s < self._settings.list_doubt_age_s:
             return True
         left_s = await self._client.ask_warmup_s(
-            server.listed, service.health_path, heard_s
+            server.listed, service.health_path, heard_s, may_send
         )
+        if left_s is None and not may_send():
+            return False
         if left_s is None:
             life.trail.append(f"{server.listed.server_id}: does not answer")
             server.note_unreachable(self._clock.monotonic_s())
--- a/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -71,6 +71,8 @@
     reason: str
     # Whether the address refused the connection.
     refused: bool
+    # Whether it may not be sent any more, though there is a connection.
+    is_withheld: bool = False
 
 
 class Broken(NamedTuple):
@@ -84,6 +86,18 @@
 """Tells whether an answer belongs to the request that was sent."""
 
 
+MaySend = Callable[[], bool]
+"""Tells whether a request may still be sent, just before it is written."""
+
+
+def _always() -> bool:
+    """Lets everything be sent."""
+    return True
+
+
+_WITHHELD = Unsent("withheld", refused=False, is_withheld=True)
+
+
 class Exchanger(Protocol):
     """Exchanges messages with one address."""
 
@@ -285,15 +299,27 @@
         self._clock = clock
         self._idle: list[_Idle] = []
 
-    async def exchange(self, request: bytes, accepts: Accepts) -> Result:
-        """Sends one request; the caller bounds the time by cancelling."""
+    async def exchange(
+        self, request: bytes, accepts: Accepts, may_send: MaySend = _always
+    ) -> Result:
+        """Sends one request; the caller bounds the time by cancelling.
+
+        Args:
+            request: What is written.
+            accepts: Tells whether an answer belongs to it.
+            may_send: Asked once there is a connection.
+        """
         begun_s = self._clock.monotonic_s()
-        connection = self._take_idle()
-        if connection is None:
+        taken = self._take_idle()
+        if taken is None:
             opened = await self._open()
             if isinstance(opened, Unsent):
                 return opened
-            connection = opened
+            taken = _Idle(opened, self._clock.monotonic_s())
+        if not may_send():
+            self._idle.append(taken)
+            return _WITHHELD
+        connection = taken.connection
         try:
             result = await connection.exchange(request, accepts)
         except asyncio.CancelledError:
@@ -301,12 +327,16 @@
                 self._drop_idle_since(begun_s)
             raise
         if isinstance(result, Reply) and connection.usable:
-            now_s = self._clock.monotonic_s()
-            self._idle.append(_Idle(connection, now_s))
+            self._keep(connection)
         else:
             connection.abort()
         return result
 
+    def _keep(self, connection: _Connection) -> None:
+        """Keeps a connection for the next exchange."""
+        now_s = self._clock.monotonic_s()
+        self._idle.append(_Idle(connection, now_s))
+
     @property
     def has_idle(self) -> bool:
         """Whether a kept connection is likely to be free for a request."""
@@ -338,14 +368,24 @@
                 return True
         return False
 
-    async def exchange_anew(self, request: bytes, accepts: Accepts) -> Result:
+    async def exchange_anew(
+        self, request: bytes, accepts: Accepts, may_send: MaySend = _always
+    ) -> Result:
         """Sends one request by a new connection, and vouches for it.
 
         If it was answered, the next exchange goes by the same connection.
+
+        Args:
+            request: What is written.
+            accepts: Tells whether an answer belongs to it.
+            may_send: Asked once there is a connection.
         """
         opened = await self._open()
         if isinstance(opened, Unsent):
             return opened
+        if not may_send():
+            self._keep(opened)
+            return _WITHHELD
         try:
             result = await opened.exchange(request, accepts)
         except asyncio.CancelledError:
@@ -353,7 +393,7 @@
             raise
         if isinstance(result, Reply) and opened.usable:
             opened.is_vouched_for = True
-            self._idle.append(_Idle(opened, self._clock.monotonic_s()))
+            self._keep(opened)
             return result
         opened.abort()
         return Broken("the connection was not kept")
@@ -363,7 +403,7 @@
         opened = await self._open()
         if isinstance(opened, Unsent):
             return opened
-        self._idle.append(_Idle(opened, self._clock.monotonic_s()))
+        self._keep(opened)
         return None
 
     def close(self) -> None:
@@ -396,13 +436,13 @@
         age_s = now_s - idle.since_s
         return idle.connection.usable and age_s < idle.connection.idle_limit_s
 
-    def _take_idle(self) -> _Connection | None:
+    def _take_idle(self) -> _Idle | None:
         """Returns the connection that was used last, if one is fresh."""
         now_s = self._clock.monotonic_s()
         while self._idle:
             idle = self._idle.pop()
             if self._is_fresh(idle, now_s):
-                return idle.connection
+                return idle
             idle.connection.abort()
         return None
 
--- a/libs/bridgecross-entry/tests/test_dispatch.py
+++ b/libs/bridgecross-entry/tests/test_dispatch.py
@@ -36,7 +36,9 @@
         self.left_ms: list[float] = []
         self.cancelled = 0
 
-    async def send(self, server, request, left_ms):
+    async def send(self, server, request, left_ms, may_send):
+        if not may_send():
+            return attempts.Withheld()
         self.sent.append(server.server_id)
         self.left_ms.append(left_ms)
         answer = self.script.pop(0)
@@ -239,8 +241,8 @@
     scene = Scene(backends)
     send = backends.send
 
-    async def send_and_stand_still(server, request, left_ms):
-        result = await send(server, request, left_ms)
+    async def send_and_stand_still(server, request, left_ms, may_send):
+        result = await send(server, request, left_ms, may_send)
         time.sleep(0.1)  # noqa: ASYNC251 (the process stands still)
         return result
 
--- a/libs/bridgecross-entry/tests/test_dispatch_notices.py
+++ b/libs/bridgecross-entry/tests/test_dispatch_notices.py
@@ -108,12 +108,13 @@
         self.rests_s = rests_s
         self.hear = None
 
-    async def send(self, server, request, left_ms):
+    async def send(self, server, request, left_ms, may_send):
         rest_s = self.rests_s.get(server.name)
         self.script = [scenes.OK if rest_s is None else scenes.SHED]
-        if rest_s is not None:
+        result = await super().send(server, request, left_ms, may_send)
+        if rest_s is not None and result is scenes.SHED:
             self.hear(server, attempts.Notice(rest_s=rest_s))
-        return await super().send(server, request, left_ms)
+        return result
 
 
 def _make_full(*, keyed=False, **rests_s: float):
@@ -191,7 +192,7 @@
     backends = scenes.Backends(scenes.FAILED)
     scene = scenes.Scene(backends)
 
-    async def send(server, request, left_ms):
+    async def send(server, request, left_ms, may_send):
         _tell(scene, REST, [A, B])
         return scenes.FAILED
 
@@ -284,9 +285,10 @@
     scene.put_map(1, scenes._owned_by("a"))
     send = backends.send
 
-    async def send_and_move(server, request, left_ms):
+    async def send_and_move(server, request, left_ms, may_send):
+        result = await send(server, request, left_ms, may_send)
         scene.put_map(2, scenes._owned_by("b", 2))
-        return await send(server, request, left_ms)
+        return result
 
     backends.send = send_and_move
     assert await scene.ask() is scenes.OK
--- a/libs/bridgecross-entry/tests/test_exchange.py
+++ b/libs/bridgecross-entry/tests/test_exchange.py
@@ -251,6 +251,7 @@
     async with _serving([OK % b"1", OK % b"1", OK % b"1"]) as (pool, used):
         if is_kept:
             await _ask(pool)
+        rested = [idle.since_s for idle in pool._idle]
         asked = []
 
         def may_send() -> bool:
@@ -261,6 +262,8 @@
         assert result == exchange.Unsent("withheld", False, is_withheld=True)
         # It was asked once the connection was there, and that is kept.
         assert asked == [1]
+        # It goes on to be as old as it is.
+        assert not is_kept or [i.since_s for i in pool._idle] == rested
         assert isinstance(await _ask(pool), exchange.Reply)
         assert (pool.opened_count, used) == (1, [1 + is_kept])
 
--- a/tests/emulated/test_warmup.py
+++ b/tests/emulated/test_warmup.py
@@ -214,7 +214,7 @@
 def _trust_an_old_list():
     """One that is cut off goes on as if nothing had started again."""
 
-    async def is_known(self, life, server):
+    async def is_known(self, life, server, may_send):
         return True
 
     return mock.patch.object(dispatch.Dispatcher, "_is_known", is_known)
--- a/tests/load/scene.py
+++ b/tests/load/scene.py
@@ -234,7 +234,9 @@
     def __init__(self, scene: "Scene") -> None:
         self._scene = scene
 
-    async def send(self, server, request, left_ms):
+    async def send(self, server, request, left_ms, may_send):
+        if not may_send():
+            return attempts.Withheld()
         await anyio.sleep(_LINK_S)
         simulated = self._scene.servers[server.server_id]
         work_s = float(request.headers[0].value)
