Tests: faults of DRAIN put back, and found

Three faults of the mend's kinds in whole houses: nobody hears the word, the newest entry of the list undoes it, a server is used until its keys have moved. The check of late requests finds each.

--- a/tests/emulated/test_leaving_word.py
+++ b/tests/emulated/test_leaving_word.py
@@ -4,10 +4,14 @@
 of servers says. How the times add up: ``docs/design/what-servers-say.md``.
 """
 
+from unittest import mock
+
 import anyio
 import pytest
 
 from bridgecross_emulator import instances
+from bridgecross_entry import notices
+from bridgecross_entry import servers
 from tests.emulated import crash_scene
 
 WITHIN_S = 2.0
@@ -150,3 +154,46 @@
 
     _play(act)
     assert names
+
+
+def _hear_nothing():
+    return mock.patch.object(notices.Notices, "hear", return_value=None)
+
+
+def _believe_the_newest_entry():
+    """What an entry says of a server undoes what the server said before."""
+    put = servers.ServerBook.put
+
+    def undo(self, listed):
+        self.notices._leaving_told_s.pop(listed.server_id, None)
+        put(self, listed)
+
+    return mock.patch.object(servers.ServerBook, "put", undo)
+
+
+def _use_it_for_good():
+    return mock.patch.object(notices.Notices, "has_left", return_value=False)
+
+
+@pytest.mark.parametrize(
+    ("put_back", "happen"),
+    [
+        pytest.param(_hear_nothing, _answer_only, id="nobody hears it"),
+        pytest.param(
+            _believe_the_newest_entry, _answer_only, id="an entry undoes it"
+        ),
+        pytest.param(
+            _use_it_for_good, _take_log_away, id="used until its keys move"
+        ),
+    ],
+)
+def test_a_known_fault_is_found(put_back, happen):
+    async def act(scene):
+        server = _pick(scene, instances.SERVICE)
+        server.answers_leaving = True
+        await happen(scene, server)
+        await anyio.sleep(WITHIN_S + QUIET_S)
+
+    with put_back():
+        scene = _play(act)
+    assert _find_late(scene.house)
