Merge: what servers say of themselves in their answers (DRAIN, BUDGET)

The question before the first byte came about twice, for orders and for requests; one is kept: exchange asks may_send once there is a connection, and what is not sent is Withheld.

--- a/libs/bridgecross-cli/src/bridgecross_cli/journals.py
+++ b/libs/bridgecross-cli/src/bridgecross_cli/journals.py
@@ -32,6 +32,7 @@
         "server_lapsed",
         "server_leaving",
         "server_returned",
+        "server_says_leaving",
         "server_silent",
         "standstill",
         "task_failed",
@@ -84,6 +85,12 @@
         "its server had no room before the answer would have been late",
         "compare the server's queue and attempt times with its neighbours'",
     ),
+    Cause(
+        r"to be left alone|it rests",
+        "the servers that could serve it had turned this instance away and "
+        "asked it for rest",
+        "see server_asks_rest, and what fills those servers",
+    ),
     Cause(
         r"left alone",
         "its owner had turned this instance's requests away or could not be "
@@ -131,6 +138,12 @@
         "its time was over before an answer came",
         "see how long the attempt took: took_ms, and the server's others",
     ),
+    Cause(
+        r"said that it leaves",
+        "the owner of its key said in an answer that it leaves, and still owns "
+        "the key after the time in which such a server may be used",
+        "see server_says_leaving, and log_lost: keys move only with the log",
+    ),
     Cause(
         r"left meanwhile",
         "its server left, or lost the key, while it waited for a slot",
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -77,6 +77,15 @@
     is_cold: bool = False
 
 
+class TurnedAway(NamedTuple):
+    """A request that a server turned away."""
+
+    at_s: float
+    server: str
+    # The instance that sent it.
+    sender: model.Address
+
+
 class EmulatedServer:
     """A backend server over all its runs."""
 
@@ -98,6 +107,11 @@
         self.started_ms = started_ms
         self.is_up = True
         self.is_leaving = False
+        # Whether its answers say that it leaves, whatever its entry says.
+        self.answers_leaving = False
+        # For how long it wants to be left alone by whoever sends it a request;
+        # it turns all of them away. 0 if it works.
+        self.rest_s = 0.0
         # Until when it is cold.
         self.cold_until_s = 0.0
         # Whether its heartbeats reach the log.
@@ -123,6 +137,12 @@
         """For how long it says that it is cold, counted from its start."""
         return max(self.cold_until_s - self._fleet.now_s, 0.0)
 
+    @property
+    def notice(self) -> attempts.Notice:
+        """What it says of itself in its answers."""
+        is_leaving = self.is_leaving or self.answers_leaving
+        return attempts.Notice(is_leaving, self.rest_s)
+
     def holds(self, key: int) -> bool:
         """Whether it holds a key at this moment."""
         return any(h.first_key <= key <= h.last_key for h in self.held())
@@ -145,6 +165,8 @@
         self.is_up = True
         self.ended = anyio.Event()
         self.is_leaving = False
+        self.answers_leaving = False
+        self.rest_s = 0.0
         self.cold_until_s = self._fleet.now_s + self._fleet.warmup_s
         self.started_ms = max(int(self._fleet.now_s * 1_000), 1) + 1_000
         self.write_entry()
@@ -222,6 +244,10 @@
         # All requests that servers began to run, and when one ended by that.
         self.runs: list[Run] = []
         self.ends_s: list[float] = []
+        # All requests that servers turned away.
+        self.turned_away: list[TurnedAway] = []
+        # When an answer told an instance first that a server's run leaves.
+        self.told_leaving_s: dict[tuple[model.Address, str, int], float] = {}
         self.network = network
         self._log = log
         self._environment = environment
@@ -243,6 +269,12 @@
         self.servers[address] = server
         server.start()
 
+    def note_told(self, sender: model.Address, server: EmulatedServer) -> None:
+        """Keeps what an answer has told an instance."""
+        if server.notice.is_leaving:
+            told = (sender, server.name, server.started_ms)
+            self.told_leaving_s.setdefault(told, self.now_s)
+
     def write_entry(self, server: EmulatedServer) -> None:
         """Writes an entry of the list."""
         server.listed_s = self.now_s
@@ -365,6 +397,7 @@
 
     def __init__(self, fleet: Fleet, sender: model.Address) -> None:
         """Keeps no connection."""
+        self.on_notice: attempts.Hear = attempts.hear_nothing
         self._fleet = fleet
         self._sender = sender
 
@@ -379,11 +412,11 @@
         token: int,
         lease_ms: float,
         handover: str,
-        may_order: attempts.MayOrder,
+        may_order: attempts.MaySend,
     ) -> attempts.GrantResult:
         """Gives or renews a range; both ends are inside."""
         if not may_order():
-            return attempts.Withdrawn()
+            return attempts.Withheld()
         found = await self._reach(server)
         if not isinstance(found, EmulatedServer):
             return found
@@ -395,6 +428,7 @@
             first_key, last_key, token, lease_ms / 1e3, late=False
         )
         await self._fleet.network.cross(server.address, self._sender)
+        self.on_notice(server, found.notice._replace(rest_s=0.0))
         return result
 
     async def release(
@@ -403,16 +437,17 @@
         first_key: int,
         last_key: int,
         token: int,
-        may_order: attempts.MayOrder,
+        may_order: attempts.MaySend,
     ) -> attempts.ReleaseResult:
         """Takes a range back."""
         if not may_order():
-            return attempts.Withdrawn()
+            return attempts.Withheld()
         found = await self._reach(server)
         if not isinstance(found, EmulatedServer):
             return found
         found.release(first_key, last_key, token)
         await self._fleet.network.cross(server.address, self._sender)
+        self.on_notice(server, found.notice._replace(rest_s=0.0))
         return attempts.Released("state")
 
     async def reach(self, server: model.BackendServer) -> bool:
@@ -439,6 +474,7 @@
         self, fleet: Fleet, sender: model.Address, clock: clocks.Clock
     ) -> None:
         """Knows no run of any server."""
+        self.on_notice: attempts.Hear = attempts.hear_nothing
         self._fleet = fleet
         self._sender = sender
         self._clock = clock
@@ -447,7 +483,11 @@
         self._kept: dict[model.Address, tuple[int, float]] = {}
 
     async def ask_warmup_s(
-        self, server: model.BackendServer, path: str, known_s: float
+        self,
+        server: model.BackendServer,
+        path: str,
+        known_s: float,
+        may_send: attempts.MaySend,
     ) -> float | None:
         """Finds out whether the run that was known of a server goes on."""
         found = self._fleet.servers.get(server.address)
@@ -455,6 +495,8 @@
         goes_on = found and found.is_up and run == found.started_ms
         if goes_on and since_s <= known_s:
             return 0.0
+        if not may_send():
+            return None
         await self._fleet.network.cross(self._sender, server.address)
         found = self._fleet.servers.get(server.address)
         if found is None or not found.is_up:
@@ -469,8 +511,11 @@
         server: model.BackendServer,
         request: attempts.EntryRequest,
         left_ms: float,
-    ) -> attempts.Attempt:
+        may_send: attempts.MaySend,
+    ) -> attempts.Attempt | attempts.Withheld:
         """Sends one request."""
+        if not may_send():
+            return attempts.Withheld()
         network = self._fleet.network
         await network.cross(self._sender, server.address)
         found = self._fleet.servers.get(server.address)
@@ -479,7 +524,15 @@
         if self._kept.get(server.address, (None,))[0] != found.started_ms:
             now_s = self._clock.monotonic_s()
             self._kept[server.address] = (found.started_ms, now_s)
+        if found.rest_s > 0:
+            now_s = self._fleet.now_s
+            turned_away = TurnedAway(now_s, found.name, self._sender)
+            self._fleet.turned_away.append(turned_away)
+            await network.cross(server.address, self._sender)
+            self._hear(server, found)
+            return attempts.Shed(503)
         if not self._may_run(found, request):
+            self._hear(server, found)
             return attempts.NotOwner(found.name)
         self._note_run(found, request)
         ended = found.ended
@@ -488,8 +541,15 @@
         if ended.is_set():
             return attempts.Interrupted("the connection ended")
         await network.cross(server.address, self._sender)
+        self._hear(server, found)
         return outcomes.Answered(200, (), b"")
 
+    def _hear(self, server: model.BackendServer, found: EmulatedServer) -> None:
+        """Takes in what an answer says of its server."""
+        if found.name == server.name:
+            self._fleet.note_told(self._sender, found)
+            self.on_notice(server, found.notice)
+
     def _may_run(
         self, server: EmulatedServer, request: attempts.EntryRequest
     ) -> bool:
--- a/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Container
 import dataclasses
+from typing import NamedTuple
 from typing import Protocol
 
 from bridgecross_core import ids
@@ -66,23 +67,68 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withheld:
+    """Nothing was sent, since it may not be sent to that server any more.
+
+    That says nothing of the server.
+    """
+
+
 Attempt = outcomes.Answered | Shed | NotOwner | NotSent | Interrupted
 """The ways in which one attempt ends."""
 
 
+MaySend = Callable[[], bool]
+"""Tells whether something may still be sent to a server; never waits. It is
+asked once there is a connection; nothing is awaited before the first byte."""
+
+
+class Notice(NamedTuple):
+    """What a server says of itself beside an answer."""
+
+    # Whether its run is leaving.
+    is_leaving: bool = False
+    # For how long it wants to be left alone by whoever it answers; 0 if not.
+    rest_s: float = 0.0
+    # Why something that it says counts for nothing; empty if all is well.
+    problem: str = ""
+
+
+Hear = Callable[[model.BackendServer, Notice], None]
+"""Told what a server says of itself; must not fail, and returns at once."""
+
+
+def hear_nothing(server: model.BackendServer, notice: Notice) -> None:
+    """Takes in nothing of what a server says."""
+    del server, notice
+
+
 class BackendClient(Protocol):
     """Sends requests to backend servers."""
 
+    on_notice: Hear
+    """Told by each answer of the server that was meant, as soon as it is read:
+    also if whoever waited for it has been cancelled at the same moment."""
+
     async def send(
-        self, server: model.BackendServer, request: EntryRequest, left_ms: float
-    ) -> Attempt:
+        self,
+        server: model.BackendServer,
+        request: EntryRequest,
+        left_ms: float,
+        may_send: MaySend,
+    ) -> Attempt | Withheld:
         """Sends one request; cancelling it tells the server to stop."""
 
     def is_connected(self, server: model.BackendServer) -> bool:
         """Whether a kept connection to a server is free."""
 
     async def ask_warmup_s(
-        self, server: model.BackendServer, path: str, known_s: float
+        self,
+        server: model.BackendServer,
+        path: str,
+        known_s: float,
+        may_send: MaySend,
     ) -> float | None:
         """Finds out whether the run that was known of a server goes on.
 
@@ -94,10 +140,11 @@
             path: Where it tells how it is.
             known_s: When it was last known whether the server is cold. A
                 connection that was there by then leads to the same run.
+            may_send: Whether the server may be asked anything.
 
         Returns:
             For how much longer it is cold as it says itself; 0 if it is not, or
-            if it has gone on; None if it does not answer.
+            if it has gone on; None if it does not answer, or was not asked.
         """
 
     async def is_refusing(self, server: model.BackendServer) -> bool:
@@ -163,24 +210,18 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Withdrawn:
-    """Not one byte was sent, as the right to give it had ended by then."""
-
-
 GrantResult = (
-    Granted | Outranked | Gone | Refused | NoReply | NotTaken | Withdrawn
+    Granted | Outranked | Gone | Refused | NoReply | NotTaken | Withheld
 )
-ReleaseResult = Released | Gone | Refused | NoReply | NotTaken | Withdrawn
-
-MayOrder = Callable[[], bool]
-"""Tells whether an order may still be given; asked right before its first
-byte, whatever was waited for until then."""
+ReleaseResult = Released | Gone | Refused | NoReply | NotTaken | Withheld
 
 
 class LeaseClient(Protocol):
     """Gives ranges of keys to backend servers and takes them back."""
 
+    on_notice: Hear
+    """Told by each answer, as ``BackendClient.on_notice`` is."""
+
     def sweep(self, known: Container[ids.ServerId]) -> None:
         """Closes connections that are old, or lead to servers not known."""
 
@@ -192,7 +233,7 @@
         token: int,
         lease_ms: float,
         handover: str,
-        may_order: MayOrder,
+        may_order: MaySend,
     ) -> GrantResult:
         """Gives or renews a range; both ends are inside."""
 
@@ -205,6 +246,6 @@
         first_key: int,
         last_key: int,
         token: int,
-        may_order: MayOrder,
+        may_order: MaySend,
     ) -> ReleaseResult:
         """Takes a range back; answered once nothing runs on it any more."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -72,8 +72,8 @@
     reason: str
     # Whether the address refused the connection.
     refused: bool
-    # Whether it was not to be sent any more once there was a connection.
-    withdrawn: bool = False
+    # Whether it may not be sent any more, though there is a connection.
+    is_withheld: bool = False
 
 
 class Broken(NamedTuple):
@@ -86,16 +86,19 @@
 Accepts = Callable[[Reply], bool]
 """Tells whether an answer belongs to the request that was sent."""
 
-MayWrite = Callable[[], bool]
+MaySend = Callable[[], bool]
 """Tells whether a request may still be sent; nothing is awaited between this
 and its first byte."""
 
 
 def _always() -> bool:
-    """Whatever may be written at any time."""
+    """Lets everything be sent."""
     return True
 
 
+_WITHHELD = Unsent("withheld", refused=False, is_withheld=True)
+
+
 class Exchanger(Protocol):
     """Exchanges messages with one address."""
 
@@ -310,23 +313,28 @@
         self._idle: list[_Idle] = []
 
     async def exchange(
-        self, request: bytes, accepts: Accepts, may_write: MayWrite = _always
+        self, request: bytes, accepts: Accepts, may_send: MaySend = _always
     ) -> Result:
-        """Sends one request; the caller bounds the time by cancelling."""
+        """Sends one request; the caller bounds the time by cancelling.
+
+        Args:
+            request: What is written.
+            accepts: Tells whether an answer belongs to it.
+            may_send: Asked once there is a connection.
+        """
         begun_s = self._clock.monotonic_s()
-        connection = self._take_idle()
-        if connection is None:
+        taken = self._take_idle()
+        if taken is None:
             opened = await self._open()
             if isinstance(opened, Unsent):
                 return opened
-            connection = opened
-        if not may_write():
-            # Connecting takes as long as this host is held up; a limit of that
-            # time is a timer of the same process, and comes too late.
-            self._idle.append(_Idle(connection, self._clock.monotonic_s()))
-            return Unsent(
-                "not to be sent any more", refused=False, withdrawn=True
-            )
+            taken = _Idle(opened, self._clock.monotonic_s())
+        if not may_send():
+            # A limit of the time to connect is a timer of this process, and
+            # comes late if the host is held up.
+            self._idle.append(taken)
+            return _WITHHELD
+        connection = taken.connection
         try:
             result = await connection.exchange(request, accepts)
         except asyncio.CancelledError:
@@ -334,12 +342,16 @@
                 self._drop_idle_since(begun_s)
             raise
         if isinstance(result, Reply) and connection.usable:
-            now_s = self._clock.monotonic_s()
-            self._idle.append(_Idle(connection, now_s))
+            self._keep(connection)
         else:
             connection.abort()
         return result
 
+    def _keep(self, connection: _Connection) -> None:
+        """Keeps a connection for the next exchange."""
+        now_s = self._clock.monotonic_s()
+        self._idle.append(_Idle(connection, now_s))
+
     @property
     def has_idle(self) -> bool:
         """Whether a kept connection is likely to be free for a request."""
@@ -371,14 +383,24 @@
                 return True
         return False
 
-    async def exchange_anew(self, request: bytes, accepts: Accepts) -> Result:
+    async def exchange_anew(
+        self, request: bytes, accepts: Accepts, may_send: MaySend = _always
+    ) -> Result:
         """Sends one request by a new connection, and vouches for it.
 
         If it was answered, the next exchange goes by the same connection.
+
+        Args:
+            request: What is written.
+            accepts: Tells whether an answer belongs to it.
+            may_send: Asked once there is a connection.
         """
         opened = await self._open()
         if isinstance(opened, Unsent):
             return opened
+        if not may_send():
+            self._keep(opened)
+            return _WITHHELD
         try:
             result = await opened.exchange(request, accepts)
         except asyncio.CancelledError:
@@ -386,7 +408,7 @@
             raise
         if isinstance(result, Reply) and opened.usable:
             opened.is_vouched_for = True
-            self._idle.append(_Idle(opened, self._clock.monotonic_s()))
+            self._keep(opened)
             return result
         opened.abort()
         return Broken("the connection was not kept")
@@ -396,7 +418,7 @@
         opened = await self._open()
         if isinstance(opened, Unsent):
             return opened
-        self._idle.append(_Idle(opened, self._clock.monotonic_s()))
+        self._keep(opened)
         return None
 
     def close(self) -> None:
@@ -429,13 +451,13 @@
         age_s = now_s - idle.since_s
         return idle.connection.usable and age_s < idle.connection.idle_limit_s
 
-    def _take_idle(self) -> _Connection | None:
+    def _take_idle(self) -> _Idle | None:
         """Returns the connection that was used last, if one is fresh."""
         now_s = self._clock.monotonic_s()
         while self._idle:
             idle = self._idle.pop()
             if self._is_fresh(idle, now_s):
-                return idle.connection
+                return idle
             idle.connection.abort()
         return None
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -23,10 +23,10 @@
 from bridgecross_entry import proofs
 from bridgecross_entry import servers as servers_lib
 
-_NEVER_TAKEN = (attempts.Refused, attempts.NotTaken, attempts.Withdrawn)
+_NEVER_TAKEN = (attempts.Refused, attempts.NotTaken, attempts.Withheld)
 """Results of an order that the server has not seen and never will."""
 
-_MISSED = (attempts.NoReply, attempts.NotTaken, attempts.Withdrawn)
+_MISSED = (attempts.NoReply, attempts.NotTaken, attempts.Withheld)
 """Results of an order that may fare better at once."""
 
 
@@ -340,7 +340,7 @@
             result = await self._grant(server, key_range, handover, still_owns)
             if isinstance(result, attempts.Granted):
                 return True
-            if isinstance(result, attempts.Withdrawn):
+            if isinstance(result, attempts.Withheld):
                 # That says nothing of the server.
                 await anyio.sleep(self._settings.order_pause_s)
                 continue
@@ -386,7 +386,7 @@
             # One lost packet is no reason to give a server up, and one halt of
             # this host none to leave a range for the next round.
             result = await self._grant(server, key_range, "", still_holds)
-        if isinstance(result, (attempts.Granted, attempts.Withdrawn)):
+        if isinstance(result, (attempts.Granted, attempts.Withheld)):
             return True
         if self._shows_end(server_id, result):
             return False
@@ -430,7 +430,7 @@
     ) -> attempts.GrantResult:
         """Gives or renews one range, while it may."""
         if not self._lead.may_order:
-            return attempts.Withdrawn()
+            return attempts.Withheld()
         is_in_time = self._limit(self._settings.grant_timeout_s)
 
         def may_order() -> bool:
@@ -458,7 +458,7 @@
             if not isinstance(result, _NEVER_TAKEN):
                 self._note_held(server_id)
         self._count("grant", result)
-        if isinstance(result, attempts.Withdrawn):
+        if isinstance(result, attempts.Withheld):
             self._journal.decision(
                 "order_withdrawn",
                 service=self._service,
@@ -469,7 +469,7 @@
             )
         return result
 
-    def _limit(self, time_s: float) -> attempts.MayOrder:
+    def _limit(self, time_s: float) -> attempts.MaySend:
         """Returns what tells whether some time from now is not over yet."""
         until_s = self._clock.monotonic_s() + time_s
         return lambda: self._clock.monotonic_s() < until_s
--- a/libs/bridgecross-entry/tests/entry_fakes.py
+++ b/libs/bridgecross-entry/tests/entry_fakes.py
@@ -146,7 +146,7 @@
         self, server, first_key, last_key, token, lease_ms, handover, may_order
     ):
         if not may_order():
-            return attempts.Withdrawn()
+            return attempts.Withheld()
         name = server.name
         self.orders.append(("grant", name, first_key, last_key, token))
         if name in self.replaced:
@@ -171,7 +171,7 @@
 
     async def release(self, server, first_key, last_key, token, may_order):
         if not may_order():
-            return attempts.Withdrawn()
+            return attempts.Withheld()
         name = server.name
         self.orders.append(("release", name, first_key, last_key, token))
         if name in self.replaced:
