Tests: a request that ends servers comes from many callers; failing

Cause: what a request is known by holds the caller's address, and the same target came from 156 of them. Our tests played one caller, so none of them could see it.

The emulator's servers now keep of each end which request it was by.

--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -77,6 +77,15 @@
     is_cold: bool = False
 
 
+class Ended(NamedTuple):
+    """A server's run that ended."""
+
+    at_s: float
+    server: str
+    # The request that ended it, by its target; None for another reason.
+    target: bytes | None
+
+
 class EmulatedServer:
     """A backend server over all its runs."""
 
@@ -219,9 +228,9 @@
         self.keyed: set[str] = set()
         # For how long servers that start are cold.
         self.warmup_s = 0.0
-        # All requests that servers began to run, and when one ended by that.
+        # All requests that servers began to run, and all runs that ended.
         self.runs: list[Run] = []
-        self.ends_s: list[float] = []
+        self.ends: list[Ended] = []
         self.network = network
         self._log = log
         self._environment = environment
@@ -257,20 +266,33 @@
             if server.domain == domain:
                 server.cold_until_s = self.now_s + self.warmup_s
 
-    def crash_soon(self, server: EmulatedServer) -> None:
+    @property
+    def ends_s(self) -> list[float]:
+        """When servers ended, whatever the reason."""
+        return [each.at_s for each in self.ends]
+
+    def crash_soon(self, server: EmulatedServer, target: bytes) -> None:
         """Ends a server's run a little later; another run begins after it.
 
         That belongs to no instance: it happens also if the one whose request
         brought it about stands still.
         """
-        _call_later(self.settings.crash_after_s, self.crash, server)
+        run = server.ended
+
+        def crash() -> None:
+            if server.ended is run:
+                self.crash(server, target)
 
-    def crash(self, server: EmulatedServer) -> None:
+        _call_later(self.settings.crash_after_s, crash)
+
+    def crash(
+        self, server: EmulatedServer, target: bytes | None = None
+    ) -> None:
         """Ends a server's run; another one begins later."""
         if not server.is_up:
             return
         server.crash()
-        self.ends_s.append(self.now_s)
+        self.ends.append(Ended(self.now_s, server.name, target))
         _call_later(self.settings.returns_after_s, server.start)
 
     def holders(self, key: int) -> list[EmulatedServer]:
@@ -506,7 +528,7 @@
         )
         fleet.runs.append(run)
         if request.target in fleet.deadly:
-            fleet.crash_soon(server)
+            fleet.crash_soon(server, request.target)
 
     def is_connected(self, server: model.BackendServer) -> bool:
         """Connections cost nothing here."""
--- a/tests/emulated/crash_scene.py
+++ b/tests/emulated/crash_scene.py
@@ -3,6 +3,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import itertools
+import math
 import random
 import statistics
 from typing import NamedTuple
@@ -22,6 +24,11 @@
 _PATIENCE_MS = 500.0
 
 
+def name_caller(number: int) -> str:
+    """Returns the address of a caller, by its number from 0."""
+    return f"10.9.{number // 250}.{number % 250 + 1}"
+
+
 class Told(NamedTuple):
     """What a caller was told."""
 
@@ -98,6 +105,31 @@
             await self.call(target, key)
             await anyio.sleep(gap_s)
 
+    async def ask_from_everywhere(
+        self,
+        target: bytes,
+        gap_s: float,
+        key: int | None = None,
+        leave_after_s: float = math.inf,
+    ) -> None:
+        """Sends a request again and again; no caller sends it more than twice.
+
+        Args:
+            target: What is asked for.
+            gap_s: The time from one to the next, whatever came of it.
+            key: The key; another each time, if left out.
+            leave_after_s: When callers leave, counted from their requests.
+        """
+
+        async def ask(caller: str) -> None:
+            with anyio.move_on_after(leave_after_s):
+                await self.call(target, key, caller=caller)
+
+        async with anyio.create_task_group() as callers:
+            for number in itertools.count():
+                callers.start_soon(ask, name_caller(number // 2))
+                await anyio.sleep(gap_s)
+
     async def serve_others(self, gap_s: float = 0.02) -> None:
         """Sends harmless requests, all of them for other things."""
         async with anyio.create_task_group() as tasks:
@@ -118,6 +150,11 @@
                 tasks.start_soon(self.call, target)
                 await anyio.sleep(1 / rate_per_s)
 
+    def end_times_s(self, target: bytes) -> list[float]:
+        """Returns when servers ended by running some target."""
+        ends = self.house.fleet.ends
+        return [each.at_s for each in ends if each.target == target]
+
     def run_times_s(self, target: bytes) -> list[float]:
         """Returns when servers began to run what some target asks for."""
         return [r.at_s for r in self.house.fleet.runs if r.target == target]
