Know a request by what it asks, not by who asks

Up to a tenth of report-read was not served.

Cause: poison.name_subject held the caller's address. Of 57 ends that instances noted no two named the same request, so no count reached three. Class: the identity of who asks taken for a part of the identity of what is asked.

Change, for both entrances, which share the ledger: a request is known by host, method, target and body.

* Whoever answers a request that would be refused after one more end tells all others at once; without it an instance that sees the third end refused a hot target for which others held an answer.
* A request that was answered in the ten seconds before does not pay for runs that also ended under one without an answer lately, if two runs or more did: a hot target is at work at each owner that a deadly request ends, and no owner may live to answer it.
* An answer that is an error counts once its server has answered what was sent later.
* Runs that others saw end count for requests whose callers have left: who gave up does not look.
* Of several visits at one run the first counts, whatever the order they are noted in.

test_poison.py: the case "another caller" is gone with the parameter; that no address matters is what test_many_callers.py demands.

--- a/benchmarks/poison.py
+++ b/benchmarks/poison.py
@@ -37,7 +37,7 @@
     def serve() -> None:
         for number in range(_REQUESTS_COUNT):
             subject = poison.name_subject(
-                "10.0.0.1", "house", b"GET", b"/a/%d" % number, _BODY
+                "house", b"GET", b"/a/%d" % number, _BODY
             )
             if ledger.refused_for_s(subject) or ledger.refused_for_s(subject):
                 raise AssertionError("nothing is refused here")
@@ -71,7 +71,7 @@
 
 async def _end_server(house: houses.House, count: int) -> list[rows.Row]:
     """Lets a server end under a request, as one instance sees it."""
-    subject = poison.name_subject("c", "h", b"GET", b"/deadly", b"")
+    subject = poison.name_subject("h", b"GET", b"/deadly", b"")
     network = house.network
     found = []
     for number, name in enumerate(("first", "second", "third"), 1):
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -224,6 +224,8 @@
         self.overlaps: list[Overlap] = []
         # Requests by their target that end each server which runs them.
         self.deadly: set[bytes] = set()
+        # Requests by their target that servers answer with an error.
+        self.failing: set[bytes] = set()
         # Services whose servers own keys; the others run any request.
         self.keyed: set[str] = set()
         # For how long servers that start are cold.
@@ -504,7 +506,8 @@
         if ended.is_set():
             return attempts.Interrupted("the connection ended")
         await network.cross(server.address, self._sender)
-        return outcomes.Answered(200, (), b"")
+        failed = request.target in self._fleet.failing
+        return outcomes.Answered(500 if failed else 200, (), b"")
 
     def _may_run(
         self, server: EmulatedServer, request: attempts.EntryRequest
--- a/libs/bridgecross-entry/src/bridgecross_entry/crash_watch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/crash_watch.py
@@ -23,6 +23,7 @@
 from bridgecross_entry import model
 from bridgecross_entry import servers as servers_lib
 from bridgecross_entry import tasks as tasks_lib
+from bridgecross_request import error_answers
 from bridgecross_request import poison
 
 _FIRST_ERROR_STATUS = 500
@@ -96,7 +97,8 @@
         self.ledger = ledger
         # Called with ends that were not known, to tell other instances.
         self.on_ends: Callable[[list[poison.End]], None] = lambda _: None
-        # Called with a request that was refused elsewhere, and is answered.
+        # Called with a request that is refused, or would be after another
+        # end, and is answered.
         self.on_cleared: Callable[[poison.Subject], None] = lambda _: None
         self._settings = settings
         self._client = client
@@ -108,6 +110,7 @@
         self._visits: dict[ids.ServerId, set[Visit]] = {}
         # Those that left, the first of them first.
         self._left: dict[Visit, None] = {}
+        self._errors = error_answers.ErrorAnswers()
         # Looks that are under way.
         self._looks: dict[ids.ServerId, anyio.Event] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -163,17 +166,27 @@
     def _take_result(self, visit: Visit, result: attempts.Attempt) -> None:
         """Takes in an answer, or that nobody listens at the server."""
         if isinstance(result, outcomes.Answered):
-            if result.status < _FIRST_ERROR_STATUS:
-                self._take_answer(visit.subject)
+            self._take_answered(visit, result.status)
         elif isinstance(result, attempts.NotSent) and result.refused:
             self._note_refused(visit.server.server_id)
 
-    def _take_answer(self, subject: poison.Subject) -> None:
+    def _take_answered(self, visit: Visit, status: int) -> None:
+        """Takes in that a server answered, which may be ending."""
+        server_id = visit.server.server_id
+        now_s = self._clock.monotonic_s()
+        for answer in self._errors.take_confirmed(server_id, visit.sent_s):
+            self._take_answer(answer)
+        if status < _FIRST_ERROR_STATUS:
+            self._take_answer(poison.Answer(visit.subject, now_s))
+        else:
+            self._errors.note_error(server_id, visit.subject, now_s)
+
+    def _take_answer(self, answer: poison.Answer) -> None:
         """Takes in that a server ran a request, and lived."""
-        was_refused = self.ledger.refused_for_s(subject) > 0
-        self.ledger.note_answer(subject)
-        if was_refused:
-            self.on_cleared(subject)
+        concerns_others = self.ledger.is_nearly_refused(answer.subject)
+        self.ledger.put_answer(answer)
+        if concerns_others:
+            self.on_cleared(answer.subject)
 
     async def wait_for_verdict(self, server: model.BackendServer) -> None:
         """Waits until it is known whether a server's run has ended."""
@@ -243,8 +256,17 @@
     def note_ended(self, server_id: ids.ServerId) -> None:
         """Takes in that a run has certainly ended."""
         window_s = self._settings.listed_evidence_s
+        self._errors.forget(server_id)
         self._count_ends(server_id, window_s, "another run is known")
 
+    def note_seen_elsewhere(self, server_id: ids.ServerId) -> None:
+        """Takes in that another instance saw a run end under a request.
+
+        Who has given up its own requests there has not looked.
+        """
+        window_s = self._settings.refused_evidence_s
+        self._count_ends(server_id, window_s, "another instance saw it end")
+
     def _count_ends(
         self, server_id: ids.ServerId, window_s: float, reason: str
     ) -> None:
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -900,11 +900,7 @@
 def _name_subject(request: attempts.EntryRequest) -> poison.Subject:
     """Returns what a request is known by, whatever its id and its key."""
     return poison.name_subject(
-        request.caller,
-        request.host,
-        request.method,
-        request.target,
-        request.body,
+        request.host, request.method, request.target, request.body
     )
 
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/duties.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/duties.py
@@ -122,6 +122,7 @@
         )
         dispatcher.watch.on_ends = self.poison_news.tell_ends
         dispatcher.watch.on_cleared = self.poison_news.tell_answer
+        self.poison_news.on_seen_ended = dispatcher.watch.note_seen_elsewhere
         held.on_refused = self.poison_news.take_record
         self._relayer = relaying.Relayer(
             relaying.RelaySettings(),
--- a/libs/bridgecross-entry/src/bridgecross_entry/poison_news.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/poison_news.py
@@ -29,6 +29,7 @@
 from bridgecross_core import clock as clocks
 from bridgecross_core import codec
 from bridgecross_core import hashing
+from bridgecross_core import ids
 from bridgecross_core import pulse
 from bridgecross_entry import beliefs
 from bridgecross_entry import journal as journals
@@ -145,6 +146,8 @@
             journal: Told of requests that are refused from now on.
             clock: For ages.
         """
+        # Called with each run that others saw end under a request.
+        self.on_seen_ended: Callable[[ids.ServerId], None] = lambda _: None
         self._settings = settings
         self._ledger = ledger
         self._client = client
@@ -187,9 +190,9 @@
     def tell_answer(self, subject: poison.Subject) -> None:
         """Tells all others that a request was answered after all."""
         self._tell_soon(subject)
-        self._journal.decision("poison_cleared", subject=subject.hex())
         key = beliefs.REFUSED_PREFIX + subject.hex()
         if key in self._recorded_wall_s:
+            self._journal.decision("poison_cleared", subject=subject.hex())
             self._write_soon(logs.KeyedRecord(key, b""))
 
     def _tell_soon(self, subject: poison.Subject) -> None:
@@ -528,6 +531,8 @@
         """Takes in what others know."""
         for subject in self._ledger.take(told):
             self._write_refused(subject)
+        for server in {end.server for end in told.ends}:
+            self.on_seen_ended(ids.ServerId(server))
 
     def _say_all(self) -> Word:
         """Returns all that is known, or the newest of it."""
--- a/libs/bridgecross-request/src/bridgecross_request/poison.py
+++ b/libs/bridgecross-request/src/bridgecross_request/poison.py
@@ -1,11 +1,13 @@
 """Poison requests: those under which one server after another ends.
 
-Such a request comes again under another id, at any instance. So requests are
-known by what they ask for and who asks, and what became of them is remembered:
+Such a request comes again under another id, from anybody, at any instance. So
+requests are known by what they ask for, and what became of them is remembered:
 on which runs of servers one was at work when the run ended, and when one was
 last answered. Being at work where a server ends proves nothing, since a server
 may end for any reason; what tells a poison request from a popular one is that
-no run of it ever comes to an answer.
+no run of it ever comes to an answer. A popular one may get none either while
+each server that it reaches ends under another request; one that was answered
+shortly before is then not held to account for those ends.
 
 Pure bookkeeping: bounded in entries and in time, without I/O.
 """
@@ -21,25 +23,27 @@
 from bridgecross_core import clock as clocks
 
 Subject = NewType("Subject", bytes)
-"""Names a request whatever its id, by who asks and what for."""
+"""Names a request whatever its id, by what it asks for."""
 
 SUBJECT_BYTES = 16
 
 
 def name_subject(
-    caller: str, host: str, method: bytes, target: bytes, body: bytes
+    host: str, method: bytes, target: bytes, body: bytes
 ) -> Subject:
     """Returns what a request is known by when it comes again.
 
+    Who asks is no part of it: what servers end under ends them whoever asks,
+    and the same caller may come from many addresses.
+
     Args:
-        caller: Who asks, such as the address that the request came from.
         host: The host that is asked.
         method: What is to be done.
         target: The path and the query.
         body: All of the body.
     """
     digest = xxhash.xxh3_128()
-    for part in (caller.encode(), host.encode(), method, target, body):
+    for part in (host.encode(), method, target, body):
         # Lengths keep parts apart: no two requests read the same in a row.
         digest.update(b"%d:" % len(part))
         digest.update(part)
@@ -60,6 +64,9 @@
     # servers can run. Ends at the same time then have another cause, such as
     # the loss of a failure domain, and count as one.
     answered_for_s: float = 10.0
+    # Servers that ended under another request, one without an answer lately,
+    # before it accounts for them. Of one end, anything may be the cause.
+    accounts_from_count: int = 2
     # Requests whose ends are remembered, 0.5 KB each.
     subjects_max_count: int = 1_024
     # Requests whose answers are remembered, 0.2 KB each: at 400 a second those
@@ -165,7 +172,12 @@
             suspect.answered_s = self._answers.get(end.subject, -math.inf)
             self._make_room()
         self._suspects[end.subject] = suspect
-        if end.server in suspect.ends:
+        known = suspect.ends.get(end.server)
+        if known is not None:
+            # Of several that were at work, the first has gone without an
+            # answer for the longest; and all hosts come to know the same.
+            if end.sent_s < known.sent_s:
+                suspect.ends[end.server] = end
             return False
         suspect.ends[end.server] = end
         if len(suspect.ends) > self.settings.ends_max_count:
@@ -184,6 +196,10 @@
                 return
         del self._suspects[next(iter(self._suspects))]
 
+    def is_nearly_refused(self, subject: Subject) -> bool:
+        """Whether one more end would be enough."""
+        return len(self.ends_of(subject)) >= self.settings.ends_max_count - 1
+
     def is_suspect(self, subject: Subject) -> bool:
         """Whether a server ended under a request, with no answer since."""
         return bool(self.ends_of(subject))
@@ -217,9 +233,30 @@
     def _count(self, suspect: _Suspect, ends: list[End]) -> int:
         """Returns how many ends speak against a request."""
         first_s = min((end.sent_s for end in ends), default=math.inf)
-        if first_s - suspect.answered_s > self.settings.answered_for_s:
+        if not self._was_answered_before(suspect, first_s):
             return len(ends)
-        return _count_in_turn(ends)
+        own = [end for end in ends if not self._is_accounted_for(end)]
+        return _count_in_turn(own)
+
+    def _was_answered_before(self, suspect: _Suspect, at_s: float) -> bool:
+        """Whether a request was answered shortly before a moment."""
+        return at_s - suspect.answered_s <= self.settings.answered_for_s
+
+    def _is_accounted_for(self, end: End) -> bool:
+        """Whether a run ended under a request that is the likelier cause."""
+        return any(
+            end.server in other.ends and self._is_likelier_cause(subject)
+            for subject, other in self._suspects.items()
+            if subject != end.subject
+        )
+
+    def _is_likelier_cause(self, subject: Subject) -> bool:
+        """Whether servers ended under a request without an answer lately."""
+        ends = self.ends_of(subject)
+        if len(ends) < self.settings.accounts_from_count:
+            return False
+        first_s = min(end.sent_s for end in ends)
+        return not self._was_answered_before(self._suspects[subject], first_s)
 
     def suspects(self) -> list[Subject]:
         """Returns the requests with ends that count, the newest last."""
--- a/libs/bridgecross-request/src/bridgecross_request/runner.py
+++ b/libs/bridgecross-request/src/bridgecross_request/runner.py
@@ -346,7 +346,6 @@
 def _name_subject(request: requests.Request) -> poison.Subject:
     """Returns what a request is known by, whatever its id."""
     return poison.name_subject(
-        request.caller,
         request.service,
         request.method.encode(),
         request.target.encode(),
--- /dev/null
+++ b/libs/bridgecross-request/tests/test_error_answers.py
@@ -0,0 +1,34 @@
+from bridgecross_request import error_answers
+from bridgecross_request import poison
+
+SUBJECT = poison.Subject(b"s" * 16)
+
+
+def test_an_error_counts_once_its_server_answers_what_came_later():
+    errors = error_answers.ErrorAnswers()
+    errors.note_error("a", SUBJECT, 2.0)
+    assert errors.take_confirmed("a", 1.9) == []
+    assert errors.take_confirmed("b", 3.0) == []
+    assert errors.take_confirmed("a", 2.0) == [poison.Answer(SUBJECT, 2.0)]
+    assert errors.take_confirmed("a", 3.0) == []
+
+
+def test_an_error_of_a_server_that_ended_counts_never():
+    errors = error_answers.ErrorAnswers()
+    errors.note_error("a", SUBJECT, 2.0)
+    errors.forget("a")
+    assert errors.take_confirmed("a", 3.0) == []
+
+
+def test_errors_are_bounded():
+    errors = error_answers.ErrorAnswers()
+    for number in range(1_000):
+        subject = poison.Subject(number.to_bytes(16, "big"))
+        errors.note_error("a", subject, 1.0)
+        errors.note_error(f"server-{number}", subject, 1.0)
+    kept = [
+        errors.take_confirmed(server, 2.0)
+        for server in ("a", *(f"server-{number}" for number in range(1_000)))
+    ]
+    assert sum(map(bool, kept)) <= 128
+    assert max(map(len, kept)) <= 32
--- a/libs/bridgecross-request/tests/test_poison.py
+++ b/libs/bridgecross-request/tests/test_poison.py
@@ -132,20 +132,101 @@
     assert known == [6, 7, 8]
 
 
-REQUEST = ("10.0.0.1", "h", b"GET", b"/a", b"body")
+REQUEST = ("h", b"GET", b"/a", b"body")
 
 
 @pytest.mark.parametrize(
     "other",
     [
-        pytest.param(("10.0.0.2", *REQUEST[1:]), id="another caller"),
-        pytest.param(("10.0.0.1", "i", *REQUEST[2:]), id="another host"),
-        pytest.param((*REQUEST[:2], b"PUT", *REQUEST[3:]), id="another method"),
-        pytest.param((*REQUEST[:3], b"/a?b", b"body"), id="another query"),
-        pytest.param((*REQUEST[:4], b"body2"), id="another body"),
-        pytest.param((*REQUEST[:3], b"/ab", b"ody"), id="parts run together"),
+        pytest.param(("i", *REQUEST[1:]), id="another host"),
+        pytest.param(("h", b"PUT", *REQUEST[2:]), id="another method"),
+        pytest.param((*REQUEST[:2], b"/a?b", b"body"), id="another query"),
+        pytest.param((*REQUEST[:3], b"body2"), id="another body"),
+        pytest.param((*REQUEST[:2], b"/ab", b"ody"), id="parts run together"),
+        pytest.param(("h", b"GET", b"", b"/abody"), id="no target"),
+        pytest.param((*REQUEST[:2], b"/" + b"a" * 16_384, b""), id="longest"),
     ],
 )
-def test_a_request_is_known_by_who_asks_and_what_for(other):
-    assert poison.name_subject(*REQUEST) == poison.name_subject(*REQUEST)
-    assert poison.name_subject(*REQUEST) != poison.name_subject(*other)
+def test_a_request_is_known_by_what_it_asks_for(other):
+    subject = poison.name_subject(*REQUEST)
+    assert subject == poison.name_subject(*REQUEST)
+    assert subject != poison.name_subject(*other)
+    assert len(poison.name_subject(*other)) == poison.SUBJECT_BYTES
+
+
+OTHER = poison.Subject(b"o" * 16)
+
+
+def _end_other(scene: Scene, *ends: tuple[str, float, float]) -> None:
+    for server, sent_s, ended_s in ends:
+        end = poison.End(OTHER, server, 1_000 + sent_s, 1_000 + ended_s)
+        scene.ledger.put_end(end)
+
+
+@pytest.mark.parametrize(
+    ("others", "other_answers", "answers", "refused"),
+    [
+        pytest.param(THREE_IN_TURN, [], [-1.0], False, id="all its ends"),
+        pytest.param(
+            THREE_IN_TURN, [], [-60.0], True, id="neither was answered lately"
+        ),
+        pytest.param(
+            THREE_IN_TURN, [-1.0], [-1.0], True, id="both were answered lately"
+        ),
+        pytest.param(THREE_IN_TURN[:2], [], [-1.0], False, id="two of them"),
+        pytest.param(THREE_IN_TURN[:1], [], [-1.0], True, id="one, by chance"),
+        pytest.param(
+            [("x", 0, 1), ("y", 2, 3)], [], [-1.0], True, id="other servers"
+        ),
+        pytest.param(
+            THREE_IN_TURN, [5.5], [-1.0], True, id="the other one lived"
+        ),
+    ],
+)
+def test_a_request_answered_lately_pays_for_no_other(
+    others, other_answers, answers, refused
+):
+    for others_first in (False, True):
+        scene = Scene()
+        scene.clock.now_s += 10
+        for answered_s in answers:
+            scene.answer(answered_s)
+        if others_first:
+            _end_other(scene, *others)
+        for end in THREE_IN_TURN:
+            scene.end(*end)
+        if not others_first:
+            _end_other(scene, *others)
+        for answered_s in other_answers:
+            answer = poison.Answer(OTHER, 1_000 + answered_s)
+            scene.ledger.put_answer(answer)
+        assert scene.is_refused == refused
+
+
+def test_of_several_at_work_at_a_run_the_first_counts():
+    scene = Scene()
+    scene.clock.now_s += 10
+    scene.answer(0.05)
+    for sent_s in (0.2, 0.0, 0.1):
+        scene.end("a", sent_s, 1)
+    assert scene.ledger.ends_of(SUBJECT) == []
+
+
+@pytest.mark.parametrize(
+    ("told", "problem"),
+    [
+        (poison.Told((poison.ToldEnd(b"s" * 15, "a", 1, 0),)), "15 bytes"),
+        (poison.Told((poison.ToldEnd(b"", "a", 1, 0),)), "0 bytes"),
+        (poison.Told((poison.ToldEnd(b"s" * 17, "a", 1, 0),)), "17 bytes"),
+        (
+            poison.Told((), (poison.ToldAnswer(b"s" * 64, 0),)),
+            "answers[0]: the subject has 64 bytes",
+        ),
+    ],
+)
+def test_told_subjects_of_a_wrong_length_are_refused(told, problem):
+    scene = Scene()
+    with pytest.raises(poison.UntrueError) as caught:
+        scene.ledger.take(told)
+    assert problem in str(caught.value)
+    assert scene.ledger.known_subjects() == []
--- a/tests/emulated/test_innocent.py
+++ b/tests/emulated/test_innocent.py
@@ -7,10 +7,12 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import NamedTuple
 
 import anyio
 import pytest
 
+from bridgecross_emulator import house as houses
 from bridgecross_emulator import instances
 from tests.emulated import crash_scene
 
@@ -144,3 +146,166 @@
         "ended while they ran it" in getattr(told.outcome, "reason", "")
         for told in scene.told
     )
+
+
+# The same with hundreds of callers, of which none comes more than twice.
+
+DEADLY_GAP_S = 0.25
+
+
+async def _ask_deadly(
+    scene: crash_scene.Scene, name: str, key: int | None, for_s: float
+) -> None:
+    """Lets callers ask for a request that ends servers."""
+    target = f"/{scene.service}/deadly-{name}".encode()
+    scene.house.fleet.deadly.add(target)
+    with anyio.move_on_after(for_s):
+        await scene.ask_from_everywhere(target, DEADLY_GAP_S, key)
+
+
+async def _lose_domains(scene: crash_scene.Scene) -> None:
+    """One failure domain after the other."""
+    for number in range(4):
+        domain = houses.name_domain(number % 2)
+        for server in scene.house.fleet.servers.values():
+            if server.domain == domain and server.service == scene.service:
+                scene.house.fleet.crash(server)
+        await anyio.sleep(6.0)
+
+
+async def _deadly_elsewhere(scene: crash_scene.Scene) -> None:
+    """One for other keys of the same service, and then others."""
+    for number in range(3):
+        await _ask_deadly(scene, f"any-{number}", None, 8.0)
+
+
+async def _deadly_at_its_key(scene: crash_scene.Scene) -> None:
+    """One that is at work wherever the popular one is, and then others."""
+    for number in range(3):
+        await _ask_deadly(scene, f"here-{number}", POPULAR_KEY, 8.0)
+
+
+async def _deadly_often(scene: crash_scene.Scene) -> None:
+    """One that comes so often that no owner of the key lives to answer."""
+    target = f"/{scene.service}/deadly-often".encode()
+    scene.house.fleet.deadly.add(target)
+    with anyio.move_on_after(8.0):
+        await scene.ask_from_everywhere(target, 0.01, POPULAR_KEY)
+
+
+async def _deadly_twins(scene: crash_scene.Scene) -> None:
+    """Two at the same time."""
+    async with anyio.create_task_group() as tasks:
+        for name in ("one", "two"):
+            tasks.start_soon(_ask_deadly, scene, name, POPULAR_KEY, 12.0)
+
+
+async def _deadly_while_domains_are_lost(scene: crash_scene.Scene) -> None:
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_ask_deadly, scene, "beside", POPULAR_KEY, 12.0)
+        await _lose_domains(scene)
+
+
+async def _owner_moves(scene: crash_scene.Scene) -> None:
+    """No answer comes for seconds, each time that its owner ends."""
+    for server in scene.house.fleet.servers.values():
+        server.takes_late = True
+    for _ in range(4):
+        await _crash_where_it_is_now(scene)
+        await anyio.sleep(4.0)
+    for server in scene.house.fleet.servers.values():
+        server.takes_late = False
+
+
+async def _crash_where_it_is_now(scene: crash_scene.Scene) -> None:
+    """The server that has run the popular request last."""
+    newest = [
+        run.server
+        for run in scene.house.fleet.runs
+        if run.target == popular(scene)
+    ][-1]
+    _crash(scene, newest)
+
+
+async def _fail_and_crash(scene: crash_scene.Scene) -> None:
+    """All its answers are errors."""
+    scene.house.fleet.failing.add(popular(scene))
+    await _crash_where_it_is(scene)
+
+
+async def _fail_and_crash_in_turn(scene: crash_scene.Scene) -> None:
+    scene.house.fleet.failing.add(popular(scene))
+    await _crash_in_turn(scene)
+
+
+async def _fail_beside_deadly(scene: crash_scene.Scene) -> None:
+    scene.house.fleet.failing.add(popular(scene))
+    await _deadly_at_its_key(scene)
+
+
+class Crowd(NamedTuple):
+    """How hundreds of callers ask for the same, and what happens."""
+
+    harm: Harm
+    # The popular request has been answered for so long before it begins.
+    known_for_s: float = 2.0
+    gap_s: float = 0.01
+
+
+CROWDS = {
+    "failure domains lost": Crowd(_lose_domains),
+    "crashes where it is": Crowd(_crash_where_it_is),
+    "all crash at once": Crowd(_crash_all),
+    "crashes in turn": Crowd(_crash_in_turn),
+    "crashes beside restarts": Crowd(_crash_beside_restarts),
+    "crashes beside a cut": Crowd(_crash_beside_a_cut),
+    "a deadly one elsewhere": Crowd(_deadly_elsewhere),
+    "a deadly one at its key": Crowd(_deadly_at_its_key),
+    "a deadly one, both new": Crowd(_deadly_at_its_key, known_for_s=0.0),
+    "a deadly one often": Crowd(_deadly_often),
+    "two deadly ones": Crowd(_deadly_twins),
+    "a deadly one, domains lost": Crowd(_deadly_while_domains_are_lost),
+    "its owner moves": Crowd(_owner_moves),
+    "only errors": Crowd(_fail_and_crash),
+    "only errors, in turn": Crowd(_fail_and_crash_in_turn),
+    "only errors, a deadly one": Crowd(_fail_beside_deadly),
+    "asked for seldom, a deadly one": Crowd(_deadly_at_its_key, gap_s=0.3),
+}
+
+
+def _play_crowd(service: str, crowd: Crowd) -> crash_scene.Scene:
+    async def act(scene: crash_scene.Scene) -> None:
+        async with anyio.create_task_group() as callers:
+            callers.start_soon(
+                scene.ask_from_everywhere,
+                popular(scene),
+                crowd.gap_s,
+                POPULAR_KEY,
+            )
+            await anyio.sleep(crowd.known_for_s)
+            await crowd.harm(scene)
+            scene.calm_s = scene.house.now_s + 4.0
+            await anyio.sleep(8.0)
+            callers.cancel_scope.cancel()
+
+    return crash_scene.Play(service, server_domain_count=2).run(act)
+
+
+@pytest.mark.parametrize(
+    "service",
+    [
+        pytest.param(instances.SERVICE, id="divided by key"),
+        pytest.param(instances.FREE_SERVICE, id="any server"),
+    ],
+)
+@pytest.mark.parametrize("crowd", CROWDS.values(), ids=CROWDS)
+def test_a_target_of_many_callers_is_never_refused(service, crowd):
+    scene = _play_crowd(service, crowd)
+    refused = [
+        told
+        for told in scene.told
+        if told.target == popular(scene)
+        and "ended while they ran it" in getattr(told.outcome, "reason", "")
+    ]
+    assert refused == []
+    assert scene.served_ratio(scene.calm_s, popular(scene)) >= SERVED_LEAST
--- a/tests/emulated/test_poison_news.py
+++ b/tests/emulated/test_poison_news.py
@@ -29,7 +29,7 @@
 from bridgecross_request import poison
 
 KNOWN_WITHIN_S = 0.3
-SUBJECT = poison.name_subject("caller", "host", b"GET", b"/deadly", b"")
+SUBJECT = poison.name_subject("host", b"GET", b"/deadly", b"")
 
 
 class Scene:
