Emulator: callers of requests that end servers, a check and a mutant

Once all else is calm, three servers may end under one and no more. Drawn apart, so the other events of each seed stay as they were.

Servers that a request ended start again on their own; one that runs does not start twice.

--- a/benchmarks/poison.py
+++ b/benchmarks/poison.py
@@ -17,7 +17,7 @@
 from bridgecross_entry import poison_news
 from bridgecross_request import poison
 
-_SIZES_COUNT = (11, 78, 195)
+_SIZES_COUNT = (11, 74, 195, 780)
 _REQUESTS_COUNT = 20_000
 _BODY = b"x" * 1_000
 
--- a/libs/bridgecross-cli/src/bridgecross_cli/_lab.py
+++ b/libs/bridgecross-cli/src/bridgecross_cli/_lab.py
@@ -63,7 +63,7 @@
         violations = search.play(events).violations
         return promise in {v.promise for v in violations}
 
-    fewest = search.shrink(search.draw_beside_planned(found.seed), fails)
+    fewest = search.shrink(search.draw_beside_deadly(found.seed), fails)
     violations = search.play(fewest).violations
     folder.mkdir(parents=True, exist_ok=True)
     path = folder / f"seed-{found.seed}.json"
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/__init__.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/__init__.py
@@ -9,6 +9,7 @@
 * ``servers``: servers that own keys, with their runs, leases and tokens.
 * ``instances``: one emulated instance.
 * ``house``: all of them together.
+* ``callers``: who sends requests to them, some of which end servers.
 * ``faults``: what may happen to them, drawn by seed.
 * ``checks``: what must hold all the same.
 * ``ownership_model``: all orders of events around one key, up to a bound.
@@ -16,6 +17,7 @@
 """
 
 __all__ = [
+    "callers",
     "checks",
     "faults",
     "house",
--- /dev/null
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/callers.py
@@ -0,0 +1,82 @@
+"""Callers of a house, and requests of theirs that end servers."""
+
+import itertools
+import random
+
+import anyio
+
+from bridgecross_core import outcomes
+from bridgecross_emulator import house as houses
+from bridgecross_emulator import instances
+from bridgecross_entry import attempts
+
+_PATIENCE_MS = 500.0
+_GAP_S = 0.25
+_KEYS_COUNT = 65_536
+
+
+def name_caller(number: int) -> str:
+    """Returns the address of a caller, by its number from 0."""
+    return f"10.9.{number // 250}.{number % 250 + 1}"
+
+
+def list_reachable(house: houses.House) -> list[instances.EmulatedInstance]:
+    """Returns the instances that callers are sent to."""
+    return [
+        each
+        for each in house.instances
+        if not each.host.stands_still and each.configuration_version
+    ]
+
+
+async def send(
+    instance: instances.EmulatedInstance,
+    request_id: str,
+    target: bytes,
+    key: int,
+    caller: str,
+    body: bytes = b"",
+) -> outcomes.Outcome:
+    """Sends one request of a caller; returns its outcome."""
+    request = attempts.EntryRequest(
+        request_id=request_id,
+        method=b"GET",
+        target=target,
+        path=target.decode(),
+        host=instances.HOST,
+        headers=(),
+        body=body,
+        key=key,
+        received_s=instance.parts.clock.monotonic_s(),
+        patience_ms=_PATIENCE_MS,
+        caller=caller,
+    )
+    return await instance.request(request)
+
+
+class DeadlyCallers:
+    """Callers who ask for what ends servers; each of them comes twice."""
+
+    def __init__(self, house: houses.House, seed: int) -> None:
+        """Asks for nothing yet."""
+        self._house = house
+        self._rng = random.Random(seed)
+
+    async def run(self) -> None:
+        """Asks for each such request again and again, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            for number in itertools.count():
+                for target in sorted(self._house.fleet.deadly):
+                    tasks.start_soon(self._ask, target, number)
+                await anyio.sleep(_GAP_S)
+
+    async def _ask(self, target: bytes, number: int) -> None:
+        """Sends one request to an instance that answers."""
+        reachable = list_reachable(self._house)
+        if not reachable:
+            return
+        instance = self._rng.choice(reachable)
+        key = self._rng.randrange(_KEYS_COUNT)
+        caller = name_caller(number // 2)
+        request_id = f"{target.decode()}-{number}"
+        await send(instance, request_id, target, key, caller)
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/checks.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/checks.py
@@ -118,6 +118,35 @@
                 self.violations.append(violation)
 
 
+DEADLY_ENDS_MAX_COUNT = 3
+"""Servers that may end under one request before none gets it any more."""
+
+
+def check_deadly(house: houses.House, calm_s: float) -> list[Violation]:
+    """Returns requests under which servers went on to end.
+
+    While instances are lost or cut off, some may not know what others saw.
+
+    Args:
+        house: The house.
+        calm_s: Since when nothing has been wrong but those requests.
+    """
+    found = []
+    for target in sorted(house.fleet.deadly):
+        ends = [
+            end
+            for end in house.fleet.ends
+            if end.target == target and end.at_s > calm_s
+        ]
+        if len(ends) > DEADLY_ENDS_MAX_COUNT:
+            detail = f"{len(ends)} servers ended under {target.decode()}"
+            violation = Violation(
+                "three servers end under a request", ends[-1].at_s, detail
+            )
+            found.append(violation)
+    return found
+
+
 def check_owners(house: houses.House) -> list[Violation]:
     """Returns where two servers held a key at the same time."""
     return [
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/faults.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/faults.py
@@ -268,6 +268,12 @@
     return lambda: scene.house.take_back(domain)
 
 
+def _ask_deadly(scene: Scene, target: int) -> End:
+    """From now on callers ask for a request that ends servers."""
+    scene.house.fleet.deadly.add(f"/{instances.SERVICE}/{target}".encode())
+    return lambda: None
+
+
 class Kind(NamedTuple):
     """One kind of event."""
 
@@ -283,6 +289,7 @@
 
 
 EVACUATION = "evacuation"
+DEADLY = "deadly request"
 
 KINDS = {
     "log cut": Kind(_cut_off_log, 3, disturbs_target=True),
@@ -309,6 +316,7 @@
     "orders late": Kind(_take_orders_late, 1),
     # Drawn apart from the others.
     EVACUATION: Kind(_evacuate, 0),
+    DEADLY: Kind(_ask_deadly, 0, is_momentary=True),
 }
 
 
@@ -328,6 +336,22 @@
     return (Event(at_s, EVACUATION, rng.choice([0, 1]), for_s),)
 
 
+_DEADLY_SHARE = 0.5
+"""Half of the houses are asked for requests that end servers, early enough for
+three to have ended before all is calm."""
+
+
+def draw_deadly(seed: int, length_s: float) -> tuple[Event, ...]:
+    """Returns requests that end servers, drawn apart from a seed's events."""
+    rng = random.Random(f"deadly {seed}")
+    if rng.random() > _DEADLY_SHARE:
+        return ()
+    return tuple(
+        Event(round(rng.uniform(0.0, length_s / 2), 3), DEADLY, target, 0.0)
+        for target in range(rng.choice([1, 1, 2]))
+    )
+
+
 def draw(seed: int, count: int, length_s: float) -> tuple[Event, ...]:
     """Returns random events; the same for the same seed."""
     rng = random.Random(seed)
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/search.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/search.py
@@ -9,6 +9,7 @@
 import anyio
 import simpy
 
+from bridgecross_emulator import callers
 from bridgecross_emulator import checks
 from bridgecross_emulator import faults
 from bridgecross_emulator import house as houses
@@ -70,7 +71,9 @@
     evacuations = checks.EvacuationCheck(scene)
     tasks.start_soon(configurations.run)
     tasks.start_soon(evacuations.run)
+    tasks.start_soon(callers.DeadlyCallers(house, len(events)).run)
     await faults.play(scene, events)
+    calm_s = house.now_s
     await anyio.sleep(_QUIET_S - checks.TOPICS_KNOWN_WITHIN_S)
     ends = checks.find_ends(house)
     await anyio.sleep(checks.TOPICS_KNOWN_WITHIN_S)
@@ -78,6 +81,7 @@
         *configurations.violations,
         *evacuations.violations,
         *checks.check_owners(house),
+        *checks.check_deadly(house, calm_s),
         *checks.check_topics(house, ends),
         *checks.check_served(house),
     ]
@@ -167,6 +171,12 @@
     return tuple(sorted(draw(seed) + faults.draw_planned(seed, _LENGTH_S)))
 
 
+def draw_beside_deadly(seed: int) -> tuple[faults.Event, ...]:
+    """Returns all events of a seed's house, and requests that end servers."""
+    deadly = faults.draw_deadly(seed, _LENGTH_S)
+    return tuple(sorted(draw_beside_planned(seed) + deadly))
+
+
 def hunt(seeds: range, until_s: float | None = None) -> tuple[int, list[Found]]:
     """Plays one house for each seed.
 
@@ -182,7 +192,7 @@
     for seed in seeds:
         if until_s is not None and time.monotonic() > until_s:
             break
-        violations = play(draw_beside_planned(seed)).violations
+        violations = play(draw_beside_deadly(seed)).violations
         played_count += 1
         if violations:
             found.append(Found(seed, violations))
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -75,6 +75,8 @@
     target: bytes
     # Whether the server was cold.
     is_cold: bool = False
+    # Whether the request ends servers.
+    is_deadly: bool = False
 
 
 class Ended(NamedTuple):
@@ -105,7 +107,7 @@
         self.service = service
         self.address = address
         self.started_ms = started_ms
-        self.is_up = True
+        self.is_up = False
         self.is_leaving = False
         # Until when it is cold.
         self.cold_until_s = 0.0
@@ -150,7 +152,9 @@
         self._seen = []
 
     def start(self) -> None:
-        """Begins a run under the same name."""
+        """Begins a run under the same name, unless one goes on."""
+        if self.is_up:
+            return
         self.is_up = True
         self.ended = anyio.Event()
         self.is_leaving = False
@@ -224,6 +228,8 @@
         self.overlaps: list[Overlap] = []
         # Requests by their target that end each server which runs them.
         self.deadly: set[bytes] = set()
+        # Bodies with which those do no harm.
+        self.harmless_bodies: set[bytes] = set()
         # Requests by their target that servers answer with an error.
         self.failing: set[bytes] = set()
         # Services whose servers own keys; the others run any request.
@@ -522,15 +528,20 @@
     ) -> None:
         """Keeps that a request begins to run, and lets it do its harm."""
         fleet = self._fleet
+        is_deadly = (
+            request.target in fleet.deadly
+            and request.body not in fleet.harmless_bodies
+        )
         run = Run(
             fleet.now_s,
             server.name,
             self._sender,
             request.target,
             server.is_cold,
+            is_deadly,
         )
         fleet.runs.append(run)
-        if request.target in fleet.deadly:
+        if is_deadly:
             fleet.crash_soon(server, request.target)
 
     def is_connected(self, server: model.BackendServer) -> bool:
--- a/tests/emulated/crash_scene.py
+++ b/tests/emulated/crash_scene.py
@@ -13,21 +13,14 @@
 import simpy
 
 from bridgecross_core import outcomes
+from bridgecross_emulator import callers
 from bridgecross_emulator import house as houses
 from bridgecross_emulator import instances
 from bridgecross_emulator import virtual
-from bridgecross_entry import attempts
 
 DEADLY_KEY = 26_851
 """The key of the requests that end servers; their owner is lost each time."""
 
-_PATIENCE_MS = 500.0
-
-
-def name_caller(number: int) -> str:
-    """Returns the address of a caller, by its number from 0."""
-    return f"10.9.{number // 250}.{number % 250 + 1}"
-
 
 class Told(NamedTuple):
     """What a caller was told."""
@@ -35,6 +28,7 @@
     at_s: float
     target: bytes
     outcome: outcomes.Outcome
+    body: bytes = b""
 
     @property
     def is_served(self) -> bool:
@@ -59,42 +53,24 @@
         """What the request that ends servers asks for."""
         return f"/{self.service}/deadly".encode()
 
-    def reachable(self) -> list[instances.EmulatedInstance]:
-        """Returns the instances that callers are sent to."""
-        return [
-            each
-            for each in self.house.instances
-            if not each.host.stands_still and each.configuration_version
-        ]
-
     async def call(
         self,
         target: bytes,
         key: int | None = None,
         instance: instances.EmulatedInstance | None = None,
         caller: str = "10.9.0.1",
+        body: bytes = b"",
     ) -> outcomes.Outcome:
         """Sends one request under an id of its own; returns its outcome."""
         if instance is None:
-            instance = self._rng.choice(self.reachable())
+            instance = self._rng.choice(callers.list_reachable(self.house))
         if key is None:
             key = self._rng.randrange(65_536)
         self._count += 1
-        request = attempts.EntryRequest(
-            request_id=f"id-{self._count}",
-            method=b"GET",
-            target=target,
-            path=target.decode(),
-            host=instances.HOST,
-            headers=(),
-            body=b"",
-            key=key,
-            received_s=instance.parts.clock.monotonic_s(),
-            patience_ms=_PATIENCE_MS,
-            caller=caller,
+        outcome = await callers.send(
+            instance, f"id-{self._count}", target, key, caller, body
         )
-        outcome = await instance.request(request)
-        self.told.append(Told(self.house.now_s, target, outcome))
+        self.told.append(Told(self.house.now_s, target, outcome, body))
         return outcome
 
     async def keep_calling(
@@ -111,6 +87,7 @@
         gap_s: float,
         key: int | None = None,
         leave_after_s: float = math.inf,
+        body: bytes = b"",
     ) -> None:
         """Sends a request again and again; no caller sends it more than twice.
 
@@ -119,15 +96,16 @@
             gap_s: The time from one to the next, whatever came of it.
             key: The key; another each time, if left out.
             leave_after_s: When callers leave, counted from their requests.
+            body: What is sent.
         """
 
         async def ask(caller: str) -> None:
             with anyio.move_on_after(leave_after_s):
-                await self.call(target, key, caller=caller)
+                await self.call(target, key, caller=caller, body=body)
 
-        async with anyio.create_task_group() as callers:
+        async with anyio.create_task_group() as tasks:
             for number in itertools.count():
-                callers.start_soon(ask, name_caller(number // 2))
+                tasks.start_soon(ask, callers.name_caller(number // 2))
                 await anyio.sleep(gap_s)
 
     async def serve_others(self, gap_s: float = 0.02) -> None:
@@ -205,14 +183,14 @@
                 )
                 await house.start(self.settle_s)
                 scene = Scene(house, self.service, self.seed)
-                async with anyio.create_task_group() as callers:
+                async with anyio.create_task_group() as asking:
                     if self.asks_per_s:
                         for each in (instances.SERVICE, instances.FREE_SERVICE):
-                            callers.start_soon(
+                            asking.start_soon(
                                 scene.ask_at_rate, each, self.asks_per_s
                             )
                     await act(scene)
-                    callers.cancel_scope.cancel()
+                    asking.cancel_scope.cancel()
                 house.stop()
             return scene
 
--- a/tests/emulated/mutants.py
+++ b/tests/emulated/mutants.py
@@ -10,9 +10,11 @@
 from bridgecross_emulator import search
 from bridgecross_entry import beliefs
 from bridgecross_entry import coordinator
+from bridgecross_entry import dispatch
 from bridgecross_entry import feeds
 from bridgecross_entry import leases
 from bridgecross_entry import server_list
+from bridgecross_request import poison
 
 _SINCE = feeds.Feed.since
 
@@ -73,6 +75,18 @@
     return mock.patch.object(feeds.Feed, "since", since)
 
 
+def _know_by_who_asks():
+    """The same request from elsewhere is another one."""
+
+    def name(request):
+        host = f"{request.caller} {request.host}"
+        return poison.name_subject(
+            host, request.method, request.target, request.body
+        )
+
+    return mock.patch.object(dispatch, "_name_subject", name)
+
+
 class Mutant(NamedTuple):
     """A fault, and where it shows."""
 
@@ -101,5 +115,11 @@
         2,
         search.draw_beside_planned,
     ),
+    "a request is known by who asks": Mutant(
+        _know_by_who_asks,
+        "three servers end under a request",
+        2,
+        search.draw_beside_deadly,
+    ),
     "no lease is waited for": Mutant(_wait_for_no_lease, "one owner a key", 1),
 }
--- a/tests/emulated/test_search.py
+++ b/tests/emulated/test_search.py
@@ -24,6 +24,13 @@
         assert search.play(events).violations == ()
 
 
+@pytest.mark.parametrize("seed", CI_SEEDS)
+def test_a_house_keeps_its_promises_beside_deadly_requests(seed):
+    events = search.draw_beside_deadly(seed)
+    if events != search.draw_beside_planned(seed):
+        assert search.play(events).violations == ()
+
+
 @pytest.mark.parametrize(
     "mutant", mutants.MUTANTS.values(), ids=mutants.MUTANTS
 )
