First entrance: errors of a server that lived on are answers, too

A target of many callers of which all answers are errors was refused after three crashes; now an error counts once its server has answered what was sent later.

The house's servers now break connections when they crash; before, what was at work stood still.

--- a/libs/bridgecross-request/src/bridgecross_request/runner.py
+++ b/libs/bridgecross-request/src/bridgecross_request/runner.py
@@ -17,6 +17,7 @@
 from bridgecross_ownership import keeper as keeping
 from bridgecross_ownership import releases
 from bridgecross_request import backends
+from bridgecross_request import error_answers
 from bridgecross_request import intents
 from bridgecross_request import poison
 from bridgecross_request import queueing
@@ -101,6 +102,7 @@
         self.queues: dict[ids.ServerId, queueing.TierQueue] = {}
         # When servers were last seen to have ended.
         self._ended_s: dict[ids.ServerId, float] = {}
+        self._errors = error_answers.ErrorAnswers()
         # Requests by tier that wait for an owner able to serve or for a slot.
         self.waiting: collections.Counter[str] = collections.Counter()
 
@@ -278,22 +280,43 @@
         ports = self._ports
         subject = _name_subject(attempt.request)
         if isinstance(outcome, outcomes.Answered):
-            if outcome.status < _FIRST_ERROR_STATUS:
-                was_suspect = ports.ledger.is_suspect(subject)
-                ports.ledger.note_answer(subject)
-                if was_suspect:
-                    ports.tell_others(subject)
+            server = attempt.keeper.server
+            self._take_answered(server, subject, sent_s, outcome.status)
             return
         ended_s = ports.clock.monotonic_s()
         is_late = ended_s >= attempt.request.deadline_s
         if not isinstance(outcome, outcomes.Unknown) or is_late:
             return
         if await ports.backend.is_refusing(address):
+            self._errors.forget(attempt.keeper.server)
             run = self._name_run(attempt.keeper.server, sent_s, ended_s)
             end = poison.End(subject, run, sent_s, ended_s)
             if ports.ledger.put_end(end):
                 ports.tell_others(subject)
 
+    def _take_answered(
+        self,
+        server: ids.ServerId,
+        subject: poison.Subject,
+        sent_s: float,
+        status: int,
+    ) -> None:
+        """Remembers that a server answered, which may be ending."""
+        now_s = self._ports.clock.monotonic_s()
+        for answer in self._errors.take_confirmed(server, sent_s):
+            self._take_answer(answer)
+        if status < _FIRST_ERROR_STATUS:
+            self._take_answer(poison.Answer(subject, now_s))
+        else:
+            self._errors.note_error(server, subject, now_s)
+
+    def _take_answer(self, answer: poison.Answer) -> None:
+        """Remembers that a server ran a request, and lived."""
+        was_suspect = self._ports.ledger.is_suspect(answer.subject)
+        self._ports.ledger.put_answer(answer)
+        if was_suspect:
+            self._ports.tell_others(answer.subject)
+
     def _name_run(
         self, server: ids.ServerId, sent_s: float, ended_s: float
     ) -> str:
--- a/tests/matrix/fakes.py
+++ b/tests/matrix/fakes.py
@@ -275,18 +275,24 @@
         # Requests by their target that end this server, and when each began.
         self.deadly: set[str] = set()
         self.deadly_runs_s: list[float] = []
+        # Requests by their target that are answered with an error.
+        self.failing: set[str] = set()
         self.ends_s: list[float] = []
 
     async def _end_by_request(self) -> outcomes.Outcome:
         """Ends this run a little later; another one begins after it."""
         self.deadly_runs_s.append(self._clock.wall_s())
         await anyio.sleep(CRASH_AFTER_S)
+        self.crash()
+        return outcomes.Unknown("the connection ended")
+
+    def crash(self) -> None:
+        """Ends this run; another one begins after it."""
         if not self.lost:
             self.lost = True
             self.ends_s.append(self._clock.wall_s())
             loop = asyncio.get_running_loop()
             loop.call_later(RETURNS_AFTER_S, self._start_again)
-        return outcomes.Unknown("the connection ended")
 
     def _start_again(self) -> None:
         """Begins a run that holds and knows nothing."""
@@ -353,9 +359,12 @@
         if request.target in self.deadly:
             return await self._end_by_request()
         number = self._lease_number
+        ends_count = len(self.ends_s)
         self._running.append(fence)
         try:
             await anyio.sleep(self.service_s)
+            if len(self.ends_s) > ends_count:
+                return outcomes.Unknown("the connection ended")
             await self.stand()
         finally:
             self._running.remove(fence)
@@ -381,7 +390,8 @@
                 idempotency_key=request.idempotency_key,
             )
         )
-        return outcomes.Answered(200, (), self.name.encode())
+        status = 500 if request.target in self.failing else 200
+        return outcomes.Answered(status, (), self.name.encode())
 
 
 class ServerConnection:
