--- a/libs/bridgecross-entry/tests/test_crash_watch.py
+++ b/libs/bridgecross-entry/tests/test_crash_watch.py
@@ -149,3 +149,81 @@
         scene.visit(None)
     scene.visit(REFUSED)
     assert len(scene.told) <= limit_count
+
+
+async def _end_runs(scene: Scene, *names: str) -> None:
+    """Lets runs end under the request, one after the other."""
+    for name in names:
+        server = support.make_server(name)
+        visit = scene.watch.begin(SUBJECT, "id", server)
+        scene.watch.end(visit, BROKEN)
+        scene.watch.note_ended(server.server_id)
+
+
+@pytest.mark.parametrize(
+    ("results", "counted"),
+    [
+        pytest.param([ANSWERED], 0, id="answered"),
+        pytest.param([FAILED], 2, id="an error, perhaps the last word"),
+        pytest.param([FAILED, FAILED], 0, id="errors one after the other"),
+        pytest.param([FAILED, attempts.Shed(503)], 2, id="shed after it"),
+        pytest.param([FAILED, BROKEN], 2, id="broken after it"),
+    ],
+)
+async def test_what_voids_ends(results, counted):
+    scene = Scene()
+    await _end_runs(scene, "b", "c")
+    assert await _play(scene, *results, wait_s=0.01) == counted
+
+
+# Refused was a target of which all answers were errors, after three crashes.
+async def test_an_error_counts_once_its_server_answers_anything_later():
+    scene = Scene()
+    await _end_runs(scene, "b", "c")
+    scene.visit(FAILED)
+    other = poison.Subject(b"o" * 16)
+    visit = scene.watch.begin(other, "other", scene.server)
+    scene.watch.end(visit, ANSWERED)
+    assert scene.counted == 0
+
+
+async def test_an_error_of_a_run_that_ended_voids_nothing():
+    scene = Scene()
+    await _end_runs(scene, "b", "c")
+    scene.visit(FAILED)
+    scene.watch.note_ended(scene.server.server_id)
+    scene.visit(BROKEN)
+    other = poison.Subject(b"o" * 16)
+    visit = scene.watch.begin(other, "other", scene.server)
+    scene.watch.end(visit, ANSWERED)
+    assert scene.counted == 2
+
+
+# An instance that did not know of others' answers refused a hot target.
+async def test_others_are_told_of_an_answer_before_a_third_end():
+    for names, told in ((("b",), 0), (("b", "c"), 1)):
+        scene = Scene()
+        cleared: list[poison.Subject] = []
+        scene.watch.on_cleared = cleared.append
+        await _end_runs(scene, *names)
+        scene.visit(ANSWERED)
+        scene.visit(ANSWERED)
+        assert len(cleared) == told
+
+
+@pytest.mark.parametrize(
+    ("results", "counted"),
+    [
+        pytest.param([None], 1, id="given up"),
+        pytest.param([ANSWERED], 0, id="answered"),
+        pytest.param([], 0, id="never there"),
+    ],
+)
+async def test_an_end_that_others_saw_counts_for_who_has_left(results, counted):
+    scene = Scene()
+    for result in results:
+        scene.visit(result)
+    scene.watch.note_seen_elsewhere(scene.server.server_id)
+    assert scene.counted == counted
+    scene.watch.note_seen_elsewhere(scene.server.server_id)
+    assert scene.counted == counted
