--- a/tests/emulated/test_many_callers.py
+++ b/tests/emulated/test_many_callers.py
@@ -95,3 +95,21 @@
         assert late == []
         last = [each for each in scene.told if each.target == target][-1]
         assert isinstance(last.outcome, outcomes.NotRun)
+
+
+SENT_MAX_COUNT = 3
+"""Requests that may go to servers from 0.3 s after the second end on."""
+
+
+# All that waited for a lost key went to its next owner at once: ten were at
+# work where the third server ended.
+@pytest.mark.parametrize("services", [KEYED, FREE, BOTH])
+@pytest.mark.parametrize("count", [5, 24])
+def test_few_are_sent_once_two_servers_have_ended(services, count):
+    scene = _play(Case(services, 0.01, instance_count=count))
+    for service in services:
+        target = _name_deadly(service)
+        ends_s = scene.end_times_s(target)
+        known_s = ends_s[1] + KNOWN_WITHIN_S
+        sent = [at_s for at_s in scene.run_times_s(target) if at_s > known_s]
+        assert len(sent) <= SENT_MAX_COUNT
