Let few instances try what two servers have ended under

All that waited for a key whose owner had ended went to its next owner in the same moment, up to four at work there.

Change: while one more end would be enough to refuse a request, one instance, chosen by rendezvous, sends it, one at a time; after half a second two may, then four. The others say at once that it was not run, and when to come back. An answer anywhere clears it for all, as before. Counted from when a server could take it, since a key may have no owner for seconds. First ends change nothing: most are chance.

--- a/libs/bridgecross-entry/src/bridgecross_entry/crash_watch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/crash_watch.py
@@ -10,6 +10,7 @@
 import dataclasses
 import enum
 import functools
+import math
 
 import anyio
 import anyio.abc
@@ -27,6 +28,7 @@
 from bridgecross_request import poison
 
 _FIRST_ERROR_STATUS = 500
+_TRIALS_MAX_COUNT = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +46,10 @@
     # A server that starts again at once refuses nobody; the list shows its
     # next run after a heartbeat or two.
     listed_evidence_s: float = 5.0
+    # While one more end would be enough to refuse a request, one instance may
+    # send it at first, and after each such pause twice as many. Else all that
+    # wait for a lost key would be at work where the third server ends.
+    trial_step_s: float = 0.5
     # Requests that left without an answer and are remembered, 0.3 KB each.
     left_max_count: int = 2_048
 
@@ -100,6 +106,10 @@
         # Called with a request that is refused, or would be after another
         # end, and is answered.
         self.on_cleared: Callable[[poison.Subject], None] = lambda _: None
+        # Returns how many other instances are to try a request before this one.
+        self.rank: Callable[[poison.Subject], int] = lambda _: 0
+        # When a request may be tried here, by it and its newest end.
+        self._opens_s: dict[tuple[poison.Subject, float], float] = {}
         self._settings = settings
         self._client = client
         self._book = book
@@ -124,6 +134,55 @@
         """
         self._tasks = tasks
 
+    # What may be sent.
+
+    def may_send(self, subject: poison.Subject) -> bool:
+        """Whether a request that could be sent now may be, from here."""
+        if self.ledger.refused_for_s(subject):
+            return False
+        if self.ledger.is_nearly_refused(subject):
+            self._begin_trial(subject)
+        return self.trial_wait_s(subject) <= 0
+
+    def trial_wait_s(self, subject: poison.Subject) -> float:
+        """Returns for how long others try a request first; 0 if none do."""
+        if not self.ledger.is_nearly_refused(subject):
+            return 0.0
+        opens_s = self._opens_s.get(self._name_trial(subject), -math.inf)
+        wait_s = opens_s - self._clock.monotonic_s()
+        if wait_s <= 0 and self._is_at_work(subject):
+            return self._settings.trial_step_s
+        return max(wait_s, 0.0)
+
+    def _begin_trial(self, subject: poison.Subject) -> None:
+        """Finds out when it is this instance's turn, once for each end.
+
+        Counted from when a server could take it: a key that has lost its owner
+        may have none for seconds.
+        """
+        name = self._name_trial(subject)
+        if name in self._opens_s:
+            return
+        wait_s = self._settings.trial_step_s * self.rank(subject).bit_length()
+        self._opens_s[name] = self._clock.monotonic_s() + wait_s
+        if len(self._opens_s) > _TRIALS_MAX_COUNT:
+            del self._opens_s[next(iter(self._opens_s))]
+
+    def _name_trial(
+        self, subject: poison.Subject
+    ) -> tuple[poison.Subject, float]:
+        """Returns a request and its newest end, after which it is tried."""
+        ends = self.ledger.ends_of(subject)
+        return subject, max(end.ended_s for end in ends)
+
+    def _is_at_work(self, subject: poison.Subject) -> bool:
+        """Whether a server runs a request that went there from here."""
+        return any(
+            visit.subject == subject and visit.state is _State.RUNNING
+            for visits in self._visits.values()
+            for visit in visits
+        )
+
     # Requests at servers.
 
     def begin(
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -333,13 +333,24 @@
         """
         left_s = self.watch.ledger.refused_for_s(life.subject)
         if not left_s:
-            return None
+            return self._leave_to_others(life)
         life.trail.append("servers end under it")
         refusal = self._refuse(
             "servers ended while they ran it", math.ceil(left_s * 1_000)
         )
         return self._conclude(life, refusal)
 
+    def _leave_to_others(self, life: _Life) -> outcomes.Outcome | None:
+        """Refuses a request for a moment in which another instance tries it."""
+        wait_s = self.watch.trial_wait_s(life.subject)
+        if not wait_s:
+            return None
+        life.trail.append("it is tried elsewhere first")
+        refusal = self._refuse(
+            "servers end under it, it seems", math.ceil(wait_s * 1_000)
+        )
+        return self._conclude(life, refusal)
+
     async def _try_owner(self, life: _Life) -> outcomes.Outcome | None:
         """Tries the owner of the request's key."""
         owner = await self._choose_owner(life)
@@ -608,7 +619,7 @@
         now_s = self._clock.monotonic_s()
         if now_s >= life.deadline_s:
             return None
-        if self.watch.ledger.refused_for_s(life.subject):
+        if not self.watch.may_send(life.subject):
             return None
         if not self._still_right(life, server, now_s, keyed=keyed):
             life.trail.append(f"{server.listed.server_id}: left meanwhile")
--- a/libs/bridgecross-entry/src/bridgecross_entry/duties.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/duties.py
@@ -13,6 +13,7 @@
 import anyio.abc
 
 from bridgecross_core import clock as clocks
+from bridgecross_core import hashing
 from bridgecross_core import ids
 from bridgecross_entry import attempts
 from bridgecross_entry import beliefs
@@ -33,6 +34,7 @@
 from bridgecross_entry import relaying
 from bridgecross_entry import servers as servers_lib
 from bridgecross_entry import tasks as tasks_lib
+from bridgecross_request import poison
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,6 +122,7 @@
             journal,
             clock,
         )
+        dispatcher.watch.rank = self._rank
         dispatcher.watch.on_ends = self.poison_news.tell_ends
         dispatcher.watch.on_cleared = self.poison_news.tell_answer
         self.poison_news.on_seen_ended = dispatcher.watch.note_seen_elsewhere
@@ -257,6 +260,12 @@
         own = self._platform.peer_address
         return tuple(sorted(self._beliefs.instances - {own}))
 
+    def _rank(self, subject: poison.Subject) -> int:
+        """Returns how many others try a suspect request before this one."""
+        own = str(self._platform.peer_address)
+        names = [own, *map(str, self._peers())]
+        return hashing.rank_by_rendezvous(subject.hex(), names).index(own)
+
     def _set_instances(self) -> None:
         """Divides among instances what all of them share."""
         count = len(self._peers()) + 1
--- a/libs/bridgecross-entry/src/bridgecross_entry/tally.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/tally.py
@@ -37,6 +37,7 @@
     "out of time": "out_of_time",
     "instance is stopping": "instance_stopping",
     "servers end under it": "poison",
+    "it is tried elsewhere first": "poison",
 }
 """Why requests are not served, by what the last entry of their trail says."""
 
