--- a/libs/bridgecross-entry/tests/test_crash_watch.py
+++ b/libs/bridgecross-entry/tests/test_crash_watch.py
@@ -2,7 +2,7 @@
 import entry_support as support
 import pytest
 
-from bridgecross_core import clock
+from bridgecross_core import clock as clocks
 from bridgecross_core import ids
 from bridgecross_core import outcomes
 from bridgecross_entry import attempts
@@ -35,8 +35,11 @@
 class Scene:
     """A watch over one server."""
 
-    def __init__(self, *refusing: bool) -> None:
-        real = clock.SystemClock()
+    def __init__(
+        self, *refusing: bool, clock: clocks.Clock | None = None
+    ) -> None:
+        real = clock or clocks.SystemClock()
+        self.clock = real
         journal = support.make_journal(real)
         self.backends = Backends(*refusing)
         self.book = servers.ServerBook(
@@ -227,3 +230,45 @@
     assert scene.counted == counted
     scene.watch.note_seen_elsewhere(scene.server.server_id)
     assert scene.counted == counted
+
+
+# All that waited for a lost key were at work where the third server ended.
+async def test_what_two_servers_ended_under_is_tried_in_turn():
+    for rank, opens_s in ((0, 0.0), (1, 0.5), (2, 1.0), (3, 1.0), (4, 1.5)):
+        scene = Scene(clock=support.ManualClock())
+        scene.watch.rank = lambda _, rank=rank: rank
+        await _end_runs(scene, "b")
+        assert scene.watch.may_send(SUBJECT)
+        await _end_runs(scene, "c")
+        assert scene.watch.trial_wait_s(SUBJECT) == 0
+        assert scene.watch.may_send(SUBJECT) == (opens_s == 0)
+        assert scene.watch.trial_wait_s(SUBJECT) == opens_s
+        scene.clock.now_s += opens_s
+        assert scene.watch.may_send(SUBJECT)
+        await _end_runs(scene, "d")
+        assert not scene.watch.may_send(SUBJECT)
+
+
+async def test_one_trial_at_a_time_leaves_an_instance():
+    scene = Scene()
+    await _end_runs(scene, "b", "c")
+    assert scene.watch.may_send(SUBJECT)
+    visit = scene.watch.begin(SUBJECT, "id", scene.server)
+    assert not scene.watch.may_send(SUBJECT)
+    assert scene.watch.trial_wait_s(SUBJECT) > 0
+    scene.watch.end(visit, ANSWERED)
+    assert scene.watch.may_send(SUBJECT)
+    assert scene.watch.trial_wait_s(SUBJECT) == 0
+
+
+async def test_trials_are_remembered_within_bounds():
+    scene = Scene()
+    asked: list[poison.Subject] = []
+    scene.watch.rank = lambda subject: asked.append(subject) or 0
+    for number in range(200):
+        subject = poison.Subject(number.to_bytes(16, "big"))
+        for server in ("b", "c"):
+            scene.ledger.put_end(poison.End(subject, server, 1.0, 2.0))
+        for _ in range(2):
+            scene.watch.may_send(subject)
+    assert len(asked) <= 200
