--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,6 +8,7 @@
 from benchmarks import fold
 from benchmarks import layers
 from benchmarks import poison
+from benchmarks import poison_ways
 from benchmarks import rows
 from benchmarks import wire
 from bridgecross_core import codec
@@ -17,6 +18,7 @@
     "wire": wire.run,
     "layers": layers.run,
     "poison": poison.run,
+    "poison-ways": poison_ways.run,
 }
 """The benchmarks by name."""
 
--- a/benchmarks/poison_ways.py
+++ b/benchmarks/poison_ways.py
@@ -60,6 +60,11 @@
 )
 
 
+def run() -> list[rows.Row]:
+    """Returns the figures of each way, by size."""
+    return [row for count in SIZES_COUNT for row in measure(count)]
+
+
 def measure(count: int) -> list[rows.Row]:
     """Returns the figures of each way in a house of a size."""
     found = []
