--- a/benchmarks/poison.py
+++ b/benchmarks/poison.py
@@ -17,7 +17,7 @@
 from bridgecross_entry import poison_news
 from bridgecross_request import poison
 
-_SIZES_COUNT = (11, 78, 195)
+_SIZES_COUNT = (11, 74, 195, 780)
 _REQUESTS_COUNT = 20_000
 _BODY = b"x" * 1_000
 
@@ -37,7 +37,7 @@
     def serve() -> None:
         for number in range(_REQUESTS_COUNT):
             subject = poison.name_subject(
-                "10.0.0.1", "house", b"GET", b"/a/%d" % number, _BODY
+                "house", b"GET", b"/a/%d" % number, _BODY
             )
             if ledger.refused_for_s(subject) or ledger.refused_for_s(subject):
                 raise AssertionError("nothing is refused here")
@@ -71,7 +71,7 @@
 
 async def _end_server(house: houses.House, count: int) -> list[rows.Row]:
     """Lets a server end under a request, as one instance sees it."""
-    subject = poison.name_subject("c", "h", b"GET", b"/deadly", b"")
+    subject = poison.name_subject("h", b"GET", b"/deadly", b"")
     network = house.network
     found = []
     for number, name in enumerate(("first", "second", "third"), 1):
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -75,6 +75,17 @@
     target: bytes
     # Whether the server was cold.
     is_cold: bool = False
+    # Whether the request ends servers.
+    is_deadly: bool = False
+
+
+class Ended(NamedTuple):
+    """A server's run that ended."""
+
+    at_s: float
+    server: str
+    # The request that ended it, by its target; None for another reason.
+    target: bytes | None
 
 
 class TurnedAway(NamedTuple):
@@ -105,7 +116,7 @@
         self.service = service
         self.address = address
         self.started_ms = started_ms
-        self.is_up = True
+        self.is_up = False
         self.is_leaving = False
         # Whether its answers say that it leaves, whatever its entry says.
         self.answers_leaving = False
@@ -161,7 +172,9 @@
         self._seen = []
 
     def start(self) -> None:
-        """Begins a run under the same name."""
+        """Begins a run under the same name, unless one goes on."""
+        if self.is_up:
+            return
         self.is_up = True
         self.ended = anyio.Event()
         self.is_leaving = False
@@ -237,13 +250,17 @@
         self.overlaps: list[Overlap] = []
         # Requests by their target that end each server which runs them.
         self.deadly: set[bytes] = set()
+        # Bodies with which those do no harm.
+        self.harmless_bodies: set[bytes] = set()
+        # Requests by their target that servers answer with an error.
+        self.failing: set[bytes] = set()
         # Services whose servers own keys; the others run any request.
         self.keyed: set[str] = set()
         # For how long servers that start are cold.
         self.warmup_s = 0.0
-        # All requests that servers began to run, and when one ended by that.
+        # All requests that servers began to run, and all runs that ended.
         self.runs: list[Run] = []
-        self.ends_s: list[float] = []
+        self.ends: list[Ended] = []
         # All requests that servers turned away.
         self.turned_away: list[TurnedAway] = []
         # When an answer told an instance first that a server's run leaves.
@@ -289,20 +306,33 @@
             if server.domain == domain:
                 server.cold_until_s = self.now_s + self.warmup_s
 
-    def crash_soon(self, server: EmulatedServer) -> None:
+    @property
+    def ends_s(self) -> list[float]:
+        """When servers ended, whatever the reason."""
+        return [each.at_s for each in self.ends]
+
+    def crash_soon(self, server: EmulatedServer, target: bytes) -> None:
         """Ends a server's run a little later; another run begins after it.
 
         That belongs to no instance: it happens also if the one whose request
         brought it about stands still.
         """
-        _call_later(self.settings.crash_after_s, self.crash, server)
+        run = server.ended
+
+        def crash() -> None:
+            if server.ended is run:
+                self.crash(server, target)
 
-    def crash(self, server: EmulatedServer) -> None:
+        _call_later(self.settings.crash_after_s, crash)
+
+    def crash(
+        self, server: EmulatedServer, target: bytes | None = None
+    ) -> None:
         """Ends a server's run; another one begins later."""
         if not server.is_up:
             return
         server.crash()
-        self.ends_s.append(self.now_s)
+        self.ends.append(Ended(self.now_s, server.name, target))
         _call_later(self.settings.returns_after_s, server.start)
 
     def holders(self, key: int) -> list[EmulatedServer]:
@@ -542,7 +572,8 @@
             return attempts.Interrupted("the connection ended")
         await network.cross(server.address, self._sender)
         self._hear(server, found)
-        return outcomes.Answered(200, (), b"")
+        failed = request.target in self._fleet.failing
+        return outcomes.Answered(500 if failed else 200, (), b"")
 
     def _hear(self, server: model.BackendServer, found: EmulatedServer) -> None:
         """Takes in what an answer says of its server."""
@@ -563,16 +594,21 @@
     ) -> None:
         """Keeps that a request begins to run, and lets it do its harm."""
         fleet = self._fleet
+        is_deadly = (
+            request.target in fleet.deadly
+            and request.body not in fleet.harmless_bodies
+        )
         run = Run(
             fleet.now_s,
             server.name,
             self._sender,
             request.target,
             server.is_cold,
+            is_deadly,
         )
         fleet.runs.append(run)
-        if request.target in fleet.deadly:
-            fleet.crash_soon(server)
+        if is_deadly:
+            fleet.crash_soon(server, request.target)
 
     def is_connected(self, server: model.BackendServer) -> bool:
         """Connections cost nothing here."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/crash_watch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/crash_watch.py
@@ -10,6 +10,7 @@
 import dataclasses
 import enum
 import functools
+import math
 
 import anyio
 import anyio.abc
@@ -23,9 +24,11 @@
 from bridgecross_entry import model
 from bridgecross_entry import servers as servers_lib
 from bridgecross_entry import tasks as tasks_lib
+from bridgecross_request import error_answers
 from bridgecross_request import poison
 
 _FIRST_ERROR_STATUS = 500
+_TRIALS_MAX_COUNT = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +46,10 @@
     # A server that starts again at once refuses nobody; the list shows its
     # next run after a heartbeat or two.
     listed_evidence_s: float = 5.0
+    # While one more end would be enough to refuse a request, one instance may
+    # send it at first, and after each such pause twice as many. Else all that
+    # wait for a lost key would be at work where the third server ends.
+    trial_step_s: float = 0.5
     # Requests that left without an answer and are remembered, 0.3 KB each.
     left_max_count: int = 2_048
 
@@ -96,8 +103,13 @@
         self.ledger = ledger
         # Called with ends that were not known, to tell other instances.
         self.on_ends: Callable[[list[poison.End]], None] = lambda _: None
-        # Called with a request that was refused elsewhere, and is answered.
+        # Called with a request that is refused, or would be after another
+        # end, and is answered.
         self.on_cleared: Callable[[poison.Subject], None] = lambda _: None
+        # Returns how many other instances are to try a request before this one.
+        self.rank: Callable[[poison.Subject], int] = lambda _: 0
+        # When a request may be tried here, by it and its newest end.
+        self._opens_s: dict[tuple[poison.Subject, float], float] = {}
         self._settings = settings
         self._client = client
         self._book = book
@@ -108,6 +120,7 @@
         self._visits: dict[ids.ServerId, set[Visit]] = {}
         # Those that left, the first of them first.
         self._left: dict[Visit, None] = {}
+        self._errors = error_answers.ErrorAnswers()
         # Looks that are under way.
         self._looks: dict[ids.ServerId, anyio.Event] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -121,6 +134,55 @@
         """
         self._tasks = tasks
 
+    # What may be sent.
+
+    def may_send(self, subject: poison.Subject) -> bool:
+        """Whether a request that could be sent now may be, from here."""
+        if self.ledger.refused_for_s(subject):
+            return False
+        if self.ledger.is_nearly_refused(subject):
+            self._begin_trial(subject)
+        return self.trial_wait_s(subject) <= 0
+
+    def trial_wait_s(self, subject: poison.Subject) -> float:
+        """Returns for how long others try a request first; 0 if none do."""
+        if not self.ledger.is_nearly_refused(subject):
+            return 0.0
+        opens_s = self._opens_s.get(self._name_trial(subject), -math.inf)
+        wait_s = opens_s - self._clock.monotonic_s()
+        if wait_s <= 0 and self._is_at_work(subject):
+            return self._settings.trial_step_s
+        return max(wait_s, 0.0)
+
+    def _begin_trial(self, subject: poison.Subject) -> None:
+        """Finds out when it is this instance's turn, once for each end.
+
+        Counted from when a server could take it: a key that has lost its owner
+        may have none for seconds.
+        """
+        name = self._name_trial(subject)
+        if name in self._opens_s:
+            return
+        wait_s = self._settings.trial_step_s * self.rank(subject).bit_length()
+        self._opens_s[name] = self._clock.monotonic_s() + wait_s
+        if len(self._opens_s) > _TRIALS_MAX_COUNT:
+            del self._opens_s[next(iter(self._opens_s))]
+
+    def _name_trial(
+        self, subject: poison.Subject
+    ) -> tuple[poison.Subject, float]:
+        """Returns a request and its newest end, after which it is tried."""
+        ends = self.ledger.ends_of(subject)
+        return subject, max(end.ended_s for end in ends)
+
+    def _is_at_work(self, subject: poison.Subject) -> bool:
+        """Whether a server runs a request that went there from here."""
+        return any(
+            visit.subject == subject and visit.state is _State.RUNNING
+            for visits in self._visits.values()
+            for visit in visits
+        )
+
     # Requests at servers.
 
     def begin(
@@ -169,17 +231,27 @@
     ) -> None:
         """Takes in an answer, or that nobody listens at the server."""
         if isinstance(result, outcomes.Answered):
-            if result.status < _FIRST_ERROR_STATUS:
-                self._take_answer(visit.subject)
+            self._take_answered(visit, result.status)
         elif isinstance(result, attempts.NotSent) and result.refused:
             self._note_refused(visit.server.server_id)
 
-    def _take_answer(self, subject: poison.Subject) -> None:
+    def _take_answered(self, visit: Visit, status: int) -> None:
+        """Takes in that a server answered, which may be ending."""
+        server_id = visit.server.server_id
+        now_s = self._clock.monotonic_s()
+        for answer in self._errors.take_confirmed(server_id, visit.sent_s):
+            self._take_answer(answer)
+        if status < _FIRST_ERROR_STATUS:
+            self._take_answer(poison.Answer(visit.subject, now_s))
+        else:
+            self._errors.note_error(server_id, visit.subject, now_s)
+
+    def _take_answer(self, answer: poison.Answer) -> None:
         """Takes in that a server ran a request, and lived."""
-        was_refused = self.ledger.refused_for_s(subject) > 0
-        self.ledger.note_answer(subject)
-        if was_refused:
-            self.on_cleared(subject)
+        concerns_others = self.ledger.is_nearly_refused(answer.subject)
+        self.ledger.put_answer(answer)
+        if concerns_others:
+            self.on_cleared(answer.subject)
 
     async def wait_for_verdict(self, server: model.BackendServer) -> None:
         """Waits until it is known whether a server's run has ended."""
@@ -251,8 +323,17 @@
     def note_ended(self, server_id: ids.ServerId) -> None:
         """Takes in that a run has certainly ended."""
         window_s = self._settings.listed_evidence_s
+        self._errors.forget(server_id)
         self._count_ends(server_id, window_s, "another run is known")
 
+    def note_seen_elsewhere(self, server_id: ids.ServerId) -> None:
+        """Takes in that another instance saw a run end under a request.
+
+        Who has given up its own requests there has not looked.
+        """
+        window_s = self._settings.refused_evidence_s
+        self._count_ends(server_id, window_s, "another instance saw it end")
+
     def _count_ends(
         self, server_id: ids.ServerId, window_s: float, reason: str
     ) -> None:
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -339,13 +339,24 @@
         """
         left_s = self.watch.ledger.refused_for_s(life.subject)
         if not left_s:
-            return None
+            return self._leave_to_others(life)
         life.trail.append("servers end under it")
         refusal = self._refuse(
             "servers ended while they ran it", math.ceil(left_s * 1_000)
         )
         return self._conclude(life, refusal)
 
+    def _leave_to_others(self, life: _Life) -> outcomes.Outcome | None:
+        """Refuses a request for a moment in which another instance tries it."""
+        wait_s = self.watch.trial_wait_s(life.subject)
+        if not wait_s:
+            return None
+        life.trail.append("it is tried elsewhere first")
+        refusal = self._refuse(
+            "servers end under it, it seems", math.ceil(wait_s * 1_000)
+        )
+        return self._conclude(life, refusal)
+
     async def _try_owner(self, life: _Life) -> outcomes.Outcome | None:
         """Tries the owner of the request's key."""
         owner = await self._choose_owner(life)
@@ -667,6 +678,8 @@
         # It is asked once more when there is a connection.
         if not may_send() or not await self._is_known(life, server, may_send):
             return None
+        if not self.watch.may_send(life.subject):
+            return None
         server_id = server.listed.server_id
         before = server_id in life.tried
         left_ms = (life.deadline_s - self._clock.monotonic_s()) * 1_000
@@ -997,11 +1010,7 @@
 def _name_subject(request: attempts.EntryRequest) -> poison.Subject:
     """Returns what a request is known by, whatever its id and its key."""
     return poison.name_subject(
-        request.caller,
-        request.host,
-        request.method,
-        request.target,
-        request.body,
+        request.host, request.method, request.target, request.body
     )
 
 
--- a/libs/bridgecross-entry/tests/test_crash_watch.py
+++ b/libs/bridgecross-entry/tests/test_crash_watch.py
@@ -2,7 +2,7 @@
 import entry_support as support
 import pytest
 
-from bridgecross_core import clock
+from bridgecross_core import clock as clocks
 from bridgecross_core import ids
 from bridgecross_core import outcomes
 from bridgecross_entry import attempts
@@ -35,8 +35,11 @@
 class Scene:
     """A watch over one server."""
 
-    def __init__(self, *refusing: bool) -> None:
-        real = clock.SystemClock()
+    def __init__(
+        self, *refusing: bool, clock: clocks.Clock | None = None
+    ) -> None:
+        real = clock or clocks.SystemClock()
+        self.clock = real
         journal = support.make_journal(real)
         self.backends = Backends(*refusing)
         self.book = servers.ServerBook(
@@ -157,3 +160,123 @@
     scene.book.notices.hear(scene.server, attempts.Notice(rest_s=3.0))
     assert await _play(scene, BROKEN) == 0
     assert scene.backends.looks_count == 0
+
+
+async def _end_runs(scene: Scene, *names: str) -> None:
+    """Lets runs end under the request, one after the other."""
+    for name in names:
+        server = support.make_server(name)
+        visit = scene.watch.begin(SUBJECT, "id", server)
+        scene.watch.end(visit, BROKEN)
+        scene.watch.note_ended(server.server_id)
+
+
+@pytest.mark.parametrize(
+    ("results", "counted"),
+    [
+        pytest.param([ANSWERED], 0, id="answered"),
+        pytest.param([FAILED], 2, id="an error, perhaps the last word"),
+        pytest.param([FAILED, FAILED], 0, id="errors one after the other"),
+        pytest.param([FAILED, attempts.Shed(503)], 2, id="shed after it"),
+        pytest.param([FAILED, BROKEN], 2, id="broken after it"),
+    ],
+)
+async def test_what_voids_ends(results, counted):
+    scene = Scene()
+    await _end_runs(scene, "b", "c")
+    assert await _play(scene, *results, wait_s=0.01) == counted
+
+
+# Refused was a target of which all answers were errors, after three crashes.
+async def test_an_error_counts_once_its_server_answers_anything_later():
+    scene = Scene()
+    await _end_runs(scene, "b", "c")
+    scene.visit(FAILED)
+    other = poison.Subject(b"o" * 16)
+    visit = scene.watch.begin(other, "other", scene.server)
+    scene.watch.end(visit, ANSWERED)
+    assert scene.counted == 0
+
+
+async def test_an_error_of_a_run_that_ended_voids_nothing():
+    scene = Scene()
+    await _end_runs(scene, "b", "c")
+    scene.visit(FAILED)
+    scene.watch.note_ended(scene.server.server_id)
+    scene.visit(BROKEN)
+    other = poison.Subject(b"o" * 16)
+    visit = scene.watch.begin(other, "other", scene.server)
+    scene.watch.end(visit, ANSWERED)
+    assert scene.counted == 2
+
+
+# An instance that did not know of others' answers refused a hot target.
+async def test_others_are_told_of_an_answer_before_a_third_end():
+    for names, told in ((("b",), 0), (("b", "c"), 1)):
+        scene = Scene()
+        cleared: list[poison.Subject] = []
+        scene.watch.on_cleared = cleared.append
+        await _end_runs(scene, *names)
+        scene.visit(ANSWERED)
+        scene.visit(ANSWERED)
+        assert len(cleared) == told
+
+
+@pytest.mark.parametrize(
+    ("results", "counted"),
+    [
+        pytest.param([None], 1, id="given up"),
+        pytest.param([ANSWERED], 0, id="answered"),
+        pytest.param([], 0, id="never there"),
+    ],
+)
+async def test_an_end_that_others_saw_counts_for_who_has_left(results, counted):
+    scene = Scene()
+    for result in results:
+        scene.visit(result)
+    scene.watch.note_seen_elsewhere(scene.server.server_id)
+    assert scene.counted == counted
+    scene.watch.note_seen_elsewhere(scene.server.server_id)
+    assert scene.counted == counted
+
+
+# All that waited for a lost key were at work where the third server ended.
+async def test_what_two_servers_ended_under_is_tried_in_turn():
+    for rank, opens_s in ((0, 0.0), (1, 0.5), (2, 1.0), (3, 1.0), (4, 1.5)):
+        scene = Scene(clock=support.ManualClock())
+        scene.watch.rank = lambda _, rank=rank: rank
+        await _end_runs(scene, "b")
+        assert scene.watch.may_send(SUBJECT)
+        await _end_runs(scene, "c")
+        assert scene.watch.trial_wait_s(SUBJECT) == 0
+        assert scene.watch.may_send(SUBJECT) == (opens_s == 0)
+        assert scene.watch.trial_wait_s(SUBJECT) == opens_s
+        scene.clock.now_s += opens_s
+        assert scene.watch.may_send(SUBJECT)
+        await _end_runs(scene, "d")
+        assert not scene.watch.may_send(SUBJECT)
+
+
+async def test_one_trial_at_a_time_leaves_an_instance():
+    scene = Scene()
+    await _end_runs(scene, "b", "c")
+    assert scene.watch.may_send(SUBJECT)
+    visit = scene.watch.begin(SUBJECT, "id", scene.server)
+    assert not scene.watch.may_send(SUBJECT)
+    assert scene.watch.trial_wait_s(SUBJECT) > 0
+    scene.watch.end(visit, ANSWERED)
+    assert scene.watch.may_send(SUBJECT)
+    assert scene.watch.trial_wait_s(SUBJECT) == 0
+
+
+async def test_trials_are_remembered_within_bounds():
+    scene = Scene()
+    asked: list[poison.Subject] = []
+    scene.watch.rank = lambda subject: asked.append(subject) or 0
+    for number in range(200):
+        subject = poison.Subject(number.to_bytes(16, "big"))
+        for server in ("b", "c"):
+            scene.ledger.put_end(poison.End(subject, server, 1.0, 2.0))
+        for _ in range(2):
+            scene.watch.may_send(subject)
+    assert len(asked) <= 200
