Emulator: work lasts while keys move, and a check that keys rest first

Requests last at emulated servers, under their leases; a release ends new work at once and is answered once what ran has ended, a second one at once. Orders can be carried out late in part, releases too; until now a late grant was given up with its caller before it was done, so none was ever carried out. Callers ask for keys all the while, ranges run hot, and appends, orders and answers get lost or late by a draw of their own.

--- a/libs/bridgecross-emulator/src/bridgecross_emulator/__init__.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/__init__.py
@@ -10,6 +10,9 @@
 * ``instances``: one emulated instance.
 * ``house``: all of them together.
 * ``faults``: what may happen to them, drawn by seed.
+* ``moving``: what may happen while keys move and are asked for.
+* ``traffic``: callers who keep asking for keys.
+* ``work``: requests at work at a server.
 * ``checks``: what must hold all the same.
 * ``ownership_model``: all orders of events around one key, up to a bound.
 * ``search``: plays, shrinks, keeps and replays.
@@ -21,9 +24,12 @@
     "house",
     "instances",
     "log_model",
+    "moving",
     "network",
     "ownership_model",
     "search",
     "servers",
+    "traffic",
     "virtual",
+    "work",
 ]
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/checks.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/checks.py
@@ -131,6 +131,21 @@
     ]
 
 
+def check_handovers(house: houses.House) -> list[Violation]:
+    """Returns keys that were given on while their last holder worked on them.
+
+    That is, before the lease was over under which it did so.
+    """
+    found: dict[str, Violation] = {}
+    for each in house.fleet.premature:
+        detail = (
+            f"{each.server} takes key {each.key}, on which {each.other} works"
+        )
+        promise = "a key is given on once its last holder rests"
+        found.setdefault(detail, Violation(promise, each.at_s, detail))
+    return list(found.values())
+
+
 TOPICS_KNOWN_WITHIN_S = 6.0
 """After all is calm, each instance knows a topic as it was so long ago: key
 maps are waited for in the log for 5 s, where nobody tells of them."""
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/faults.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/faults.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import math
 import random
 from typing import NamedTuple
@@ -84,6 +85,11 @@
             return self.house.leader
         return present[target % len(present)]
 
+    def domain(self, target: int) -> str:
+        """Returns a failure domain of servers by its number."""
+        present = {s.domain for s in self.house.fleet.servers.values()}
+        return sorted(present)[target % len(present)]
+
     def server(self, target: int) -> servers.EmulatedServer:
         """Returns a server by its number."""
         present = list(self.house.fleet.servers.values())
@@ -252,18 +258,17 @@
 
 def _take_orders_late(scene: Scene, target: int) -> End:
     server = scene.server(target)
-    server.takes_late = True
+    server.lateness = servers.Lateness(grant_ratio=1.0)
 
     def end() -> None:
-        server.takes_late = False
+        server.lateness = servers.Lateness()
 
     return end
 
 
 def _evacuate(scene: Scene, target: int) -> End:
     """The operator empties a failure domain of servers."""
-    present = sorted({s.domain for s in scene.house.fleet.servers.values()})
-    domain = present[target % len(present)]
+    domain = scene.domain(target)
     scene.house.evacuate(domain)
     return lambda: scene.house.take_back(domain)
 
@@ -354,13 +359,15 @@
     return tuple(sorted(events))
 
 
-async def play(scene: Scene, events: tuple[Event, ...]) -> None:
+async def play(
+    scene: Scene, events: tuple[Event, ...], kinds: Mapping[str, Kind] = KINDS
+) -> None:
     """Lets events happen, counted from now; returns after the last end."""
     begun_s = scene.house.now_s
 
     async def happen(event: Event) -> None:
         await anyio.sleep(begun_s + event.at_s - scene.house.now_s)
-        kind = KINDS[event.kind]
+        kind = kinds[event.kind]
         disturbed = ""
         if kind.disturbs_target:
             disturbed = scene.instance(event.target).settings.name
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/house.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/house.py
@@ -1,8 +1,11 @@
 """A house of emulated instances around one log, and what came of it."""
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
 import dataclasses
 import random
+from typing import Any
 from typing import NamedTuple
 
 import anyio
@@ -225,6 +228,12 @@
         key = instances.EVACUATION_PREFIX + domain
         self.log.add(instances.CONFIGURATION_TOPIC, logs.KeyedRecord(key, b""))
 
+    def run_beside(
+        self, work: Callable[..., Coroutine[Any, Any, None]], *args: object
+    ) -> None:
+        """Runs something until it ends, or the house stops."""
+        self._tasks.start_soon(work, *args)
+
     @property
     def leader(self) -> instances.EmulatedInstance:
         """The instance that made the newest claim."""
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/log_model.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/log_model.py
@@ -15,6 +15,7 @@
 
 from bridgecross_core import clock as clocks
 from bridgecross_core import pulse
+from bridgecross_emulator import work as work_lib
 from bridgecross_entry import log as logs
 
 _Result = TypeVar("_Result")
@@ -48,6 +49,8 @@
         # Topics that no call is answered about.
         self.away_topics: set[str] = set()
         self.is_away = False
+        # Told of each record that instances append, by its topic.
+        self.on_appended: Callable[[str], None] = lambda _: None
         self._records: dict[str, list[logs.KeyedRecord]]
         self._records = collections.defaultdict(list)
         self._first: collections.Counter[str] = collections.Counter()
@@ -120,6 +123,9 @@
         self.turned_away_topics: set[str] = set()
         # How many times as long answers take.
         self.slow_ratio = 1.0
+        # How much later the log does what this instance appends, which gets no
+        # answer then; None if all is well.
+        self.append_late_s: float | None = None
         self.call_count = 0
         self._model = model
         self._clock = clock
@@ -165,13 +171,15 @@
     ) -> logs.Appended | logs.Conflict | logs.Uncertain | logs.Unreachable:
         """Appends a record if the topic still ends at an offset."""
 
-        async def work() -> logs.Appended | logs.Conflict:
+        def work() -> logs.Appended | logs.Conflict:
             end = self._model.end(topic)
             if end != expected_end:
                 return logs.Conflict(end)
-            return logs.Appended(self._model.add(topic, record))
+            offset = self._model.add(topic, record)
+            self._model.on_appended(topic)
+            return logs.Appended(offset)
 
-        result = await self._call(topic, work)
+        result = await self._call(topic, self._delay(work))
         if isinstance(result, logs.Unreachable):
             return logs.Uncertain(result.reason)
         return result
@@ -179,11 +187,27 @@
     async def put(self, topic: str, record: logs.KeyedRecord) -> bool:
         """Appends a record whatever came before; returns whether it is in."""
 
-        async def work() -> bool:
+        def work() -> bool:
             self._model.add(topic, record)
             return True
 
-        return await self._call(topic, work) is True
+        return await self._call(topic, self._delay(work)) is True
+
+    def _delay(
+        self, work: Callable[[], _Result]
+    ) -> Callable[[], Awaitable[_Result]]:
+        """Returns a change of the log as it is done for this instance."""
+
+        async def delayed() -> _Result:
+            late_s = self.append_late_s
+            if late_s is None:
+                return work()
+            # It is done whether the caller still waits or not.
+            work_lib.call_later(late_s, work)
+            await anyio.sleep_forever()
+            raise AssertionError
+
+        return delayed
 
     async def _call(
         self,
--- /dev/null
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/moving.py
@@ -0,0 +1,292 @@
+"""What may happen to a house while its keys move, and who asks for them.
+
+These events are drawn apart from those of ``faults``, some of which come beside
+them: callers all the while, ranges that run hot, servers that join, and what
+makes orders and maps arrive in part, late or without an answer.
+"""
+
+import random
+
+from bridgecross_emulator import faults
+from bridgecross_emulator import instances
+from bridgecross_emulator import servers
+from bridgecross_emulator import traffic
+from bridgecross_emulator import work
+from bridgecross_entry import beliefs
+from bridgecross_entry import keymap
+from bridgecross_entry import log as logs
+from bridgecross_entry import model
+
+TRAFFIC = "traffic"
+HOT_RANGE = "hot range"
+
+_RATE_PER_S = 12.0
+_HOT_RATE_PER_S = 18.0
+_HOT_KEYS = 300
+_HOT_STEP = 9_973
+"""Hot ranges begin at multiples of this, far from one another."""
+
+_LOST_RATIO = 0.3
+_LATE_RATIO = 0.5
+_APPEND_LATE_S = 1.2
+"""A call to the log is given up after 0.8 s: by then nothing of it is done."""
+
+_KILL_AFTER_S = 0.002
+
+
+def _ask(scene: faults.Scene, target: int) -> faults.End:
+    asked = traffic.Traffic(
+        scene.house, keymap.FIRST_KEY, keymap.LAST_KEY, _RATE_PER_S
+    )
+    asked.start()
+    return asked.stop
+
+
+def _heat(scene: faults.Scene, target: int) -> faults.End:
+    first_key = target * _HOT_STEP % keymap.LAST_KEY
+    last_key = first_key + _HOT_KEYS - 1
+    asked = traffic.Traffic(scene.house, first_key, last_key, _HOT_RATE_PER_S)
+    asked.start()
+    return asked.stop
+
+
+def _join_server(scene: faults.Scene, target: int) -> faults.End:
+    """Another server starts, and stays."""
+    fleet = scene.house.fleet
+    number = len(fleet.servers)
+    address = model.Address(f"10.2.1.{number}", 8_609)
+    fleet.add(f"j-{number}", instances.SERVICE, address, scene.domain(target))
+    return lambda: None
+
+
+def _lose_answers(scene: faults.Scene, target: int) -> faults.End:
+    """What an instance appends is done, and not answered."""
+    return _delay_appends(scene, target, 0.0)
+
+
+def _append_late(scene: faults.Scene, target: int) -> faults.End:
+    """What an instance appends is done after it was given up."""
+    return _delay_appends(scene, target, _APPEND_LATE_S)
+
+
+def _delay_appends(
+    scene: faults.Scene, target: int, late_s: float
+) -> faults.End:
+    way = scene.instance(target).way
+    way.append_late_s = late_s
+
+    def end() -> None:
+        way.append_late_s = None
+
+    return end
+
+
+def _kill_after_append(scene: faults.Scene, target: int) -> faults.End:
+    """Whoever appends the next key map is killed before it is answered."""
+    log = scene.house.log
+    killed: list[instances.EmulatedInstance] = []
+
+    def kill() -> None:
+        leader = scene.house.leader
+        if not leader.is_dead:
+            leader.kill()
+            killed.append(leader)
+
+    def note(topic: str) -> None:
+        if topic == beliefs.KEY_TOPIC:
+            log.on_appended = lambda _: None
+            work.call_later(_KILL_AFTER_S, kill)
+
+    log.on_appended = note
+
+    def end() -> None:
+        log.on_appended = lambda _: None
+        for instance in killed:
+            scene.house.restart(instance)
+
+    return end
+
+
+def _delay_orders(
+    scene: faults.Scene, target: int, lateness: servers.Lateness
+) -> faults.End:
+    server = scene.server(target)
+    server.lateness = lateness
+
+    def end() -> None:
+        server.lateness = servers.Lateness()
+
+    return end
+
+
+def _delay_some(scene: faults.Scene, target: int) -> faults.End:
+    lateness = servers.Lateness(_LATE_RATIO, _LATE_RATIO)
+    return _delay_orders(scene, target, lateness)
+
+
+def _delay_releases(scene: faults.Scene, target: int) -> faults.End:
+    lateness = servers.Lateness(release_ratio=1.0)
+    return _delay_orders(scene, target, lateness)
+
+
+def _silence_server(scene: faults.Scene, target: int) -> faults.End:
+    """Orders reach a server, and requests; its answers reach nobody."""
+    network = scene.house.network
+    server = scene.server(target).address
+    pairs = [(server, i.settings.peer_address) for i in scene.house.instances]
+    for pair in pairs:
+        network.cut(*pair)
+
+    def end() -> None:
+        for pair in pairs:
+            network.mend(*pair)
+
+    return end
+
+
+def _find_pair(
+    scene: faults.Scene, target: int
+) -> tuple[model.Address, model.Address]:
+    """Returns where an instance and a server are, by the number of a pair."""
+    count = len(scene.house.instances)
+    instance = scene.instance(target % count)
+    server = scene.server(target // count)
+    return instance.settings.peer_address, server.address
+
+
+def _lose_packets(scene: faults.Scene, target: int) -> faults.End:
+    """A link between an instance and a server is lossy."""
+    network = scene.house.network
+    sender, receiver = _find_pair(scene, target)
+    network.lose(sender, receiver, _LOST_RATIO)
+    network.lose(receiver, sender, _LOST_RATIO)
+
+    def end() -> None:
+        network.lose(sender, receiver, 0.0)
+        network.lose(receiver, sender, 0.0)
+
+    return end
+
+
+def _cut_way(scene: faults.Scene, target: int) -> faults.End:
+    """A server hears nothing of one instance."""
+    network = scene.house.network
+    pair = _find_pair(scene, target)
+    network.cut(*pair)
+    return lambda: network.mend(*pair)
+
+
+def _cut_answers(scene: faults.Scene, target: int) -> faults.End:
+    """One instance hears nothing of a server."""
+    network = scene.house.network
+    sender, receiver = _find_pair(scene, target)
+    network.cut(receiver, sender)
+    return lambda: network.mend(receiver, sender)
+
+
+def _mistake_server(scene: faults.Scene, target: int) -> faults.End:
+    """One instance is told that another server has a server's address."""
+    mistaken = scene.house.fleet.mistaken
+    pair = _find_pair(scene, target)
+    mistaken.add(pair)
+    return lambda: mistaken.discard(pair)
+
+
+def _unlist_instance(scene: faults.Scene, target: int) -> faults.End:
+    """An instance is taken off the list, as one that was away for long."""
+    address = scene.instance(target).settings.peer_address
+    gone = logs.KeyedRecord(str(address), b"")
+    scene.house.log.add(beliefs.INSTANCE_TOPIC, gone)
+    return lambda: None
+
+
+KINDS = {
+    TRAFFIC: faults.Kind(_ask, 0),
+    HOT_RANGE: faults.Kind(_heat, 0),
+    "server joins": faults.Kind(_join_server, 1, is_momentary=True),
+    "log answers lost": faults.Kind(_lose_answers, 3, disturbs_target=True),
+    "log appends late": faults.Kind(_append_late, 3, disturbs_target=True),
+    "killed after append": faults.Kind(
+        _kill_after_append, 3, disturbs_all=True
+    ),
+    "some orders late": faults.Kind(_delay_some, 2),
+    "releases late": faults.Kind(_delay_releases, 2),
+    "server says nothing": faults.Kind(_silence_server, 2),
+    "link lossy": faults.Kind(_lose_packets, 2),
+    "server deaf to one": faults.Kind(_cut_way, 2),
+    "server mute to one": faults.Kind(_cut_answers, 2),
+    # Words that are wrong; drawn apart, since they are no faults of links.
+    "server mistaken": faults.Kind(_mistake_server, 0),
+    "instance unlisted": faults.Kind(
+        _unlist_instance, 0, disturbs_target=True, is_momentary=True
+    ),
+}
+
+_BESIDE = {
+    "log cut": 2.0,
+    "turned away": 2.0,
+    "slow to log": 1.0,
+    "killed": 2.0,
+    "frozen": 3.0,
+    "isolated": 3.0,
+    "mute": 3.0,
+    "deaf": 1.0,
+    "log away": 0.5,
+    "topic away": 0.5,
+    "connections silent": 0.5,
+    "server crash": 2.0,
+    "server leaves": 4.0,
+    "server cut": 1.0,
+    "server off log": 1.0,
+    "orders late": 1.0,
+    faults.EVACUATION: 1.0,
+}
+"""How often faults of other kinds come beside these."""
+
+_HOT_RANGES_COUNT = 3
+_HOT_FOR_S = (2.0, 6.0)
+_PAIRS_COUNT = 20
+_WRONG_WORDS = ("server mistaken", "instance unlisted")
+_WRONG_WORDS_COUNT = 2
+
+
+def draw(seed: int, count: int, length_s: float) -> tuple[faults.Event, ...]:
+    """Returns random events beside callers; the same for the same seed."""
+    rng = random.Random(f"moving {seed}")
+    events = [faults.Event(0.0, TRAFFIC, 0, length_s)]
+    for _ in range(_HOT_RANGES_COUNT):
+        at_s = round(rng.uniform(0.0, length_s / 2), 3)
+        for_s = round(rng.uniform(*_HOT_FOR_S), 3)
+        events.append(faults.Event(at_s, HOT_RANGE, rng.randrange(7), for_s))
+    weights = {name: kind.weight for name, kind in KINDS.items()} | _BESIDE
+    kinds = {**faults.KINDS, **KINDS}
+    drawn = rng.choices(list(weights), list(weights.values()), k=count)
+    for name in drawn:
+        # Those who lead, and the first of the servers, are met most often.
+        target = rng.choice([0, 0, 0, rng.randrange(_PAIRS_COUNT)])
+        events.append(_place(rng, name, target, kinds[name], length_s))
+    return tuple(sorted(set(events)))
+
+
+def draw_wrong_words(seed: int, length_s: float) -> tuple[faults.Event, ...]:
+    """Returns words that are wrong, drawn apart from a seed's other events."""
+    rng = random.Random(f"wrong {seed}")
+    return tuple(
+        _place(rng, name, rng.randrange(_PAIRS_COUNT), KINDS[name], length_s)
+        for name in rng.choices(_WRONG_WORDS, k=_WRONG_WORDS_COUNT)
+    )
+
+
+def _place(
+    rng: random.Random,
+    name: str,
+    target: int,
+    kind: faults.Kind,
+    length_s: float,
+) -> faults.Event:
+    """Returns an event of a kind at a random time."""
+    at_s = round(rng.uniform(0.0, length_s), 3)
+    for_s = rng.choice([0.3, 1.0, 2.0, 4.0]) * rng.uniform(0.5, 1.5)
+    return faults.Event(
+        at_s, name, target, 0.0 if kind.is_momentary else round(for_s, 3)
+    )
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/network.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/network.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import contextvars
 import dataclasses
+import random
 
 import anyio
 
@@ -24,6 +25,8 @@
 
     # One way between two instances.
     link_s: float = 0.0005
+    # After this time a packet that was lost is sent again; the time doubles.
+    resend_s: float = 0.2
 
 
 _ANSWERING: set[asyncio.Task[None]] = set()
@@ -49,6 +52,9 @@
         # How often each direction is cut at the moment.
         self._cut: collections.Counter[tuple[model.Address, model.Address]]
         self._cut = collections.Counter()
+        # The part of the packets that is lost, by direction.
+        self._lost_ratio: dict[tuple[model.Address, model.Address], float] = {}
+        self._rng = random.Random(1)
         self._healed = pulse.Pulse()
         # Counts up each time that all open connections go silent.
         self.silenced_count = 0
@@ -88,6 +94,12 @@
         self._cut.clear()
         self._healed.notify()
 
+    def lose(
+        self, sender: model.Address, receiver: model.Address, ratio: float
+    ) -> None:
+        """Loses a part of the packets in one direction from now on."""
+        self._lost_ratio[sender, receiver] = ratio
+
     def silence(self) -> None:
         """Makes all open connections silent for good; new ones work."""
         self.silenced_count += 1
@@ -97,6 +109,11 @@
     ) -> None:
         """Waits until bytes have crossed a link."""
         await anyio.sleep(self.settings.link_s)
+        lost_ratio = self._lost_ratio.get((sender, receiver), 0.0)
+        resend_s = self.settings.resend_s
+        while lost_ratio and self._rng.random() < lost_ratio:
+            await anyio.sleep(resend_s)
+            resend_s *= 2
         while self._cut[sender, receiver] > 0:
             await self._healed.wait(60)
 
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/search.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/search.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import json
 import pathlib
+import random
 import time
 from typing import NamedTuple
 
@@ -13,11 +14,13 @@
 from bridgecross_emulator import faults
 from bridgecross_emulator import house as houses
 from bridgecross_emulator import instances
+from bridgecross_emulator import moving
 from bridgecross_emulator import virtual
 
 FORMAT = "bridgecross-schedule-1"
 """Stands in each kept schedule; another version is refused."""
 
+_KINDS = {**faults.KINDS, **moving.KINDS}
 _EVENTS_COUNT = 14
 _LENGTH_S = 16.0
 _SETTLE_S = 6.0
@@ -46,6 +49,8 @@
         server_count=4, server_domain_count=2
     )
 
+    random.seed(chosen.seed)
+
     async def main() -> Played:
         async with anyio.create_task_group() as tasks:
             house = houses.House(chosen, environment, tasks)
@@ -70,7 +75,7 @@
     evacuations = checks.EvacuationCheck(scene)
     tasks.start_soon(configurations.run)
     tasks.start_soon(evacuations.run)
-    await faults.play(scene, events)
+    await faults.play(scene, events, _KINDS)
     await anyio.sleep(_QUIET_S - checks.TOPICS_KNOWN_WITHIN_S)
     ends = checks.find_ends(house)
     await anyio.sleep(checks.TOPICS_KNOWN_WITHIN_S)
@@ -78,6 +83,7 @@
         *configurations.violations,
         *evacuations.violations,
         *checks.check_owners(house),
+        *checks.check_handovers(house),
         *checks.check_topics(house, ends),
         *checks.check_served(house),
     ]
@@ -139,7 +145,7 @@
 
 def _find_problem(event: faults.Event) -> str:
     """Returns what is wrong with an event; empty if it is sound."""
-    if event.kind not in faults.KINDS:
+    if event.kind not in _KINDS:
         return f"kind: {event.kind!r} is not known"
     if not isinstance(event.target, int) or event.target < 0:
         return "target: a whole number of 0 or more is needed"
@@ -157,6 +163,10 @@
     violations: tuple[checks.Violation, ...]
 
 
+Draw = Callable[[int], tuple[faults.Event, ...]]
+"""Returns the events of a seed's house."""
+
+
 def draw(seed: int) -> tuple[faults.Event, ...]:
     """Returns the events of a seed's house, without planned work."""
     return faults.draw(seed, _EVENTS_COUNT, _LENGTH_S)
@@ -167,12 +177,36 @@
     return tuple(sorted(draw(seed) + faults.draw_planned(seed, _LENGTH_S)))
 
 
-def hunt(seeds: range, until_s: float | None = None) -> tuple[int, list[Found]]:
+def draw_moving(seed: int) -> tuple[faults.Event, ...]:
+    """Returns the events of a house whose keys move and are asked for."""
+    return moving.draw(seed, _EVENTS_COUNT, _LENGTH_S)
+
+
+def draw_beside_wrong_words(seed: int) -> tuple[faults.Event, ...]:
+    """Returns the same, and words that are wrong."""
+    wrong = moving.draw_wrong_words(seed, _LENGTH_S)
+    return tuple(sorted(draw_moving(seed) + wrong))
+
+
+DRAWS = {
+    "planned": draw_beside_planned,
+    "moving": draw_moving,
+    "wrong": draw_beside_wrong_words,
+}
+"""What seeds may stand for, by name."""
+
+
+def hunt(
+    seeds: range,
+    until_s: float | None = None,
+    draw_events: Draw = draw_beside_planned,
+) -> tuple[int, list[Found]]:
     """Plays one house for each seed.
 
     Args:
         seeds: Which.
         until_s: When to stop, by ``time.monotonic``; at the end, if left out.
+        draw_events: What happens there.
 
     Returns:
         How many were played, and those that broke a promise.
@@ -182,7 +216,7 @@
     for seed in seeds:
         if until_s is not None and time.monotonic() > until_s:
             break
-        violations = play(draw_beside_planned(seed)).violations
+        violations = play(draw_events(seed)).violations
         played_count += 1
         if violations:
             found.append(Found(seed, violations))
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -1,12 +1,10 @@
 """Models of backend servers that own keys: runs, leases and fencing tokens."""
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Container
-import contextvars
 import dataclasses
 import math
-from typing import Any
+import random
 from typing import NamedTuple
 
 import anyio
@@ -17,12 +15,16 @@
 from bridgecross_core import outcomes
 from bridgecross_emulator import log_model
 from bridgecross_emulator import network as networks
+from bridgecross_emulator import work as work_lib
 from bridgecross_entry import attempts
 from bridgecross_entry import log as logs
 from bridgecross_entry import model
 
 SERVER_TOPIC = "emulated-servers"
 
+WORK_HEADER = b"emulated-work-s"
+"""Says how long a request takes, if not as long as others."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerSettings:
@@ -52,8 +54,16 @@
     last_key: int
     token: int
     until_s: float
-    # Whether the grant was taken long after it was sent.
-    is_late: bool
+    # The same by orders that were taken in time; in the past if none was.
+    sure_s: float
+
+
+class Lateness(NamedTuple):
+    """Which orders get no answer, and are carried out late."""
+
+    # Parts of the grants and of the releases.
+    grant_ratio: float = 0.0
+    release_ratio: float = 0.0
 
 
 class Overlap(NamedTuple):
@@ -65,6 +75,15 @@
     first_key: int
 
 
+class Premature(NamedTuple):
+    """A key that one server was given while another was at work on it."""
+
+    at_s: float
+    server: str
+    other: str
+    key: int
+
+
 class Run(NamedTuple):
     """A request that a server began to run."""
 
@@ -102,13 +121,14 @@
         self.cold_until_s = 0.0
         # Whether its heartbeats reach the log.
         self.reaches_log = True
-        # Whether orders get no answer, and are carried out late.
-        self.takes_late = False
+        # Which orders it takes late.
+        self.lateness = Lateness()
         # When it last wrote its entry; None if the entry was removed.
         self.listed_s: float | None = None
         # Set once the run has ended; another run has another.
         self.ended = anyio.Event()
         self._fleet = fleet
+        self.work = work_lib.Workplace(lambda: fleet.now_s)
         self._held: list[Held] = []
         # The highest token that was seen, by range.
         self._seen: list[tuple[int, int, int]] = []
@@ -123,9 +143,16 @@
         """For how long it says that it is cold, counted from its start."""
         return max(self.cold_until_s - self._fleet.now_s, 0.0)
 
+    def find(self, key: int) -> Held | None:
+        """Returns the range of a key that it holds at this moment."""
+        for held in self.held():
+            if held.first_key <= key <= held.last_key:
+                return held
+        return None
+
     def holds(self, key: int) -> bool:
         """Whether it holds a key at this moment."""
-        return any(h.first_key <= key <= h.last_key for h in self.held())
+        return self.find(key) is not None
 
     def held(self) -> list[Held]:
         """Returns what it holds at this moment."""
@@ -137,11 +164,13 @@
         """Ends the run; it says nothing of it."""
         self.is_up = False
         self.ended.set()
+        self.work.stop()
         self._held = []
         self._seen = []
 
     def start(self) -> None:
-        """Begins a run under the same name."""
+        """Begins a run under the same name; ends the one before."""
+        self.crash()
         self.is_up = True
         self.ended = anyio.Event()
         self.is_leaving = False
@@ -155,25 +184,54 @@
             self._fleet.write_entry(self)
 
     def grant(
-        self, first: int, last: int, token: int, lease_s: float, *, late: bool
+        self, first: int, last: int, token: int, lease_s: float, late_s: float
     ) -> attempts.GrantResult:
-        """Takes a range, or refuses it."""
+        """Takes a range, or refuses it.
+
+        Args:
+            first: The first key.
+            last: The last key.
+            token: The fencing token.
+            lease_s: For how long it holds the range, from the order's arrival.
+            late_s: How long ago the order arrived.
+        """
         for seen_first, seen_last, seen in self._seen:
             crosses = seen_first <= last and first <= seen_last
             if crosses and seen > token:
                 return attempts.Outranked()
         self._note_seen(first, last, token)
-        until_s = self._fleet.now_s + lease_s * self._fleet.settings.clock_ratio
+        until_s = self._fleet.now_s - late_s
+        until_s += lease_s * self._fleet.settings.clock_ratio
+        sure_s = -math.inf if late_s else until_s
+        for known in self.held():
+            covers = known.first_key <= first and last <= known.last_key
+            if covers and known.token == token:
+                # An order never shortens a lease.
+                until_s = max(until_s, known.until_s)
+                sure_s = max(sure_s, known.sure_s)
         self._take_out(first, last)
-        held = Held(first, last, token, until_s, late)
+        held = Held(first, last, token, until_s, sure_s)
         self._held.append(held)
-        self._fleet.note_grant(self, held)
+        self.work.prolong(first, last, until_s, sure_s)
+        if not late_s:
+            self._fleet.note_grant(self, held)
         return attempts.Granted()
 
-    def release(self, first: int, last: int, token: int) -> None:
-        """Gives a range back."""
+    def release(self, first: int, last: int, token: int) -> list[work_lib.Work]:
+        """Gives a range back; no new work on it begins.
+
+        Returns:
+            What is still at work on what was held until now. One who asks again
+            finds nothing held, and so nothing to wait for.
+        """
+        held = self.held()
         self._note_seen(first, last, token)
         self._take_out(first, last)
+        return [
+            work
+            for work in self.work.on(first, last)
+            if any(h.first_key <= (work.key or 0) <= h.last_key for h in held)
+        ]
 
     def _note_seen(self, first: int, last: int, token: int) -> None:
         """Keeps the highest token of a range."""
@@ -213,6 +271,10 @@
         self.servers: dict[model.Address, EmulatedServer] = {}
         # What must never be.
         self.overlaps: list[Overlap] = []
+        self.premature: list[Premature] = []
+        # Pairs of an instance and a server of which the one is told that
+        # another server has the other's address.
+        self.mistaken: set[tuple[model.Address, model.Address]] = set()
         # Requests by their target that end each server which runs them.
         self.deadly: set[bytes] = set()
         # Services whose servers own keys; the others run any request.
@@ -225,6 +287,7 @@
         self.network = network
         self._log = log
         self._environment = environment
+        self._rng = random.Random(1)
 
     @property
     def now_s(self) -> float:
@@ -263,7 +326,7 @@
         That belongs to no instance: it happens also if the one whose request
         brought it about stands still.
         """
-        _call_later(self.settings.crash_after_s, self.crash, server)
+        work_lib.call_later(self.settings.crash_after_s, self.crash, server)
 
     def crash(self, server: EmulatedServer) -> None:
         """Ends a server's run; another one begins later."""
@@ -271,33 +334,74 @@
             return
         server.crash()
         self.ends_s.append(self.now_s)
-        _call_later(self.settings.returns_after_s, server.start)
+        work_lib.call_later(self.settings.returns_after_s, server.start)
 
     def holders(self, key: int) -> list[EmulatedServer]:
         """Returns the servers that hold a key at this moment."""
         return [s for s in self.servers.values() if s.holds(key)]
 
+    def happens(self, ratio: float) -> bool:
+        """Draws whether something happens that does so only at times."""
+        return ratio >= 1.0 or (ratio > 0.0 and self._rng.random() < ratio)
+
     def note_grant(self, server: EmulatedServer, held: Held) -> None:
-        """Looks whether another server holds what one has just taken."""
-        if held.is_late:
-            # Nobody can keep an order from being carried out long after.
-            return
+        """Looks whether others hold, or work on, what one has just taken.
+
+        Nobody can keep an order from being carried out long after it was given,
+        so what is held by such orders alone does not count.
+        """
         for other in self.servers.values():
-            if other is server:
-                continue
-            for theirs in other.held():
-                crosses = (
-                    theirs.first_key <= held.last_key
-                    and held.first_key <= theirs.last_key
+            if other is not server:
+                self._note_overlaps(server, held, other)
+                self._note_premature(server, held, other)
+
+    def _note_overlaps(
+        self, server: EmulatedServer, held: Held, other: EmulatedServer
+    ) -> None:
+        """Keeps what another server holds."""
+        for theirs in other.held():
+            crosses = (
+                theirs.first_key <= held.last_key
+                and held.first_key <= theirs.last_key
+            )
+            if crosses and theirs.sure_s > self.now_s:
+                overlap = Overlap(
+                    round(self.now_s, 3),
+                    server.name,
+                    other.name,
+                    max(theirs.first_key, held.first_key),
+                )
+                self.overlaps.append(overlap)
+
+    def _note_premature(
+        self, server: EmulatedServer, held: Held, other: EmulatedServer
+    ) -> None:
+        """Keeps what another server works on."""
+        for work in other.work.on(held.first_key, held.last_key):
+            if work.key is not None and work.is_sure(self.now_s):
+                premature = Premature(
+                    round(self.now_s, 3), server.name, other.name, work.key
                 )
-                if crosses and not theirs.is_late:
-                    overlap = Overlap(
-                        round(self.now_s, 3),
-                        server.name,
-                        other.name,
-                        max(theirs.first_key, held.first_key),
-                    )
-                    self.overlaps.append(overlap)
+                self.premature.append(premature)
+
+    async def take_late(
+        self, server: EmulatedServer, take: Callable[[float], None]
+    ) -> None:
+        """Carries an order out late, if the run goes on; never answers.
+
+        Args:
+            server: Took the order.
+            take: Carries it out, by how long ago it arrived.
+        """
+        run_ended = server.ended
+        late_s = self.settings.late_s
+
+        def take_in_run() -> None:
+            if not run_ended.is_set():
+                take(late_s)
+
+        work_lib.call_later(late_s, take_in_run)
+        await anyio.sleep_forever()
 
     async def run(self) -> None:
         """Writes heartbeats and removes silent entries, until cancelled."""
@@ -318,12 +422,6 @@
             self._log.add(SERVER_TOPIC, logs.KeyedRecord(server.name, b""))
 
 
-def _call_later(delay_s: float, act: Callable[..., None], *args: Any) -> None:
-    """Does something after a time, on no instance's host."""
-    loop = asyncio.get_running_loop()
-    loop.call_later(delay_s, act, *args, context=contextvars.Context())
-
-
 def encode_server(server: EmulatedServer) -> bytes:
     """Returns an entry of the list."""
     state = "leaving" if server.is_leaving else "staying"
@@ -384,13 +482,14 @@
         found = await self._reach(server)
         if not isinstance(found, EmulatedServer):
             return found
-        if found.takes_late:
-            await anyio.sleep(self._fleet.settings.late_s)
-            found.grant(first_key, last_key, token, lease_ms / 1e3, late=True)
-            await anyio.sleep_forever()
-        result = found.grant(
-            first_key, last_key, token, lease_ms / 1e3, late=False
-        )
+        lease_s = lease_ms / 1e3
+        if self._fleet.happens(found.lateness.grant_ratio):
+
+            def take(late_s: float) -> None:
+                found.grant(first_key, last_key, token, lease_s, late_s)
+
+            await self._fleet.take_late(found, take)
+        result = found.grant(first_key, last_key, token, lease_s, late_s=0.0)
         await self._fleet.network.cross(server.address, self._sender)
         return result
 
@@ -401,11 +500,21 @@
         last_key: int,
         token: int,
     ) -> attempts.ReleaseResult:
-        """Takes a range back."""
+        """Takes a range back; answered once nothing runs on it."""
         found = await self._reach(server)
         if not isinstance(found, EmulatedServer):
             return found
-        found.release(first_key, last_key, token)
+        if self._fleet.happens(found.lateness.release_ratio):
+
+            def take(_late_s: float) -> None:
+                found.release(first_key, last_key, token)
+
+            await self._fleet.take_late(found, take)
+        run_ended = found.ended
+        for work in found.release(first_key, last_key, token):
+            await work.ended.wait()
+        if run_ended.is_set():
+            return attempts.NoReply("the connection ended")
         await self._fleet.network.cross(server.address, self._sender)
         return attempts.Released("state")
 
@@ -421,7 +530,8 @@
         found = self._fleet.servers.get(server.address)
         if found is None or not found.is_up:
             return attempts.Refused("connection refused")
-        if found.name != server.name:
+        is_mistaken = (self._sender, server.address) in self._fleet.mistaken
+        if found.name != server.name or is_mistaken:
             return attempts.Gone("another server has its address")
         return found
 
@@ -473,14 +583,18 @@
         if self._kept.get(server.address, (None,))[0] != found.started_ms:
             now_s = self._clock.monotonic_s()
             self._kept[server.address] = (found.started_ms, now_s)
+        if (self._sender, server.address) in self._fleet.mistaken:
+            return attempts.NotOwner("another")
         if not self._may_run(found, request):
             return attempts.NotOwner(found.name)
         self._note_run(found, request)
-        ended = found.ended
-        with anyio.move_on_after(self._fleet.settings.work_s):
-            await ended.wait()
-        if ended.is_set():
+        run_ended = found.ended
+        work = self._begin_work(found, request)
+        await work.ended.wait()
+        if run_ended.is_set():
             return attempts.Interrupted("the connection ended")
+        if not work.is_done(self._fleet.now_s):
+            return attempts.Interrupted("the lease ran out")
         await network.cross(server.address, self._sender)
         return outcomes.Answered(200, (), b"")
 
@@ -492,6 +606,21 @@
             return True
         return request.key is not None and server.holds(request.key)
 
+    def _begin_work(
+        self, server: EmulatedServer, request: attempts.EntryRequest
+    ) -> work_lib.Work:
+        """Lets a server work on a request, whether it is waited for or not."""
+        work_s = self._fleet.settings.work_s
+        for header in request.headers:
+            if header.name == WORK_HEADER:
+                work_s = float(header.value)
+        held = None
+        if server.service in self._fleet.keyed and request.key is not None:
+            held = server.find(request.key)
+        if held is None:
+            return server.work.begin(None, work_s)
+        return server.work.begin(request.key, work_s, held.until_s, held.sure_s)
+
     def _note_run(
         self, server: EmulatedServer, request: attempts.EntryRequest
     ) -> None:
--- /dev/null
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/traffic.py
@@ -0,0 +1,93 @@
+"""Callers who keep asking for keys, so that work goes on while they move."""
+
+import random
+
+import anyio
+
+from bridgecross_core import outcomes
+from bridgecross_emulator import house as houses
+from bridgecross_emulator import instances
+from bridgecross_emulator import servers
+from bridgecross_emulator import virtual
+from bridgecross_entry import attempts
+from bridgecross_entry import keymap
+
+_WORK_S = (0.05, 0.1, 0.3, 0.3, 0.8, 2.2)
+"""How long requests take: the callers have left before the longest are done,
+which outlast the wait for a release, too."""
+
+_PATIENCE_MS = 500.0
+
+
+class Traffic:
+    """Requests for random keys of a range, through all instances."""
+
+    def __init__(
+        self,
+        house: houses.House,
+        first_key: int,
+        last_key: int,
+        rate_per_s: float,
+    ) -> None:
+        """Asks for nothing yet.
+
+        Args:
+            house: Is asked.
+            first_key: The first key that is asked for.
+            last_key: The last one.
+            rate_per_s: Requests a second.
+        """
+        self._house = house
+        self._keys = range(first_key, min(last_key, keymap.LAST_KEY) + 1)
+        self._rate_per_s = rate_per_s
+        self._rng = random.Random(f"{first_key} {last_key}")
+        self._scope = anyio.CancelScope()
+        self._count = 0
+
+    def start(self) -> None:
+        """Begins to ask."""
+        self._house.run_beside(self._run)
+
+    def stop(self) -> None:
+        """Asks no more; what was asked goes on."""
+        self._scope.cancel()
+
+    async def _run(self) -> None:
+        """Asks again and again."""
+        with self._scope:
+            while True:
+                await anyio.sleep(self._rng.expovariate(self._rate_per_s))
+                instance = self._rng.choice(self._house.instances)
+                request = self._make_request(instance)
+                if instance.configuration_version:
+                    self._house.run_beside(self._ask, instance, request)
+
+    def _make_request(
+        self, instance: instances.EmulatedInstance
+    ) -> attempts.EntryRequest:
+        """Returns a request that is like no other."""
+        self._count += 1
+        path = f"/{instances.SERVICE}/{self._keys.start}-{self._count}"
+        work_s = str(self._rng.choice(_WORK_S)).encode()
+        return attempts.EntryRequest(
+            request_id=path,
+            method=b"GET",
+            target=path.encode(),
+            path=path,
+            host=instances.HOST,
+            headers=(outcomes.Header(servers.WORK_HEADER, work_s),),
+            body=b"",
+            key=self._rng.choice(self._keys),
+            received_s=instance.parts.clock.monotonic_s(),
+            patience_ms=_PATIENCE_MS,
+            caller="10.9.0.1",
+        )
+
+    async def _ask(
+        self,
+        instance: instances.EmulatedInstance,
+        request: attempts.EntryRequest,
+    ) -> None:
+        """Sends one request, whose task stands still if its instance does."""
+        virtual.enter(instance.host)
+        await instance.request(request)
--- a/tests/emulated/mutants.py
+++ b/tests/emulated/mutants.py
@@ -6,13 +6,17 @@
 from typing import NamedTuple
 from unittest import mock
 
+import anyio
+
 from bridgecross_emulator import faults
 from bridgecross_emulator import search
 from bridgecross_entry import beliefs
 from bridgecross_entry import coordinator
 from bridgecross_entry import feeds
+from bridgecross_entry import leadership
 from bridgecross_entry import leases
 from bridgecross_entry import server_list
+from bridgecross_entry import servers
 
 _SINCE = feeds.Feed.since
 
@@ -73,6 +77,75 @@
     return mock.patch.object(feeds.Feed, "since", since)
 
 
+def _wait_for_no_work():
+    """The answer to a release is not waited for."""
+    return mock.patch.object(leases.LeaseKeeper, "take_back", _release_hastily)
+
+
+async def _release_hastily(self, prior, key_range, *, asked_before=False):
+    server = self._book.get(self._book.latest_run(prior))
+    if server is not None:
+        with anyio.move_on_after(0.02):
+            await self._client.release(
+                server.listed,
+                key_range.first_key,
+                key_range.last_key,
+                key_range.token,
+            )
+    return ""
+
+
+def _forget_who_asked_before():
+    """A release that may follow another one is proof when it is answered."""
+    take_back = leases.LeaseKeeper.take_back
+
+    async def trust(self, prior, key_range, *, asked_before=False):
+        return await take_back(self, prior, key_range)
+
+    return mock.patch.object(leases.LeaseKeeper, "take_back", trust)
+
+
+def _take_runs_for_ended():
+    """Every run of a server that is to give something back has ended."""
+    return mock.patch.object(servers.ServerBook, "has_ended", return_value=True)
+
+
+def _wait_for_no_earlier_leader():
+    """What an earlier leader may still order is not waited for."""
+    return mock.patch.object(
+        leases.LeaseKeeper, "_earlier_until_s", return_value=0.0
+    )
+
+
+def _order_unconfirmed():
+    """Whoever takes itself for the leader gives orders."""
+    leads = property(lambda self: self.is_leader)
+    return mock.patch.object(leadership.Leadership, "may_order", leads)
+
+
+class _Forgetful(set[int]):
+    """A set that keeps nothing."""
+
+    def add(self, element):
+        pass
+
+
+@contextlib.contextmanager
+def _move_what_moves():
+    """A range is moved on while it is taken back from its first holder."""
+    run = coordinator.Coordinator.run
+
+    async def run_forgetful(self):
+        self._moving = _Forgetful()
+        await run(self)
+
+    with (
+        mock.patch.object(coordinator.Coordinator, "run", run_forgetful),
+        mock.patch.object(coordinator.Coordinator, "_retry_moves"),
+    ):
+        yield
+
+
 class Mutant(NamedTuple):
     """A fault, and where it shows."""
 
@@ -85,6 +158,8 @@
     draw: Callable[[int], tuple[faults.Event, ...]] = search.draw
 
 
+_RESTS = "a key is given on once its last holder rests"
+
 MUTANTS = {
     "whoever speaks is trusted": Mutant(
         _trust_whoever_speaks, "configuration in force in time", 11
@@ -102,4 +177,22 @@
         search.draw_beside_planned,
     ),
     "no lease is waited for": Mutant(_wait_for_no_lease, "one owner a key", 1),
+    "no work is waited for": Mutant(
+        _wait_for_no_work, _RESTS, 1, search.draw_moving
+    ),
+    "who asked before is forgotten": Mutant(
+        _forget_who_asked_before, _RESTS, 1, search.draw_moving
+    ),
+    "runs are taken for ended": Mutant(
+        _take_runs_for_ended, _RESTS, 1, search.draw_moving
+    ),
+    "no earlier leader is waited for": Mutant(
+        _wait_for_no_earlier_leader, _RESTS, 1, search.draw_moving
+    ),
+    "orders without a confirmed lead": Mutant(
+        _order_unconfirmed, _RESTS, 1, search.draw_moving
+    ),
+    "what moves is moved on": Mutant(
+        _move_what_moves, _RESTS, 1, search.draw_moving
+    ),
 }
