Search: houses whose keys move under load, and mutants of handovers

Six known faults of handovers are put back and found: work not waited for, who asked before forgotten, runs taken for ended, an earlier leader not waited for, orders of an unconfirmed lead, a move of what moves.

--- a/libs/bridgecross-cli/src/bridgecross_cli/_lab.py
+++ b/libs/bridgecross-cli/src/bridgecross_cli/_lab.py
@@ -13,6 +13,9 @@
 from bridgecross_emulator import faults
 from bridgecross_emulator import search
 
+DRAWS = search.DRAWS
+"""What seeds may stand for, by name."""
+
 
 def read_seeds(text: str) -> range:
     """Returns the seeds that ``FIRST-LAST`` names, both inside.
@@ -44,10 +47,11 @@
     """Plays, shrinks and keeps; returns the exit code."""
     begun_s = time.monotonic()
     until_s = begun_s + 60 * options.minutes
-    played_count, found = search.hunt(options.seeds, until_s)
+    draw = DRAWS[options.draw]
+    played_count, found = search.hunt(options.seeds, until_s, draw)
     took_s = time.monotonic() - begun_s
     for each in found:
-        _keep(each, options.keep)
+        _keep(each, draw(each.seed), options.keep)
     print(
         f"{played_count} of {len(options.seeds)} houses played in "
         f"{took_s:.1f} s; {len(found)} broke a promise"
@@ -55,7 +59,11 @@
     return _commands.EXIT_NOT_DONE if found else 0
 
 
-def _keep(found: search.Found, folder: pathlib.Path) -> None:
+def _keep(
+    found: search.Found,
+    drawn: tuple[faults.Event, ...],
+    folder: pathlib.Path,
+) -> None:
     """Writes the fewest events that still break the same promise."""
     promise = found.violations[0].promise
 
@@ -63,7 +71,7 @@
         violations = search.play(events).violations
         return promise in {v.promise for v in violations}
 
-    fewest = search.shrink(search.draw_beside_planned(found.seed), fails)
+    fewest = search.shrink(drawn, fails)
     violations = search.play(fewest).violations
     folder.mkdir(parents=True, exist_ok=True)
     path = folder / f"seed-{found.seed}.json"
--- a/libs/bridgecross-cli/src/bridgecross_cli/main.py
+++ b/libs/bridgecross-cli/src/bridgecross_cli/main.py
@@ -85,6 +85,12 @@
         default=60.0,
         help="begin no house after this time (default: %(default)s)",
     )
+    hunt.add_argument(
+        "--draw",
+        choices=_lab.DRAWS,
+        default="planned",
+        help="which events happen there (default: %(default)s)",
+    )
     hunt.add_argument(
         "--keep",
         type=pathlib.Path,
--- a/libs/bridgecross-cli/tests/test_lab.py
+++ b/libs/bridgecross-cli/tests/test_lab.py
@@ -16,6 +16,13 @@
     assert not list(tmp_path.iterdir())
 
 
+def test_houses_whose_keys_move_are_hunted_by_name(tmp_path, capsys):
+    arguments = ["lab", "hunt", "--seeds", "1-1", "--draw", "moving"]
+    arguments += ["--minutes", "0", "--keep", str(tmp_path)]
+    assert main.main(arguments) == 0
+    assert "0 of 1 houses played" in capsys.readouterr().out
+
+
 def test_no_house_begins_when_the_time_is_over(tmp_path, capsys):
     arguments = ["lab", "hunt", "--seeds", "1-9", "--minutes", "0"]
     assert main.main([*arguments, "--keep", str(tmp_path)]) == 0
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/moving.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/moving.py
@@ -5,6 +5,7 @@
 makes orders and maps arrive in part, late or without an answer.
 """
 
+import itertools
 import random
 
 from bridgecross_emulator import faults
@@ -19,6 +20,9 @@
 
 TRAFFIC = "traffic"
 HOT_RANGE = "hot range"
+LOSSY = "links lossy"
+MISTAKEN = "server mistaken"
+UNLISTED = "instance unlisted"
 
 _RATE_PER_S = 12.0
 _HOT_RATE_PER_S = 18.0
@@ -156,14 +160,30 @@
 
 def _lose_packets(scene: faults.Scene, target: int) -> faults.End:
     """A link between an instance and a server is lossy."""
+    return _lose_between(scene, [_find_pair(scene, target)])
+
+
+def _lose_all_around(scene: faults.Scene, target: int) -> faults.End:
+    """All links between an instance and servers are lossy.
+
+    Orders then overtake one another, those about the same range too.
+    """
+    own = scene.instance(target).settings.peer_address
+    present = scene.house.fleet.servers
+    return _lose_between(scene, [(own, address) for address in present])
+
+
+def _lose_between(
+    scene: faults.Scene, pairs: list[tuple[model.Address, model.Address]]
+) -> faults.End:
     network = scene.house.network
-    sender, receiver = _find_pair(scene, target)
-    network.lose(sender, receiver, _LOST_RATIO)
-    network.lose(receiver, sender, _LOST_RATIO)
+    both = [*pairs, *((receiver, sender) for sender, receiver in pairs)]
+    for pair in both:
+        network.lose(*pair, _LOST_RATIO)
 
     def end() -> None:
-        network.lose(sender, receiver, 0.0)
-        network.lose(receiver, sender, 0.0)
+        for pair in both:
+            network.lose(*pair, 0.0)
 
     return end
 
@@ -184,6 +204,30 @@
     return lambda: network.mend(receiver, sender)
 
 
+def _part(scene: faults.Scene, target: int) -> faults.End:
+    """An instance and a domain of servers see nobody else, nor the log."""
+    network = scene.house.network
+    inside = scene.instance(target)
+    own = inside.settings.peer_address
+    domain = scene.domain(target)
+    near = [own]
+    far = [i.settings.peer_address for i in scene.house.instances]
+    far.remove(own)
+    for server in scene.house.fleet.servers.values():
+        (near if server.domain == domain else far).append(server.address)
+    pairs = [*itertools.product(near, far), *itertools.product(far, near)]
+    for pair in pairs:
+        network.cut(*pair)
+    inside.way.cut()
+
+    def end() -> None:
+        for pair in pairs:
+            network.mend(*pair)
+        inside.way.heal()
+
+    return end
+
+
 def _mistake_server(scene: faults.Scene, target: int) -> faults.End:
     """One instance is told that another server has a server's address."""
     mistaken = scene.house.fleet.mistaken
@@ -215,9 +259,11 @@
     "link lossy": faults.Kind(_lose_packets, 2),
     "server deaf to one": faults.Kind(_cut_way, 2),
     "server mute to one": faults.Kind(_cut_answers, 2),
-    # Words that are wrong; drawn apart, since they are no faults of links.
-    "server mistaken": faults.Kind(_mistake_server, 0),
-    "instance unlisted": faults.Kind(
+    "parted": faults.Kind(_part, 3, disturbs_target=True),
+    # These are drawn apart.
+    LOSSY: faults.Kind(_lose_all_around, 0),
+    MISTAKEN: faults.Kind(_mistake_server, 0),
+    UNLISTED: faults.Kind(
         _unlist_instance, 0, disturbs_target=True, is_momentary=True
     ),
 }
@@ -244,10 +290,13 @@
 """How often faults of other kinds come beside these."""
 
 _HOT_RANGES_COUNT = 3
+_LENGTHS_S = (0.3, 1.0, 2.0, 4.0, 8.0)
+"""Typical lengths of events. The longest outlast all that is waited for: an
+earlier leader's orders, a lease after them, and one look more."""
+
 _HOT_FOR_S = (2.0, 6.0)
 _PAIRS_COUNT = 20
-_WRONG_WORDS = ("server mistaken", "instance unlisted")
-_WRONG_WORDS_COUNT = 2
+_APART_COUNT = 2
 
 
 def draw(seed: int, count: int, length_s: float) -> tuple[faults.Event, ...]:
@@ -268,12 +317,20 @@
     return tuple(sorted(set(events)))
 
 
-def draw_wrong_words(seed: int, length_s: float) -> tuple[faults.Event, ...]:
-    """Returns words that are wrong, drawn apart from a seed's other events."""
-    rng = random.Random(f"wrong {seed}")
+def draw_apart(
+    seed: int, name: str, length_s: float
+) -> tuple[faults.Event, ...]:
+    """Returns events of one kind, drawn apart from a seed's other events."""
+    rng = random.Random(f"{name} {seed}")
     return tuple(
-        _place(rng, name, rng.randrange(_PAIRS_COUNT), KINDS[name], length_s)
-        for name in rng.choices(_WRONG_WORDS, k=_WRONG_WORDS_COUNT)
+        _place(
+            rng,
+            name,
+            rng.choice([0, rng.randrange(_PAIRS_COUNT)]),
+            KINDS[name],
+            length_s,
+        )
+        for _ in range(_APART_COUNT)
     )
 
 
@@ -285,8 +342,8 @@
     length_s: float,
 ) -> faults.Event:
     """Returns an event of a kind at a random time."""
-    at_s = round(rng.uniform(0.0, length_s), 3)
-    for_s = rng.choice([0.3, 1.0, 2.0, 4.0]) * rng.uniform(0.5, 1.5)
+    for_s = rng.choice(_LENGTHS_S) * rng.uniform(0.5, 1.5)
+    at_s = round(rng.uniform(0.0, length_s - min(for_s, length_s / 2)), 3)
     return faults.Event(
         at_s, name, target, 0.0 if kind.is_momentary else round(for_s, 3)
     )
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/search.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/search.py
@@ -182,16 +182,22 @@
     return moving.draw(seed, _EVENTS_COUNT, _LENGTH_S)
 
 
-def draw_beside_wrong_words(seed: int) -> tuple[faults.Event, ...]:
-    """Returns the same, and words that are wrong."""
-    wrong = moving.draw_wrong_words(seed, _LENGTH_S)
-    return tuple(sorted(draw_moving(seed) + wrong))
+def _draw_beside_moving(name: str) -> Draw:
+    """Returns what draws the same, and events of a kind that is drawn apart."""
+
+    def draw_both(seed: int) -> tuple[faults.Event, ...]:
+        apart = moving.draw_apart(seed, name, _LENGTH_S)
+        return tuple(sorted(draw_moving(seed) + apart))
+
+    return draw_both
 
 
 DRAWS = {
     "planned": draw_beside_planned,
     "moving": draw_moving,
-    "wrong": draw_beside_wrong_words,
+    "lossy": _draw_beside_moving(moving.LOSSY),
+    "mistaken": _draw_beside_moving(moving.MISTAKEN),
+    "unlisted": _draw_beside_moving(moving.UNLISTED),
 }
 """What seeds may stand for, by name."""
 
--- a/tests/emulated/mutants.py
+++ b/tests/emulated/mutants.py
@@ -158,6 +158,19 @@
     draw: Callable[[int], tuple[faults.Event, ...]] = search.draw
 
 
+_LEADERS = (
+    faults.Event(0.0, "traffic", 0, 12.0),
+    faults.Event(1.195, "parted", 12, 4.914),
+    faults.Event(2.178, "parted", 0, 1.038),
+    faults.Event(2.287, "hot range", 2, 5.812),
+    faults.Event(2.898, "killed", 0, 2.43),
+    faults.Event(3.519, "hot range", 6, 3.018),
+    faults.Event(4.513, "log appends late", 0, 2.19),
+    faults.Event(5.512, "hot range", 0, 3.99),
+    faults.Event(6.812, "mute", 7, 2.213),
+)
+"""What was left of a house whose leaders follow one another."""
+
 _RESTS = "a key is given on once its last holder rests"
 
 MUTANTS = {
@@ -181,18 +194,18 @@
         _wait_for_no_work, _RESTS, 1, search.draw_moving
     ),
     "who asked before is forgotten": Mutant(
-        _forget_who_asked_before, _RESTS, 1, search.draw_moving
+        _forget_who_asked_before, _RESTS, 9, search.draw_moving
     ),
     "runs are taken for ended": Mutant(
         _take_runs_for_ended, _RESTS, 1, search.draw_moving
     ),
     "no earlier leader is waited for": Mutant(
-        _wait_for_no_earlier_leader, _RESTS, 1, search.draw_moving
+        _wait_for_no_earlier_leader, _RESTS, 1, lambda _: _LEADERS
     ),
     "orders without a confirmed lead": Mutant(
-        _order_unconfirmed, _RESTS, 1, search.draw_moving
+        _order_unconfirmed, _RESTS, 35, search.draw_moving
     ),
     "what moves is moved on": Mutant(
-        _move_what_moves, _RESTS, 1, search.draw_moving
+        _move_what_moves, _RESTS, 17, search.draw_moving
     ),
 }
--- a/tests/emulated/test_search.py
+++ b/tests/emulated/test_search.py
@@ -10,6 +10,7 @@
 
 # Always the same houses in CI; fresh ones by hand.
 CI_SEEDS = range(1, 13)
+MOVING_SEEDS = (1, 2)
 
 
 @pytest.mark.parametrize("seed", CI_SEEDS)
@@ -24,6 +25,17 @@
         assert search.play(events).violations == ()
 
 
+@pytest.mark.parametrize("seed", MOVING_SEEDS)
+def test_a_house_keeps_its_promises_while_keys_move(seed):
+    played = search.play(search.draw_moving(seed))
+    assert played.violations == ()
+    lines = played.lines
+    moves = [line for line in lines if line.event == "keys_move"]
+    assert "owner is busier than others" in {m.fields["reason"] for m in moves}
+    asked = {line.instance for line in lines if line.event == "request"}
+    assert asked == {f"entry-{number}" for number in range(5)}
+
+
 @pytest.mark.parametrize(
     "mutant", mutants.MUTANTS.values(), ids=mutants.MUTANTS
 )
@@ -40,9 +52,10 @@
     assert len(first) > 100
 
 
-def test_drawn_events_are_the_same_for_the_same_seed():
-    assert search.draw(7) == search.draw(7)
-    assert search.draw(7) != search.draw(8)
+@pytest.mark.parametrize("draw", search.DRAWS.values(), ids=search.DRAWS)
+def test_drawn_events_are_the_same_for_the_same_seed(draw):
+    assert draw(7) == draw(7)
+    assert draw(7) != draw(8)
 
 
 def test_only_the_events_that_are_needed_are_kept():
@@ -54,8 +67,9 @@
 
 def test_a_schedule_is_kept_and_read_again(tmp_path):
     path = tmp_path / "schedule.json"
-    search.save(path, search.draw(1), ())
-    assert search.load(path) == search.draw(1)
+    for draw in search.DRAWS.values():
+        search.save(path, draw(1), ())
+        assert search.load(path) == draw(1)
 
 
 @pytest.mark.parametrize(
