Tests: two ways in which a key is given on too early

These fail on the program as it is. A leader that is mute but confirmed takes the answer to its release for proof although the next leader has asked already. And a range that moves to a server which counts as outranked loses its prior owner in the same plan, so that no release is sent.

--- a/libs/bridgecross-entry/tests/test_coordinator.py
+++ b/libs/bridgecross-entry/tests/test_coordinator.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bridgecross_core import ids
+from bridgecross_entry import attempts
 from bridgecross_entry import keymap
 from bridgecross_entry import load
 from bridgecross_entry import log
@@ -338,6 +339,36 @@
     assert lease_servers.holder(KEY) == "b"
 
 
+async def test_a_range_is_taken_back_before_an_outranked_server_gets_it():
+    """Its first holder was forgotten, and held it beside the next owner."""
+
+    class OutrankingServers(fakes.LeaseServers):
+        outranks_next = False
+
+        async def grant(self, server, first, last, token, lease_ms, handover):
+            if self.outranks_next and server.name == "b":
+                self.outranks_next = False
+                bench.book.put(support.make_server("a", leaving=True))
+                return attempts.Outranked()
+            return await super().grant(
+                server, first, last, token, lease_ms, handover
+            )
+
+    lease_servers = OutrankingServers()
+    bench = fakes.Bench(fakes.MemoryLog(), lease_servers)
+    for name in "ab":
+        bench.book.put(support.make_server(name))
+    async with _running(bench):
+        await fakes.until(lambda: lease_servers.holder(KEY) == "a")
+        lease_servers.outranks_next = True
+        newest = bench.table.newest(fakes.SERVICE)
+        await fakes.until(lambda: bench.table.newest(fakes.SERVICE) != newest)
+        await fakes.until(lambda: lease_servers.holder(KEY) == "b")
+    released = [o[1] for o in lease_servers.orders if o[0] == "release"]
+    assert "a" in released
+    assert not lease_servers.overlaps
+
+
 async def test_a_range_that_its_new_owner_did_not_take_is_given_again():
     """Its owner was silent for a while, and the range was unserved for good."""
     _, lease_servers, bench = _make("a", "b")
--- /dev/null
+++ b/tests/emulated/test_handovers.py
@@ -0,0 +1,55 @@
+"""Keys are not given on before their last holder has given them back.
+
+Each is what was left of a random house that broke the promise.
+"""
+
+from bridgecross_emulator import faults
+from bridgecross_emulator import search
+
+# A mute leader writes a move and waits for peers to hear of it. The next one
+# resumes the move, and its release waits for work; then the first one's release
+# finds nothing held, and is taken for proof.
+_MUTE_LEADER = (
+    faults.Event(1.938, "hot range", 5, 4.218),
+    faults.Event(2.962, "isolated", 0, 2.116),
+    faults.Event(4.445, "hot range", 2, 5.806),
+    faults.Event(6.796, "mute", 0, 5.7),
+)
+# The same, where the move comes into force by an append that was done late.
+_LATE_APPEND = (
+    faults.Event(0.0, "traffic", 0, 16.0),
+    faults.Event(0.839, "evacuation", 0, 1.045),
+    faults.Event(0.957, "hot range", 6, 5.416),
+    faults.Event(0.96, "log appends late", 0, 2.96),
+    faults.Event(2.891, "parted", 0, 0.969),
+)
+
+
+def test_a_second_release_is_no_proof_beside_another_leader():
+    violations = {
+        violation
+        for events in (_MUTE_LEADER, _LATE_APPEND)
+        for violation in search.play(events).violations
+    }
+    assert violations == set()
+
+
+# A renewal is overtaken by the release of its range, and its server counts as
+# outranked. A plan that moves other ranges to that server then forgets who held
+# them.
+_ORDERS_OVERTAKE = (
+    faults.Event(0.0, "traffic", 0, 14.0),
+    faults.Event(0.056, "hot range", 3, 5.375),
+    faults.Event(0.1, "link lossy", 0, 13.0),
+    faults.Event(0.11, "link lossy", 5, 13.0),
+    faults.Event(0.12000000000000001, "link lossy", 10, 13.0),
+    faults.Event(0.13, "link lossy", 15, 13.0),
+    faults.Event(3.784, "hot range", 4, 2.203),
+    faults.Event(6.148, "hot range", 2, 4.517),
+    faults.Event(7.57, "hot range", 4, 3.363),
+    faults.Event(7.682, "server leaves", 0, 3.683),
+)
+
+
+def test_the_holder_of_what_goes_to_an_outranked_server_is_not_forgotten():
+    assert search.play(_ORDERS_OVERTAKE).violations == ()
