Emulator: orders that were held up in transit do not count

A machine that stood still for 10 s sent a renewal on when it woke, to a server that had started again; that is held up, not given late.

--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -38,6 +38,9 @@
     clock_ratio: float = 1.02
     # Orders without an answer are taken after this time, if they are.
     late_s: float = 2.0
+    # Whoever gives an order has given it up after this time. One that arrives
+    # later was held up in transit, or on the host of the one who gave it.
+    held_up_s: float = 0.5
     # How long a request takes.
     work_s: float = 0.06
     # How long a request that ends its server takes to do so, and how long the
@@ -184,7 +187,7 @@
             self._fleet.write_entry(self)
 
     def grant(
-        self, first: int, last: int, token: int, lease_s: float, late_s: float
+        self, first: int, last: int, token: int, until_s: float, *, timely: bool
     ) -> attempts.GrantResult:
         """Takes a range, or refuses it.
 
@@ -192,17 +195,15 @@
             first: The first key.
             last: The last key.
             token: The fencing token.
-            lease_s: For how long it holds the range, from the order's arrival.
-            late_s: How long ago the order arrived.
+            until_s: Until when it holds the range.
+            timely: Whether the order was neither held up nor is taken late.
         """
         for seen_first, seen_last, seen in self._seen:
             crosses = seen_first <= last and first <= seen_last
             if crosses and seen > token:
                 return attempts.Outranked()
         self._note_seen(first, last, token)
-        until_s = self._fleet.now_s - late_s
-        until_s += lease_s * self._fleet.settings.clock_ratio
-        sure_s = -math.inf if late_s else until_s
+        sure_s = until_s if timely else -math.inf
         for known in self.held():
             covers = known.first_key <= first and last <= known.last_key
             if covers and known.token == token:
@@ -213,7 +214,7 @@
         held = Held(first, last, token, until_s, sure_s)
         self._held.append(held)
         self.work.prolong(first, last, until_s, sure_s)
-        if not late_s:
+        if timely:
             self._fleet.note_grant(self, held)
         return attempts.Granted()
 
@@ -385,22 +386,21 @@
                 self.premature.append(premature)
 
     async def take_late(
-        self, server: EmulatedServer, take: Callable[[float], None]
+        self, server: EmulatedServer, take: Callable[[], None]
     ) -> None:
         """Carries an order out late, if the run goes on; never answers.
 
         Args:
             server: Took the order.
-            take: Carries it out, by how long ago it arrived.
+            take: Carries it out.
         """
         run_ended = server.ended
-        late_s = self.settings.late_s
 
         def take_in_run() -> None:
             if not run_ended.is_set():
-                take(late_s)
+                take()
 
-        work_lib.call_later(late_s, take_in_run)
+        work_lib.call_later(self.settings.late_s, take_in_run)
         await anyio.sleep_forever()
 
     async def run(self) -> None:
@@ -479,17 +479,21 @@
         handover: str,
     ) -> attempts.GrantResult:
         """Gives or renews a range; both ends are inside."""
+        sent_s = self._fleet.now_s
         found = await self._reach(server)
         if not isinstance(found, EmulatedServer):
             return found
-        lease_s = lease_ms / 1e3
+        settings = self._fleet.settings
+        arrived_s = self._fleet.now_s
+        until_s = arrived_s + lease_ms / 1e3 * settings.clock_ratio
         if self._fleet.happens(found.lateness.grant_ratio):
 
-            def take(late_s: float) -> None:
-                found.grant(first_key, last_key, token, lease_s, late_s)
+            def take() -> None:
+                found.grant(first_key, last_key, token, until_s, timely=False)
 
             await self._fleet.take_late(found, take)
-        result = found.grant(first_key, last_key, token, lease_s, late_s=0.0)
+        timely = arrived_s - sent_s <= settings.held_up_s
+        result = found.grant(first_key, last_key, token, until_s, timely=timely)
         await self._fleet.network.cross(server.address, self._sender)
         return result
 
@@ -506,7 +510,7 @@
             return found
         if self._fleet.happens(found.lateness.release_ratio):
 
-            def take(_late_s: float) -> None:
+            def take() -> None:
                 found.release(first_key, last_key, token)
 
             await self._fleet.take_late(found, take)
--- a/tests/emulated/test_work.py
+++ b/tests/emulated/test_work.py
@@ -241,6 +241,21 @@
     _play(act)
 
 
+def test_an_order_that_was_held_up_in_transit_does_not_count():
+    async def act(bench):
+        network = bench.house.network
+        await bench.grant(0, 1)
+        network.cut(_SENDER, bench.servers[1].address)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(bench.grant, 1, 2)
+            await anyio.sleep(1.0)
+            network.heal()
+        assert bench.servers[1].holds(5)
+        assert bench.house.fleet.overlaps == []
+
+    _play(act)
+
+
 def test_a_service_without_keys_is_not_bound_by_leases():
     async def act(bench):
         house = bench.house
