--- a/libs/bridgecross-emulator/src/bridgecross_emulator/search.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/search.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import json
 import pathlib
+import random
 import time
 from typing import NamedTuple
 
@@ -14,11 +15,13 @@
 from bridgecross_emulator import faults
 from bridgecross_emulator import house as houses
 from bridgecross_emulator import instances
+from bridgecross_emulator import moving
 from bridgecross_emulator import virtual
 
 FORMAT = "bridgecross-schedule-1"
 """Stands in each kept schedule; another version is refused."""
 
+_KINDS = {**faults.KINDS, **moving.KINDS}
 _EVENTS_COUNT = 14
 _LENGTH_S = 16.0
 _SETTLE_S = 6.0
@@ -47,6 +50,8 @@
         server_count=4, server_domain_count=2
     )
 
+    random.seed(chosen.seed)
+
     async def main() -> Played:
         async with anyio.create_task_group() as tasks:
             house = houses.House(chosen, environment, tasks)
@@ -72,7 +77,7 @@
     tasks.start_soon(configurations.run)
     tasks.start_soon(evacuations.run)
     tasks.start_soon(callers.DeadlyCallers(house, len(events)).run)
-    await faults.play(scene, events)
+    await faults.play(scene, events, _KINDS)
     calm_s = house.now_s
     await anyio.sleep(_QUIET_S - checks.TOPICS_KNOWN_WITHIN_S)
     ends = checks.find_ends(house)
@@ -82,6 +87,7 @@
         *evacuations.violations,
         *checks.check_owners(house),
         *checks.check_deadly(house, calm_s),
+        *checks.check_handovers(house),
         *checks.check_topics(house, ends),
         *checks.check_served(house),
     ]
@@ -143,7 +149,7 @@
 
 def _find_problem(event: faults.Event) -> str:
     """Returns what is wrong with an event; empty if it is sound."""
-    if event.kind not in faults.KINDS:
+    if event.kind not in _KINDS:
         return f"kind: {event.kind!r} is not known"
     if not isinstance(event.target, int) or event.target < 0:
         return "target: a whole number of 0 or more is needed"
@@ -161,6 +167,10 @@
     violations: tuple[checks.Violation, ...]
 
 
+Draw = Callable[[int], tuple[faults.Event, ...]]
+"""Returns the events of a seed's house."""
+
+
 def draw(seed: int) -> tuple[faults.Event, ...]:
     """Returns the events of a seed's house, without planned work."""
     return faults.draw(seed, _EVENTS_COUNT, _LENGTH_S)
@@ -177,12 +187,43 @@
     return tuple(sorted(draw_beside_planned(seed) + deadly))
 
 
-def hunt(seeds: range, until_s: float | None = None) -> tuple[int, list[Found]]:
+def draw_moving(seed: int) -> tuple[faults.Event, ...]:
+    """Returns the events of a house whose keys move and are asked for."""
+    return moving.draw(seed, _EVENTS_COUNT, _LENGTH_S)
+
+
+def _draw_beside_moving(name: str) -> Draw:
+    """Returns what draws the same, and events of a kind that is drawn apart."""
+
+    def draw_both(seed: int) -> tuple[faults.Event, ...]:
+        apart = moving.draw_apart(seed, name, _LENGTH_S)
+        return tuple(sorted(draw_moving(seed) + apart))
+
+    return draw_both
+
+
+DRAWS = {
+    "all": draw_beside_deadly,
+    "planned": draw_beside_planned,
+    "moving": draw_moving,
+    "lossy": _draw_beside_moving(moving.LOSSY),
+    "mistaken": _draw_beside_moving(moving.MISTAKEN),
+    "unlisted": _draw_beside_moving(moving.UNLISTED),
+}
+"""What seeds may stand for, by name."""
+
+
+def hunt(
+    seeds: range,
+    until_s: float | None = None,
+    draw_events: Draw = draw_beside_deadly,
+) -> tuple[int, list[Found]]:
     """Plays one house for each seed.
 
     Args:
         seeds: Which.
         until_s: When to stop, by ``time.monotonic``; at the end, if left out.
+        draw_events: What happens there.
 
     Returns:
         How many were played, and those that broke a promise.
@@ -192,7 +233,7 @@
     for seed in seeds:
         if until_s is not None and time.monotonic() > until_s:
             break
-        violations = play(draw_beside_deadly(seed)).violations
+        violations = play(draw_events(seed)).violations
         played_count += 1
         if violations:
             found.append(Found(seed, violations))
