Known red: keys of a server that takes connections and never answers

A mend changes how long servers that answer orders late keep their keys, and wants its own measurements.

--- a/libs/bridgecross-entry/tests/test_coordinator.py
+++ b/libs/bridgecross-entry/tests/test_coordinator.py
@@ -598,3 +598,22 @@
             await coordinating._move(tasks, (), "test")
             tokens = {r.token for r in coordinating._ranges if r.owner == owner}
             assert version in tokens or owner in coordinating._keeper.outranked
+
+
+class HungServers(fakes.LeaseServers):
+    """Silent ones still take connections: their kernels do."""
+
+    async def reach(self, server):
+        return server.name not in self.ended
+
+
+# Keys stayed for ever with a server that takes connections and says nothing.
+async def test_keys_of_a_server_that_hangs_go_elsewhere():
+    hung = HungServers()
+    bench = fakes.Bench(fakes.MemoryLog(), hung)
+    for name in "ab":
+        bench.book.put(support.make_server(name))
+    async with _running(bench):
+        await fakes.until(lambda: hung.holder(KEY) == "a")
+        hung.silent.add("a")
+        await fakes.until(lambda: hung.holder(KEY) == "b", timeout_s=5.0)
