A coordinator finds its ranges at once, and forgets what was taken back of others

Each renewal asks whether its range still stands, since the right to an order is asked for at its first byte twice in place of once. What was taken back of a range that has moved on since was kept for as long as the coordinator lived.

--- a/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 
@@ -124,6 +125,8 @@
         self._clock = clock
         self._version = 0
         self._ranges: tuple[keymap.KeyRange, ...] = ()
+        # The same, to be found at once: each renewal looks twice.
+        self._range_set: frozenset[keymap.KeyRange] = frozenset()
         self._wake = pulse.Pulse()
         # Ranges whose move is under way, by first key.
         self._moving: set[int] = set()
@@ -207,13 +210,24 @@
         Moves that have ended since it was made up, or of whose end this
         instance was told, need no second release.
         """
-        self._ranges = tuple(
+        self._set_ranges(
             r._replace(prior_owner=keymap.NO_SERVER)
             if self._table.is_settled(self._service, r)
             else r
             for r in key_map.ranges
         )
 
+    def _set_ranges(self, ranges: Iterable[keymap.KeyRange]) -> None:
+        """Replaces the ranges; forgets what was taken back of others."""
+        self._ranges = tuple(ranges)
+        self._range_set = frozenset(self._ranges)
+        moves = {(r.token, r.first_key) for r in self._ranges if r.prior_owner}
+        self._taken_back = {
+            move: taken
+            for move, taken in self._taken_back.items()
+            if move in moves
+        }
+
     async def _found(self) -> bool:
         """Writes the first map of the service."""
         rooms = self._rooms(self._takers())
@@ -356,7 +370,7 @@
             and key_range.owner == server_id
             and not key_range.prior_owner
             and key_range.first_key not in self._moving
-            and key_range in self._ranges
+            and key_range in self._range_set
         )
 
     def _still_gives(self, key_range: keymap.KeyRange) -> bool:
@@ -678,7 +692,7 @@
     def _settle(self, key_range: keymap.KeyRange) -> None:
         """Keeps that the owner of a range holds it."""
         self._taken_back.pop((key_range.token, key_range.first_key), None)
-        self._ranges = tuple(
+        self._set_ranges(
             r._replace(prior_owner=keymap.NO_SERVER)
             if r.first_key == key_range.first_key and r.token == key_range.token
             else r
