--- a/libs/bridgecross-emulator/src/bridgecross_emulator/cluster.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/cluster.py
@@ -16,6 +16,7 @@
 from bridgecross_emulator import instances
 from bridgecross_emulator import log_model
 from bridgecross_emulator import network as networks
+from bridgecross_emulator import server_clients
 from bridgecross_emulator import servers as servers_lib
 from bridgecross_emulator import virtual
 from bridgecross_entry import log as logs
@@ -167,8 +168,8 @@
         process = instances.EmulatedInstance(
             settings,
             log_model.LogClient(self.log, clock),
-            servers_lib.EmulatedLeaseClient(self.fleet, address),
-            servers_lib.EmulatedBackendClient(self.fleet, address, clock),
+            server_clients.EmulatedLeaseClient(self.fleet, address),
+            server_clients.EmulatedBackendClient(self.fleet, address, clock),
             self.network,
             host,
             clock,
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/instances.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/instances.py
@@ -11,6 +11,7 @@
 from bridgecross_core import outcomes
 from bridgecross_emulator import log_model
 from bridgecross_emulator import network as networks
+from bridgecross_emulator import server_clients
 from bridgecross_emulator import servers
 from bridgecross_emulator import virtual
 from bridgecross_entry import assembly
@@ -104,8 +105,8 @@
         self,
         settings: model.InstanceSettings,
         log_client: log_model.LogClient,
-        orders: servers.EmulatedLeaseClient,
-        requests: servers.EmulatedBackendClient,
+        orders: server_clients.EmulatedLeaseClient,
+        requests: server_clients.EmulatedBackendClient,
     ) -> None:
         """Initializes the adapter with the instance's clients."""
         self.settings = settings
@@ -200,8 +201,8 @@
         self,
         settings: model.InstanceSettings,
         log_client: log_model.LogClient,
-        orders: servers.EmulatedLeaseClient,
-        requests: servers.EmulatedBackendClient,
+        orders: server_clients.EmulatedLeaseClient,
+        requests: server_clients.EmulatedBackendClient,
         network: networks.Network,
         host: virtual.Host,
         clock: clocks.Clock,
--- a/tests/emulated/test_work.py
+++ b/tests/emulated/test_work.py
@@ -11,6 +11,7 @@
 from bridgecross_core import ids
 from bridgecross_emulator import cluster as clusters
 from bridgecross_emulator import instances
+from bridgecross_emulator import server_clients
 from bridgecross_emulator import servers as servers_lib
 from bridgecross_emulator import virtual
 from bridgecross_entry import attempts
@@ -25,7 +26,7 @@
 
     def __init__(self, cluster: clusters.Cluster) -> None:
         self.cluster = cluster
-        self.orders = servers_lib.EmulatedLeaseClient(cluster.fleet, _SENDER)
+        self.orders = server_clients.EmulatedLeaseClient(cluster.fleet, _SENDER)
         self.servers = list(cluster.fleet.servers.values())
         self.listed = [
             model.BackendServer(
