The list of instances has a module of its own

No behaviour changes. ClusterState held, beside its reads of the log, four collections of the listed instances. They move to instance_list.InstanceList, with the form of the record; ClusterState hands out addresses and weak ones as properties. The stored bytes are the same: test_stored_forms.py has an unchanged sample, and names the codec at its new place.

--- a/libs/bridgecross-entry/src/bridgecross_entry/cluster_state.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/cluster_state.py
@@ -14,11 +14,11 @@
 import anyio.abc
 
 from bridgecross_core import clock as clocks
-from bridgecross_core import codec as codecs
 from bridgecross_core import notifier
 from bridgecross_entry import evacuations
 from bridgecross_entry import feeds
 from bridgecross_entry import follower as followers
+from bridgecross_entry import instance_list
 from bridgecross_entry import invalid_records
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
@@ -40,20 +40,6 @@
 """The prefix of the keys of records that name refused requests."""
 
 
-class ListedInstance(NamedTuple):
-    """What an instance publishes about itself."""
-
-    name: str
-    # Whether its machine is too weak to lead many others.
-    is_weak: bool
-    # The failure domain that it runs in; empty if it published none.
-    failure_domain: str = ""
-
-
-INSTANCES = codecs.Codec(ListedInstance)
-"""Encodes the records of instances."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClusterStateSettings:
     """The timing of reads of the log."""
@@ -185,16 +171,7 @@
         # Called with the key and value of each record that adds or removes a
         # refused request.
         self.on_refused: Callable[[str, bytes], None] = lambda *_: None
-        # The peer addresses of all instances, including this one.
-        self.instances: set[model.Address] = set()
-        # Those of weak machines, which should lead only if no other can.
-        self.weak_instances: set[model.Address] = set()
-        # The others, by failure domain. A tuple is replaced when an instance is
-        # added or removed.
-        self._strong: dict[str, tuple[model.Address, ...]] = {}
-        # The addresses of instances by name; those of removed ones are kept
-        # until the list is read anew.
-        self._address_of_name: dict[str, model.Address] = {}
+        self._listed = instance_list.InstanceList()
         # When the last record about an instance was applied.
         self._instances_changed_s = clock.monotonic_s()
         # Notified when there may be changes to relay, and after each read of
@@ -282,6 +259,16 @@
             self.updated.notify if is_list else None,
         )
 
+    @property
+    def instances(self) -> set[model.Address]:
+        """The peer addresses of all instances, including this one."""
+        return self._listed.addresses
+
+    @property
+    def weak_instances(self) -> set[model.Address]:
+        """Those of weak machines, which should lead only if no other can."""
+        return self._listed.weak
+
     @property
     def key_follower(self) -> followers.Follower:
         """The follower of the key maps."""
@@ -618,10 +605,7 @@
         self._instances.put_all(records)
         # Instances that were added and removed in between are unknown.
         self._instances_changed_s = self._clock.monotonic_s()
-        self.instances.clear()
-        self.weak_instances.clear()
-        self._address_of_name.clear()
-        self._strong.clear()
+        self._listed.clear()
         self._update_instances(records)
 
     def _apply_changed_instances(
@@ -644,20 +628,10 @@
                 self._note_invalid_instance(record, error)
                 continue
             self._instances_changed_s = self._clock.monotonic_s()
-            self._set_strong(address, None)
-            if not record.value:
-                self.instances.discard(address)
-                continue
-            self.instances.add(address)
-            listed = self._decode_instance(record)
-            if listed is not None:
-                self._address_of_name[listed.name] = address
-            if listed is not None and listed.is_weak:
-                self.weak_instances.add(address)
-                continue
-            self.weak_instances.discard(address)
-            if listed is not None and listed.failure_domain:
-                self._set_strong(address, listed.failure_domain)
+            if record.value:
+                self._listed.add(address, self._decode_instance(record))
+            else:
+                self._listed.remove(address)
 
     def _pass_on_refused(self, record: logs.KeyedRecord) -> None:
         """Passes on a record that adds or removes a refused request."""
@@ -668,33 +642,21 @@
 
     def find_instance(self, name: str) -> model.Address | None:
         """Returns the address of an instance; None if it is not listed."""
-        address = self._address_of_name.get(name)
-        return address if address in self.instances else None
+        return self._listed.find(name)
 
     def strong_instances(self, domain: str) -> tuple[model.Address, ...]:
         """Returns the instances of a failure domain that are not weak.
 
         Returns the same object until one of them is added or removed.
         """
-        return self._strong.get(domain, ())
-
-    def _set_strong(self, address: model.Address, domain: str | None) -> None:
-        """Stores a strong instance's failure domain; None removes it."""
-        for known, addresses in self._strong.items():
-            if address in addresses and known != domain:
-                kept = tuple(each for each in addresses if each != address)
-                self._strong[known] = kept
-        if domain is not None:
-            others = self._strong.get(domain, ())
-            if address not in others:
-                self._strong[domain] = (*others, address)
+        return self._listed.list_strong(domain)
 
     def _decode_instance(
         self, record: logs.KeyedRecord
-    ) -> ListedInstance | None:
+    ) -> instance_list.ListedInstance | None:
         """Decodes what an instance published; returns None if it is invalid."""
         try:
-            return INSTANCES.decode(record.value)
+            return instance_list.INSTANCES.decode(record.value)
         except Exception as error:
             self._note_invalid_instance(record, error)
             return None
--- a/libs/bridgecross-entry/src/bridgecross_entry/cluster_tasks.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/cluster_tasks.py
@@ -20,6 +20,7 @@
 from bridgecross_entry import cluster_state
 from bridgecross_entry import coordinator
 from bridgecross_entry import dispatch
+from bridgecross_entry import instance_list
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
 from bridgecross_entry import leadership
@@ -247,11 +248,11 @@
         """Keeps this instance on the list; as the leader, removes lost ones."""
         own = self._instance.peer_address
         is_weak = leadership.LeadershipSettings().is_weak(self._instance)
-        listed = cluster_state.ListedInstance(
+        listed = instance_list.ListedInstance(
             self._instance.name, is_weak, self._instance.failure_domain
         )
         record = logs.KeyedRecord(
-            str(own), cluster_state.INSTANCES.encode(listed)
+            str(own), instance_list.INSTANCES.encode(listed)
         )
         while not self._stopping:
             self._update_instance_count()
--- a/libs/bridgecross-entry/tests/test_cluster_state.py
+++ b/libs/bridgecross-entry/tests/test_cluster_state.py
@@ -11,6 +11,7 @@
 from bridgecross_core import ids
 from bridgecross_entry import cluster_state
 from bridgecross_entry import follower
+from bridgecross_entry import instance_list
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
 from bridgecross_entry import log
@@ -161,8 +162,8 @@
 async def test_an_instance_publishes_whether_it_is_weak(platform_log):
     reader = cluster_state_support.Reader(platform_log)
     for port, is_weak in ((1, False), (2, True)):
-        listed = cluster_state.ListedInstance("entry", is_weak)
-        value = cluster_state.INSTANCES.encode(listed)
+        listed = instance_list.ListedInstance("entry", is_weak)
+        value = instance_list.INSTANCES.encode(listed)
         _add(
             platform_log,
             cluster_state.INSTANCE_TOPIC,
--- a/libs/bridgecross-entry/tests/test_relaying.py
+++ b/libs/bridgecross-entry/tests/test_relaying.py
@@ -11,6 +11,7 @@
 from bridgecross_core import clock
 from bridgecross_entry import cluster_state
 from bridgecross_entry import exchange
+from bridgecross_entry import instance_list
 from bridgecross_entry import leadership
 from bridgecross_entry import log
 from bridgecross_entry import model
@@ -118,8 +119,8 @@
         self.shared = fakes.MemoryLog()
         self.add("servers", "a", b"rapor")
         self.configure(1)
-        listed = cluster_state.INSTANCES.encode(
-            cluster_state.ListedInstance("x", False)
+        listed = instance_list.INSTANCES.encode(
+            instance_list.ListedInstance("x", False)
         )
         for port in range(3):
             self.add(
--- a/libs/bridgecross-entry/tests/test_stored_forms.py
+++ b/libs/bridgecross-entry/tests/test_stored_forms.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from bridgecross_entry import cluster_state
+from bridgecross_entry import instance_list
 from bridgecross_entry import keymap
 from bridgecross_entry import leadership
 from bridgecross_entry import peers
@@ -57,9 +57,9 @@
         id="peers._REPLIES",
     ),
     pytest.param(
-        cluster_state.INSTANCES,
+        instance_list.INSTANCES,
         "93a473313031c3a473313032",
-        id="cluster_state.INSTANCES",
+        id="instance_list.INSTANCES",
     ),
     pytest.param(
         poison_broadcast._UPDATES,
