The choice of a key's owner has a module of its own

No behaviour changes. Dispatcher._choose_owner and _is_owner move to owner_selection.OwnerSelector, their two settings to OwnerSettings, which DispatchSettings holds whole. Refusals hands out its longer Retry-After as a property, since the selector has no dispatch settings to read it from.

--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -25,6 +25,7 @@
 from bridgecross_entry import load
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import model
+from bridgecross_entry import owner_selection
 from bridgecross_entry import permit_client
 from bridgecross_entry import permits as permits_lib
 from bridgecross_entry import quota_client
@@ -48,14 +49,10 @@
 class DispatchSettings:
     """Settings for how requests are dispatched and retried."""
 
-    # How long a request waits for confirmation that the owner of its key holds
-    # the key, as a fraction of the route's target latency. Most moves take
-    # less than 0.1 s, and targets are 0.15 s or more. After that the request
-    # is sent to the owner anyway, as the confirmation may have been lost.
-    move_wait_ratio: float = 0.75
-    # How long it waits while no usable server owns the key. A caller that is
-    # refused early can retry and may still be served within the target.
-    no_owner_wait_ratio: float = 0.2
+    # How the owners of keys are waited for.
+    owners: owner_selection.OwnerSettings = dataclasses.field(
+        default_factory=owner_selection.OwnerSettings
+    )
     # How results of attempts are handled.
     results: attempt_results.ResultSettings = dataclasses.field(
         default_factory=attempt_results.ResultSettings
@@ -180,6 +177,14 @@
             ).count_answer(*answer),
             clock,
         )
+        self._owners = owner_selection.OwnerSelector(
+            settings.owners,
+            registry,
+            table,
+            self._selector,
+            self._refusals,
+            clock,
+        )
         self._recorder = request_recorder.RequestRecorder(
             journal, metrics, clock
         )
@@ -333,7 +338,7 @@
         self, state: request_state.RequestState
     ) -> outcomes.Outcome | None:
         """Sends a request to the owner of its key."""
-        owner = await self._choose_owner(state)
+        owner = await self._owners.choose(state)
         if isinstance(owner, outcomes.NotRun):
             return self._refusals.make_final_outcome(state, owner)
         refusal = self._refusals.refuse_if_full(state, [owner])
@@ -421,7 +426,7 @@
             ),
             owner.listed if owner else None,
             state.tried | self._list_unavailable_ids(state),
-            lambda: owner is None or self._is_owner(state, owner),
+            lambda: owner is None or self._owners.is_owner(state, owner),
             lambda domain: self._selector.is_allowed(state.route, domain),
         )
         result = await permits.obtain(applicant)
@@ -539,52 +544,6 @@
         chosen = self._selector.choose(others or available, state.tried)
         return chosen or self._refusals.refuse_cold(state, available)
 
-    async def _choose_owner(
-        self, state: request_state.RequestState
-    ) -> servers_lib.Server | outcomes.NotRun:
-        """Waits for a usable owner of the key; returns it or a refusal."""
-        assert state.request.key is not None  # checked by the caller
-        key = state.request.key
-        settings = self._settings
-        started_s = self._clock.monotonic_s()
-        target_s = state.route.target_latency_ms / 1_000
-        while True:
-            now_s = self._clock.monotonic_s()
-            waited_s = now_s - started_s
-            owner = self._table.find(state.service, key)
-            server = self._registry.get(owner.server_id) if owner else None
-            if server and not self._selector.is_allowed(
-                state.route, server.listed.failure_domain
-            ):
-                state.trail.append(f"key {key} is owned in another area")
-                return self._refusals.refuse(
-                    "the owner of the key is in another area",
-                    settings.refusals.repeat_retry_after_ms,
-                )
-            if owner and self._registry.notices.is_past_drain_limit(
-                owner.server_id, now_s
-            ):
-                # Its keys have not moved since it announced that it leaves, and
-                # it is unknown when they will.
-                state.trail.append(f"{owner.server_id}: said that it leaves")
-                return self._refusals.refuse(
-                    "the owner of the key has left",
-                    settings.refusals.repeat_retry_after_ms,
-                )
-            if owner and server and self._registry.may_use(server, now_s):
-                wait_left_s = settings.move_wait_ratio * target_s - waited_s
-                if owner.settled or wait_left_s <= 0:
-                    return server
-            else:
-                wait_left_s = settings.no_owner_wait_ratio * target_s - waited_s
-                if wait_left_s <= 0:
-                    state.trail.append(f"key {key} has no owner")
-                    return self._refusals.refuse(
-                        "the key has no owner at present",
-                        self._refusals.default_retry_after_ms(state),
-                    )
-            await self._table.changed.wait(min(wait_left_s, 0.05))
-
     async def _attempt(
         self,
         state: request_state.RequestState,
@@ -808,19 +767,10 @@
             return False
         if not keyed:
             return self._registry.may_use_without_key(server, now_s)
-        return self._registry.may_use(server, now_s) and self._is_owner(
+        return self._registry.may_use(server, now_s) and self._owners.is_owner(
             state, server
         )
 
-    def _is_owner(
-        self, state: request_state.RequestState, server: servers_lib.Server
-    ) -> bool:
-        """Whether a server owns the key of a request."""
-        if state.request.key is None:
-            return False
-        owner = self._table.find(state.service, state.request.key)
-        return owner is not None and owner.server_id == server.listed.server_id
-
     def _get_retry_budget(
         self, service: ids.ServiceName
     ) -> retry_budget.RetryBudget:
--- a/libs/bridgecross-entry/src/bridgecross_entry/refusals.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/refusals.py
@@ -53,6 +53,11 @@
         self._limited_servers = limited_servers
         self._watch = watch
 
+    @property
+    def repeat_retry_after_ms(self) -> int:
+        """The Retry-After of refusals that a quick return cannot help."""
+        return self._settings.repeat_retry_after_ms
+
     def refuse_poison(
         self, state: request_state.RequestState
     ) -> outcomes.Outcome | None:
