The capacities of servers have a module of their own

No behaviour changes. Coordinator._capacities and what it calls move to server_capacities.ServerCapacities, their settings to CapacitySettings.

--- a/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
@@ -29,8 +29,8 @@
 from bridgecross_entry import model
 from bridgecross_entry import planner
 from bridgecross_entry import proofs
+from bridgecross_entry import server_capacities
 from bridgecross_entry import servers as servers_lib
-from bridgecross_entry import warmups
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,13 +57,10 @@
     list_wait_max_s: float = 5.0
     # The pause before a failed append is retried.
     log_retry_interval_s: float = 0.1
-    # The share of a cold server's permitted request rate that its keys may
-    # draw on average. Requests arrive at random, and those beyond the server's
-    # permits are refused.
-    cold_capacity_ratio: float = 0.5
-    # The least capacity of a server that limits the requests to it; a server
-    # with a limit of 0 is still compared with others.
-    limit_min_per_s: float = 0.2
+    # How the capacities of servers are determined.
+    capacities: server_capacities.CapacitySettings = dataclasses.field(
+        default_factory=server_capacities.CapacitySettings
+    )
     # How often to check whether planning is due.
     check_interval_s: float = 0.1
 
@@ -123,6 +120,9 @@
         self._registry = registry
         self._table = table
         self._loads = loads
+        self._capacities = server_capacities.ServerCapacities(
+            settings.capacities, instance.bounds, registry, loads
+        )
         self._list_is_fresh = list_is_fresh
         self._publish_map = publish_map
         self._publish_settled = publish_settled
@@ -240,7 +240,7 @@
 
     async def _create_first_map(self) -> bool:
         """Writes the first key map of the service."""
-        capacities = self._capacities(self._eligible_servers())
+        capacities = self._capacities.of(self._eligible_servers())
         if not capacities:
             return False
         ranges: tuple[keymap.KeyRange, ...] = (
@@ -407,44 +407,6 @@
             and not self._lease_manager.is_unreachable(server.listed.server_id)
         ]
 
-    def _capacities(
-        self, eligible: list[model.BackendServer]
-    ) -> dict[ids.ServerId, float]:
-        """Returns the requests per second that each server can process.
-
-        Cold servers without any capacity are left out, if there are others. A
-        server cannot process more than it says that it takes: the excess would
-        be refused, so its keys move to others.
-        """
-        capacities = {
-            server_id: min(capacity, self._limit_per_s(server_id))
-            for server_id, capacity in self._loads.capacities(eligible).items()
-        }
-        usable = {}
-        for server_id, capacity in capacities.items():
-            cold_capacity = self._cold_capacity_per_s(server_id)
-            if cold_capacity is None:
-                usable[server_id] = capacity
-            elif cold_capacity > 0:
-                usable[server_id] = min(capacity, cold_capacity)
-        return usable or capacities
-
-    def _limit_per_s(self, server_id: ids.ServerId) -> float:
-        """Returns the request rate to which a server limits all instances."""
-        limit_per_s = self._registry.notices.limits.limit_per_s(server_id)
-        return max(limit_per_s, self._settings.limit_min_per_s)
-
-    def _cold_capacity_per_s(self, server_id: ids.ServerId) -> float | None:
-        """Returns the load allowed on a cold server; None if it is warm."""
-        server = self._registry.get(server_id)
-        rate_per_s = self._registry.cold_rate_per_s(server) if server else None
-        if rate_per_s is None:
-            return None
-        settings = warmups.WarmupSettings()
-        bounds = self._instance.bounds
-        issued = warmups.count_issued(settings, bounds, rate_per_s)
-        return self._settings.cold_capacity_ratio * issued / settings.window_s
-
     async def _plan(
         self, tasks: anyio.abc.TaskGroup, *, with_rebalancing: bool
     ) -> None:
@@ -454,7 +416,7 @@
             return
         self._registry.note_owners(self._service, self._possible_holders())
         self._loads.advance(eligible, self._clock.monotonic_s())
-        capacities = self._capacities(eligible)
+        capacities = self._capacities.of(eligible)
         movable = tuple(r for r in self._ranges if self._is_movable(r))
         moves: tuple[planner.Move, ...] = ()
         reason = "owner is leaving or lost"
@@ -506,7 +468,7 @@
             m
             for m in moves
             if m.owner in capacities
-            and self._cold_capacity_per_s(m.owner) is None
+            and self._capacities.cold_capacity_per_s(m.owner) is None
         )
 
     def _is_reclaimed(self, key_range: keymap.KeyRange) -> bool:
