--- a/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
@@ -89,6 +89,15 @@
 the first byte."""
 
 
+class UnknownHeader(NamedTuple):
+    """A header of an answer that the platform's adapter does not know."""
+
+    # In lower case.
+    name: str
+    # The beginning of its value.
+    value: str
+
+
 class Notice(NamedTuple):
     """What a server reports about itself in the headers of an answer."""
 
@@ -106,6 +115,8 @@
     # if the answer does not show that there is no limit: rejections, failures
     # and answers to lease orders may lack the header.
     sent_s: float = -math.inf
+    # Headers that nothing is decided by, as far as this program knows.
+    unknown_headers: tuple[UnknownHeader, ...] = ()
 
 
 NoticeHandler = Callable[[model.BackendServer, Notice], None]
--- a/libs/bridgecross-entry/src/bridgecross_entry/notices.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/notices.py
@@ -22,6 +22,10 @@
 """Runs whose reports are kept, 0.2 KB each: 180 servers are replaced on an
 ordinary day, so a run that is dropped has left weeks ago."""
 
+_UNKNOWN_HEADERS_MAX_COUNT = 200
+"""Unknown headers that are logged, by service and name; servers that make names
+up must not fill the log."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoticeSettings:
@@ -68,6 +72,8 @@
         self._on_leaving = on_leaving
         self._journal = journal
         self._clock = clock
+        # The services and names of unknown headers that were logged.
+        self._unknown_headers: set[tuple[ids.ServiceName, str]] = set()
         self._invalid_reports = invalid_records.InvalidRecords(
             "answers", journal
         )
@@ -132,12 +138,36 @@
                 server.server_id,
                 ValueError(notice.problem),
             )
+        for header in notice.unknown_headers:
+            self._note_unknown(server, header)
         if notice.is_leaving:
             self._record_leaving(server)
         if notice.backoff_s > 0:
             self._record_backoff(server, notice.backoff_s)
         self.limits.record(server, notice)
 
+    @property
+    def unknown_header_count(self) -> int:
+        """The number of headers, by service and name, that are not known."""
+        return len(self._unknown_headers)
+
+    def _note_unknown(
+        self, server: model.BackendServer, header: attempts.UnknownHeader
+    ) -> None:
+        """Logs a header that is not known, once for each service."""
+        key = (server.service, header.name)
+        is_full = len(self._unknown_headers) >= _UNKNOWN_HEADERS_MAX_COUNT
+        if key in self._unknown_headers or is_full:
+            return
+        self._unknown_headers.add(key)
+        self._journal.decision(
+            "server_header_unknown",
+            server=server.server_id,
+            service=server.service,
+            header=header.name,
+            value=header.value,
+        )
+
     def _record_leaving(self, server: model.BackendServer) -> None:
         """Records that a run is leaving; only its first report counts."""
         server_id = server.server_id
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -210,6 +210,8 @@
         notices = self._parts.registry.notices
         gauge.set({"what": "servers_said_leaving"}, notices.leaving_count)
         gauge.set({"what": "servers_resting"}, notices.backoff_count)
+        unknown_count = notices.unknown_header_count
+        gauge.set({"what": "unknown_server_headers"}, unknown_count)
         limited_count = self._parts.registry.limited_count
         gauge.set({"what": "servers_limited"}, limited_count)
         gauge.set({"what": "instances"}, self._parts.dispatcher.instance_count)
--- a/libs/bridgecross-entry/tests/test_notices.py
+++ b/libs/bridgecross-entry/tests/test_notices.py
@@ -194,3 +194,22 @@
     count = registry.changed.count
     registry.notices.record(SERVER, LEAVING)
     assert registry.changed.count == count + 1
+
+
+def test_unknown_header_is_logged_once_a_service(reports, journal_lines):
+    header = attempts.UnknownHeader("server-mood", "low")
+    for name in ("a", "b", "a"):
+        reports.record(
+            support.make_server(name),
+            attempts.Notice(unknown_headers=(header,)),
+        )
+    assert journal_lines.events() == ["server_header_unknown"]
+    assert journal_lines.written[0][1]["header"] == "server-mood"
+    assert reports.unknown_header_count == 1
+
+
+def test_unknown_headers_do_not_fill_the_log(reports, journal_lines):
+    for number in range(1_000):
+        header = attempts.UnknownHeader(f"x-{number}", "")
+        reports.record(SERVER, attempts.Notice(unknown_headers=(header,)))
+    assert len(journal_lines.written) == 200
