A new issuer of quotas grants nothing that it has not earned

Each new leader granted one request at once, since its buckets began with one token. Leaders in quick succession summed up to more than a server takes. The argument had held for the usual number of leaders only: two changes don't fit into the window, it said.

A bucket now starts empty. All issuers together then grant no more than a single one, however often they change.

The scenes of dispatch and of the client wait for their first token.

--- a/libs/bridgecross-entry/src/bridgecross_entry/quota_issuer.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/quota_issuer.py
@@ -2,8 +2,9 @@
 
 Each server has a token bucket. In any time t the issuer grants at most
 ``rate * t`` requests and what the bucket held at its start, and each is sent
-within a bounded time of the grant. A new issuer starts with one token per
-server, since it does not know what the previous one granted.
+within a bounded time of the grant. A bucket starts empty, since the issuer does
+not know what previous ones granted: however often the issuer changes, all of
+them together grant no more than a single one.
 """
 
 from collections.abc import Callable
@@ -57,11 +58,11 @@
         report: rate_limits.LimitReport,
         now_s: float,
     ) -> None:
-        """Starts with a single token."""
+        """Starts without tokens."""
         # What is known of the limit, on this instance's clock.
         self.report = report
         self._settings = settings
-        self._tokens = 1.0
+        self._tokens = 0.0
         self._refilled_s = now_s
         # When it was last asked for.
         self.asked_s = now_s
--- a/libs/bridgecross-entry/tests/test_dispatch_limits.py
+++ b/libs/bridgecross-entry/tests/test_dispatch_limits.py
@@ -12,6 +12,7 @@
 from bridgecross_entry import permits
 from bridgecross_entry import quota_client
 from bridgecross_entry import quota_issuer
+from bridgecross_entry import quotas
 
 pytestmark = pytest.mark.anyio
 
@@ -45,6 +46,10 @@
     client.find_issuer = lambda: OWN
     scene.dispatcher._limited_servers._quotas = client
     notices._report(scene, LIMIT, limited)
+    for server in limited:
+        report = quotas.Report(4.0, 0.0)
+        scene.issuer.handle(quotas.Request(server.server_id, 0, 0, report))
+        scene.issuer._buckets[server.server_id]._tokens = 1.0
     return backends, scene
 
 
--- a/libs/bridgecross-entry/tests/test_quota_client.py
+++ b/libs/bridgecross-entry/tests/test_quota_client.py
@@ -76,6 +76,13 @@
         )
         self.client.find_issuer = lambda: LEADER
         self.name_limit(6.0)
+        self.earn_one()
+
+    def earn_one(self, limit_per_s=6.0):
+        """Reports a limit, and waits until a request can be granted."""
+        report = quotas.Report(limit_per_s, 0.0)
+        self.issuer.handle(quotas.Request(RUN, 0, 1, report))
+        self.clock.now_s += 1.0 / limit_per_s + 0.001
 
     def name_limit(self, limit_per_s, took_s=0.1):
         """Records an answer that is read now."""
@@ -136,6 +143,8 @@
     """100 requests per second, to a server that takes four times as many."""
     harness.clock.now_s += 1.0
     harness.name_limit(400.0)
+    harness.issuer._buckets.clear()
+    harness.earn_one(400.0)
     for _ in range(100):
         harness.clock.now_s += 0.01
         assert isinstance(await harness.obtain(), quota_client.Quota)
