The leader repeats limits after a moment in which it was not certain

A leader that was unconfirmed for a moment stopped telling limits: the issuer lists none then, so the broadcaster waited without a time limit, until the issuer learned of another change.

The broadcaster now waits without a time limit only if the issuer knows no limits at all, certain or not. Instances in whose cluster nobody names a limit still don't wake up: the issuer's buckets are empty there.

test_limits_are_repeated_again_after_a_moment_without_the_right: with the new argument accepted but the earlier wait, "assert []", nothing was sent; with the change it passes.

--- a/libs/bridgecross-entry/src/bridgecross_entry/cluster_tasks.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/cluster_tasks.py
@@ -154,6 +154,7 @@
             self._peer_client,
             self._peers,
             quota_issuer.list_limits,
+            lambda: quota_issuer.knows_limits,
             quota_client.hear,
         )
         quota_issuer.sole_term = lambda: self._leadership.sole_term
--- a/libs/bridgecross-entry/src/bridgecross_entry/limit_broadcast.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/limit_broadcast.py
@@ -38,6 +38,7 @@
         client: peers.PeerClient,
         addresses: Callable[[], tuple[model.Address, ...]],
         list_limits: Callable[[], tuple[quotas.KnownLimit, ...]],
+        knows_limits: Callable[[], bool],
         on_limits: Callable[[tuple[quotas.KnownLimit, ...]], None],
     ) -> None:
         """Sends nothing before ``run``.
@@ -47,7 +48,8 @@
             client: Calls other instances.
             addresses: Returns the addresses of the other instances.
             list_limits: Returns the limits that this instance knows as the
-                issuer.
+                issuer; none while it is not certain to be the only one.
+            knows_limits: Whether it knows limits, certain or not.
             on_limits: Applies limits that the leader knows.
         """
         # Notified when the issuer learns of a limit.
@@ -56,6 +58,7 @@
         self._client = client
         self._addresses = addresses
         self._list_limits = list_limits
+        self._knows_limits = knows_limits
         self._on_limits = on_limits
 
     async def run(self) -> None:
@@ -69,7 +72,8 @@
                 await anyio.sleep(settings.min_interval_s)
             if self.changed.count == seen_count:
                 wait_s = settings.interval_s - settings.min_interval_s
-                await self.changed.wait(wait_s if limits else math.inf)
+                is_idle = not self._knows_limits()
+                await self.changed.wait(math.inf if is_idle else wait_s)
 
     async def _send(self, limits: tuple[quotas.KnownLimit, ...]) -> None:
         """Sends limits to all other instances, and applies them here."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/quota_issuer.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/quota_issuer.py
@@ -161,6 +161,11 @@
         self._term: int | None = None
         self._buckets: dict[ids.ServerId, _Bucket] = {}
 
+    @property
+    def knows_limits(self) -> bool:
+        """Whether any limit was known when quotas were last issued."""
+        return bool(self._buckets)
+
     def list_limits(self) -> tuple[quotas.KnownLimit, ...]:
         """Returns the limits that this instance knows as the issuer."""
         if not self._begin_term():
--- a/libs/bridgecross-entry/tests/test_limit_broadcast.py
+++ b/libs/bridgecross-entry/tests/test_limit_broadcast.py
@@ -33,12 +33,14 @@
     def __init__(self) -> None:
         self.client = Client()
         self.limits: tuple[quotas.KnownLimit, ...] = ()
+        self.knows_limits = False
         self.applied: list[tuple[quotas.KnownLimit, ...]] = []
         self.broadcaster = limit_broadcast.LimitBroadcaster(
             SETTINGS,
             self.client,
             lambda: PEERS,
             lambda: self.limits,
+            lambda: self.knows_limits or bool(self.limits),
             self.applied.append,
         )
 
@@ -76,6 +78,17 @@
     assert len(scene.client.sent) == len(PEERS)
 
 
+# Guards against a leader that falls silent after it was unconfirmed once.
+async def test_limits_are_repeated_again_after_a_moment_without_the_right():
+    scene = Scene()
+    scene.knows_limits = True
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(scene.run_for, 0.2)
+        await anyio.sleep(0.02)
+        scene.limits = LIMITS
+    assert scene.client.sent
+
+
 def test_a_receiver_applies_what_it_is_sent():
     scene = Scene()
     scene.broadcaster.receive(quotas.LIMITS.encode(LIMITS))
