Two sides of a partition don't both grant what a limited server takes

Each side of a partition that lasted had a leader that took itself for the only one, and each granted all that a server takes. A leader is alone, it was argued, since two majorities share an instance; they do so only if the lists do. The side with the log removes the others from its list after 20 s, and its majority is then one of a shorter list.

Leadership.sole_term has a third condition: in the last 10 s all listed instances accepted a heartbeat or had ended, or the log had no later claim. An earlier leader that misses instances has thus stopped before a later one can have removed any. It reads the log for that every 3 s, only while limits are known here and instances are missing. A disputed lead counts as missing until a unanimous round or the log shows otherwise.

Assumed: no group of instances that were all added within 10 s replaces all that an earlier leader, cut off from the log, still hears. The log away and one instance silent: after 10 s limited servers get nothing.

--- a/libs/bridgecross-entry/src/bridgecross_entry/cluster_tasks.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/cluster_tasks.py
@@ -157,6 +157,8 @@
             lambda: quota_issuer.knows_limits,
             quota_client.hear,
         )
+        limits = registry.notices.limits
+        self._leadership.needs_sole_term = lambda: limits.any_known
         quota_issuer.sole_term = lambda: self._leadership.sole_term
         quota_issuer.on_change = self.limit_broadcaster.changed.notify
         quota_client.find_issuer = self._find_leader
--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -130,6 +130,13 @@
     # How many times as long as a confirmation is valid a new leader waits until
     # it is certain to be alone: clocks may differ by 2%.
     sole_wait_ratio: float = 1.04
+    # A leader is not certain to be alone once some instances have not answered
+    # for this long and it has not read its claim in the log either: a later
+    # leader may have removed instances from the list, after 20 s at the
+    # earliest, so that their majorities share no instance.
+    sole_missing_max_s: float = 10.0
+    # How often it reads the log for that, while it needs to be certain.
+    sole_confirm_interval_s: float = 3.0
 
     def is_weak(self, instance: model.InstanceSettings) -> bool:
         """Whether an instance should lead only if no other can."""
@@ -176,6 +183,8 @@
         # instance that has not read them does not count towards a majority,
         # since its earlier run may have followed a later leader.
         self.knows_claims = False
+        # Whether this instance needs to know whether it is alone.
+        self.needs_sole_term: Callable[[], bool] = lambda: False
         self._settings = settings
         self._instance = instance
         self._log = log
@@ -196,6 +205,11 @@
         self._confirmed_s = float("-inf")
         # The same, counting only confirmations by a majority.
         self._majority_confirmed_s = float("-inf")
+        # When it was last certain that no listed instance followed a later
+        # leader: all accepted a heartbeat, or the log had no later claim.
+        self._unrivalled_s = float("-inf")
+        # When the log was last read for that.
+        self._sole_confirm_s = float("-inf")
         # Whether the lead was confirmed at the last check.
         self._was_confirmed = False
         # When a majority of the instances was first known to have accepted the
@@ -223,12 +237,16 @@
         more; an instance that reads its claim in the log may be another one
         than the one that a majority follows. An earlier leader considers itself
         alone for as long as its last majority is valid. That is waited for,
-        unless all instances are known to follow this leader.
+        unless all instances are known to follow this leader. Majorities of
+        lists from which a later leader removed instances need not meet, so a
+        leader that misses some instances also needs the log.
         """
         now_s = self._clock.monotonic_s()
         valid_s = self._settings.confirmation_valid_s
         is_confirmed = now_s - self._majority_confirmed_s < valid_s
-        if not self.is_leader or not is_confirmed:
+        missing_s = now_s - self._unrivalled_s
+        has_rival = missing_s >= self._settings.sole_missing_max_s
+        if not self.is_leader or not is_confirmed or has_rival:
             return None
         waited_s = now_s - self._majority_known_s
         is_alone = waited_s >= valid_s * self._settings.sole_wait_ratio
@@ -265,6 +283,7 @@
             # which it is.
             self._confirmed_s = float("-inf")
             self._majority_confirmed_s = float("-inf")
+            self._unrivalled_s = float("-inf")
             self._journal.decision("lead_disputed", term=relay_round.term)
         elif relay_round.is_majority:
             self._confirmed_s = max(self._confirmed_s, relay_round.sent_s)
@@ -274,6 +293,7 @@
             now_s = self._clock.monotonic_s()
             self._majority_known_s = min(self._majority_known_s, now_s)
             if relay_round.is_unanimous:
+                self._unrivalled_s = max(self._unrivalled_s, relay_round.sent_s)
                 self._known_to_all_s = min(self._known_to_all_s, now_s)
 
     async def run(self) -> None:
@@ -289,6 +309,10 @@
             ):
                 await self.confirm()
                 continue
+            if self._should_read_for_sole_term(now_s):
+                self._sole_confirm_s = now_s
+                await self.confirm()
+                continue
             silent_s = now_s - self._no_claim_before_s
             may_claim = not self.is_leader and not self._resigned
             if (
@@ -299,6 +323,16 @@
                 await self._try_claim()
             await self._pause()
 
+    def _should_read_for_sole_term(self, now_s: float) -> bool:
+        """Whether to read the log, since some instances do not answer."""
+        interval_s = self._settings.sole_confirm_interval_s
+        return (
+            self.is_leader
+            and now_s - self._unrivalled_s >= interval_s
+            and now_s - self._sole_confirm_s >= interval_s
+            and self.needs_sole_term()
+        )
+
     async def _pause(self) -> None:
         """Waits until the next check.
 
@@ -333,6 +367,7 @@
                 self._follow(claim, self._settings.heartbeat_timeout_s)
             elif self.is_leader and claim == self._claim:
                 self._confirmed_s = asked_s
+                self._unrivalled_s = max(self._unrivalled_s, asked_s)
         await anyio.sleep(self._settings.check_interval_s)
 
     def handle_heartbeat(
@@ -454,6 +489,7 @@
         self._leader_lost_log = False
         self._confirmed_s = asked_s
         self._majority_confirmed_s = float("-inf")
+        self._unrivalled_s = asked_s
         self._majority_known_s = float("inf")
         self._known_to_all_s = float("inf")
         self.is_leader = True
--- a/libs/bridgecross-entry/tests/test_leadership.py
+++ b/libs/bridgecross-entry/tests/test_leadership.py
@@ -476,3 +476,30 @@
     leading = await _lead_as_only_one(manual, fakes.MemoryLog())
     leading.handle_heartbeat(leadership.Claim(leading.term + 1, "rival"))
     assert leading.sole_term is None
+
+
+async def _miss_one(leading, manual, *, for_s):
+    """Lets time pass in which one of five does not answer."""
+    for _ in range(round(for_s)):
+        manual.now_s += 1.0
+        _note_majority(leading, manual, accepted=3)
+
+
+# Guards against leaders whose majorities share no instance after removals.
+async def test_a_leader_that_misses_some_is_alone_only_with_the_log():
+    manual = support.ManualClock()
+    platform_log = fakes.MemoryLog()
+    leading = await _lead_as_only_one(manual, platform_log)
+    await _miss_one(leading, manual, for_s=9.0)
+    assert leading.sole_term == leading.term
+    await _miss_one(leading, manual, for_s=2.0)
+    assert leading.may_order
+    assert leading.sole_term is None
+    await leading.confirm()
+    assert leading.sole_term == leading.term
+    platform_log.unavailable = True
+    await _miss_one(leading, manual, for_s=11.0)
+    await leading.confirm()
+    assert leading.sole_term is None
+    _note_majority(leading, manual, accepted=4)
+    assert leading.sole_term == leading.term
--- a/tests/emulated/test_limits.py
+++ b/tests/emulated/test_limits.py
@@ -255,6 +255,33 @@
     assert limit_checks.check_limits(scene.cluster) == []
 
 
+# Guards against two leaders whose lists of instances have become disjoint.
+def test_a_limit_is_kept_by_both_sides_of_a_lasting_partition():
+    """The side with the log removes the other one from the list after 20 s."""
+
+    async def act(scene):
+        cluster = scene.cluster
+        name_limits(scene)
+        await anyio.sleep(3.0)
+        cut_off = [cluster.leader, *cluster.others()[:5]]
+        for instance in cut_off:
+            instance.log_client.cut()
+            for other in cluster.instances:
+                if other not in cut_off:
+                    cut = cluster.network.cut
+                    addresses = (
+                        instance.settings.peer_address,
+                        other.settings.peer_address,
+                    )
+                    cut(*addresses)
+                    cut(*reversed(addresses))
+        await anyio.sleep(35.0)
+
+    scene = simulate(act)
+    assert "instance_dropped" in {line.event for line in scene.cluster.lines}
+    assert limit_checks.check_limits(scene.cluster) == []
+
+
 @pytest.mark.parametrize("inject", [_do_nothing, _make_log_unavailable])
 def test_what_limited_servers_take_is_used(inject):
     async def act(scene):
