A request refused for a server's limit says which, since when and by whom

On-call could not get from the id of a refused request to its reason: the trail said "its servers limit their requests", not which server, what it takes, how the instance knew, or who grants.

The trail now names up to three servers with their limit, whether an answer to this instance told it or the leader did, and how long ago, then the leader that grants, or why it cannot be asked. `bridgecross logs explain` shows it as it shows all trails; the cause is found by the same words as before.

--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -643,7 +643,9 @@
         quota = await self._limited_servers.obtain(server, state.route.priority)
         if isinstance(quota, quota_client.Refused):
             return (
-                self._refusals.refuse_limited(state, quota.retry_after_s)
+                self._refusals.refuse_limited(
+                    state, [server], quota.retry_after_s
+                )
                 if keyed
                 else None
             )
--- a/libs/bridgecross-entry/src/bridgecross_entry/limited_servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/limited_servers.py
@@ -12,6 +12,9 @@
 from bridgecross_entry import quota_client
 from bridgecross_entry import servers as servers_lib
 
+_DESCRIBED_MAX_COUNT = 3
+"""The number of servers that the trail of a refused request names."""
+
 _RETRY_AFTER_S = 1.0
 """When callers return without a leader that issues quotas."""
 
@@ -105,6 +108,22 @@
             quota, server_id
         )
 
+    def describe(self, servers: Sequence[servers_lib.Server]) -> str:
+        """Describes what is known of servers that take no more requests."""
+        limits = self._registry.notices.limits
+        described = []
+        for server in servers[:_DESCRIBED_MAX_COUNT]:
+            server_id = server.listed.server_id
+            known = limits.get_age(server_id)
+            if known is not None:
+                how = "told" if known.is_told else "heard of"
+                described.append(
+                    f"{server_id} takes {known.limit_per_s:g}/s, "
+                    f"{how} {known.age_s:.1f} s ago"
+                )
+        issuer = self._quotas.describe_issuer() if self._quotas else "nobody"
+        return "; ".join([*described, f"granted by {issuer}"])
+
     def count_sent(self, server: servers_lib.Server) -> None:
         """Counts a request that is sent, if its server has a limit."""
         if self._is_limited(server):
--- a/libs/bridgecross-entry/src/bridgecross_entry/quota_client.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/quota_client.py
@@ -141,6 +141,7 @@
         self._clock = clock
         self._connect = connect or self._make_pool
         self._paused_until_s = -math.inf
+        self._pause_reason = ""
         self._pools: dict[model.Address, exchange.Exchanger] = {}
         self._servers: dict[ids.ServerId, _ServerState] = {}
         # The stamps of the issuers' answers, newest last.
@@ -223,6 +224,14 @@
         """Whether there are quotas that may still be used."""
         return state.unused_count > 0 and self._is_usable(state.asked_s, now_s)
 
+    def describe_issuer(self) -> str:
+        """Returns which instance issues quotas, or why none can be asked."""
+        issuer = self.find_issuer()
+        address = str(issuer) if issuer else "no known leader"
+        if self._clock.monotonic_s() < self._paused_until_s:
+            return f"{address}, which cannot be asked: {self._pause_reason}"
+        return address
+
     # Requests for quotas.
 
     async def obtain(
@@ -329,6 +338,7 @@
         if now_s < self._paused_until_s:
             return
         self._paused_until_s = now_s + self._settings.pause_s
+        self._pause_reason = reason
         self._journal.decision(
             "quota_issuer_lost",
             address=str(issuer or ""),
--- a/libs/bridgecross-entry/src/bridgecross_entry/rate_limits.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/rate_limits.py
@@ -57,11 +57,22 @@
     )
 
 
+class LimitAge(NamedTuple):
+    """The limit of a run, and how an instance knows it."""
+
+    limit_per_s: float
+    # How long ago the newest answer or message that names it was read.
+    age_s: float
+    # Whether an answer to this instance named it; else it heard of it.
+    is_told: bool
+
+
 class _HeardLimit(NamedTuple):
     """A limit that other instances were told of."""
 
     limit_per_s: float
-    # Until when it is believed.
+    # When it was heard of, and until when it is believed.
+    heard_s: float
     until_s: float
 
 
@@ -107,6 +118,20 @@
             return told_per_s
         return min(told_per_s, heard.limit_per_s)
 
+    def get_age(self, server_id: ids.ServerId) -> LimitAge | None:
+        """Returns how the limit of a run is known; None without a limit."""
+        now_s = self._clock.monotonic_s()
+        limit_per_s = self.limit_per_s(server_id)
+        report = self._reports.get(server_id)
+        if report is not None and report.limit_per_s == limit_per_s:
+            if report.is_limited:
+                return LimitAge(limit_per_s, now_s - report.read_s, True)
+            return None
+        heard = self._heard.get(server_id)
+        if heard is None or not math.isfinite(limit_per_s):
+            return None
+        return LimitAge(limit_per_s, now_s - heard.heard_s, False)
+
     def list_limited(self) -> dict[ids.ServerId, float]:
         """Returns the limits of all runs that are known to have one."""
         return {
@@ -129,9 +154,10 @@
             limits: The limits.
             for_s: How long they are believed without another message.
         """
-        until_s = self._clock.monotonic_s() + for_s
+        now_s = self._clock.monotonic_s()
         for server_id, limit_per_s in limits.items():
-            self._heard[server_id] = _HeardLimit(limit_per_s, until_s)
+            heard = _HeardLimit(limit_per_s, now_s, now_s + for_s)
+            self._heard[server_id] = heard
 
     def record(
         self, server: model.BackendServer, notice: attempts.Notice
--- a/libs/bridgecross-entry/src/bridgecross_entry/refusals.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/refusals.py
@@ -132,16 +132,19 @@
             servers, priority
         ):
             return None
-        return self.refuse_limited(
-            state, self._limited_servers.retry_after_s(servers, priority)
-        )
+        retry_after_s = self._limited_servers.retry_after_s(servers, priority)
+        return self.refuse_limited(state, servers, retry_after_s)
 
     def refuse_limited(
-        self, state: request_state.RequestState, retry_after_s: float
+        self,
+        state: request_state.RequestState,
+        servers: Sequence[servers_lib.Server],
+        retry_after_s: float,
     ) -> outcomes.NotRun:
         """Refuses a request whose servers take no more requests for now."""
         self._limited_servers.count_refusal(state.service)
-        state.trail.append("its servers limit their requests")
+        described = self._limited_servers.describe(servers)
+        state.trail.append(f"its servers limit their requests: {described}")
         return self.refuse(
             "its servers take no more requests",
             math.ceil(retry_after_s * 1_000),
--- a/libs/bridgecross-entry/tests/test_dispatch_limits.py
+++ b/libs/bridgecross-entry/tests/test_dispatch_limits.py
@@ -1,9 +1,13 @@
 """Dispatch of requests to servers that limit the requests to them."""
 
+import dataclasses
+import re
+
 import entry_support as support
 import pytest
 import test_dispatch as scenes
 import test_dispatch_notices as notices
+import test_notices
 
 from bridgecross_core import clock
 from bridgecross_core import outcomes
@@ -13,6 +17,7 @@
 from bridgecross_entry import quota_client
 from bridgecross_entry import quota_issuer
 from bridgecross_entry import quotas
+from bridgecross_entry import tally
 
 pytestmark = pytest.mark.anyio
 
@@ -120,3 +125,53 @@
     name = "bridgecross_limited_requests_total"
     assert f'{name}{{service="rapor",verdict="sent"}} 1' in text
     assert f'{name}{{service="rapor",verdict="refused"}} 2' in text
+
+
+async def test_a_refused_request_tells_server_limit_age_and_issuer():
+    _, scene = _make_scene(1, keyed=True)
+    lines = test_notices.RecordingJournal()
+    lines.routine = lambda event, **fields: None
+    scene.dispatcher._recorder._journal = lines
+    await scene.ask()
+    await scene.ask()
+    (fields,) = [
+        fields for event, fields in lines.written if event == "request"
+    ]
+    assert fields["request"] == "id1"
+    (reason,) = fields["trail"]
+    assert re.fullmatch(
+        "its servers limit their requests: a takes 4/s, "
+        rf"told 0\.\d s ago; granted by {re.escape(str(OWN))}",
+        reason,
+    )
+    assert tally.find_cause(fields["trail"]) == "server_limits"
+
+
+async def test_what_is_refused_has_not_run():
+    backends, scene = _make_scene(3, keyed=True)
+    outcomes_seen = [await scene.ask() for _ in range(3)]
+    assert len(backends.sent) == 1
+    for refused in outcomes_seen[1:]:
+        assert refused.proof is outcomes.NotRunProof.REFUSED_BY_ADMISSION
+    assert not scene.dispatcher.watch._sent_requests
+
+
+# Guards against a request of low priority that takes the place of a higher one.
+async def test_the_higher_priority_gets_what_a_limited_owner_takes():
+    _, scene = _make_scene(9, keyed=True)
+    bucket = scene.issuer._buckets[A.server_id]
+    bucket._tokens = 0.0
+    served = {}
+    for priority in (0, 1):
+        route = dataclasses.replace(support.make_route(), priority=priority)
+        scene.dispatcher.configure(
+            support.make_configuration(route, keyed=True)
+        )
+        served[priority] = await scene.ask()
+    assert not any(isinstance(o, outcomes.Answered) for o in served.values())
+    bucket._tokens = 1.5
+    scene.dispatcher._limited_servers._quotas._servers.clear()
+    assert isinstance(await scene.ask(), outcomes.NotRun)
+    route = dataclasses.replace(support.make_route(), priority=0)
+    scene.dispatcher.configure(support.make_configuration(route, keyed=True))
+    assert await scene.ask() is scenes.OK
--- a/libs/bridgecross-entry/tests/test_rate_limits.py
+++ b/libs/bridgecross-entry/tests/test_rate_limits.py
@@ -135,3 +135,16 @@
     clock.now_s += 1_000.0
     limits.sweep()
     assert limits.is_limited(RUN)
+
+
+def test_a_limit_is_known_by_an_answer_or_from_the_leader(limits, clock):
+    assert limits.get_age(RUN) is None
+    limits.hear({RUN: 9.0}, 5.0)
+    clock.now_s += 2.0
+    assert limits.get_age(RUN) == rate_limits.LimitAge(9.0, 2.0, is_told=False)
+    _record(limits, clock, 6.0)
+    clock.now_s += 1.0
+    assert limits.get_age(RUN) == rate_limits.LimitAge(6.0, 1.0, is_told=True)
+    _record(limits, clock, None)
+    clock.now_s += 5.0
+    assert limits.get_age(RUN) is None
