A restarted instance uses the slack of retries once it knows the others

The slack of a service's retries is divided by the number of instances. An instance that has just started believed that it was the only one until it knew the list, and took all of the slack; instances that restart in turn each did.

Assembly now divides by the listed instances and this one, and by infinity while the list isn't known: then only the share of the instance's own requests is left. If the log stays away and nobody relays the list, that stays so.

--- a/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import math
 from typing import Protocol
 
 import anyio.abc
@@ -181,6 +182,7 @@
             lambda: self.cluster_state.instances_age_s,
             lambda: self.cluster_state.instances_unchanged_for_s,
         )
+        self.dispatcher.count_instances = self._count_instances
         self.dispatcher.configuration_age_s = lambda: (
             self.cluster_state.configuration_age_s
         )
@@ -222,6 +224,13 @@
         self.backend_client.sweep(self.registry.known_ids())
         self.lease_client.sweep(self.registry.known_ids())
 
+    def _count_instances(self) -> float:
+        """Returns the number of instances; infinite while it is not known."""
+        if not self.cluster_state.knows_instances:
+            return math.inf
+        others = self.cluster_state.instances - {self.settings.peer_address}
+        return len(others) + 1
+
     def _strong_instances(self, domain: str) -> tuple[model.Address, ...]:
         """Returns the instances of a domain that may issue permits."""
         return self.cluster_state.strong_instances(domain)
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -121,6 +121,9 @@
         self.routes: routes.RouteTable | None = None
         # The number of instances that take requests, including this one.
         self.instance_count = 1
+        # Returns among how many instances the slack of retries is divided;
+        # infinite while that is not known.
+        self.count_instances: Callable[[], float] = lambda: self.instance_count
         self.loads: dict[ids.ServiceName, load.LoadCounter] = {}
         # Returns when the list of servers was last known to be current.
         self.server_list_as_of_s: Callable[[], float | None] = lambda: None
@@ -785,9 +788,7 @@
                 bounds.retry_window_ms / 1_000,
                 bounds.retry_slack,
             )
-            budget = retry_budget.RetryBudget(
-                settings, lambda: self.instance_count
-            )
+            budget = retry_budget.RetryBudget(settings, self.count_instances)
             self._retry_budgets[service] = budget
         return budget
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/retry_budget.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/retry_budget.py
@@ -31,13 +31,16 @@
     """Counts the requests and retries of one service at one instance."""
 
     def __init__(
-        self, settings: RetryBudgetSettings, count_instances: Callable[[], int]
+        self,
+        settings: RetryBudgetSettings,
+        count_instances: Callable[[], float],
     ) -> None:
         """Starts with an empty window.
 
         Args:
             settings: How many retries are allowed.
-            count_instances: Returns how many instances share the slack.
+            count_instances: Returns how many instances share the slack;
+                infinite if that is not known, so that none of it is used.
         """
         self._settings = settings
         self._count_instances = count_instances
--- a/libs/bridgecross-entry/tests/test_retry_budget.py
+++ b/libs/bridgecross-entry/tests/test_retry_budget.py
@@ -1,3 +1,5 @@
+import math
+
 import pytest
 
 from bridgecross_entry import retry_budget
@@ -28,3 +30,11 @@
     assert _spend_all(budget, 0.0) == 62
     assert not budget.spend(9.9)
     assert _spend_all(budget, 10.1) == 62
+
+
+def test_no_slack_is_used_while_the_instances_are_not_known():
+    settings = retry_budget.RetryBudgetSettings(0.2, 10.0, 62.0)
+    budget = retry_budget.RetryBudget(settings, lambda: math.inf)
+    for _ in range(10):
+        budget.count_request(0.0)
+    assert sum(budget.spend(0.0) for _ in range(100)) == 1
