A claim is given up once a heartbeat comes

What callers saw: a needless change of the leader (test_one_of_many_leads, and the cases of test_a_suspended_process_reads_heartbeats_before_it_claims, beside load).

Cause: _try_claim decides, waits for its read of the log, and claims without another look. If the leader's heartbeat is handled during that wait, the read shows the term that the heartbeat told, which is no later than the one known by then, so the next term is appended on top of it, and the conditional append succeeds. On the platform such a read may take 0.8 s.

Evidence: two traces made apart from each other. By forced order: the four new tests fail on the code before (a heartbeat of the same term, of a later one, and a resignation during the read; a heartbeat before the append is sent). Ruled out: missed heartbeats (tries came 0.02 to 0.04 s after the start), a race in the log (the append had the current end).

Change: a claim is tied to the count of restarts of the wait for heartbeats. It is looked at again after the read, once the loop has handled what had arrived with the answer, and at the first byte of the append (PlatformLog.append takes may_send, as requests and orders do). A heartbeat that comes later than that meets a claim that may be in the log already.

Why it holds: between the last look and the first byte nothing is awaited. A leader that has lost the log, or resigns, does not restart the wait, so claims go on then as before.

--- a/libs/bridgecross-core/src/bridgecross_core/timeouts.py
+++ b/libs/bridgecross-core/src/bridgecross_core/timeouts.py
@@ -11,6 +11,7 @@
 import math
 
 import anyio
+import anyio.lowlevel
 
 from bridgecross_core import clock as clocks
 
@@ -53,6 +54,12 @@
         timer.stop()
 
 
+async def handle_pending_input() -> None:
+    """Lets other tasks handle what has arrived at the sockets so far."""
+    for _ in range(_GRACE_ITERATIONS):
+        await anyio.lowlevel.checkpoint()
+
+
 class _Timer:
     """Cancels a scope some iterations of the event loop after a deadline."""
 
--- a/libs/bridgecross-core/tests/test_timeouts.py
+++ b/libs/bridgecross-core/tests/test_timeouts.py
@@ -94,3 +94,29 @@
 
     with asyncio.Runner(loop_factory=make_loop) as runner:
         assert runner.run(work())
+
+
+# Guards against a decision that overlooks what has arrived at a socket.
+@pytest.mark.parametrize("make_loop", LOOPS.values(), ids=LOOPS.keys())
+def test_pending_input_is_handled_before_the_caller_goes_on(make_loop):
+    received = []
+
+    async def scenario() -> list[bytes]:
+        near, far = socket.socketpair()
+        reader, writer = await asyncio.open_connection(sock=near)
+
+        async def read() -> None:
+            received.append(await reader.read(100))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(read)
+            await asyncio.sleep(0)
+            far.send(b"heartbeat")
+            await timeouts.handle_pending_input()
+            found = list(received)
+        writer.close()
+        far.close()
+        return found
+
+    with asyncio.Runner(loop_factory=make_loop) as runner:
+        assert runner.run(scenario()) == [b"heartbeat"]
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/log_model.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/log_model.py
@@ -169,9 +169,21 @@
         return await self._call(topic, work, wait_s)
 
     async def append(
-        self, topic: str, record: logs.KeyedRecord, expected_end: int
-    ) -> logs.Appended | logs.Conflict | logs.Uncertain | logs.Unreachable:
+        self,
+        topic: str,
+        record: logs.KeyedRecord,
+        expected_end: int,
+        may_send: logs.MaySend = logs.always,
+    ) -> (
+        logs.Appended
+        | logs.Conflict
+        | logs.Uncertain
+        | logs.Unreachable
+        | logs.Withheld
+    ):
         """Appends a record if the topic still ends at an offset."""
+        if not may_send():
+            return logs.Withheld()
 
         def work() -> logs.Appended | logs.Conflict:
             end = self._model.end(topic)
--- a/libs/bridgecross-entry/src/bridgecross_entry/heartbeat_wait.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/heartbeat_wait.py
@@ -20,6 +20,9 @@
             check_interval_s: The time between two checks.
             clock: Measures the time between two checks.
         """
+        # How often the wait was restarted; a change shows that a heartbeat, or
+        # another reason to wait, came in between.
+        self.restart_count = 0
         self._check_interval_s = check_interval_s
         self._clock = clock
         # The time that is left at the last check.
@@ -33,6 +36,7 @@
 
     def restart(self, for_s: float) -> None:
         """Begins to wait, from now on."""
+        self.restart_count += 1
         self._left_s = for_s
         self._checked_s = self._clock.monotonic_s()
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -29,6 +29,7 @@
 from bridgecross_core import clock as clocks
 from bridgecross_core import codec
 from bridgecross_core import hashing
+from bridgecross_core import timeouts
 from bridgecross_entry import heartbeat_wait
 from bridgecross_entry import journal as journals
 from bridgecross_entry import log as logs
@@ -450,9 +451,20 @@
         return wait_s
 
     async def _try_claim(self) -> None:
-        """Appends a claim, unless another instance has claimed meanwhile."""
+        """Appends a claim, unless a heartbeat or another claim comes first."""
         self._wait.restart(self._settings.retry_pause_s)
+        decided_count = self._wait.restart_count
+
+        def may_claim() -> bool:
+            was_restarted = self._wait.restart_count != decided_count
+            return not self._resigned and not was_restarted
+
         newest = await self._log.read_newest(TOPIC)
+        # Heartbeats that arrived before the answer count.
+        await timeouts.handle_pending_input()
+        if not may_claim():
+            self._journal.decision("claim_withdrawn", term=self.term)
+            return
         if isinstance(newest, logs.Unreachable):
             if self._leader_lost_log:
                 # All other instances try before this one tries again.
@@ -469,13 +481,17 @@
         # The log may have lost the claims that other instances still know. If
         # the newest one is this instance's, the answer to it was lost.
         term = max(read.term, self._claim.term) + 1
-        await self._append_claim(Claim(term, self._instance.name), newest.end)
+        await self._append_claim(
+            Claim(term, self._instance.name), newest.end, may_claim
+        )
 
-    async def _append_claim(self, claim: Claim, expected_end: int) -> None:
-        """Appends a claim, and leads if that succeeded."""
+    async def _append_claim(
+        self, claim: Claim, expected_end: int, may_claim: logs.MaySend
+    ) -> None:
+        """Appends a claim, and leads unless a later one is known by then."""
         record = logs.KeyedRecord(_KEY, _CLAIMS.encode(claim))
         asked_s = self._clock.monotonic_s()
-        result = await self._log.append(TOPIC, record, expected_end)
+        result = await self._log.append(TOPIC, record, expected_end, may_claim)
         if not isinstance(result, logs.Appended):
             # If the answer was lost, the claim is found at the next read of the
             # log and takes effect then.
--- a/libs/bridgecross-entry/src/bridgecross_entry/log.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/log.py
@@ -5,6 +5,7 @@
 from the newest records and reads on from there.
 """
 
+from collections.abc import Callable
 import dataclasses
 from typing import NamedTuple
 from typing import Protocol
@@ -72,6 +73,21 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withheld:
+    """Nothing was sent, as ``MaySend`` no longer allowed it."""
+
+
+MaySend = Callable[[], bool]
+"""Whether a record may still be sent: called once there is a connection, and
+nothing is awaited between the call and the first byte."""
+
+
+def always() -> bool:
+    """A ``MaySend`` that allows everything."""
+    return True
+
+
 class PlatformLog(Protocol):
     """The calls of the platform's log that an instance uses."""
 
@@ -84,8 +100,12 @@
         """Returns records from an offset on, and waits if there are none."""
 
     async def append(
-        self, topic: str, record: KeyedRecord, expected_end: int
-    ) -> Appended | Conflict | Uncertain | Unreachable:
+        self,
+        topic: str,
+        record: KeyedRecord,
+        expected_end: int,
+        may_send: MaySend = always,
+    ) -> Appended | Conflict | Uncertain | Unreachable | Withheld:
         """Appends a record if the topic still ends at the expected offset."""
 
     async def put(self, topic: str, record: KeyedRecord) -> bool:
--- a/libs/bridgecross-entry/src/bridgecross_entry/log_breaker.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/log_breaker.py
@@ -156,11 +156,23 @@
         return await circuit.read(self._log.read(topic, offset, wait_ms))
 
     async def append(
-        self, topic: str, record: logs.KeyedRecord, expected_end: int
-    ) -> logs.Appended | logs.Conflict | logs.Uncertain | logs.Unreachable:
+        self,
+        topic: str,
+        record: logs.KeyedRecord,
+        expected_end: int,
+        may_send: logs.MaySend = logs.always,
+    ) -> (
+        logs.Appended
+        | logs.Conflict
+        | logs.Uncertain
+        | logs.Unreachable
+        | logs.Withheld
+    ):
         """Appends a record conditionally; see ``PlatformLog``."""
         rejected = self._circuit(topic).reject_if_open(is_write=True)
-        return rejected or await self._log.append(topic, record, expected_end)
+        return rejected or await self._log.append(
+            topic, record, expected_end, may_send
+        )
 
     async def put(self, topic: str, record: logs.KeyedRecord) -> bool:
         """Appends a record unconditionally; see ``PlatformLog``."""
--- a/libs/bridgecross-entry/tests/entry_fakes.py
+++ b/libs/bridgecross-entry/tests/entry_fakes.py
@@ -61,7 +61,9 @@
         end = offset + len(records)
         return log.Batch(records, end, end)
 
-    async def append(self, topic, record, expected_end):
+    async def append(self, topic, record, expected_end, may_send=log.always):
+        if not may_send():
+            return log.Withheld()
         if self.unavailable:
             return log.Unreachable("away")
         end = len(self.records[topic])
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_leadership_orders.py
@@ -0,0 +1,129 @@
+import anyio
+import entry_fakes as fakes
+import entry_support as support
+import leadership_support
+import pytest
+
+from bridgecross_entry import leadership
+
+
+class _HeldLog(fakes.MemoryLog):
+    """A log whose answers a test holds back after the call took effect."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.held_calls: set[str] = set()
+        # Set once a call is held, and when it may return.
+        self.is_held = anyio.Event()
+        self.may_return = anyio.Event()
+
+    async def _hold(self, call):
+        if call in self.held_calls:
+            self.held_calls.remove(call)
+            self.is_held.set()
+            await self.may_return.wait()
+
+    async def read_newest(self, topic):
+        answer = await super().read_newest(topic)
+        await self._hold("read_newest")
+        return answer
+
+    async def append(self, *call: object):
+        await self._hold("connect")
+        answer = await super().append(*call)
+        await self._hold("append")
+        return answer
+
+
+class _Scene:
+    """One instance, its log and its clock."""
+
+    def __init__(self) -> None:
+        self.clock = support.ManualClock()
+        self.log = _HeldLog()
+        self.leadership = leadership_support.make_leadership(
+            1, self.log, self.clock
+        )
+
+    def hear(self, term, instance="entry-2"):
+        claim = leadership.Claim(term, instance)
+        return self.leadership.handle_heartbeat(claim)
+
+    def note_round(self, *, sent_s, disputed=False):
+        term = self.leadership.term
+        relay_round = leadership.RelayRound(term, sent_s, 4, 4, 0, disputed)
+        self.leadership.note_relay_round(relay_round)
+
+    async def do_during(self, call, waiting, action):
+        """Runs a call of the leadership, and acts while the log is slow."""
+        self.log.held_calls = {call}
+        self.log.is_held = anyio.Event()
+        self.log.may_return = anyio.Event()
+        with anyio.fail_after(5):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(waiting)
+                await self.log.is_held.wait()
+                action()
+                self.log.may_return.set()
+
+    def claims_count(self):
+        return len(self.log.records[leadership.TOPIC])
+
+
+async def _lead():
+    scene = _Scene()
+    await scene.leadership._try_claim()
+    assert scene.leadership.is_leader
+    return scene
+
+
+# Guards against a claim although the leader is heard while the log is read.
+@pytest.mark.anyio
+async def test_a_heartbeat_during_the_read_stops_the_claim():
+    scene = _Scene()
+    leadership_support.write_claim(scene.log, leadership.Claim(0, "entry-2"))
+    scene.hear(0)
+    scene.clock.now_s += leadership_support.SETTINGS.heartbeat_timeout_s
+    await scene.do_during(
+        "read_newest", scene.leadership._try_claim, lambda: scene.hear(0)
+    )
+    assert not scene.leadership.is_leader
+    assert scene.claims_count() == 1
+
+
+# Guards against a claim above a leader that the log's answer did not contain.
+@pytest.mark.anyio
+async def test_a_later_heartbeat_during_the_read_stops_the_claim():
+    scene = _Scene()
+    leadership_support.write_claim(scene.log, leadership.Claim(0, "entry-2"))
+    await scene.do_during(
+        "read_newest",
+        scene.leadership._try_claim,
+        lambda: scene.hear(3, "entry-3"),
+    )
+    assert scene.leadership.claim == leadership.Claim(3, "entry-3")
+    assert scene.claims_count() == 1
+
+
+# Guards against a claim by an instance that resigned while it read the log.
+@pytest.mark.anyio
+async def test_an_instance_that_resigns_during_the_read_does_not_claim():
+    scene = _Scene()
+    await scene.do_during(
+        "read_newest", scene.leadership._try_claim, scene.leadership.resign
+    )
+    assert not scene.leadership.is_leader
+    assert scene.claims_count() == 0
+
+
+# Guards against a claim that goes on while its append waits for a connection.
+@pytest.mark.anyio
+async def test_a_heartbeat_before_the_append_is_sent_stops_the_claim():
+    scene = _Scene()
+    leadership_support.write_claim(scene.log, leadership.Claim(0, "entry-2"))
+    scene.hear(0)
+    await scene.do_during(
+        "connect", scene.leadership._try_claim, lambda: scene.hear(0)
+    )
+    assert not scene.leadership.is_leader
+    assert scene.claims_count() == 1
--- a/libs/bridgecross-entry/tests/test_log_breaker.py
+++ b/libs/bridgecross-entry/tests/test_log_breaker.py
@@ -22,7 +22,7 @@
         self.calls += 1
         return await super().read_newest(topic)
 
-    async def append(self, topic, record, expected_end):
+    async def append(self, topic, record, expected_end, may_send):
         self.calls += 1
         return await super().append(topic, record, expected_end)
 
