An instance never goes back to an earlier claim

What callers could see: two instances that take themselves for the leader. What one may grant alone (requests to limited servers) rests on nobody accepting an earlier leader again.

Cause: three places wrote what was decided before an await over what was learned during it. The answer to an append set the instance's own claim although a later leader's heartbeat had been accepted meanwhile: it led in the earlier term, could give orders until the first dispute, and accepted heartbeats of the terms between. The first read at the start set "no claim", or the claim of the earlier run, over a heartbeat that came during the read. And two claims of one term, possible once the log has lost its records, were one to whoever knew either: a leader counted for the majority of the other one.

Change: claims are ordered by term, then by instance; what is known is replaced by what is later only. A claim that is in the log but was overtaken leads to nothing (claim_superseded).

Refuted by passing tests that stay: a slow confirmation, and answers to an earlier term, did not undo anything.

--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -44,7 +44,8 @@
 class Claim(NamedTuple):
     """A claim to the lead by an instance."""
 
-    # Increases by one with each claim.
+    # Increases by one with each claim. Claims are ordered by it, and by the
+    # instance if the log has lost the claim before.
     term: int
     instance: str
 
@@ -355,7 +356,7 @@
         newest = await self._log.read_newest(TOPIC)
         if isinstance(newest, logs.Newest):
             claim = self._read(newest.records)
-            if claim.term > self._claim.term:
+            if claim > self._claim:
                 self._follow(claim, self._settings.heartbeat_timeout_s)
             elif self.is_leader and claim == self._claim:
                 self._confirmed_s = asked_s
@@ -374,16 +375,14 @@
                 should claim.
 
         Returns:
-            Whether the heartbeat was accepted; one of an earlier term is not.
+            Whether the heartbeat was accepted; one of an earlier claim is not.
         """
-        if claim.term < self._claim.term:
+        if claim < self._claim:
             return False
         # The order of claims continues from when the leader lost the log; its
         # further heartbeats do not restart it.
         is_order_kept = (
-            claim.term == self._claim.term
-            and log_lost
-            and self._leader_lost_log
+            claim == self._claim and log_lost and self._leader_lost_log
         )
         self._learn(claim)
         if resigns:
@@ -430,15 +429,17 @@
             await anyio.sleep(self._settings.retry_pause_s)
         claim = self._read(newest.records)
         self.knows_claims = True
-        if claim == _NO_CLAIM or claim.instance == self._instance.name:
-            # There is no leader, or this instance led in its earlier run.
-            self._claim = claim
-            self._wait.restart(self._first_wait_s())
-            if claim != _NO_CLAIM:
-                await self._try_claim()
+        if claim <= self._claim and self._claim != _NO_CLAIM:
+            # A heartbeat of this claim or of a later one came meanwhile.
             return
-        if claim.term > self._claim.term:
+        if claim.instance not in (_NO_CLAIM.instance, self._instance.name):
             self._follow(claim, self._settings.first_heartbeat_timeout_s)
+            return
+        # There is no leader, or this instance led in its earlier run.
+        self._claim = claim
+        self._wait.restart(self._first_wait_s())
+        if claim != _NO_CLAIM:
+            await self._try_claim()
 
     def _first_wait_s(self) -> float:
         """Returns how long to wait when there is no leader at the start."""
@@ -472,10 +473,7 @@
                 self._wait.extend(count * self._settings.log_lost_interval_s)
             return
         read = self._read(newest.records)
-        if (
-            read.term > self._claim.term
-            and read.instance != self._instance.name
-        ):
+        if read > self._claim and read.instance != self._instance.name:
             self._follow(read, self._settings.heartbeat_timeout_s)
             return
         # The log may have lost the claims that other instances still know. If
@@ -501,6 +499,11 @@
                 result=type(result).__name__,
             )
             return
+        if claim < self._claim:
+            self._journal.decision(
+                "claim_superseded", term=claim.term, later_term=self.term
+            )
+            return
         self._lead(claim, asked_s)
 
     def _lead(self, claim: Claim, asked_s: float) -> None:
@@ -528,7 +531,7 @@
 
     def _learn(self, claim: Claim) -> None:
         """Records the newest claim; if it is another one, follows it."""
-        if claim.term == self._claim.term:
+        if claim == self._claim:
             return
         self._claim = claim
         self._journal.decision(
--- a/libs/bridgecross-entry/tests/test_leadership_orders.py
+++ b/libs/bridgecross-entry/tests/test_leadership_orders.py
@@ -127,3 +127,66 @@
     )
     assert not scene.leadership.is_leader
     assert scene.claims_count() == 1
+
+
+# Guards against an instance that leads in a term before one that it has heard.
+@pytest.mark.anyio
+async def test_an_appended_claim_does_not_undo_a_later_heartbeat():
+    scene = _Scene()
+    await scene.do_during(
+        "append", scene.leadership._try_claim, lambda: scene.hear(3)
+    )
+    assert scene.leadership.claim == leadership.Claim(3, "entry-2")
+    assert not scene.leadership.is_leader
+
+
+# Guards against a start that forgets the leader heard during its first read.
+@pytest.mark.anyio
+@pytest.mark.parametrize("has_led", [False, True])
+async def test_the_first_read_does_not_undo_a_heartbeat(has_led):
+    scene = _Scene()
+    if has_led:
+        leadership_support.write_claim(
+            scene.log, leadership.Claim(1, "entry-1")
+        )
+    before = scene.claims_count()
+    await scene.do_during(
+        "read_newest",
+        scene.leadership._read_first_claim,
+        lambda: scene.hear(5),
+    )
+    assert scene.leadership.claim == leadership.Claim(5, "entry-2")
+    assert not scene.hear(4, "entry-3")
+    assert scene.claims_count() == before
+
+
+# Guards against a follower of an earlier leader after a slow confirmation.
+@pytest.mark.anyio
+async def test_a_slow_confirmation_does_not_undo_a_later_heartbeat():
+    scene = await _lead()
+    await scene.do_during(
+        "read_newest", scene.leadership.confirm, lambda: scene.hear(4)
+    )
+    assert scene.leadership.claim == leadership.Claim(4, "entry-2")
+    assert not scene.leadership.is_leader
+    assert not scene.leadership.may_order
+
+
+# Guards against answers to an earlier term that confirm a later one.
+@pytest.mark.anyio
+async def test_answers_to_an_earlier_term_do_not_confirm_a_later_one():
+    scene = await _lead()
+    earlier = leadership.RelayRound(0, scene.clock.now_s, 4, 4, 0, False)
+    scene.hear(1)
+    await scene.leadership._try_claim()
+    assert scene.leadership.term == 2
+    scene.leadership.note_relay_round(earlier)
+    assert scene.leadership.majority_known_s == float("inf")
+
+
+# Guards against a leader that counts for the majority of another one.
+@pytest.mark.anyio
+async def test_a_leader_accepts_no_other_leader_of_its_own_term():
+    scene = await _lead()
+    accepted = scene.hear(scene.leadership.term, "entry-3")
+    assert not (accepted and scene.leadership.is_leader)
