What was asked for before a dispute does not settle it

What callers could see: an instance that has been told of a later leader gives orders again, for up to 1.5 s, by an answer that was on its way.

Cause: confirm() took a read of the log that was asked for before a dispute for proof that there is no later claim, and a heartbeat that was sent before the dispute, and counted after it, confirmed as well; hand_over_lead and the coordinators run beside the regular rounds and reads, so both can overlap. And a slow read replaced a later confirmation by a majority with its own earlier time, which made a confirmed leader withhold orders.

Evidence: forced order; three of the new cases fail on the code before (may_order True after a dispute, twice; False after a later majority).

Change: a dispute counts, and reads and rounds from before it prove nothing; a confirmation only becomes later. Passing before and after: an answer counts from when it was asked for.

--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -214,6 +214,10 @@
         self._unrivalled_s = float("-inf")
         # When the log was last read for that.
         self._sole_confirm_s = float("-inf")
+        # How often another instance was found to know of a later claim, and
+        # when last.
+        self._dispute_count = 0
+        self._disputed_s = float("-inf")
         # Whether the lead was confirmed at the last check.
         self._was_confirmed = False
         # When a majority of the instances was first known to have accepted the
@@ -285,11 +289,13 @@
         if relay_round.is_disputed:
             # Another instance knows of a later claim; reading the log shows
             # which it is.
+            self._dispute_count += 1
+            self._disputed_s = self._clock.monotonic_s()
             self._confirmed_s = float("-inf")
             self._majority_confirmed_s = float("-inf")
             self._unrivalled_s = float("-inf")
             self._journal.decision("lead_disputed", term=relay_round.term)
-        elif relay_round.is_majority:
+        elif relay_round.is_majority and relay_round.sent_s >= self._disputed_s:
             self._confirmed_s = max(self._confirmed_s, relay_round.sent_s)
             self._majority_confirmed_s = max(
                 self._majority_confirmed_s, relay_round.sent_s
@@ -353,16 +359,23 @@
     async def confirm(self) -> None:
         """Reads the log to find out whether another instance has claimed."""
         asked_s = self._clock.monotonic_s()
+        dispute_count = self._dispute_count
         newest = await self._log.read_newest(TOPIC)
         if isinstance(newest, logs.Newest):
             claim = self._read(newest.records)
             if claim > self._claim:
                 self._follow(claim, self._settings.heartbeat_timeout_s)
-            elif self.is_leader and claim == self._claim:
-                self._confirmed_s = asked_s
-                self._unrivalled_s = max(self._unrivalled_s, asked_s)
+            elif claim == self._claim and dispute_count == self._dispute_count:
+                # What was asked for before a dispute does not settle it.
+                self._note_newest_in_log(asked_s)
         await anyio.sleep(self._settings.check_interval_s)
 
+    def _note_newest_in_log(self, asked_s: float) -> None:
+        """Records that the log had no later claim than this instance's."""
+        if self.is_leader:
+            self._confirmed_s = max(self._confirmed_s, asked_s)
+            self._unrivalled_s = max(self._unrivalled_s, asked_s)
+
     def handle_heartbeat(
         self, claim: Claim, *, log_lost: bool = False, resigns: bool = False
     ) -> bool:
--- a/libs/bridgecross-entry/tests/test_leadership_orders.py
+++ b/libs/bridgecross-entry/tests/test_leadership_orders.py
@@ -190,3 +190,56 @@
     scene = await _lead()
     accepted = scene.hear(scene.leadership.term, "entry-3")
     assert not (accepted and scene.leadership.is_leader)
+
+
+# Guards against a confirmation that a slow read replaces with an earlier one.
+@pytest.mark.anyio
+async def test_a_slow_read_does_not_replace_a_later_confirmation():
+    scene = await _lead()
+
+    def confirm_by_others():
+        scene.clock.now_s += 1.2
+        scene.note_round(sent_s=scene.clock.now_s)
+
+    await scene.do_during(
+        "read_newest", scene.leadership.confirm, confirm_by_others
+    )
+    scene.clock.now_s += 0.5
+    assert scene.leadership.may_order
+
+
+# Guards against a dispute that is settled by a read asked for before it.
+@pytest.mark.anyio
+async def test_a_read_asked_for_before_a_dispute_does_not_confirm():
+    scene = await _lead()
+    await scene.do_during(
+        "read_newest",
+        scene.leadership.confirm,
+        lambda: scene.note_round(sent_s=scene.clock.now_s, disputed=True),
+    )
+    assert not scene.leadership.may_order
+
+
+# Guards against a dispute that is settled by an earlier heartbeat's answers.
+def test_answers_asked_for_before_a_dispute_do_not_confirm():
+    scene = anyio.run(_lead)
+    asked_s = scene.clock.now_s
+    scene.clock.now_s += 0.1
+    scene.note_round(sent_s=scene.clock.now_s, disputed=True)
+    scene.note_round(sent_s=asked_s)
+    assert not scene.leadership.may_order
+
+
+# Guards against a lead that counts from when the log answered.
+@pytest.mark.anyio
+@pytest.mark.parametrize("call", ["_try_claim", "confirm"])
+async def test_a_slow_answer_counts_from_when_it_was_asked_for(call):
+    scene = await _lead()
+    held = "append" if call == "_try_claim" else "read_newest"
+
+    def let_time_pass():
+        scene.clock.now_s += leadership_support.SETTINGS.confirmation_valid_s
+
+    waiting = getattr(scene.leadership, call)
+    await scene.do_during(held, waiting, let_time_pass)
+    assert not scene.leadership.may_order
