A test of leases in flight checks while the order is in flight, and not later

Cause: the test, not the lease manager. The order that waits for its answer is given up after 0.03 s on the event loop's clock, while the test's manual clock stands at 1000. If the process is stopped for some 25 ms or more between the order and the test's second sleep, the limit fires before the check. Then no order is in flight and the lease is counted from the moment at which the order was given up, to 1000.224 by the manual clock. The test sets that clock to 1010 and asks: the lease has expired, and the answer "lost" is right. The retry of the grant starts 10 ms after the order was given up, the check comes 5 ms after.

Change: the test waits for an event that the order sets, and awaits the renewal in place of sleeping. Nothing is awaited between the two that could let a timer run. The assertion is unchanged. One is added: the server is silent by then; the old test would also have passed if the renewal had not run yet.

--- a/libs/bridgecross-entry/tests/test_leases.py
+++ b/libs/bridgecross-entry/tests/test_leases.py
@@ -377,9 +377,12 @@
 async def test_a_lease_that_may_still_be_accepted_is_waited_for(lead):
     """One order cannot be sent while another waits for its answer."""
 
+    in_flight = anyio.Event()
+
     class Half(fakes.LeaseServers):
         async def grant(self, server, first_key, *rest: object):
             if first_key == 0:
+                in_flight.set()
                 await anyio.sleep_forever()
             return attempts.NotTaken("connecting took too long")
 
@@ -387,9 +390,11 @@
     lease_manager = _make_lease_manager(Half(), lead, time_source)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(lease_manager.grant, RANGES[0], "", lambda _: True)
-        await anyio.sleep(0.001)
-        tasks.start_soon(lease_manager.renew, A, RANGES[1:], lambda _: True)
-        await anyio.sleep(0.005)
+        await in_flight.wait()
+        # The order is given up by a timer. Nothing below waits, so that the
+        # timer cannot fire before the check, however slow the process is.
+        await lease_manager.renew(A, RANGES[1:], lambda _: True)
+        assert A in lease_manager.silent_servers()
         time_source.now_s += 10
         assert not lease_manager.is_lost(A)
         tasks.cancel_scope.cancel()
