A test for when the lease of an order that was given up begins

Nothing failed for callers; a gap of the tests, found while the failure of test_a_lease_that_may_still_be_accepted_is_waited_for was traced. An order may be received until it is given up, so its lease counts from then.

The test advances a manual clock while the order waits, and asks 1 ms before and after the lease must end.

--- a/libs/bridgecross-entry/tests/test_leases.py
+++ b/libs/bridgecross-entry/tests/test_leases.py
@@ -400,6 +400,32 @@
         tasks.cancel_scope.cancel()
 
 
+class UnansweringServers(fakes.LeaseServers):
+    """Receives orders, and answers none while a test's clock advances."""
+
+    def __init__(self, time_source) -> None:
+        super().__init__()
+        self.time_source = time_source
+
+    async def grant(self, *order: object):
+        self.time_source.now_s += 0.02
+        await anyio.sleep_forever()
+
+
+# A lease counted from the sending of its order ends before the server's, which
+# may receive the order until it is given up.
+async def test_the_lease_of_an_order_is_counted_from_when_it_is_given_up(lead):
+    time_source = support.ManualClock()
+    unanswering = UnansweringServers(time_source)
+    lease_manager = _make_lease_manager(unanswering, lead, time_source)
+    await lease_manager.renew(A, RANGES[:1], lambda _: True)
+    given_up_s = time_source.now_s
+    time_source.now_s = given_up_s + lease_manager._lease_s() - 0.001
+    assert not lease_manager.is_lost(A)
+    time_source.now_s += 0.002
+    assert lease_manager.is_lost(A)
+
+
 async def test_a_silent_server_that_is_not_reached_counts_as_unreachable(
     lease_manager, lease_servers
 ):
