A previous leader sends no heartbeat of the next one

What callers could see: a change of the leader right after a planned one; a stopping leader resigned the lead of its successor.

Cause: Relayer.broadcast takes the claim at its beginning, but each message contained the newest claim known when it was encoded: in tasks that start later, and in _catch_up, which starts once an answer has come. If a heartbeat of a later leader is handled in between, the message carries that leader's claim together with this instance's own "resigns" and "log_lost". Receivers take it for a heartbeat of the next leader: they count it, and a "resigns" ends their wait, so that they claim although that leader is well.

Evidence: forced order; both new tests fail on the code before (the receiver follows a claim that its holder never sent; the wait of the receivers is over).

Change: the claim with which a broadcast began is passed to all of its messages and to what follows from its answers. One of an earlier claim is rejected by all that know the later one. An existing test passes the claim as well; what it checks is unchanged.

Not shown: how often this occurs in a running system; it was found by reading.

--- a/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
@@ -145,7 +145,7 @@
             variant = (known, peer in polled)
             if variant not in messages:
                 messages[variant] = self._make_relay(
-                    known, wants_batches=peer in polled
+                    claim, known, wants_batches=peer in polled
                 )
             answer = await self._send(peer, messages[variant])
             received.append(
@@ -154,7 +154,7 @@
                 else _COUNTS_AS_ENDED
             )
             if answer.reply.offsets:
-                tasks.start_soon(self._catch_up, peer)
+                tasks.start_soon(self._catch_up, peer, claim)
 
         async with anyio.create_task_group() as calls:
             for peer in self._addresses():
@@ -235,7 +235,11 @@
         return {addresses[(first + n) % len(addresses)] for n in range(count)}
 
     def _make_relay(
-        self, known: cluster_state.Offsets, *, wants_batches: bool
+        self,
+        claim: leadership.Claim,
+        known: cluster_state.Offsets,
+        *,
+        wants_batches: bool,
     ) -> _EncodedRelay:
         """Returns the message for instances that know the given offsets.
 
@@ -243,19 +247,32 @@
         receivers that know less answer with theirs, and are sent the missing
         changes separately.
         """
-        message = self._encode_changes(known, wants_batches=wants_batches)
+        message = self._encode_changes(
+            claim, known, wants_batches=wants_batches
+        )
         if len(message.encoded) <= self._settings.message_max_bytes:
             return message
         return self._encode_changes(
-            self._state.offsets(), wants_batches=wants_batches
+            claim, self._state.offsets(), wants_batches=wants_batches
         )
 
     def _encode_changes(
-        self, known: cluster_state.Offsets, *, wants_batches: bool = False
+        self,
+        claim: leadership.Claim,
+        known: cluster_state.Offsets,
+        *,
+        wants_batches: bool = False,
     ) -> _EncodedRelay:
-        """Returns a message with all changes since the given offsets."""
+        """Returns a message with all changes since the given offsets.
+
+        Args:
+            claim: The claim of this instance under which it is sent. It may
+                have been superseded since the broadcast began.
+            known: The offsets that the receivers know.
+            wants_batches: Whether to ask for topics not readable here.
+        """
         relay = peers.Relay(
-            self._leadership.claim,
+            claim,
             wants_batches,
             self.resigns,
             self._state.list_is_lost,
@@ -295,14 +312,16 @@
             last_answer.stamp, written_s - last_answer.received_s
         )
 
-    async def _catch_up(self, peer: model.Address) -> None:
+    async def _catch_up(
+        self, peer: model.Address, claim: leadership.Claim
+    ) -> None:
         """Sends one instance all changes that it lacks, whatever their size."""
         if peer in self._catching_up:
             return
         self._catching_up.add(peer)
         try:
             known = self._known_offsets.get(peer, ())
-            message = self._encode_changes(known)
+            message = self._encode_changes(claim, known)
             answer = await self._send(peer, message)
             self._journal.decision(
                 "peer_caught_up",
--- a/libs/bridgecross-entry/tests/test_relaying.py
+++ b/libs/bridgecross-entry/tests/test_relaying.py
@@ -228,7 +228,9 @@
     for _ in range(2):
         await scene.leader.broadcast()
     message = scene.leader.relayer._make_relay(
-        scene.leader.reader.state.offsets(), wants_batches=True
+        scene.leader.lead.claim,
+        scene.leader.reader.state.offsets(),
+        wants_batches=True,
     )
     envelope = peers._ENVELOPES.encode(peers._Envelope(None, message.encoded))
     reply = other.server.answer(b"/relay", envelope)
@@ -360,3 +362,53 @@
     await scene.read()
     await scene.leader.broadcast()
     assert scene.leader.lead.majority_known_s < float("inf")
+
+
+class _HeldTasks:
+    """Tasks that have been started and do not run yet."""
+
+    def __init__(self) -> None:
+        self._started = []
+
+    def start_soon(self, call, *args: object):
+        self._started.append((call, args))
+
+    async def run(self):
+        for call, args in self._started:
+            await call(*args)
+
+
+def _let_another_lead(scene):
+    """Lets the first leader hear the heartbeat of a later one."""
+    later = leadership.Claim(4, str(scene.others[1].address))
+    scene.leader.lead.handle_heartbeat(later)
+    return later
+
+
+# Guards against a heartbeat of the next leader that the previous one sends.
+async def test_a_previous_leader_sends_no_heartbeat_of_the_next_one():
+    scene = Scene()
+    await scene.read()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(scene.leader.broadcast)
+        await anyio.lowlevel.checkpoint()
+        later = _let_another_lead(scene)
+    assert scene.others[0].lead.claim != later
+
+
+# Guards against a stopping leader that resigns the lead of the next one.
+async def test_a_late_message_does_not_resign_the_lead_of_the_next_leader():
+    scene = Scene(message_max_bytes=400)
+    await scene.read()
+    await scene.leader.broadcast()
+    for number in range(200):
+        scene.add("servers", f"server-{number:03}", b"rapor")
+    await scene.leader.reader.read()
+    scene.leader.relayer.resigns = True
+    tasks = _HeldTasks()
+    await scene.leader.relayer.broadcast(tasks)
+    later = _let_another_lead(scene)
+    for other in scene.others:
+        other.lead.handle_heartbeat(later)
+    await tasks.run()
+    assert all(other.lead._wait.overdue_s < 0 for other in scene.others)
