The emulated log looks at an append once there is a connection

What the emulated tests could not see: a heartbeat that comes while a claim's append connects. PlatformLog.append calls may_send once there is a connection; the emulator's client called it before connecting, which takes 1 ms there, and 0.5 s while its link is cut.

Change: the emulated call asks at the same point as the platform's client. Without a connection nothing is asked and the result is Uncertain, as before.

--- a/libs/bridgecross-emulator/src/bridgecross_emulator/log_model.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/log_model.py
@@ -182,8 +182,6 @@
         | logs.Withheld
     ):
         """Appends a record if the topic still ends at an offset."""
-        if not may_send():
-            return logs.Withheld()
 
         def work() -> logs.Appended | logs.Conflict:
             end = self._model.end(topic)
@@ -193,7 +191,18 @@
             self._model.on_appended(topic)
             return logs.Appended(offset)
 
-        result = await self._call(topic, self._delay(work))
+        was_withheld = False
+
+        def may_still_send() -> bool:
+            nonlocal was_withheld
+            was_withheld = not may_send()
+            return not was_withheld
+
+        result = await self._call(
+            topic, self._delay(work), may_send=may_still_send
+        )
+        if was_withheld:
+            return logs.Withheld()
         if isinstance(result, logs.Unreachable):
             return logs.Uncertain(result.reason)
         return result
@@ -228,6 +237,7 @@
         topic: str,
         work: Callable[[], Awaitable[_Result]],
         wait_s: float = 0.0,
+        may_send: logs.MaySend = logs.always,
     ) -> _Result | logs.Unreachable:
         """Makes one call, in the same way as the platform's client."""
         self.call_count += 1
@@ -237,6 +247,9 @@
             if not await self._connects():
                 return logs.Unreachable("connecting took too long")
             connection = _Connection()
+        if not may_send():
+            self._keep(connection)
+            return logs.Unreachable("withheld")
         self._busy.add(connection)
         result: _Result | logs.Unreachable
         result = logs.Unreachable("no answer in time")
@@ -249,9 +262,13 @@
             # Idle connections may have become silent as well.
             self._idle.clear()
             return result
+        self._keep(connection)
+        return result
+
+    def _keep(self, connection: _Connection) -> None:
+        """Keeps a connection for later calls."""
         connection.used_s = self._clock.monotonic_s()
         self._idle.append(connection)
-        return result
 
     def _take_idle(self) -> _Connection | None:
         """Returns an idle connection that has not expired; None if none is."""
