Test: the breaker passes on whether a record may still be sent

The fake in test_log_breaker took may_send and dropped it, and no test looked at what the breaker passes on: a breaker that always passes logs.always passed all of its tests (tried). The fake passes it on now, and the new test fails with such a breaker.

--- a/libs/bridgecross-entry/tests/test_log_breaker.py
+++ b/libs/bridgecross-entry/tests/test_log_breaker.py
@@ -24,7 +24,7 @@
 
     async def append(self, topic, record, expected_end, may_send):
         self.calls += 1
-        return await super().append(topic, record, expected_end)
+        return await super().append(topic, record, expected_end, may_send)
 
     async def put(self, topic, record):
         self.calls += 1
@@ -117,3 +117,12 @@
             answer = await breaker.read("topic", 0, 0)
             answered.append(not isinstance(answer, log.Unreachable))
     assert any(answered)
+
+
+# Guards against a breaker that drops the last look before a record is sent.
+async def test_a_record_that_may_no_longer_be_sent_is_withheld(
+    breaker, inner_log
+):
+    result = await breaker.append("topic", RECORD, 0, lambda: False)
+    assert result == log.Withheld()
+    assert inner_log.records["topic"] == []
