Test: a heartbeat that comes with the log's answer stops the claim

Without handle_pending_input in _try_claim all tests of test_leadership_orders and test_leadership_stalls passed (tried). The new test fails then: the heartbeat is handled three turns of the loop after the answer, and the instance leads by then.

--- a/libs/bridgecross-entry/tests/test_leadership_orders.py
+++ b/libs/bridgecross-entry/tests/test_leadership_orders.py
@@ -1,8 +1,11 @@
+import asyncio
+
 import anyio
 import entry_fakes as fakes
 import entry_support as support
 import leadership_support
 import pytest
+import stalled_loop
 
 from bridgecross_entry import leadership
 
@@ -77,6 +80,15 @@
     return scene
 
 
+def _call_later(turns_count, call, *args: object):
+    """Calls something after some turns of the loop."""
+    if turns_count == 0:
+        call(*args)
+    else:
+        loop = asyncio.get_running_loop()
+        loop.call_soon(_call_later, turns_count - 1, call, *args)
+
+
 # Guards against a claim although the leader is heard while the log is read.
 @pytest.mark.anyio
 async def test_a_heartbeat_during_the_read_stops_the_claim():
@@ -91,6 +103,21 @@
     assert scene.claims_count() == 1
 
 
+# Guards against a claim before input that came with the answer is handled.
+@pytest.mark.anyio
+async def test_a_heartbeat_that_came_with_the_answer_stops_the_claim():
+    scene = _Scene()
+    leadership_support.write_claim(scene.log, leadership.Claim(0, "entry-2"))
+    scene.hear(0)
+    await scene.do_during(
+        "read_newest",
+        scene.leadership._try_claim,
+        lambda: _call_later(stalled_loop.INPUT_TURNS_COUNT, scene.hear, 0),
+    )
+    assert not scene.leadership.is_leader
+    assert scene.claims_count() == 1
+
+
 # Guards against a claim above a leader that the log's answer did not contain.
 @pytest.mark.anyio
 async def test_a_later_heartbeat_during_the_read_stops_the_claim():
