An instance that stops claims no lead

What callers saw: at a planned stop of a follower that missed the leader's heartbeats, a change of the leader to an instance that ends within seconds, and then another one.

Cause: only a leader resigned; a follower that began to stop could still claim. Evidence: the new test, a claim after hand_over_lead, led on the code before. Change: every instance that stops resigns. A leader goes on leading until another claims, so a cluster whose instances all stop keeps its leader to the end.

--- a/libs/bridgecross-entry/src/bridgecross_entry/cluster_tasks.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/cluster_tasks.py
@@ -206,15 +206,15 @@
         )
 
     async def hand_over_lead(self) -> None:
-        """Resigns the lead, but coordinates until another instance leads.
+        """Claims no more; coordinates until another instance leads.
 
         The instance stays on the list of instances, since most stops are
         restarts. The leader removes those that do not return.
         """
         self._stopping = True
         self._relayer.resigns = True
+        self._leadership.resign()
         if self._leadership.is_leader:
-            self._leadership.resign()
             await self._relayer.broadcast(self._tasks)
 
     async def _update_coordinators_on_change(self) -> None:
--- a/libs/bridgecross-entry/tests/test_cluster_tasks.py
+++ b/libs/bridgecross-entry/tests/test_cluster_tasks.py
@@ -10,6 +10,7 @@
 from bridgecross_entry import cluster_state
 from bridgecross_entry import cluster_tasks
 from bridgecross_entry import dispatch
+from bridgecross_entry import leadership
 from bridgecross_entry import log
 from bridgecross_entry import metrics
 from bridgecross_entry import peers
@@ -118,3 +119,12 @@
         platform_log.unavailable_topics.clear()
         await fakes.wait_until(lambda: scene.lease_servers.holder(5) == "a", 6)
         tasks.cancel_scope.cancel()
+
+
+# Guards against an instance that claims the lead while it stops.
+async def test_a_follower_that_stops_does_not_claim(platform_log):
+    scene = Scene(platform_log)
+    await scene.cluster_tasks.hand_over_lead()
+    await scene.cluster_tasks._leadership._try_claim()
+    assert not scene.cluster_tasks._leadership.is_leader
+    assert not platform_log.records[leadership.TOPIC]
