Leadership: what is known of claims moves forward in one place; tests of guards

A review of the mends took guards out one by one; five went unnoticed by the tests, which now each have one: the latest of several rounds counts, for the majority and for the look at the log; a dispute also ends what was known of rivals; a claim counts from when it was sent; a task that starts again does not read its first claim anew. The doc comment of sole_term says what its argument leans on, and that added instances are not covered by it.

--- a/libs/bridgecross-entry/src/bridgecross_entry/heartbeat_wait.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/heartbeat_wait.py
@@ -45,7 +45,10 @@
         self._left_s += by_s
 
     def end(self) -> None:
-        """Ends the wait, unless it is already over."""
+        """Ends the wait, unless it is already over.
+
+        This is no restart: a claim that is being made goes on.
+        """
         self._left_s = min(self._left_s, 0.0)
 
     def check(self) -> None:
--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -129,7 +129,8 @@
     confirmation_valid_s: float = 1.5
     # A confirmation older than this is renewed by reading the log.
     confirmation_renew_age_s: float = 0.9
-
+    # How often an instance checks whether it should claim.
+    check_interval_s: float = 0.1
     # How many times as long as a confirmation is valid a new leader waits until
     # it is certain to be alone: clocks may differ by 2%.
     sole_wait_ratio: float = 1.04
@@ -148,9 +149,6 @@
             or instance.link_mbps < self.weak_link_mbps
         )
 
-    # How often an instance checks whether it should claim.
-    check_interval_s: float = 0.1
-
 
 class Leadership:
     """Tracks which instance leads, and claims the lead when needed."""
@@ -245,9 +243,13 @@
         more; an instance that reads its claim in the log may be another one
         than the one that a majority follows. An earlier leader considers itself
         alone for as long as its last majority is valid. That is waited for,
-        unless all instances are known to follow this leader. Majorities of
-        lists from which a later leader removed instances need not meet, so a
-        leader that misses some instances also needs the log.
+        unless all instances are known to follow this leader.
+
+        This holds while both leaders know the same list of instances.
+        Majorities of lists from which a later leader removed instances need
+        not meet, so a leader that misses some instances also needs the log.
+        Instances that were added since an earlier leader read the list are not
+        covered.
         """
         now_s = self._clock.monotonic_s()
         valid_s = self._settings.confirmation_valid_s
@@ -449,7 +451,7 @@
             self._follow(claim, self._settings.first_heartbeat_timeout_s)
             return
         # There is no leader, or this instance led in its earlier run.
-        self._claim = claim
+        self._know(claim)
         self._wait.restart(self._first_wait_s())
         if claim != _NO_CLAIM:
             await self._try_claim()
@@ -526,7 +528,7 @@
             claim: The claim of this instance.
             asked_s: When it was sent to the log, on the monotonic clock.
         """
-        self._claim = claim
+        self._know(claim)
         self._leader_lost_log = False
         self._confirmed_s = asked_s
         self._majority_confirmed_s = float("-inf")
@@ -543,10 +545,10 @@
         self._learn(claim)
 
     def _learn(self, claim: Claim) -> None:
-        """Records the newest claim; if it is another one, follows it."""
-        if claim == self._claim:
+        """Follows a claim, unless it is known or an earlier one."""
+        if claim <= self._claim:
             return
-        self._claim = claim
+        self._know(claim)
         self._journal.decision(
             "follows", term=claim.term, leader=claim.instance
         )
@@ -555,6 +557,10 @@
             self._journal.lifecycle("leads_no_more", term=claim.term)
             self._on_change()
 
+    def _know(self, claim: Claim) -> None:
+        """Records a claim; what is known never goes back to an earlier one."""
+        self._claim = max(self._claim, claim)
+
     def _read(self, records: tuple[logs.KeyedRecord, ...]) -> Claim:
         """Returns the newest claim among records."""
         for record in records:
--- a/libs/bridgecross-entry/tests/test_leadership_orders.py
+++ b/libs/bridgecross-entry/tests/test_leadership_orders.py
@@ -52,9 +52,11 @@
         claim = leadership.Claim(term, instance)
         return self.leadership.handle_heartbeat(claim)
 
-    def note_round(self, *, sent_s, disputed=False):
+    def note_round(self, *, sent_s, accepted=4, disputed=False):
         term = self.leadership.term
-        relay_round = leadership.RelayRound(term, sent_s, 4, 4, 0, disputed)
+        relay_round = leadership.RelayRound(
+            term, sent_s, 4, accepted, 0, disputed
+        )
         self.leadership.note_relay_round(relay_round)
 
     async def do_during(self, call, waiting, action):
@@ -270,3 +272,75 @@
     waiting = getattr(scene.leadership, call)
     await scene.do_during(held, waiting, let_time_pass)
     assert not scene.leadership.may_order
+
+
+# Guards against a confirmation that an earlier round's late answers undo.
+def test_rounds_that_are_counted_out_of_order_confirm_by_the_latest():
+    scene = anyio.run(_lead)
+    asked_s = scene.clock.now_s
+    scene.clock.now_s += 1.2
+    scene.note_round(sent_s=scene.clock.now_s)
+    scene.note_round(sent_s=asked_s)
+    scene.clock.now_s += 0.5
+    assert scene.leadership.sole_term == scene.leadership.term
+
+
+def _miss_one(scene, for_s):
+    """Lets time pass in which one of five instances does not answer."""
+    for _ in range(round(for_s)):
+        scene.clock.now_s += 1.0
+        scene.note_round(sent_s=scene.clock.now_s, accepted=3)
+
+
+# Guards against a slow read that makes a lead count as rivalled too early.
+@pytest.mark.anyio
+async def test_a_slow_read_does_not_replace_a_later_unanimous_round():
+    scene = await _lead()
+
+    def be_followed_by_all():
+        scene.clock.now_s += 5.0
+        scene.note_round(sent_s=scene.clock.now_s)
+
+    await scene.do_during(
+        "read_newest", scene.leadership.confirm, be_followed_by_all
+    )
+    _miss_one(scene, for_s=9.0)
+    assert scene.leadership.sole_term == scene.leadership.term
+
+
+# Guards against a dispute that an incomplete majority settles for quotas.
+def test_after_a_dispute_a_majority_alone_does_not_show_that_none_rivals():
+    scene = anyio.run(_lead)
+    scene.note_round(sent_s=scene.clock.now_s)
+    assert scene.leadership.sole_term is not None
+    scene.note_round(sent_s=scene.clock.now_s, disputed=True)
+    scene.note_round(sent_s=scene.clock.now_s, accepted=3)
+    assert scene.leadership.may_order
+    assert scene.leadership.sole_term is None
+
+
+# Guards against a slow append whose answer counts as a look at the log.
+@pytest.mark.anyio
+async def test_a_slow_claim_is_unrivalled_from_when_it_was_sent():
+    scene = _Scene()
+
+    def let_time_pass():
+        scene.clock.now_s += 5.0
+
+    await scene.do_during("append", scene.leadership._try_claim, let_time_pass)
+    _miss_one(scene, for_s=4.0)
+    assert scene.leadership.sole_term == scene.leadership.term
+    _miss_one(scene, for_s=2.0)
+    assert scene.leadership.may_order
+    assert scene.leadership.sole_term is None
+
+
+# Guards against a leader whose task starts again and claims once more.
+@pytest.mark.anyio
+async def test_a_task_that_starts_again_does_not_read_its_first_claim_anew():
+    scene = await _lead()
+    scene.leadership.knows_claims = True
+    with anyio.move_on_after(0.05):
+        await scene.leadership.run()
+    assert scene.leadership.is_leader
+    assert scene.claims_count() == 1
