A test of releases measures its waits in virtual time

Seen: test_a_release_is_no_proof_while_an_earlier_leader_may_order[True-0.05] failed in 1 of 3 runs of its file beside 16 busy loops, 0.235 s against an upper limit of 0.15 s.

Cause: the test took the process's own standstill for a wait of the lease manager. Run that shows it: with 0.19 s of time.sleep put into the release the assertion fails in both cases, and in nothing else (0.244 and 0.400 s); the proof and the lower limit held.

Change: the wait runs on a loop in virtual time; proof, both limits and the check of the holder are the same. Without the wait for earlier orders (mutant) both cases fail at the lower limit.

--- a/libs/bridgecross-entry/tests/test_leases.py
+++ b/libs/bridgecross-entry/tests/test_leases.py
@@ -1,3 +1,4 @@
+import contextlib
 import math
 import time
 
@@ -5,6 +6,7 @@
 import entry_fakes as fakes
 import entry_support as support
 import pytest
+import stalled_loop
 
 from bridgecross_core import clock
 from bridgecross_core import ids
@@ -442,12 +444,15 @@
 class Restarting(fakes.LeaseServers):
     """Restarts after a release; a previous leader renews its new run."""
 
-    # Until when that leader sends orders.
-    renewed_until_s = 0.0
+    def __init__(self, time_source, renewed_until_s) -> None:
+        super().__init__()
+        self.time_source = time_source
+        # Until when that leader sends orders.
+        self.renewed_until_s = renewed_until_s
 
     async def release(self, server, first_key, last_key, *rest: object):
         answer = await super().release(server, first_key, last_key, *rest)
-        if time.monotonic() < self.renewed_until_s:
+        if self.time_source.monotonic_s() < self.renewed_until_s:
             until_s = time.monotonic() + 10
             earlier = fakes.Grant(server.name, first_key, last_key, 1, until_s)
             self.grants.append(earlier)
@@ -457,20 +462,22 @@
 @pytest.mark.parametrize(
     ("known_to_all", "least_s"), [(True, 0.05), (False, 0.2)]
 )
-async def test_a_release_is_no_proof_while_an_earlier_leader_may_order(
+def test_a_release_is_no_proof_while_an_earlier_leader_may_order(
     lead, known_to_all, least_s
 ):
     """The new run has seen no token and accepts that leader's renewal."""
-    restarting = Restarting()
-    lease_manager = _make_lease_manager(restarting, lead, clock.SystemClock())
-    begun_s = time.monotonic()
+    loop = stalled_loop.StalledLoop({}, counted_from_s=0.0, send_s=1.0)
+    begun_s = loop.monotonic_s()
+    restarting = Restarting(loop, begun_s + least_s)
+    lease_manager = _make_lease_manager(restarting, lead, loop)
     lead.majority_known_s = begun_s
     lead.known_to_all_s = begun_s if known_to_all else float("inf")
-    restarting.renewed_until_s = begun_s + least_s
     moving = keymap.KeyRange(0, 9, ids.ServerId("b"), 2, A)
-    reclaimed = await lease_manager.reclaim(A, moving)
+    with contextlib.closing(loop):
+        reclaimed = loop.run_until_complete(lease_manager.reclaim(A, moving))
     assert reclaimed == proofs.Reclaimed(proofs.Proof.RELEASED, "state")
-    assert least_s <= time.monotonic() - begun_s < least_s + 0.1
+    least_end_s = begun_s + least_s
+    assert least_end_s <= loop.now_s < least_end_s + 0.1
     assert restarting.holder(5) is None
 
 
