The list of instances is not undone by a slow answer

What callers could see: the leader leaves a living instance off its own list, or an instance takes itself for listed although it was removed. By the code, not by a run: such an instance gets no heartbeats and no changes of the lists, and this lasts until the topic is read anew.

Cause: the leader removed a lost instance from its own list, and an instance added itself to its own list, once the log had answered the write, whatever had been read of the topic meanwhile. An instance that listed itself again before the answer came was taken off the leader's list after its record had been read, so that no later record put it back. An instance whose removal was read before the answer to its own record counted itself as listed and did not list itself again.

Change: the record takes effect with the answer only if no other record about that instance was applied since the write began; otherwise it takes effect when it is read. At worst a record is written once more, since what is known is then still the older state.

--- a/libs/bridgecross-entry/src/bridgecross_entry/cluster_state.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/cluster_state.py
@@ -172,6 +172,9 @@
         # refused request.
         self.on_refused: Callable[[str, bytes], None] = lambda *_: None
         self._listed = instance_list.InstanceList()
+        # Instances whose record this one is writing, unless another record
+        # about them has been applied since the write began.
+        self._unchanged: set[model.Address] = set()
         # When the last record about an instance was applied.
         self._instances_changed_s = clock.monotonic_s()
         # Notified when there may be changes to relay, and after each read of
@@ -598,6 +601,33 @@
 
     # Instances.
 
+    async def put_instance(
+        self,
+        address: model.Address,
+        listed: instance_list.ListedInstance | None,
+    ) -> None:
+        """Writes the record of an instance, and applies it once it is written.
+
+        If another record about the instance is applied meanwhile, that one may
+        be the later one. Then this record takes effect when it is read.
+
+        Args:
+            address: The peer address of the instance.
+            listed: What it publishes; None removes it from the list.
+        """
+        value = (
+            b"" if listed is None else instance_list.INSTANCES.encode(listed)
+        )
+        record = logs.KeyedRecord(str(address), value)
+        self._unchanged.add(address)
+        is_written = await self._log.put(INSTANCE_TOPIC, record)
+        if not is_written or address not in self._unchanged:
+            return
+        if listed is None:
+            self.instances.discard(address)
+        else:
+            self.instances.add(address)
+
     def _apply_all_instances(
         self, records: tuple[logs.KeyedRecord, ...]
     ) -> None:
@@ -606,6 +636,7 @@
         # Instances that were added and removed in between are unknown.
         self._instances_changed_s = self._clock.monotonic_s()
         self._listed.clear()
+        self._unchanged.clear()
         self._update_instances(records)
 
     def _apply_changed_instances(
@@ -628,6 +659,7 @@
                 self._note_invalid_instance(record, error)
                 continue
             self._instances_changed_s = self._clock.monotonic_s()
+            self._unchanged.discard(address)
             if record.value:
                 self._listed.add(address, self._decode_instance(record))
             else:
--- a/libs/bridgecross-entry/src/bridgecross_entry/cluster_tasks.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/cluster_tasks.py
@@ -254,18 +254,12 @@
         listed = instance_list.ListedInstance(
             self._instance.name, is_weak, self._instance.failure_domain
         )
-        record = logs.KeyedRecord(
-            str(own), instance_list.INSTANCES.encode(listed)
-        )
         while not self._stopping:
             self._update_instance_count()
             known = self._state.knows_instances
             known = known or self._instance.is_first_start
-            missing = known and own not in self._state.instances
-            if missing and await self._log.put(
-                cluster_state.INSTANCE_TOPIC, record
-            ):
-                self._state.instances.add(own)
+            if known and own not in self._state.instances:
+                await self._state.put_instance(own, listed)
             if self._leadership.is_leader:
                 await self._drop_lost_peers()
                 await self.poison_broadcast.remove_old_records()
@@ -282,9 +276,7 @@
             self._journal.decision(
                 "instance_dropped", address=str(peer), lost_s=round(lost_s, 1)
             )
-            removal = logs.KeyedRecord(str(peer), b"")
-            if await self._log.put(cluster_state.INSTANCE_TOPIC, removal):
-                self._state.instances.discard(peer)
+            await self._state.put_instance(peer, None)
 
     def _peers(self) -> tuple[model.Address, ...]:
         """Returns the peer addresses of the other instances."""
