An overtaken claim assigns no slices

What callers could see: slices and fronts move on the plan of an instance that is no longer the coordinator, from its own view of servers and reports.

Cause: a claim that was applied led straight to a plan. The reader may apply a later claim of another instance before the task that waits for the first one goes on. The plan then took its term and its base from the cell, so it was valid in the other instance's term; a record does not name its author, so the log accepted it.

Evidence: forced order, a log that applies a later claim before it answers.

Change: an instance plans after its claim only if it is still the coordinator. The regular round checked that already, without waiting in between.

--- a/libs/bridgecross-ownership/src/bridgecross_ownership/coordinator.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/coordinator.py
@@ -211,7 +211,9 @@
             records.CLAIM_KIND, records.CLAIMS.encode(claim)
         )
         self._log.info("result of the claim: {}", outcome)
-        if isinstance(outcome, appenders.Applied):
+        # A later claim may have been read together with this one.
+        is_newest = ports.cell.coordinator == ports.me
+        if isinstance(outcome, appenders.Applied) and is_newest:
             self._lost_coordinator = lost
             await self._coordinate()
 
--- a/libs/bridgecross-ownership/tests/test_coordinator.py
+++ b/libs/bridgecross-ownership/tests/test_coordinator.py
@@ -147,10 +147,11 @@
     registry: reports.ReportRegistry,
     settings: coordinators.CoordinatorSettings = SETTINGS,
     peers: _Peers | None = None,
+    log: _CellLog | None = None,
 ) -> coordinators.Coordinator:
     clock = clocks.SystemClock()
     hybrid = hybrid_clock.HybridClock(clock)
-    log = _CellLog(cell)
+    log = log or _CellLog(cell)
     log.appender = appenders.Appender(
         appenders.AppenderSettings("s", ME), log, hybrid
     )
@@ -271,3 +272,34 @@
         tasks.cancel_scope.cancel()
     took_s = anyio.current_time() - begun_s
     assert QUICK.silence_s <= took_s < (rank + 1) * QUICK.silence_s + 0.5
+
+
+class _OvertakenLog(_CellLog):
+    """A log from which a claim is read together with a later one."""
+
+    def __init__(self, cell: cells.Cell, later: str) -> None:
+        super().__init__(cell)
+        self._later = later
+
+    async def append(self, stream: str, data: bytes) -> ids.Offset:
+        offset = await super().append(stream, data)
+        if self._cell.coordinator == ME:
+            _apply_claim(self._cell, self._later)
+        return offset
+
+
+# Guards against an instance that moves slices in the term of a later claim.
+async def test_an_overtaken_claim_moves_nothing():
+    cell = _cell_after_a_second_move()
+    _apply_claim(cell, "b")
+    registry = reports.ReportRegistry(clocks.SystemClock())
+    registry.add(ids.InstanceId("b"), _report("rapor-1"))
+    registry.add(
+        ids.InstanceId("c"), _report("rapor-2", handed_over=_slice_0(2))
+    )
+    coordinator = _make_coordinator(
+        cell, registry, log=_OvertakenLog(cell, "c")
+    )
+    await coordinator._claim()
+    assert (cell.coordinator, cell.term) == ("c", cell.head)
+    assert cell.slices[0].token == 2
