A follower's answer is as old as the question

What callers could see: a leader that cannot read a topic itself, and that stood still between its message and taking in the answer, takes the list of servers for younger than it is, and acts on it for up to 1.6 s more.

Cause: apply_from_follower counted the age that the answer names from when the answer was taken in. It may have waited in the socket for any time.

Change: the age counts from when the message was sent. The bound of the message in the other direction (apply_relayed) counted so before.

Only answers with records changed any age, before and after: an answer that names no change is not applied.

--- a/libs/bridgecross-entry/src/bridgecross_entry/cluster_state.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/cluster_state.py
@@ -436,12 +436,17 @@
         return tuple(batch for batch in candidates if batch and batch.records)
 
     def apply_from_follower(
-        self, batches: tuple[followers.TopicBatch, ...]
+        self, batches: tuple[followers.TopicBatch, ...], asked_s: float
     ) -> None:
-        """Applies batches from a follower that is ahead of this instance."""
+        """Applies batches from a follower that is ahead of this instance.
+
+        Args:
+            batches: The changes that the follower sent.
+            asked_s: When it was asked for them, on the monotonic clock.
+        """
         for feed, batch in self._match(batches):
             known_to = feed.follower.next_offset
-            feed.follower.apply_from_follower(batch)
+            feed.follower.apply_from_follower(batch, asked_s)
             if feed.follower.next_offset != known_to:
                 feed.note_applied(batch)
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/follower.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/follower.py
@@ -246,15 +246,20 @@
         self.last_relay_s = max(self.last_relay_s, sent_s)
         self._note_regained()
 
-    def apply_from_follower(self, batch: TopicBatch) -> None:
+    def apply_from_follower(self, batch: TopicBatch, asked_s: float) -> None:
         """Applies a batch from a follower that is ahead of this instance.
 
         This does not make this instance rely on the sender: it goes on reading,
         or trying to read, the log itself.
+
+        Args:
+            batch: The changes that the sender gave in its answer.
+            asked_s: When it was asked for them. The answer may have waited here
+                for any time, so its age counts from then.
         """
         if self._is_contiguous(batch):
             self._apply_newer(batch)
-            self._note_age(self._clock.monotonic_s() - batch.age_s)
+            self._note_age(asked_s - batch.age_s)
 
     def _is_contiguous(self, batch: TopicBatch) -> bool:
         """Whether no record between what is known and the batch is missing."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
@@ -289,6 +289,7 @@
     ) -> peers.RelayResult:
         """Sends a message, and stores the offsets that its receiver knows."""
         returned = self._find_returned_stamp(peer, message.written_s)
+        asked_s = self._clock.monotonic_s()
         answer = await self._client.relay(peer, message.encoded, returned)
         if answer.reply.stamp is not None:
             received_s = self._clock.monotonic_s()
@@ -297,7 +298,7 @@
             )
         if answer.reception is peers.Reception.ACCEPTED:
             self._known_offsets[peer] = answer.reply.offsets or message.offsets
-            self._state.apply_from_follower(answer.reply.batches)
+            self._state.apply_from_follower(answer.reply.batches, asked_s)
             self._poison_broadcaster.reconcile(peer, answer.reply.poison_digest)
         return answer
 
--- a/libs/bridgecross-entry/tests/test_relaying.py
+++ b/libs/bridgecross-entry/tests/test_relaying.py
@@ -34,6 +34,8 @@
         self.unreachable: set[model.Address] = set()
         # The address and length of each message.
         self.sent: list[tuple[model.Address, int]] = []
+        # How long each answer takes after it was given.
+        self.answer_delay_s = 0.0
 
     async def _call(self, address, path, body):
         self.sent.append((address, len(body)))
@@ -41,6 +43,7 @@
         if address in self.unreachable:
             return peers._CallResult(peers.Reception.UNKNOWN)
         reply = self._members[address].server.answer(path, body)
+        await anyio.sleep(self.answer_delay_s)
         receptions = {
             200: peers.Reception.ACCEPTED,
             409: peers.Reception.DISPUTED,
@@ -179,6 +182,25 @@
     assert configurations.is_lost
 
 
+# Guards against a list that counts as younger for an answer that came late.
+async def test_a_topic_learned_from_a_follower_is_as_old_as_its_read():
+    scene = Scene()
+    await scene.read()
+    await scene.leader.broadcast()
+    for each in scene.logs[:2]:
+        each.unavailable_topics = {"servers"}
+    scene.add("servers", "b", b"rapor")
+    await scene.read()
+    scene.leader.peer_client.answer_delay_s = 0.2
+    for _ in range(2):
+        await scene.leader.broadcast()
+    assert scene.leader.reader.knows("b")
+    states = [scene.leader.reader.state, scene.others[1].reader.state]
+    learned, read = (state.server_list_as_of_s for state in states)
+    # Ages are sent in whole milliseconds.
+    assert learned <= read + 0.001
+
+
 async def test_instance_that_missed_messages_catches_up_immediately():
     scene = Scene()
     await scene.read()
