An earlier answer ends no limit that was heard of later

What callers could see: an instance sends requests without quotas to a server that limits the requests of all instances, until the leader's next message names the limit again.

Cause: when the leader answers that a server has no limit, the client forgets what was known of it. Reports that were read after the question stay; a limit that the leader broadcast after it did not, although the leader may have learned of it after it gave the answer.

Evidence: forced order, a limit is heard of while the answer is on its way. On the code before, obtain returns None (no quota is needed) and the limit is forgotten.

Change: a limit that was heard of after the question is kept, as the reports are. If the broadcast was the older of the two, the next question, which is asked later, ends the limit (the last lines of the test).

--- a/libs/bridgecross-entry/src/bridgecross_entry/rate_limits.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/rate_limits.py
@@ -181,9 +181,12 @@
 
         Args:
             server_id: The run.
-            before_s: A report that was read later than this still holds.
+            before_s: A report that was read later than this still holds, and
+                so does a limit that was heard of later.
         """
-        self._heard.pop(server_id, None)
+        heard = self._heard.get(server_id)
+        if heard is not None and heard.heard_s <= before_s:
+            del self._heard[server_id]
         known = self._reports.get(server_id)
         if known is None or known.read_s > before_s:
             return
--- a/libs/bridgecross-entry/tests/test_quota_client.py
+++ b/libs/bridgecross-entry/tests/test_quota_client.py
@@ -285,3 +285,22 @@
     harness.link.reply = None
     harness.clock.now_s += SETTINGS.pause_s
     assert harness.client.describe_issuer() == str(LEADER)
+
+
+# Guards against a limit that an answer given before it was heard of forgets.
+async def test_an_earlier_answer_does_not_end_a_limit_heard_meanwhile(harness):
+    limits = (quotas.KnownLimit(RUN, 6.0),)
+    harness.issuer._buckets.clear()
+    harness.limits.end(RUN, harness.clock.now_s)
+    harness.client.hear(limits)
+
+    def hear_again():
+        harness.clock.now_s += 0.01
+        harness.client.hear(limits)
+
+    harness.link.on_ask = hear_again
+    assert isinstance(await harness.obtain(), quota_client.Refused)
+    assert not harness.client.covers(None, RUN)
+    harness.link.on_ask = lambda: None
+    harness.clock.now_s += 0.01
+    assert await harness.obtain() is None
