The records of a refused request are written in order

What callers could see: by the log, a request that was answered stays refused, or one that is refused is not. Instances that start later read the log.

Cause: each record of a refused request was written by a task of its own, with retries for up to a minute. The refusal could be written after its removal that followed an answer. And the leader's removal of an old record could take effect after a new refusal of the same request; its answer also made the instance forget that there is a record, so that an answered request was not removed any more.

Evidence: forced order, the first write of a key is held back. On the code before, three cases fail: the last record in the log is the refusal, when its first try fails and when it is only slow, and the last record is the removal after a later refusal.

Change: the records of a key are written one after the other, and a record that another one has replaced is not retried. At the leader's removal, an answer only counts if no other record has come up meanwhile. Across instances the order remains that of the log.

Failed try: a test in which both writes failed for a while passed on the code before in one of its cases, since the order of the retries depended on timing; the held write is what forces it.

--- a/libs/bridgecross-entry/src/bridgecross_entry/poison_broadcast.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/poison_broadcast.py
@@ -174,6 +174,8 @@
         self._next_reconcile_s: dict[model.Address, float] = {}
         # When each record in the log was written, by its key.
         self._recorded_wall_s: dict[str, float] = {}
+        # The newest record of each key that is being written.
+        self._unwritten: dict[str, logs.KeyedRecord] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -571,9 +573,21 @@
         """Removes records from the log whose ends no longer count."""
         oldest_s = self._clock.wall_s() - self._ledger.settings.retention_s
         for key, written_s in list(self._recorded_wall_s.items()):
-            is_old = written_s < oldest_s
-            if is_old and await self._put_record(logs.KeyedRecord(key, b"")):
-                self._recorded_wall_s.pop(key, None)
+            if written_s < oldest_s and key not in self._unwritten:
+                await self._remove_record(key)
+
+    async def _remove_record(self, key: str) -> None:
+        """Tries once to remove a record, unless a later one replaces it."""
+        removal = logs.KeyedRecord(key, b"")
+        self._unwritten[key] = removal
+        try:
+            is_written = await self._put_record(removal)
+        finally:
+            newest = self._unwritten.pop(key)
+        if newest is not removal:
+            self._schedule_write(newest)
+        elif is_written:
+            self._recorded_wall_s.pop(key, None)
 
     def _merge(self, report: poison_requests.PoisonReport) -> None:
         """Merges what another instance knows."""
@@ -611,14 +625,38 @@
     # The log.
 
     def _schedule_write(self, record: logs.KeyedRecord) -> None:
-        """Starts writing a record to the log."""
-        self._start_task(functools.partial(self._write, record))
+        """Starts writing a record to the log.
+
+        The records of a key are written one after the other, and only the
+        newest of those that wait, so that it is also the last one in the log.
+        """
+        if self._tasks is None:
+            return
+        is_writing = record.key in self._unwritten
+        self._unwritten[record.key] = record
+        if not is_writing:
+            self._start_task(functools.partial(self._write, record.key))
+
+    async def _write(self, key: str) -> None:
+        """Writes the newest record of a key, with retries for a limited time.
 
-    async def _write(self, record: logs.KeyedRecord) -> None:
-        """Writes a record to the log, with retries for a limited time."""
+        The time starts anew with each record.
+        """
+        try:
+            written = None
+            while written is not self._unwritten[key]:
+                written = self._unwritten[key]
+                await self._write_until_replaced(written)
+        finally:
+            del self._unwritten[key]
+
+    async def _write_until_replaced(self, record: logs.KeyedRecord) -> None:
+        """Tries to write a record until a later one replaces it."""
         settings = self._settings
         until_s = self._clock.monotonic_s() + settings.record_retry_for_s
         while not await self._put_record(record):
+            if self._unwritten[record.key] is not record:
+                return
             if self._clock.monotonic_s() > until_s:
                 self._journal.decision("poison_not_recorded", key=record.key)
                 return
--- a/libs/bridgecross-entry/tests/test_poison_broadcast.py
+++ b/libs/bridgecross-entry/tests/test_poison_broadcast.py
@@ -1,10 +1,14 @@
+import dataclasses
 import math
 
+import anyio
+import anyio.lowlevel
 import entry_support as support
 import pytest
 
 from bridgecross_core import clock
 from bridgecross_core import codec
+from bridgecross_entry import cluster_state
 from bridgecross_entry import model
 from bridgecross_entry import peers
 from bridgecross_entry import poison_broadcast
@@ -157,3 +161,80 @@
     late.broadcaster.load_record("refused/x", record)
     assert first.counted == 3
     assert late.counted == 0
+
+
+class _HeldLog:
+    """Takes the records of a broadcaster; the test answers the writes."""
+
+    def __init__(self) -> None:
+        # The records in the order in which they took effect.
+        self.written: list[bytes] = []
+        # Whether the next call waits, and whether it fails after that.
+        self.holds_next = False
+        self.loses_held = False
+        self.is_held = anyio.Event()
+        self.may_write = anyio.Event()
+
+    async def put(self, record) -> bool:
+        if self.holds_next:
+            self.holds_next = False
+            self.is_held.set()
+            await self.may_write.wait()
+            if self.loses_held:
+                return False
+        await anyio.lowlevel.checkpoint()
+        self.written.append(record.value)
+        return True
+
+
+def _make_recording(held: _HeldLog) -> Scene:
+    scene = Scene()
+    scene.broadcaster._put_record = held.put
+    scene.broadcaster._settings = dataclasses.replace(
+        scene.broadcaster._settings, record_retry_s=0.02
+    )
+    return scene
+
+
+async def _refuse(scene: Scene) -> None:
+    """Lets three servers end under the request at this instance."""
+    update = _make_update(*(_end(name) for name in "abc"))
+    await scene.send(update)
+    scene.broadcaster.report_ends(
+        scene.ledger.ends_of(poison_requests.Fingerprint(SUBJECT))
+    )
+
+
+# Guards against a refusal that is written after the request was answered.
+@pytest.mark.parametrize("is_lost", [True, False])
+async def test_a_delayed_refusal_does_not_undo_its_removal(is_lost):
+    held = _HeldLog()
+    held.loses_held = is_lost
+    held.holds_next = True
+    scene = _make_recording(held)
+    async with anyio.create_task_group() as tasks:
+        scene.broadcaster._tasks = tasks
+        await _refuse(scene)
+        await held.is_held.wait()
+        scene.broadcaster.report_answer(poison_requests.Fingerprint(SUBJECT))
+        await anyio.wait_all_tasks_blocked()
+        held.may_write.set()
+    assert held.written[-1] == b""
+
+
+# Guards against the removal of an old record that undoes a later refusal.
+async def test_a_slow_removal_does_not_undo_a_later_refusal():
+    held = _HeldLog()
+    scene = _make_recording(held)
+    key = cluster_state.REFUSED_PREFIX + SUBJECT.hex()
+    scene.broadcaster._recorded_wall_s[key] = 0.0
+    held.holds_next = True
+    async with anyio.create_task_group() as tasks:
+        scene.broadcaster._tasks = tasks
+        tasks.start_soon(scene.broadcaster.remove_old_records)
+        await held.is_held.wait()
+        await _refuse(scene)
+        await anyio.wait_all_tasks_blocked()
+        held.may_write.set()
+    assert held.written[-1] != b""
+    assert key in scene.broadcaster._recorded_wall_s
