A late answer takes no granted quotas away

What callers could see: requests to a limited server are refused although the leader has granted them, while several requests for quotas of one instance are under way.

Cause: each grant replaced the unused quotas of the server, whatever had been granted since it was asked for. The answer to an earlier request that came later replaced those of a later one.

Evidence: forced order, the first answer is held until the second has come.

Change: a grant adds to the unused quotas that may still be used; all of them expire with the earliest, so none is used later than it may be. A grant that leaves nothing unused changes nothing.

--- a/libs/bridgecross-entry/src/bridgecross_entry/quota_client.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/quota_client.py
@@ -289,11 +289,25 @@
             )
         else:
             # The first is for whoever asked.
-            state.unused_count = reply.granted_count - 1
-            state.asked_s = asked_s
+            self._add_unused(state, reply.granted_count - 1, asked_s, now_s)
             state.refusals.clear()
         return reply
 
+    def _add_unused(
+        self, state: _ServerState, count: int, asked_s: float, now_s: float
+    ) -> None:
+        """Adds quotas to those of other requests that may still be used.
+
+        All of them then expire with the earliest.
+        """
+        if self._has_unused(state, now_s):
+            if not count:
+                return
+            count += state.unused_count
+            asked_s = min(asked_s, state.asked_s)
+        state.unused_count = count
+        state.asked_s = asked_s
+
     async def _send(self, request: quotas.Request) -> quotas.Reply | None:
         """Sends a request to the issuer; None without a usable answer."""
         issuer = self.find_issuer()
--- a/libs/bridgecross-entry/tests/test_quota_client.py
+++ b/libs/bridgecross-entry/tests/test_quota_client.py
@@ -304,3 +304,51 @@
     harness.link.on_ask = lambda: None
     harness.clock.now_s += 0.01
     assert await harness.obtain() is None
+
+
+class _HeldLink(LeaderLink):
+    """Holds the first answer back until a later one has come."""
+
+    def __init__(self, issuer: quota_issuer.QuotaIssuer) -> None:
+        super().__init__(issuer)
+        self.granted_count = 0
+        self.later_answered = anyio.Event()
+
+    async def exchange(self, request, accepts):
+        is_first = not self.asked_count
+        answer = await super().exchange(request, accepts)
+        self.granted_count += quotas.REPLIES.decode(answer.body).granted_count
+        if is_first:
+            await self.later_answered.wait()
+        return answer
+
+
+# Guards against quotas that the answer to an earlier request replaces.
+async def test_a_late_answer_does_not_replace_unused_quotas(harness):
+    harness.clock.now_s += 1.0
+    harness.name_limit(100.0)
+    harness.issuer._buckets.clear()
+    harness.earn_one(100.0)
+    harness.clock.now_s += 0.2
+    link = _HeldLink(harness.issuer)
+    harness.client._connect = lambda _: link
+    state = harness.client._get_state(RUN)
+    state.counted_since_s = harness.clock.now_s
+    state.demand_count = 5
+    obtained = []
+
+    async def obtain():
+        obtained.append(await harness.obtain())
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(obtain)
+        await anyio.wait_all_tasks_blocked()
+        harness.clock.now_s += 0.1
+        await obtain()
+        assert state.unused_count > 0
+        link.later_answered.set()
+    assert len(obtained) + state.unused_count == link.granted_count
+    assert harness.client.covers(obtained[1], RUN)
+    # The earlier ones among them expire first.
+    harness.clock.now_s += QUOTAS.use_within_s - 0.1
+    assert not harness.client._has_unused(state, harness.clock.now_s)
