An instance that stood still does not act on the silence of others

What callers could see: after an instance had stood still for as long as the allowed silence (2 s in the test; 0.75 s by the default policy, not run), it claimed a service whose coordinator was alive; and a coordinator that had stood still replaced the fronts of the servers.

Cause: silence was counted by the clock alone, at the first round after the stall. What the others had sent meanwhile is taken in only afterwards. Where the stall also outlasts the authority (1.5 s by default), the log has to be read first and silence starts anew; shorter stalls, and those in the middle of a round, had no such protection.

Evidence: forced order, a clock that jumps while the coordinator waits or in the middle of its round, and peers whose messages are taken in at the round after it.

Change: a round that comes later than a quarter of the allowed silence appends no claim and no plan; the next one does. The lateness is looked at right before the append, so a stall at any point before it counts.

With a policy of one or two missed heartbeats the margin does not suffice: a heartbeat that is two intervals old already counts as silence then, stalls or not.

--- a/libs/bridgecross-ownership/src/bridgecross_ownership/coordinator.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/coordinator.py
@@ -34,6 +34,14 @@
 _FIRST_REPORTS_WAIT_S = 3.0
 _MINUTE_S = 60.0
 
+_LATE_RATIO = 0.25
+"""The part of the allowed silence by which a round may come late. With three
+missed heartbeats allowed, one that is up to two intervals old and this together
+are less than the allowed silence."""
+
+_LATE_ROUNDS_MAX_COUNT = 3
+"""How many late rounds in a row are not acted upon."""
+
 
 @dataclasses.dataclass(frozen=True)
 class CoordinatorSettings:
@@ -118,6 +126,10 @@
         self._grace_term = ids.Term(ids.NO_OFFSET)
         self._grace_until_s = 0.0
         self._lost_coordinator = cells.NO_INSTANCE
+        # When the wait for this round began, and how many rounds before it
+        # came late.
+        self._paused_s = ports.clock.monotonic_s()
+        self._late_count = 0
 
     async def run(self) -> None:
         """Coordinates the service or stands by until cancelled."""
@@ -125,8 +137,25 @@
             self._record_term()
             if self._has_log():
                 await self._step()
+            self._paused_s = self._ports.clock.monotonic_s()
             await anyio.sleep(self.settings.heartbeat_interval_ms / 1_000)
 
+    def _comes_late(self) -> bool:
+        """Returns whether this round comes too late to act on silence.
+
+        This process or its machine stalled then, and what others sent meanwhile
+        may not have been taken in yet; they send again within one interval. A
+        machine that is always late acts every few rounds.
+        """
+        interval_s = self.settings.heartbeat_interval_ms / 1_000
+        late_s = self._ports.clock.monotonic_s() - self._paused_s - interval_s
+        is_in_time = late_s <= _LATE_RATIO * self.settings.silence_s
+        if is_in_time or self._late_count == _LATE_ROUNDS_MAX_COUNT:
+            self._late_count = 0
+            return False
+        self._late_count += 1
+        return True
+
     def _record_term(self) -> None:
         """Records when the newest term was first seen."""
         term = self._ports.cell.term
@@ -147,7 +176,7 @@
         """Plans if this instance coordinates; claims if it should."""
         if self._ports.cell.coordinator == self._ports.me:
             await self._coordinate()
-        elif self._should_claim():
+        elif self._should_claim() and not self._comes_late():
             await self._claim()
 
     def _should_claim(self) -> bool:
@@ -211,6 +240,8 @@
             records.CLAIM_KIND, records.CLAIMS.encode(claim)
         )
         self._log.info("result of the claim: {}", outcome)
+        # The wait for the log does not make this round late.
+        self._paused_s = ports.clock.monotonic_s()
         # A later claim may have been read together with this one.
         is_newest = ports.cell.coordinator == ports.me
         if isinstance(outcome, appenders.Applied) and is_newest:
@@ -243,6 +274,8 @@
         )
         if plan.is_empty and not settle_only:
             return
+        if self._comes_late():
+            return
         assignment = self._build_assignment(plan, settled, accepted_fronts)
         outcome = await ports.appender.append(
             records.ASSIGNMENT_KIND, records.ASSIGNMENTS.encode(assignment)
--- a/libs/bridgecross-ownership/tests/test_coordinator.py
+++ b/libs/bridgecross-ownership/tests/test_coordinator.py
@@ -148,8 +148,9 @@
     settings: coordinators.CoordinatorSettings = SETTINGS,
     peers: _Peers | None = None,
     log: _CellLog | None = None,
+    process: "_StalledProcess | None" = None,
 ) -> coordinators.Coordinator:
-    clock = clocks.SystemClock()
+    clock = process or clocks.SystemClock()
     hybrid = hybrid_clock.HybridClock(clock)
     log = log or _CellLog(cell)
     log.appender = appenders.Appender(
@@ -162,7 +163,9 @@
             cell,
             log.appender,
             authorities.Authority(
-                authorities.AuthoritySettings(1_000), _CurrentLogView(), clock
+                authorities.AuthoritySettings(1_000),
+                process or _CurrentLogView(),
+                clock,
             ),
             _list_members(),
             registry,
@@ -303,3 +306,126 @@
     await coordinator._claim()
     assert (cell.coordinator, cell.term) == ("c", cell.head)
     assert cell.slices[0].token == 2
+
+
+STALLED = dataclasses.replace(SETTINGS, heartbeat_misses=400)
+"""Settings by which an instance that is silent for 2 s counts as lost."""
+
+
+class _StalledProcess:
+    """A clock that stands still but for stalls, and the peers of its process.
+
+    What peers sent during a stall is taken in after the next check.
+    """
+
+    awaits_snapshot = False
+
+    def __init__(self, registry: reports.ReportRegistry | None = None) -> None:
+        self.now_s = 1_000.0
+        self.registry = registry or reports.ReportRegistry(self)
+        # The checks of the coordinator since the last stall.
+        self.checks_count = 0
+        # The length of a stall in the middle of the next check.
+        self.next_stall_s = 0.0
+        self._contact_s = self.now_s
+
+    def monotonic_s(self) -> float:
+        return self.now_s
+
+    def wall_s(self) -> float:
+        return self.now_s
+
+    def stall(self, for_s: float, *, is_in_check: bool) -> None:
+        if is_in_check:
+            self.next_stall_s = for_s
+        else:
+            self.now_s += for_s
+        self.checks_count = 0
+
+    @property
+    def fresh_at_s(self) -> float:
+        """Counts checks, each of which begins with the age of the log."""
+        self.checks_count += 1
+        if self.checks_count > 1:
+            self.take_in()
+        self.now_s += self.next_stall_s
+        self.next_stall_s = 0.0
+        return math.inf
+
+    def take_in(self) -> None:
+        self._contact_s = self.now_s
+        self.registry.add(ids.InstanceId("b"), _report("rapor-1"))
+        self.registry.add(ids.InstanceId("c"), _report("rapor-2"))
+
+    def silent_s(self, instance: ids.InstanceId) -> float:
+        return self.now_s - self._contact_s
+
+    def is_leaving(self, instance: ids.InstanceId) -> bool:
+        return False
+
+
+async def _stall_repeatedly(
+    cell: cells.Cell,
+    process: _StalledProcess,
+    *stalls_s: float,
+    is_in_check: bool,
+) -> list[dict[ids.ServerId, cells.FrontState]]:
+    """Runs a coordinator in a process that stalls between some checks.
+
+    Returns:
+        The fronts before each stall, and at the end.
+    """
+    fronts = []
+    coordinator = _make_coordinator(
+        cell, process.registry, STALLED, process, process=process
+    )
+    with anyio.fail_after(20):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(coordinator.run)
+            for stall_s in stalls_s:
+                while process.checks_count < 4:
+                    await anyio.sleep(0.001)
+                fronts.append(dict(cell.fronts))
+                process.stall(stall_s, is_in_check=is_in_check)
+            while process.checks_count < 4:
+                await anyio.sleep(0.001)
+            tasks.cancel_scope.cancel()
+    return [*fronts, dict(cell.fronts)]
+
+
+# Guards against a claim by a process that mistook its stall for silence.
+@pytest.mark.parametrize("is_in_check", [False, True])
+@pytest.mark.parametrize("stall_s", [2.0, 2.5, 100.0])
+async def test_a_stalled_instance_does_not_claim(stall_s, is_in_check):
+    cell = _cell_after_a_second_move()
+    _apply_claim(cell, "b")
+    term = cell.term
+    # The first stalls let the term become old enough.
+    stalls_s = [*[0.4] * 10, stall_s, stall_s]
+    await _stall_repeatedly(
+        cell, _StalledProcess(), *stalls_s, is_in_check=is_in_check
+    )
+    assert (cell.coordinator, cell.term) == ("b", term)
+
+
+# Guards against a coordinator that replaces all fronts after its stall.
+@pytest.mark.parametrize("is_in_check", [False, True])
+@pytest.mark.parametrize("stall_s", [2.5, 100.0])
+async def test_a_stalled_coordinator_keeps_the_fronts(stall_s, is_in_check):
+    cell = _cell_after_a_second_move()
+    process = _StalledProcess()
+    process.take_in()
+    stalls_s = [*[0.4] * 10, stall_s, stall_s]
+    fronts = await _stall_repeatedly(
+        cell, process, *stalls_s, is_in_check=is_in_check
+    )
+    assert fronts[-1] == fronts[-2] == fronts[-3]
+
+
+async def test_an_instance_that_is_always_late_replaces_a_lost_coordinator():
+    cell = _cell_after_a_second_move()
+    _apply_claim(cell, "b")
+    process = _StalledProcess()
+    process.take_in = lambda: None
+    await _stall_repeatedly(cell, process, *[0.6] * 60, is_in_check=False)
+    assert cell.coordinator == ME
