A map that was replaced before its answer starts no moves

What callers could see: a coordinator that has read the map of another one still asks servers to release keys.

Cause: once the log had answered an append, its map was applied and its moves were started, although a later map of another coordinator may have been read while the answer was on its way. The check that ends a superseded coordinator came a round later, and an order for the release of keys looks at the lead only.

Evidence: forced order, the answer is held until the map of another coordinator has been read. On the code before, a release of keys 0 to 32767 under the replaced map follows.

Change: what follows from a map starts only if no later map of another coordinator is known, neither when the answer comes nor when the map has been sent to the other instances. The second of these cases passes before as well: there the round ended before the order was sent.

--- a/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
@@ -256,7 +256,11 @@
     # Writing key maps.
 
     async def _append(self, ranges: tuple[keymap.KeyRange, ...]) -> bool:
-        """Appends and applies a new key map; returns whether it was written."""
+        """Appends and applies a new key map.
+
+        Returns:
+            Whether it was written and is still the newest.
+        """
         expected_end = self._follower.next_offset
         if expected_end is None:
             return False
@@ -270,12 +274,15 @@
         record = logs.KeyedRecord(self._service, keymap.encode(new))
         result = await self._log.append(self._topic, record, expected_end)
         if isinstance(result, logs.Appended):
+            if self._is_superseded():
+                return False
             self._version = new.version
             self._table.put(new, "written")
             self._apply_map(new)
             self._follower.note_own_append(result.offset, record)
             await self._publish_map(new)
-            return True
+            # A later map may have been read during either call.
+            return not self._is_superseded()
         self._journal.decision(
             "key_map_not_written",
             service=self._service,
