A leader reads on after its first read of a topic

What callers could see: right after the first read of a topic, changes of it reach all instances later than usual, since the leader, which reads for all, waits for a relay that nobody sends.

Cause: after its first read an instance leaves reading to the leader. It did so too when it had begun to lead during that read, and thereby undid what the new lead had set.

Evidence: forced order, the lead begins while the first read waits for its answer; on the code before, the follower then counts the topic as relayed.

Change: an instance that has begun to read for itself does not await a relay after its first read. Passing before and after: any other instance does.

--- a/libs/bridgecross-entry/src/bridgecross_entry/follower.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/follower.py
@@ -329,6 +329,11 @@
         self.last_relay_s = float("-inf")
         self._first_read_s = float("-inf")
 
+    @property
+    def _reads_itself(self) -> bool:
+        """Whether this instance began to read on its own since the start."""
+        return self._first_read_s == float("-inf")
+
     def _is_relayed(self) -> bool:
         """Whether reading is left to another instance.
 
@@ -430,7 +435,7 @@
         if isinstance(result, logs.Unreachable):
             self._note_lost(result.reason)
             return False
-        if self.next_offset is None:
+        if self.next_offset is None and not self._reads_itself:
             # The leader, if there is one, will relay what follows.
             self.last_relay_s = self._clock.monotonic_s()
         # More may have been relayed while the call was in progress.
--- a/libs/bridgecross-entry/tests/test_follower.py
+++ b/libs/bridgecross-entry/tests/test_follower.py
@@ -147,6 +147,26 @@
     assert known.follower.next_offset == 4
 
 
+# Guards against a leader that waits for a relay after its slow first read.
+async def test_an_instance_that_leads_reads_on_after_its_first_read():
+    platform_log = fakes.MemoryLog()
+    platform_log.may_answer_newest = anyio.Event()
+    known = Known(platform_log, support.ManualClock())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(known.follower.catch_up)
+        await anyio.wait_all_tasks_blocked()
+        known.follower.stop_awaiting_relay()
+        platform_log.may_answer_newest.set()
+    assert known.follower.next_offset == 0
+    assert not known.follower._is_relayed()
+
+
+async def test_a_follower_awaits_the_relay_after_its_first_read():
+    known = Known(fakes.MemoryLog(), support.ManualClock())
+    await known.follower.catch_up()
+    assert known.follower._is_relayed()
+
+
 async def test_an_early_empty_answer_gives_no_negative_age():
     known = Known(fakes.MemoryLog(), support.ManualClock(), 900.0)
     await known.follower.catch_up()
