--- a/benchmarks/fold.py
+++ b/benchmarks/fold.py
@@ -66,7 +66,7 @@
         for number in range(servers)
     )
     fronts = tuple(
-        records.ServerFront(
+        records.ServerQueueOwner(
             _server_id(n),
             ids.InstanceId(f"entry-{n % 11}"),
             (
@@ -82,9 +82,9 @@
         term=ids.Term(0),
         base=ids.Offset(0),
         moves=moves,
-        fronts=fronts,
+        queue_owners=fronts,
         settled=(),
-        accepted_fronts=(),
+        accepted_queue_owners=(),
         retired=(),
         reason="first",
     )
@@ -167,9 +167,9 @@
                     _server_id(offset % 2), (ids.SliceIndex(0),)
                 ),
             ),
-            fronts=(),
+            queue_owners=(),
             settled=(),
-            accepted_fronts=(),
+            accepted_queue_owners=(),
             retired=(),
             reason="",
         )
@@ -185,7 +185,7 @@
     def look_up() -> None:
         for key in keys:
             index = hashing.find_slice(key, len(cell.slices))
-            cell.fronts.get(cell.slices[index].server)
+            cell.queue_owners.get(cell.slices[index].server)
 
     spent_s = rows.measure_cpu_s(look_up)
     value = spent_s * 1e6 / _LOOK_UP_COUNT
@@ -235,7 +235,7 @@
         loads={
             ids.SliceIndex(n): float(n % 50) for n in range(len(cell.slices))
         },
-        unfit_fronts=set(),
+        unfit_queue_owners=set(),
         handed_over=set(),
     )
     settings = planner.PlannerSettings(1.25, 16)
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
@@ -18,8 +18,8 @@
 from bridgecross_ownership import authority as authorities
 from bridgecross_ownership import cell as cells
 from bridgecross_ownership import coordinator as coordinators
-from bridgecross_ownership import fronts as front_sets
 from bridgecross_ownership import lease_manager
+from bridgecross_ownership import lease_manager_set
 from bridgecross_ownership import leases
 from bridgecross_ownership import membership as memberships
 from bridgecross_ownership import releases
@@ -73,7 +73,7 @@
         self.backend = shared.make_backend(
             _component_settings.backend_settings(service.policy)
         )
-        self.fronts = front_sets.Fronts(
+        self.fronts = lease_manager_set.LeaseManagerSet(
             _component_settings.lease_manager_settings(service.policy),
             self._lease_manager_ports(),
         )
@@ -156,8 +156,8 @@
                 reports.ServerReport(
                     each.server,
                     each.health,
-                    each.front.token
-                    if each.is_front_accepted()
+                    each.queue_owner.token
+                    if each.is_queue_owner_accepted()
                     else ids.NO_TOKEN,
                 )
                 for each in managers
@@ -290,11 +290,11 @@
             return await self._parts.fronts.answer_release(query)
         return await self._peers.await_release(front, query)
 
-    async def is_front_drained(
-        self, front: ids.InstanceId, query: releases.FrontDrainedQuery
+    async def is_queue_owner_drained(
+        self, front: ids.InstanceId, query: releases.QueueOwnerDrainedQuery
     ) -> bool:
         """Asks an earlier front to confirm; see ``releases.ReleaseSource``."""
         if front == self._me:
-            reply = await self._parts.fronts.answer_front_drained(query)
+            reply = await self._parts.fronts.answer_queue_owner_drained(query)
             return reply.is_drained
-        return await self._peers.is_front_drained(front, query)
+        return await self._peers.is_queue_owner_drained(front, query)
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/control.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/control.py
@@ -232,7 +232,7 @@
     def _record_invalid(self, offset: ids.Offset, problem: str) -> None:
         """Records, logs and reports a record that could not be applied."""
         self.invalid_records.append(InvalidRecord(offset, problem))
-        self._ring.add(events.FaultSeen(f"record {offset}", problem))
+        self._ring.add(events.FaultObserved(f"record {offset}", problem))
         loguru.logger.bind(offset=offset).error("invalid record: {}", problem)
 
     def _try_snapshot(self, record: log_service.StoredRecord) -> None:
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
@@ -302,14 +302,14 @@
             return releases.ReleaseReply([])
         return await parts.fronts.answer_release(request)
 
-    async def answer_front_drained(
-        self, request: releases.FrontDrainedQuery
-    ) -> releases.FrontDrainedReply:
+    async def answer_queue_owner_drained(
+        self, request: releases.QueueOwnerDrainedQuery
+    ) -> releases.QueueOwnerDrainedReply:
         """Returns whether this instance has drained as an earlier front."""
         parts = self._services.get(request.service)
         if parts is None:
-            return releases.FrontDrainedReply(self._me, is_drained=False)
-        return await parts.fronts.answer_front_drained(request)
+            return releases.QueueOwnerDrainedReply(self._me, is_drained=False)
+        return await parts.fronts.answer_queue_owner_drained(request)
 
     async def exchange_poison_reports(
         self, request: poison_requests.PoisonReport
@@ -338,13 +338,13 @@
             return _NOT_FOUND
         index = hashing.find_slice(request.key, len(cell.slices))
         state = cell.slices[index]
-        front = cell.fronts.get(state.server)
+        front = cell.queue_owners.get(state.server)
         return peer_protocol.OwnerReply(
             found=True,
             slice=index,
             server=state.server,
             token=state.token,
-            front=front.front if front else cells.NO_INSTANCE,
+            front=front.instance if front else cells.NO_INSTANCE,
             front_token=front.token if front else ids.NO_TOKEN,
             prior=list(state.prior),
             term=cell.term,
@@ -424,8 +424,8 @@
         self._peer_log_reader.witnesses = {
             witness
             for cell in self.control.cells.values()
-            for state in cell.fronts.values()
-            if state.front == self._me
+            for state in cell.queue_owners.values()
+            if state.instance == self._me
             for witness in state.witnesses
         }
 
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peer_client.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_client.py
@@ -183,8 +183,8 @@
         except peer_protocol.PeerUnreachableError:
             return releases.ReleaseReply([])
 
-    async def is_front_drained(
-        self, front: ids.InstanceId, query: releases.FrontDrainedQuery
+    async def is_queue_owner_drained(
+        self, front: ids.InstanceId, query: releases.QueueOwnerDrainedQuery
     ) -> bool:
         """Asks an earlier front to confirm; see ``releases.ReleaseSource``."""
         address = self._addresses.find_peer_address(front)
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peer_protocol.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_protocol.py
@@ -240,7 +240,7 @@
 """Waits until a server has released slices."""
 
 FRONT_DRAINED = Method(
-    "Office", releases.FrontDrainedQuery, releases.FrontDrainedReply
+    "Office", releases.QueueOwnerDrainedQuery, releases.QueueOwnerDrainedReply
 )
 """Returns whether an instance has drained as a front of a server."""
 
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peer_server.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_server.py
@@ -49,9 +49,9 @@
     ) -> releases.ReleaseReply:
         """Waits until a server has released slices."""
 
-    async def answer_front_drained(
-        self, request: releases.FrontDrainedQuery
-    ) -> releases.FrontDrainedReply:
+    async def answer_queue_owner_drained(
+        self, request: releases.QueueOwnerDrainedQuery
+    ) -> releases.QueueOwnerDrainedReply:
         """Returns whether this instance has drained as an earlier front."""
 
     async def news(
@@ -122,7 +122,7 @@
                             ),
                             self._handle(
                                 peer_protocol.FRONT_DRAINED,
-                                service.answer_front_drained,
+                                service.answer_queue_owner_drained,
                             ),
                             self._handle(peer_protocol.NEWS, service.news),
                             self._handle(
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/_earlier_fronts.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/_earlier_queue_owners.py
@@ -1,4 +1,4 @@
-"""Waits until the earlier fronts of a server cannot act any more."""
+"""Waits until the earlier queue owners of a server cannot act any more."""
 
 import dataclasses
 import math
@@ -17,26 +17,26 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class EarlierFrontsSettings:
-    """How long the effects of an earlier front may outlast it."""
+class EarlierQueueOwnersSettings:
+    """How long the effects of an earlier queue owner may outlast it."""
 
     # The length of the last lease that it gave, or the longest deadline of a
     # request that it sent.
     residual_ms: int
     # The largest difference in rate between two clocks, as a ratio.
     clock_drift_ratio: float
-    # Whether the earlier front is asked if it has drained. If it is alive, its
-    # answer saves waiting for the longest deadline that a caller may set, 30 s
-    # by default, during which no server serves the keys of a lost one. Servers
-    # that check fences are not asked about: they may act until their lease
-    # ends.
+    # Whether the earlier queue owner is asked if it has drained. If it is
+    # alive, its answer saves waiting for the longest deadline that a caller may
+    # set, 30 s by default, during which no server serves the keys of a lost
+    # one. Servers that check fences are not asked about: they may act until
+    # their lease ends.
     asks_whether_drained: bool
 
 
-class EarlierFrontsPorts(NamedTuple):
-    """The dependencies for waiting for the earlier fronts of a server.
+class EarlierQueueOwnersPorts(NamedTuple):
+    """The dependencies for waiting for the earlier queue owners of a server.
 
-    ``changed`` is notified when an earlier front has no more effects.
+    ``changed`` is notified when an earlier queue owner has no more effects.
     """
 
     service: ids.ServiceName
@@ -48,43 +48,43 @@
     changed: notifier.Notifier
 
 
-class EarlierFronts:
-    """Waits for the fronts that a server had before its newest one."""
+class EarlierQueueOwners:
+    """Waits for the queue owners that a server had before its newest one."""
 
     def __init__(
         self,
-        front: cells.FrontState,
-        settings: EarlierFrontsSettings,
-        ports: EarlierFrontsPorts,
+        queue_owner: cells.QueueOwnerState,
+        settings: EarlierQueueOwnersSettings,
+        ports: EarlierQueueOwnersPorts,
     ) -> None:
-        """Assumes that every earlier front may still act."""
-        self._front = front
+        """Assumes that every earlier queue owner may still act."""
+        self._queue_owner = queue_owner
         self._settings = settings
         self._ports = ports
         self._over_at_s: dict[ids.Token, float] = {
-            earlier.token: math.inf for earlier in front.earlier
+            earlier.token: math.inf for earlier in queue_owner.earlier
         }
         self._created_s = ports.clock.monotonic_s()
 
     @property
     def over_at_s(self) -> float:
-        """When all leases and requests of earlier fronts have ended, monotonic.
+        """The monotonic end of all leases and requests of earlier queue owners.
 
         Infinite as long as one of them may still act.
         """
         return max(self._over_at_s.values(), default=self._created_s)
 
     async def run(self) -> None:
-        """Waits until no earlier front has effects any more."""
+        """Waits until no earlier queue owner has effects any more."""
         async with anyio.create_task_group() as tasks:
-            for earlier in self._front.earlier:
+            for earlier in self._queue_owner.earlier:
                 tasks.start_soon(self._wait_for, earlier)
 
-    async def _wait_for(self, earlier: cells.EarlierFront) -> None:
-        """Waits until the leases and requests of an earlier front have ended.
+    async def _wait_for(self, earlier: cells.EarlierQueueOwner) -> None:
+        """Waits until an earlier queue owner's leases and requests have ended.
 
-        An earlier front has stopped if it has read its replacement. One that
-        does not answer loses its authority once no witness confirms it.
+        An earlier queue owner has stopped if it has read its replacement. One
+        that does not answer loses its authority once no witness confirms it.
         """
         clock = self._ports.clock
         while not await self._is_stopped(earlier):
@@ -104,27 +104,27 @@
             )
         self._ports.changed.notify()
 
-    async def _reports_drained(self, earlier: cells.EarlierFront) -> bool:
-        """Returns whether an earlier front reports that it has drained."""
+    async def _reports_drained(self, earlier: cells.EarlierQueueOwner) -> bool:
+        """Returns whether an earlier queue owner says that it has drained."""
         if not self._settings.asks_whether_drained:
             return False
-        query = releases.FrontDrainedQuery(
+        query = releases.QueueOwnerDrainedQuery(
             self._ports.service,
             self._ports.server,
             earlier.token,
-            ids.Offset(self._front.token),
+            ids.Offset(self._queue_owner.token),
         )
         source = self._ports.releases
-        return await source.is_front_drained(earlier.front, query)
+        return await source.is_queue_owner_drained(earlier.instance, query)
 
-    async def _is_stopped(self, earlier: cells.EarlierFront) -> bool:
-        """Returns whether an earlier front cannot renew its authority.
+    async def _is_stopped(self, earlier: cells.EarlierQueueOwner) -> bool:
+        """Returns whether an earlier queue owner cannot renew its authority.
 
         It cannot if it, or each of its witnesses, has read its replacement.
         """
-        offset = ids.Offset(self._front.token)
+        offset = ids.Offset(self._queue_owner.token)
         has_read = self._ports.witnesses.has_read
-        if await has_read(earlier.front, offset):
+        if await has_read(earlier.instance, offset):
             return True
         for witness in earlier.witnesses:
             if not await has_read(witness, offset):
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/_prior_owners.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/_prior_owners.py
@@ -27,7 +27,7 @@
 
 
 class PriorOwners:
-    """Asks the fronts of earlier owners, with one task for each owner."""
+    """Asks the queue owners of earlier owners, with one task for each owner."""
 
     def __init__(self, server: ids.ServerId, ports: PriorOwnersPorts) -> None:
         """Starts without tasks.
@@ -86,7 +86,7 @@
         ]
 
     async def _ask(self, owner: ids.ServerId) -> None:
-        """Asks the front of an earlier owner until all slices are released."""
+        """Asks an earlier owner's queue owner until all slices are released."""
         try:
             while wanted := self._list_unreleased(owner):
                 released = await self._ask_once(owner, wanted)
@@ -101,11 +101,13 @@
     ) -> set[ids.SliceIndex]:
         """Asks once; returns the slices that were released."""
         cell = self._ports.cell
-        front = cell.fronts.get(owner)
-        if front is None:
+        queue_owner = cell.queue_owners.get(owner)
+        if queue_owner is None:
             return set()
         query = releases.ReleaseQuery(cell.service, owner, wanted, cell.head)
-        reply = await self._ports.releases.await_release(front.front, query)
+        reply = await self._ports.releases.await_release(
+            queue_owner.instance, query
+        )
         return set(reply.released)
 
     def _record_released(
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/authority.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/authority.py
@@ -3,9 +3,9 @@
 An instance that is cut off from the log cannot know whether it has been
 replaced. It may therefore act only for a bounded time after a complete read
 of the log or, while the log is unavailable, after a witness confirmed that it
-has read nothing newer. The log names the witnesses of each front. To be sure
-that a front has stopped, without an answer from it or its server, another
-instance first makes sure that every witness has read the change; see
+has read nothing newer. The log names the witnesses of each queue owner. To be
+sure that a queue owner has stopped, without an answer from it or its server,
+another instance first makes sure that every witness has read the change; see
 ``docs/design/leases.md``.
 """
 
@@ -58,11 +58,14 @@
         """Returns whether the log itself was read recently enough."""
         return self._is_fresh(self._log_view.fresh_at_s)
 
-    def may_act_as_front(self, witnesses: Iterable[ids.InstanceId]) -> bool:
-        """Returns whether this instance may act as a front now.
+    def may_act_as_queue_owner(
+        self, witnesses: Iterable[ids.InstanceId]
+    ) -> bool:
+        """Returns whether this instance may act as a queue owner now.
 
         Args:
-            witnesses: The front's witnesses; the confirmation of one is enough.
+            witnesses: The queue owner's witnesses; the confirmation of one is
+                enough.
         """
         if self._log_view.awaits_snapshot:
             return False
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/cell.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/cell.py
@@ -27,27 +27,28 @@
     prior: tuple[ids.ServerId, ...]
 
 
-class EarlierFront(NamedTuple):
-    """A front that was replaced but may not have read that yet."""
+class EarlierQueueOwner(NamedTuple):
+    """A queue owner that was replaced but may not have read that yet."""
 
-    front: ids.InstanceId
+    instance: ids.InstanceId
     token: ids.Token
     witnesses: tuple[ids.InstanceId, ...]
 
 
-class FrontState(NamedTuple):
-    """The front of a server, and its fencing token.
+class QueueOwnerState(NamedTuple):
+    """The queue owner of a server, and its fencing token.
 
     ``backup`` is the server that may serve the slices if the server is lost
-    while the log is down. ``earlier`` are the previous fronts that the server
-    may still obey: all since the last one that it is known to have accepted.
+    while the log is down. ``earlier`` are the previous queue owners that the
+    server may still obey: all since the last one that it is known to have
+    accepted.
     """
 
-    front: ids.InstanceId
+    instance: ids.InstanceId
     token: ids.Token
     witnesses: tuple[ids.InstanceId, ...]
     backup: ids.ServerId
-    earlier: tuple[EarlierFront, ...]
+    earlier: tuple[EarlierQueueOwner, ...]
 
 
 class CellSnapshot(NamedTuple):
@@ -58,7 +59,7 @@
     coordinator: ids.InstanceId
     head: ids.Offset
     slices: list[SliceState]
-    fronts: dict[ids.ServerId, FrontState]
+    queue_owners: dict[ids.ServerId, QueueOwnerState]
 
 
 _UNOWNED = SliceState(NO_SERVER, ids.NO_TOKEN, ())
@@ -74,7 +75,7 @@
         self.coordinator = NO_INSTANCE
         self.head = ids.NO_OFFSET
         self.slices: list[SliceState] = []
-        self.fronts: dict[ids.ServerId, FrontState] = {}
+        self.queue_owners: dict[ids.ServerId, QueueOwnerState] = {}
         self._owned: dict[ids.ServerId, set[ids.SliceIndex]] = {}
 
     def restore(self, snapshot: CellSnapshot) -> None:
@@ -85,7 +86,7 @@
         self.coordinator = snapshot.coordinator
         self.head = snapshot.head
         self.slices = list(snapshot.slices)
-        self.fronts = dict(snapshot.fronts)
+        self.queue_owners = dict(snapshot.queue_owners)
         self._owned = {}
         for index, state in enumerate(self.slices):
             self._index_owner(ids.SliceIndex(index), state.server)
@@ -98,7 +99,7 @@
             coordinator=self.coordinator,
             head=self.head,
             slices=self.slices,
-            fronts=self.fronts,
+            queue_owners=self.queue_owners,
         )
 
     def apply(self, record: log_records.LogRecord) -> appender.Verdict:
@@ -126,12 +127,14 @@
         """Returns how many slices a server owns."""
         return len(self._owned.get(server, ()))
 
-    def list_servers_of(self, front: ids.InstanceId) -> list[ids.ServerId]:
-        """Returns the servers that an instance fronts."""
+    def list_servers_of(
+        self, queue_owner: ids.InstanceId
+    ) -> list[ids.ServerId]:
+        """Returns the servers whose queues an instance owns."""
         return [
             server
-            for server, state in self.fronts.items()
-            if state.front == front
+            for server, state in self.queue_owners.items()
+            if state.instance == queue_owner
         ]
 
     def list_holders(self) -> set[ids.ServerId]:
@@ -168,15 +171,17 @@
             return appender.Void(offset, reason)
         for index in assignment.settled:
             self.slices[index] = self.slices[index]._replace(prior=())
-        for server in assignment.accepted_fronts:
-            self.fronts[server] = self.fronts[server]._replace(earlier=())
+        for server in assignment.accepted_queue_owners:
+            self.queue_owners[server] = self.queue_owners[server]._replace(
+                earlier=()
+            )
         for move in assignment.moves:
             for index in move.slices:
                 self._move_slice(index, move.server, ids.Token(offset))
-        for change in assignment.fronts:
-            self._change_front(change, ids.Token(offset))
+        for change in assignment.queue_owners:
+            self._change_queue_owner(change, ids.Token(offset))
         for server in assignment.retired:
-            self.fronts.pop(server, None)
+            self.queue_owners.pop(server, None)
         self.head = offset
         return appender.Applied(offset)
 
@@ -191,7 +196,8 @@
         if any(not 0 <= index < len(self.slices) for index in indices):
             return "names a slice that does not exist"
         if any(
-            server not in self.fronts for server in assignment.accepted_fronts
+            server not in self.queue_owners
+            for server in assignment.accepted_queue_owners
         ):
             return "accepts the front of a server that has none"
         holders = self.list_holders() if assignment.retired else set()
@@ -207,8 +213,8 @@
         The earlier owners and their backups must release it first.
         """
         old = self.slices[index]
-        front = self.fronts.get(old.server)
-        backup = front.backup if front else NO_SERVER
+        queue_owner = self.queue_owners.get(old.server)
+        backup = queue_owner.backup if queue_owner else NO_SERVER
         prior = {*old.prior, old.server, backup} - {server, NO_SERVER}
         self.slices[index] = SliceState(server, token, tuple(sorted(prior)))
         self._owned.get(old.server, set()).discard(index)
@@ -219,19 +225,19 @@
         if server != NO_SERVER:
             self._owned.setdefault(server, set()).add(index)
 
-    def _change_front(
-        self, change: records.ServerFront, token: ids.Token
+    def _change_queue_owner(
+        self, change: records.ServerQueueOwner, token: ids.Token
     ) -> None:
-        """Changes the front of a server and records the replaced one."""
-        old = self.fronts.get(change.server)
-        earlier: tuple[EarlierFront, ...] = ()
+        """Changes the queue owner of a server and records the replaced one."""
+        old = self.queue_owners.get(change.server)
+        earlier: tuple[EarlierQueueOwner, ...] = ()
         if old is not None:
-            replaced = EarlierFront(old.front, old.token, old.witnesses)
+            replaced = EarlierQueueOwner(old.instance, old.token, old.witnesses)
             earlier = (*old.earlier, replaced)
-        self.fronts[change.server] = FrontState(
-            change.front, token, change.witnesses, change.backup, earlier
+        self.queue_owners[change.server] = QueueOwnerState(
+            change.instance, token, change.witnesses, change.backup, earlier
         )
-        if old is not None and old.front != change.front and old.backup:
+        if old is not None and old.instance != change.instance and old.backup:
             self._reassign_after_backup(change.server, old.backup, token)
 
     def _reassign_after_backup(
@@ -239,9 +245,9 @@
     ) -> None:
         """Makes a server the next owner after its backup.
 
-        The replaced front may have handed slices over to the backup. The
+        The replaced queue owner may have handed slices over to the backup. The
         server therefore gets its slices again, under a higher token than the
-        backup's, and its new front has to ask the backup to release them.
+        backup's, and its new queue owner has to ask the backup to release them.
         """
         for index in self.list_slices_of(server):
             prior = {*self.slices[index].prior, backup}
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/coordinator.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/coordinator.py
@@ -114,15 +114,15 @@
         self._ports = ports
         self._log = loguru.logger.bind(service=ports.cell.service)
         self._evictions: list[_Eviction] = []
-        self._unfit_fronts: set[planner.UnfitFront] = set()
+        self._unfit_queue_owners: set[planner.UnfitQueueOwner] = set()
         self._moved_at_s: list[float] = []
         self._applied_at_s = -math.inf
         self._first_plan_at_s: float | None = None
         self._unclaimed_since_s = ports.clock.monotonic_s()
         self._log_since_s = math.inf
-        # The newest term in the log, and when it was first seen.
-        self._seen_term = ids.Term(ids.NO_OFFSET)
-        self._seen_since_s = ports.clock.monotonic_s()
+        # The newest term in the log, and when it was first read.
+        self._newest_term = ids.Term(ids.NO_OFFSET)
+        self._newest_term_since_s = ports.clock.monotonic_s()
         self._grace_term = ids.Term(ids.NO_OFFSET)
         self._grace_until_s = 0.0
         self._lost_coordinator = cells.NO_INSTANCE
@@ -157,11 +157,11 @@
         return True
 
     def _record_term(self) -> None:
-        """Records when the newest term was first seen."""
+        """Records when the newest term was first read."""
         term = self._ports.cell.term
-        if term != self._seen_term:
-            self._seen_term = term
-            self._seen_since_s = self._ports.clock.monotonic_s()
+        if term != self._newest_term:
+            self._newest_term = term
+            self._newest_term_since_s = self._ports.clock.monotonic_s()
 
     def _has_log(self) -> bool:
         """Returns whether the log can be read; records since when."""
@@ -206,7 +206,7 @@
             silent_s = min(
                 ports.peers.silent_s(current),
                 now_s - self._log_since_s,
-                now_s - self._seen_since_s,
+                now_s - self._newest_term_since_s,
             )
             allowed_s = self.settings.silence_s
         return silent_s >= allowed_s + rank * self.settings.silence_s
@@ -267,16 +267,18 @@
             view = view._replace(servers=_mark_all_held(view.servers))
         plan = planner.plan(view, self._planner_settings())
         settled = self._list_settled()
-        accepted_fronts = self._list_accepted_fronts()
+        accepted_queue_owners = self._list_accepted_queue_owners()
         due = ports.clock.monotonic_s() - self._applied_at_s
         settle_only = (
-            bool(settled or accepted_fronts) and due >= _SETTLE_INTERVAL_S
+            bool(settled or accepted_queue_owners) and due >= _SETTLE_INTERVAL_S
         )
         if plan.is_empty and not settle_only:
             return
         if self._comes_late():
             return
-        assignment = self._build_assignment(plan, settled, accepted_fronts)
+        assignment = self._build_assignment(
+            plan, settled, accepted_queue_owners
+        )
         outcome = await ports.appender.append(
             records.ASSIGNMENT_KIND, records.ASSIGNMENTS.encode(assignment)
         )
@@ -304,7 +306,7 @@
         self,
         plan: planner.Plan,
         settled: list[ids.SliceIndex],
-        accepted_fronts: list[ids.ServerId],
+        accepted_queue_owners: list[ids.ServerId],
     ) -> records.Assignment:
         """Returns the record for a plan, built on the newest record."""
         cell = self._ports.cell
@@ -319,9 +321,9 @@
                 records.ServerSlices(server, tuple(slices))
                 for server, slices in by_server.items()
             ),
-            fronts=tuple(plan.fronts),
+            queue_owners=tuple(plan.queue_owners),
             settled=tuple(settled),
-            accepted_fronts=tuple(accepted_fronts),
+            accepted_queue_owners=tuple(accepted_queue_owners),
             retired=tuple(plan.retired),
             reason=f"restore {plan.restored}, balance {plan.balanced}",
         )
@@ -373,14 +375,16 @@
             if slices[grant.slice].token == grant.token
         }
 
-    def _list_accepted_fronts(self) -> list[ids.ServerId]:
-        """Returns the servers whose earlier fronts the log may forget."""
+    def _list_accepted_queue_owners(self) -> list[ids.ServerId]:
+        """Returns the servers whose earlier queue owners the log may forget."""
         registry = self._ports.registry
         return [
             server
-            for server, state in self._ports.cell.fronts.items()
+            for server, state in self._ports.cell.queue_owners.items()
             if state.earlier
-            and registry.is_front_accepted(server, state.front, state.token)
+            and registry.is_queue_owner_accepted(
+                server, state.instance, state.token
+            )
         ]
 
     def _build_view(self) -> planner.PlannerView:
@@ -401,25 +405,27 @@
             instances=self._list_instances(),
             domains=domains,
             loads=ports.registry.list_loads(),
-            unfit_fronts=self._unfit_fronts,
+            unfit_queue_owners=self._unfit_queue_owners,
             handed_over=self._list_current(ports.registry.list_handed_over()),
         )
 
     def _list_instances(self) -> list[ids.InstanceId]:
-        """Returns the instances that may be the front of a server."""
+        """Returns the instances that may be the queue owner of a server."""
         ports = self._ports
         live = set(ports.registry.list_live(self.settings.silence_s))
         live.add(ports.me)
         if self._in_grace():
             live |= set(ports.membership.list_instances())
-            live |= {state.front for state in ports.cell.fronts.values()}
+            live |= {
+                state.instance for state in ports.cell.queue_owners.values()
+            }
             live.discard(self._lost_coordinator)
         return sorted(i for i in live if not ports.peers.is_leaving(i))
 
     def _assess_servers(self) -> dict[ids.ServerId, planner.Eligibility]:
         """Returns the eligibility of each listed server."""
         listed = self._ports.membership.list_servers(self._ports.cell.service)
-        self._unfit_fronts = set()
+        self._unfit_queue_owners = set()
         eligibility_by_server = {}
         for server, listing in listed.items():
             leaving = listing.state is memberships.ListedState.LEAVING
@@ -435,27 +441,30 @@
     ) -> planner.Eligibility:
         """Returns the eligibility of a server that is not leaving."""
         ports = self._ports
-        state = ports.cell.fronts.get(server)
+        state = ports.cell.queue_owners.get(server)
         if state is None:
             return planner.Eligibility.HELD
-        health = ports.registry.find_health(server, state.front)
+        health = ports.registry.find_health(server, state.instance)
         if health is lease_manager.ServerHealth.UP:
             return planner.Eligibility.USABLE
         if health is lease_manager.ServerHealth.DRAINING:
             return planner.Eligibility.UNUSABLE
         if health is lease_manager.ServerHealth.DOWN:
-            return self._assess_down(server, state.front, server_count)
+            return self._assess_down(server, state.instance, server_count)
         return planner.Eligibility.HELD
 
     def _assess_down(
-        self, server: ids.ServerId, front: ids.InstanceId, server_count: int
+        self,
+        server: ids.ServerId,
+        queue_owner: ids.InstanceId,
+        server_count: int,
     ) -> planner.Eligibility:
-        """Decides whether a server that its front reports down is evicted.
+        """Decides whether a server reported down by its queue owner is evicted.
 
         One instance may be cut off from the network and find many servers
         down, so only a share of the servers is evicted on its report alone.
-        Beyond that, the planner gives the server another front, whose report
-        then counts too.
+        Beyond that, the planner gives the server another queue owner, whose
+        report then counts too.
         """
         ports = self._ports
         if len(ports.registry.list_down_reporters(server)) > 1:
@@ -466,13 +475,17 @@
             for eviction in self._evictions
             if eviction.at_s >= now_s - _EVICTION_WINDOW_S
         ]
-        evicted = {e.server for e in self._evictions if e.reporter == front}
+        evicted = {
+            e.server for e in self._evictions if e.reporter == queue_owner
+        }
         limit = max(1, int(server_count * self.settings.eviction_limit_ratio))
         if server not in evicted and len(evicted) >= limit:
-            self._unfit_fronts.add(planner.UnfitFront(server, front))
+            self._unfit_queue_owners.add(
+                planner.UnfitQueueOwner(server, queue_owner)
+            )
             return planner.Eligibility.HELD
         if server not in evicted:
-            self._evictions.append(_Eviction(server, front, now_s))
+            self._evictions.append(_Eviction(server, queue_owner, now_s))
         return planner.Eligibility.UNUSABLE
 
 
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/lease_manager.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/lease_manager.py
@@ -1,9 +1,9 @@
 """Renews the lease of one server and opens its slices to requests.
 
-All requests to a server pass through one instance, its front. The front runs
-one lease manager per server. It renews the lease, grants a slice once every
-earlier owner has released it, and answers other fronts that ask whether this
-server has released a slice.
+All requests to a server pass through one instance, its queue owner. The queue
+owner runs one lease manager per server. It renews the lease, grants a slice
+once every earlier owner has released it, and answers other queue owners that
+ask whether this server has released a slice.
 """
 
 import collections
@@ -18,7 +18,7 @@
 from bridgecross_core import clock as clocks
 from bridgecross_core import ids
 from bridgecross_core import notifier
-from bridgecross_ownership import _earlier_fronts
+from bridgecross_ownership import _earlier_queue_owners
 from bridgecross_ownership import _prior_owners
 from bridgecross_ownership import authority as authorities
 from bridgecross_ownership import cell as cells
@@ -31,7 +31,7 @@
 
 
 class ServerHealth(enum.Enum):
-    """A server's health as observed by its front."""
+    """A server's health as observed by its queue owner."""
 
     UNKNOWN = "unknown"
     UP = "up"
@@ -71,12 +71,12 @@
 
 
 class LeaseManager:
-    """A front's task that manages the lease of one backend server."""
+    """A queue owner's task that manages the lease of one backend server."""
 
     def __init__(
         self,
         server: ids.ServerId,
-        front: cells.FrontState,
+        queue_owner: cells.QueueOwnerState,
         settings: LeaseManagerSettings,
         ports: LeaseManagerPorts,
     ) -> None:
@@ -84,12 +84,13 @@
 
         Args:
             server: The backend server.
-            front: The log's entry that makes this instance the front.
+            queue_owner: The log's entry that makes this instance the queue
+                owner.
             settings: The service's settings; replaced when they change.
             ports: The manager's dependencies.
         """
         self.server = server
-        self.front = front
+        self.queue_owner = queue_owner
         self.settings = settings
         self.health = ServerHealth.UNKNOWN
         self.changed = notifier.Notifier()
@@ -115,14 +116,14 @@
                 ports.cell, ports.releases, self.changed
             ),
         )
-        self._earlier = self._make_earlier_fronts(front)
+        self._earlier = self._make_earlier_queue_owners(queue_owner)
         self._term = leases.LeaseTerm(settings.clock_drift_ratio)
         # The slices that the server may hold; None while they are unknown.
         self._maybe_held: set[ids.SliceIndex] | None = (
-            None if front.earlier else set()
+            None if queue_owner.earlier else set()
         )
-        # The front token that the server has accepted from this instance.
-        self._accepted_front_token = ids.NO_TOKEN
+        # The queue owner token that the server has accepted from this instance.
+        self._accepted_queue_owner_token = ids.NO_TOKEN
 
     def find_grant_token(self, index: ids.SliceIndex) -> ids.Token | None:
         """Returns the token under which this server should serve a slice.
@@ -130,7 +131,7 @@
         Returns:
             The token, or None if another server or the backup should serve it.
         """
-        if not self._is_front():
+        if not self._is_queue_owner():
             return None
         state = self._ports.cell.slices[index]
         if self._has_taken_over(index):
@@ -149,18 +150,18 @@
         The server does not get the slice back until the log moves it.
 
         Returns:
-            The takeover to send to the backup's front, or None if the slice
-            cannot be handed over.
+            The takeover to send to the backup's queue owner, or None if the
+            slice cannot be handed over.
         """
         state = self._ports.cell.slices[index]
-        if state.server != self.server or not self._is_front():
+        if state.server != self.server or not self._is_queue_owner():
             return None
         if self._handed_over.get(index) != state.token:
             if not self._may_hand_over(index):
                 return None
             self._handed_over[index] = state.token
         return releases.Takeover(
-            index, self.server, state.token, self.front.token
+            index, self.server, state.token, self.queue_owner.token
         )
 
     def take_over(self, takeover: releases.Takeover) -> bool:
@@ -186,7 +187,7 @@
             token: The token that ``find_grant_token`` returned.
         """
         if (
-            not self._may_act_as_front()
+            not self._may_act_as_queue_owner()
             or self.find_grant_token(index) != token
         ):
             return False
@@ -194,23 +195,23 @@
             return False
         if not self.settings.checks_fences:
             return True
-        if self._accepted_front_token != self.front.token:
+        if self._accepted_queue_owner_token != self.queue_owner.token:
             return False
         now_s = self._ports.clock.monotonic_s()
         return now_s < self._term.confirmed_until_s
 
-    def replace_front(self, front: cells.FrontState) -> None:
-        """Continues under a newer front token, such as with new witnesses."""
-        self.front = front
+    def replace_queue_owner(self, queue_owner: cells.QueueOwnerState) -> None:
+        """Continues under a newer token, such as with new witnesses."""
+        self.queue_owner = queue_owner
         self._sent_grants = None
         self.changed.notify()
 
-    def is_front_accepted(self) -> bool:
-        """Returns whether the server accepted this front for good.
+    def is_queue_owner_accepted(self) -> bool:
+        """Returns whether the server accepted this queue owner for good.
 
-        It then cannot act for an earlier front any more.
+        It then cannot act for an earlier queue owner any more.
         """
-        if self._accepted_front_token != self.front.token:
+        if self._accepted_queue_owner_token != self.queue_owner.token:
             return False
         if self.settings.checks_fences:
             return True
@@ -223,7 +224,7 @@
 
         Returns:
             Whether they may. It returns False early once this instance is no
-            longer the server's front, the slice has another owner, or the
+            longer the server's queue owner, the slice has another owner, or the
             slice may be handed over.
         """
         await self.changed.wait_until(
@@ -242,7 +243,7 @@
         self.load[index] += 1
 
     def end_request(self, index: ids.SliceIndex, over_at_s: float) -> None:
-        """Records that the front is done with a request.
+        """Records that the queue owner is done with a request.
 
         Args:
             index: The request's slice.
@@ -272,7 +273,7 @@
         ]
 
     def is_idle(self) -> bool:
-        """Returns whether no request of this front can run at the server."""
+        """Returns whether none of this queue owner's requests can run."""
         now_s = self._ports.clock.monotonic_s()
         unanswered = self._busy_until_s.values()
         return not self._busy and all(
@@ -312,9 +313,9 @@
 
     async def _step(self, tasks: anyio.abc.TaskGroup) -> None:
         """Asks earlier owners, then makes one lease exchange."""
-        if self._is_front():
+        if self._is_queue_owner():
             self._prior.start_asking(tasks)
-        if not self._may_act_as_front():
+        if not self._may_act_as_queue_owner():
             await anyio.sleep(self.settings.renew_interval_ms / 1_000)
             return
         grants = self._list_grantable()
@@ -331,26 +332,26 @@
         await self.changed.wait_until(
             lambda: (
                 self._list_grantable() != self._sent_grants
-                or (self._is_front() and self._prior.has_unasked())
+                or (self._is_queue_owner() and self._prior.has_unasked())
             ),
             interval_s,
         )
 
-    def _make_earlier_fronts(
-        self, front: cells.FrontState
-    ) -> _earlier_fronts.EarlierFronts:
-        """Returns the object that waits for the fronts before this one."""
+    def _make_earlier_queue_owners(
+        self, queue_owner: cells.QueueOwnerState
+    ) -> _earlier_queue_owners.EarlierQueueOwners:
+        """Returns the object that waits for earlier queue owners."""
         settings = self.settings
-        return _earlier_fronts.EarlierFronts(
-            front,
-            _earlier_fronts.EarlierFrontsSettings(
+        return _earlier_queue_owners.EarlierQueueOwners(
+            queue_owner,
+            _earlier_queue_owners.EarlierQueueOwnersSettings(
                 settings.lease_ms
                 if settings.checks_fences
                 else settings.max_deadline_ms,
                 settings.clock_drift_ratio,
                 asks_whether_drained=not settings.checks_fences,
             ),
-            _earlier_fronts.EarlierFrontsPorts(
+            _earlier_queue_owners.EarlierQueueOwnersPorts(
                 self._ports.cell.service,
                 self.server,
                 self._ports.authority,
@@ -361,9 +362,11 @@
             ),
         )
 
-    def _is_front(self) -> bool:
-        """Returns whether this is still the server's newest front."""
-        return self._ports.cell.fronts.get(self.server) == self.front
+    def _is_queue_owner(self) -> bool:
+        """Returns whether this is still the server's newest queue owner."""
+        return (
+            self._ports.cell.queue_owners.get(self.server) == self.queue_owner
+        )
 
     def _has_taken_over(self, index: ids.SliceIndex) -> bool:
         """Returns whether this server's takeover of a slice is in force."""
@@ -371,12 +374,12 @@
         if takeover is None:
             return False
         state = self._ports.cell.slices[index]
-        front = self._ports.cell.fronts.get(takeover.owner)
+        queue_owner = self._ports.cell.queue_owners.get(takeover.owner)
         return (
-            front is not None
+            queue_owner is not None
             and (state.server, state.token) == (takeover.owner, takeover.token)
-            and (front.token, front.backup)
-            == (takeover.front_token, self.server)
+            and (queue_owner.token, queue_owner.backup)
+            == (takeover.queue_owner_token, self.server)
         )
 
     def _may_hand_over(self, index: ids.SliceIndex) -> bool:
@@ -384,12 +387,12 @@
         state = self._ports.cell.slices[index]
         return (
             self.health is ServerHealth.DOWN
-            and bool(self.front.backup)
+            and bool(self.queue_owner.backup)
             and state.server == self.server
             and self._prior.is_free(index)
             and not self._ports.authority.has_log()
-            and self._may_act_as_front()
-            and self._is_front()
+            and self._may_act_as_queue_owner()
+            and self._is_queue_owner()
             and self._cannot_act(index)
         )
 
@@ -404,9 +407,11 @@
             until_s = max(until_s, self._busy_until_s.get(index, 0.0))
         return self._ports.clock.monotonic_s() >= until_s
 
-    def _may_act_as_front(self) -> bool:
-        """Returns whether this instance has the authority to act as front."""
-        return self._ports.authority.may_act_as_front(self.front.witnesses)
+    def _may_act_as_queue_owner(self) -> bool:
+        """Returns whether this instance has authority to act as queue owner."""
+        return self._ports.authority.may_act_as_queue_owner(
+            self.queue_owner.witnesses
+        )
 
     def _list_grantable(self) -> list[leases.SliceGrant]:
         """Returns the slices to grant: owned, and released by earlier owners.
@@ -414,7 +419,7 @@
         Slices taken over from a lost server are granted as well.
         """
         cell = self._ports.cell
-        if not self._is_front():
+        if not self._is_queue_owner():
             return []
         wanted = []
         taken_over = [i for i in self._takeovers if self._has_taken_over(i)]
@@ -436,7 +441,7 @@
         request = leases.LeaseRequest(
             service=self._ports.cell.service,
             front=self._ports.me,
-            front_token=self.front.token,
+            front_token=self.queue_owner.token,
             sequence=self._sequence,
             echo=echo,
             lease_ms=settings.lease_ms,
@@ -456,7 +461,7 @@
             self._log.info("the server refused the lease: {}", reply.reason)
             await self._record_miss(reply.reason, sent_s)
             return
-        self._accepted_front_token = ids.Token(request.front_token)
+        self._accepted_queue_owner_token = ids.Token(request.front_token)
         self._term.end_exchange(
             echo, reply, sent_s, received_s, settings.lease_ms
         )
@@ -481,7 +486,7 @@
         health = ServerHealth.DRAINING if reply.draining else ServerHealth.UP
         if self.health is ServerHealth.DOWN:
             self._ports.ring.add(
-                events.FaultSeen(f"server {self.server}", "answers again")
+                events.FaultObserved(f"server {self.server}", "answers again")
             )
         self.health = health
 
@@ -493,7 +498,7 @@
             if self.health is not ServerHealth.DOWN:
                 self.health = ServerHealth.DOWN
                 self._ports.ring.add(
-                    events.FaultSeen(f"server {self.server}", reason)
+                    events.FaultObserved(f"server {self.server}", reason)
                 )
         spent_s = self._ports.clock.monotonic_s() - sent_s
         await anyio.sleep(
@@ -516,7 +521,7 @@
         state = self._ports.cell.slices[wanted.slice]
         if state.token < wanted.token or state.server == self.server:
             return False
-        if not self._is_front() or self._has_taken_over(wanted.slice):
+        if not self._is_queue_owner() or self._has_taken_over(wanted.slice):
             return False
         if self._cannot_act(wanted.slice):
             return True
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/fronts.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/lease_manager_set.py
@@ -1,4 +1,4 @@
-"""The lease managers of all servers that this instance fronts."""
+"""The lease managers of all servers whose queues this instance owns."""
 
 from typing import NamedTuple
 
@@ -13,18 +13,18 @@
 from bridgecross_timeline import events
 
 _RECONCILE_S = 0.5
-_UNKNOWN_FRONT_WAIT_S = 0.2
+_UNKNOWN_QUEUE_OWNER_WAIT_S = 0.2
 
 
-class _FrontKey(NamedTuple):
-    """Identifies a front: a server, and the front's token."""
+class _QueueOwnerKey(NamedTuple):
+    """Identifies a queue owner: a server, and the queue owner's token."""
 
     server: ids.ServerId
     token: ids.Token
 
 
-class Fronts:
-    """Starts and stops lease managers as the log changes the fronts."""
+class LeaseManagerSet:
+    """Starts and stops lease managers as the log changes the queue owners."""
 
     def __init__(
         self,
@@ -36,20 +36,23 @@
         self._ports = ports
         self._managers: dict[ids.ServerId, lease_manager.LeaseManager] = {}
         self._scopes: dict[ids.ServerId, anyio.CancelScope] = {}
-        # The managers of the fronts that this instance is, and of those that
-        # it was and whose requests may still run.
-        self._undrained: dict[_FrontKey, lease_manager.LeaseManager] = {}
+        # The managers of the servers whose queues this instance owns, and of
+        # those whose queues it owned and whose requests may still run.
+        self._undrained: dict[_QueueOwnerKey, lease_manager.LeaseManager] = {}
         self._changed = notifier.Notifier()
 
     @property
     def managers(self) -> dict[ids.ServerId, lease_manager.LeaseManager]:
-        """The lease managers of the servers that this instance fronts."""
+        """The lease managers of the servers whose queues this instance owns."""
         return self._managers
 
     def find(self, server: ids.ServerId) -> lease_manager.LeaseManager | None:
-        """Returns a server's lease manager if this instance is its front."""
+        """Returns the lease manager if this instance is the queue owner."""
         manager = self._managers.get(server)
-        if manager and self._ports.cell.fronts.get(server) == manager.front:
+        if (
+            manager
+            and self._ports.cell.queue_owners.get(server) == manager.queue_owner
+        ):
             return manager
         return None
 
@@ -70,34 +73,36 @@
     async def answer_release(
         self, query: releases.ReleaseQuery
     ) -> releases.ReleaseReply:
-        """Answers another front that asks what a server has released."""
+        """Answers another queue owner that asks what a server has released."""
         await self._changed.wait_until(
-            lambda: self.find(query.server) is not None, _UNKNOWN_FRONT_WAIT_S
+            lambda: self.find(query.server) is not None,
+            _UNKNOWN_QUEUE_OWNER_WAIT_S,
         )
         manager = self.find(query.server)
         if manager is None:
             return releases.ReleaseReply([])
         return await manager.answer_release(query)
 
-    async def answer_front_drained(
-        self, query: releases.FrontDrainedQuery
-    ) -> releases.FrontDrainedReply:
-        """Answers a later front that asks whether an earlier one has drained.
+    async def answer_queue_owner_drained(
+        self, query: releases.QueueOwnerDrainedQuery
+    ) -> releases.QueueOwnerDrainedReply:
+        """Answers a later queue owner that asks if an earlier one has drained.
 
-        The earlier front is this instance under a lower token. If it was
+        The earlier queue owner is this instance under a lower token. If it was
         replaced before it started, it counts as drained as soon as the
         replacement has been read.
         """
         cell = self._ports.cell
         await self._changed.wait_until(
-            lambda: cell.head >= query.head, _UNKNOWN_FRONT_WAIT_S
+            lambda: cell.head >= query.head, _UNKNOWN_QUEUE_OWNER_WAIT_S
         )
         self._forget_drained()
         is_undrained = (
-            _FrontKey(query.server, query.front_token) in self._undrained
+            _QueueOwnerKey(query.server, query.queue_owner_token)
+            in self._undrained
         )
         is_drained = cell.head >= query.head and not is_undrained
-        return releases.FrontDrainedReply(self._ports.me, is_drained)
+        return releases.QueueOwnerDrainedReply(self._ports.me, is_drained)
 
     async def run(self) -> None:
         """Follows the changes of the cell until cancelled."""
@@ -110,52 +115,55 @@
         """Returns whether the managers do not match the log."""
         cell = self._ports.cell
         mine = {
-            server: cell.fronts[server]
+            server: cell.queue_owners[server]
             for server in cell.list_servers_of(self._ports.me)
         }
-        return mine != {s: k.front for s, k in self._managers.items()}
+        return mine != {s: k.queue_owner for s, k in self._managers.items()}
 
     def _reconcile(self, tasks: anyio.abc.TaskGroup) -> None:
         """Starts and stops managers until they match the log."""
         cell = self._ports.cell
         mine = set(cell.list_servers_of(self._ports.me))
         for server, manager in list(self._managers.items()):
-            if server not in mine or _has_missed_front(
-                manager, cell.fronts[server]
+            if server not in mine or _has_missed_queue_owner(
+                manager, cell.queue_owners[server]
             ):
                 self._stop(server)
-            elif cell.fronts[server] != manager.front:
-                manager.replace_front(cell.fronts[server])
-                self._track_front(manager)
+            elif cell.queue_owners[server] != manager.queue_owner:
+                manager.replace_queue_owner(cell.queue_owners[server])
+                self._track_queue_owner(manager)
         for server in mine - self._managers.keys():
             self._start(server, tasks)
 
     def _start(self, server: ids.ServerId, tasks: anyio.abc.TaskGroup) -> None:
         """Starts the lease manager of a server."""
-        front = self._ports.cell.fronts[server]
+        queue_owner = self._ports.cell.queue_owners[server]
         manager = lease_manager.LeaseManager(
-            server, front, self._settings, self._ports
+            server, queue_owner, self._settings, self._ports
         )
         scope = anyio.CancelScope()
         self._managers[server] = manager
         self._scopes[server] = scope
-        self._track_front(manager)
+        self._track_queue_owner(manager)
         self._ports.ring.add(
-            events.FrontChanged(
-                self._ports.cell.service, server, front.front, front.token
+            events.QueueOwnerChanged(
+                self._ports.cell.service,
+                server,
+                queue_owner.instance,
+                queue_owner.token,
             )
         )
         tasks.start_soon(_run_in_scope, manager, scope)
 
-    def _track_front(self, manager: lease_manager.LeaseManager) -> None:
-        """Records the manager of a front until that front has drained."""
+    def _track_queue_owner(self, manager: lease_manager.LeaseManager) -> None:
+        """Records the manager of a queue owner until that has drained."""
         self._forget_drained()
-        self._undrained[_FrontKey(manager.server, manager.front.token)] = (
-            manager
-        )
+        self._undrained[
+            _QueueOwnerKey(manager.server, manager.queue_owner.token)
+        ] = manager
 
     def _forget_drained(self) -> None:
-        """Removes the fronts that have drained."""
+        """Removes the queue owners that have drained."""
         self._undrained = {
             key: manager
             for key, manager in self._undrained.items()
@@ -169,16 +177,17 @@
         manager.changed.notify()
 
 
-def _has_missed_front(
-    manager: lease_manager.LeaseManager, front: cells.FrontState
+def _has_missed_queue_owner(
+    manager: lease_manager.LeaseManager, queue_owner: cells.QueueOwnerState
 ) -> bool:
-    """Returns whether another instance was the server's front in between.
+    """Returns whether another instance was the server's queue owner in between.
 
     It may have granted slices to the server that the manager does not know of.
     """
     return any(
-        earlier.front != front.front and earlier.token > manager.front.token
-        for earlier in front.earlier
+        earlier.instance != queue_owner.instance
+        and earlier.token > manager.queue_owner.token
+        for earlier in queue_owner.earlier
     )
 
 
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/leases.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/leases.py
@@ -3,8 +3,8 @@
 A message can be delayed without bound, so a lease cannot start when the server
 receives it. Instead, each reply carries a reading of the server's monotonic
 clock. The next request echoes that reading, and the lease starts at it. The
-front received the reading before it sent the echo, so the lease ends at the
-latest one lease length after that receipt, however late the echo arrives.
+queue owner received the reading before it sent the echo, so the lease ends at
+the latest one lease length after that receipt, however late the echo arrives.
 """
 
 import dataclasses
@@ -42,19 +42,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class LeaseRequest:
-    """A lease request from a front to a server."""
+    """A lease request from a queue owner to a server."""
 
     # The service that the server belongs to.
     service: ids.ServiceName
     # The instance that sends the request.
     front: ids.InstanceId
-    # The front's token; the server refuses one lower than it has seen.
+    # The queue owner's token; the server refuses one lower than its highest.
     front_token: ids.Token
     # The request's number; the server refuses one that is not higher than the
-    # front's last.
+    # queue owner's last.
     sequence: int
-    # The newest reading of the server's clock that the front has received;
-    # None in a first exchange, which renews nothing.
+    # The newest reading of the server's clock that the queue owner has
+    # received; None in a first exchange, which renews nothing.
     echo: ClockEcho | None
     # The length of the lease, counted from the echoed reading.
     lease_ms: int
@@ -98,7 +98,7 @@
 
 
 class LeaseTerm:
-    """Tracks when one server's lease ends, as far as its front knows."""
+    """Tracks when one server's lease ends, as far as its queue owner knows."""
 
     def __init__(self, drift_ratio: float) -> None:
         """Starts without a lease.
@@ -115,7 +115,7 @@
 
     @property
     def over_at_s(self) -> float:
-        """The monotonic time by which this front's lease certainly ended."""
+        """The monotonic time by which this lease has certainly ended."""
         return self._over_at_s
 
     @property
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/planner.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/planner.py
@@ -2,7 +2,7 @@
 
 The plan depends only on the coordinator's view. It gives a usable owner to
 every slice that has none, moves slices off overloaded servers within the churn
-budget, and gives a live front to every server.
+budget, and gives a live queue owner to every server.
 """
 
 from collections.abc import Iterable
@@ -44,8 +44,8 @@
     balance_moves: int
 
 
-class UnfitFront(NamedTuple):
-    """An instance that cannot reach a server and should not be its front."""
+class UnfitQueueOwner(NamedTuple):
+    """An instance that cannot reach a server, so it may not own its queue."""
 
     server: ids.ServerId
     instance: ids.InstanceId
@@ -64,7 +64,7 @@
     instances: list[ids.InstanceId]
     domains: dict[str, str]
     loads: dict[ids.SliceIndex, float]
-    unfit_fronts: set[UnfitFront]
+    unfit_queue_owners: set[UnfitQueueOwner]
     handed_over: set[ids.SliceIndex]
 
 
@@ -76,7 +76,7 @@
     """
 
     moves: dict[ids.SliceIndex, ids.ServerId]
-    fronts: list[records.ServerFront]
+    queue_owners: list[records.ServerQueueOwner]
     retired: list[ids.ServerId]
     restored: int
     balanced: int
@@ -84,7 +84,7 @@
     @property
     def is_empty(self) -> bool:
         """Whether nothing should change."""
-        return not (self.moves or self.fronts or self.retired)
+        return not (self.moves or self.queue_owners or self.retired)
 
 
 class _Balance:
@@ -134,7 +134,7 @@
         moves |= _rebalance(view, settings, balance, moves)
     return Plan(
         moves=moves,
-        fronts=_FrontAssigner(view).plan(),
+        queue_owners=_QueueOwnerAssigner(view).plan(),
         retired=_list_retired(view),
         restored=restored,
         balanced=len(moves) - restored,
@@ -219,24 +219,27 @@
     """Returns whether the owner could release a slice at once.
 
     It could not while an earlier owner may hold the slice, or while the server
-    or its backup may obey an earlier front. Moves for balance do not wait for
-    that.
+    or its backup may obey an earlier queue owner. Moves for balance do not wait
+    for that.
     """
     state = cell.slices[index]
-    front = cell.fronts.get(state.server)
-    if state.prior or front is None:
+    queue_owner = cell.queue_owners.get(state.server)
+    if state.prior or queue_owner is None:
         return False
-    backup_front = cell.fronts.get(front.backup)
-    return not front.earlier and not (backup_front and backup_front.earlier)
+    backup_queue_owner = cell.queue_owners.get(queue_owner.backup)
+    return not queue_owner.earlier and not (
+        backup_queue_owner and backup_queue_owner.earlier
+    )
 
 
-class _FrontAssigner:
-    """Chooses fronts, witnesses and backups while a plan is made.
+class _QueueOwnerAssigner:
+    """Chooses queue owners, witnesses and backups while a plan is made.
 
-    A front is in another failure domain than its server, and its witnesses
-    are in other domains than the front, as far as there are enough instances.
-    The loss of one domain then affects neither a server together with its
-    front, nor a front together with its witnesses.
+    A queue owner is in another failure domain than its server, and its
+    witnesses are in other domains than the queue owner, as far as there are
+    enough instances. The loss of one domain then affects neither a server
+    together with its queue owner, nor a queue owner together with its
+    witnesses.
     """
 
     def __init__(self, view: PlannerView) -> None:
@@ -252,45 +255,49 @@
         )
         self._usable_set = set(self._usable)
 
-    def plan(self) -> list[records.ServerFront]:
-        """Returns the servers whose front, witnesses or backup change."""
+    def plan(self) -> list[records.ServerQueueOwner]:
+        """Returns the servers whose queue owner, witnesses or backup change."""
         if not self._view.instances:
             return []
-        fronts = self._keep_fronts()
+        queue_owners = self._keep_queue_owners()
         for server in self._needed:
-            if server not in fronts:
-                fronts[server] = self._choose_front(server)
+            if server not in queue_owners:
+                queue_owners[server] = self._choose_queue_owner(server)
         wanted = [
-            records.ServerFront(
+            records.ServerQueueOwner(
                 server,
-                front,
-                self._choose_witnesses(server, front),
+                queue_owner,
+                self._choose_witnesses(server, queue_owner),
                 self._choose_backup(server),
             )
-            for server, front in fronts.items()
+            for server, queue_owner in queue_owners.items()
         ]
         return [change for change in wanted if self._is_change(change)]
 
-    def _keep_fronts(self) -> dict[ids.ServerId, ids.InstanceId]:
-        """Returns the servers whose front stays, if it is fit and has room."""
+    def _keep_queue_owners(self) -> dict[ids.ServerId, ids.InstanceId]:
+        """Returns the servers whose queue owner stays, if fit and with room."""
         kept = {}
         for server in self._needed:
-            state = self._view.cell.fronts.get(server)
-            if state is None or state.front not in self._counts:
+            state = self._view.cell.queue_owners.get(server)
+            if state is None or state.instance not in self._counts:
                 continue
-            unfit = UnfitFront(server, state.front) in self._view.unfit_fronts
-            if not unfit and self._counts[state.front] < self._limit:
-                self._counts[state.front] += 1
-                kept[server] = state.front
+            unfit = (
+                UnfitQueueOwner(server, state.instance)
+                in self._view.unfit_queue_owners
+            )
+            if not unfit and self._counts[state.instance] < self._limit:
+                self._counts[state.instance] += 1
+                kept[server] = state.instance
         return kept
 
-    def _choose_front(self, server: ids.ServerId) -> ids.InstanceId:
-        """Returns the best instance with room for a server as its front."""
+    def _choose_queue_owner(self, server: ids.ServerId) -> ids.InstanceId:
+        """Returns the best instance with room as a server's queue owner."""
         ranked = self._rank(server)
         fit = [
             instance
             for instance in ranked
-            if UnfitFront(server, instance) not in self._view.unfit_fronts
+            if UnfitQueueOwner(server, instance)
+            not in self._view.unfit_queue_owners
         ] or ranked
         with_room = [i for i in fit if self._counts[i] < self._limit] or fit
         separate = [
@@ -300,23 +307,23 @@
         return separate[0]
 
     def _choose_witnesses(
-        self, server: ids.ServerId, front: ids.InstanceId
+        self, server: ids.ServerId, queue_owner: ids.InstanceId
     ) -> tuple[ids.InstanceId, ...]:
-        """Returns the witnesses of a front; current ones that are live stay."""
-        state = self._view.cell.fronts.get(server)
+        """Returns a queue owner's witnesses; current ones that live stay."""
+        state = self._view.cell.queue_owners.get(server)
         kept = [
             witness
             for witness in (state.witnesses if state else ())
-            if witness in self._counts and witness != front
+            if witness in self._counts and witness != queue_owner
         ]
         if len(kept) >= _WITNESS_COUNT:
             return tuple(sorted(kept[:_WITNESS_COUNT]))
         others = [
             instance
             for instance in self._rank(f"witness of {server}")
-            if instance != front and instance not in kept
+            if instance != queue_owner and instance not in kept
         ]
-        others.sort(key=lambda i: not self._is_in_other_domain(i, front))
+        others.sort(key=lambda i: not self._is_in_other_domain(i, queue_owner))
         chosen = [*kept, *others][:_WITNESS_COUNT]
         return tuple(sorted(chosen))
 
@@ -327,7 +334,7 @@
         starts at a position in the list that is given by the server's hash, so
         that a plan does not compare every pair of servers.
         """
-        state = self._view.cell.fronts.get(server)
+        state = self._view.cell.queue_owners.get(server)
         if state is not None and (
             state.backup in self._usable_set or not self._usable
         ):
@@ -354,13 +361,13 @@
         domains = self._view.domains
         return domains.get(left) != domains.get(right)
 
-    def _is_change(self, wanted: records.ServerFront) -> bool:
+    def _is_change(self, wanted: records.ServerQueueOwner) -> bool:
         """Returns whether an entry differs from the log."""
-        state = self._view.cell.fronts.get(wanted.server)
+        state = self._view.cell.queue_owners.get(wanted.server)
         if state is None:
             return True
-        return (state.front, state.witnesses, state.backup) != (
-            wanted.front,
+        return (state.instance, state.witnesses, state.backup) != (
+            wanted.instance,
             wanted.witnesses,
             wanted.backup,
         )
@@ -369,4 +376,4 @@
 def _list_retired(view: PlannerView) -> list[ids.ServerId]:
     """Returns the servers that are no longer listed and hold no slice."""
     needed = set(view.servers) | view.cell.list_holders()
-    return sorted(set(view.cell.fronts) - needed)
+    return sorted(set(view.cell.queue_owners) - needed)
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/records.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/records.py
@@ -38,38 +38,38 @@
     slices: tuple[ids.SliceIndex, ...]
 
 
-class ServerFront(NamedTuple):
-    """The front of a server: the instance that all its requests pass through.
+class ServerQueueOwner(NamedTuple):
+    """A server's queue owner: the instance that all its requests pass through.
 
-    While the log cannot be read, the front may continue as long as one of the
-    ``witnesses`` confirms that it has read nothing newer. If the server is
-    lost in that time, the front may hand its slices over to the ``backup``,
-    which is another server, or empty for none.
+    While the log cannot be read, the queue owner may continue as long as one of
+    the ``witnesses`` confirms that it has read nothing newer. If the server is
+    lost in that time, the queue owner may hand its slices over to the
+    ``backup``, which is another server, or empty for none.
     """
 
     server: ids.ServerId
-    front: ids.InstanceId
+    instance: ids.InstanceId
     witnesses: tuple[ids.InstanceId, ...]
     backup: ids.ServerId
 
 
 class Assignment(NamedTuple):
-    """A change of owners and fronts.
+    """A change of owners and queue owners.
 
     ``base`` is the offset of the claim or assignment that it builds on.
     ``settled`` are slices that all earlier owners have certainly released,
-    ``accepted_fronts`` are servers that have accepted their newest front and
-    therefore refuse every earlier one, and ``retired`` are servers that no
-    longer need a front.
+    ``accepted_queue_owners`` are servers that have accepted their newest queue
+    owner and therefore refuse every earlier one, and ``retired`` are servers
+    that no longer need a queue owner.
     """
 
     service: ids.ServiceName
     term: ids.Term
     base: ids.Offset
     moves: tuple[ServerSlices, ...]
-    fronts: tuple[ServerFront, ...]
+    queue_owners: tuple[ServerQueueOwner, ...]
     settled: tuple[ids.SliceIndex, ...]
-    accepted_fronts: tuple[ids.ServerId, ...]
+    accepted_queue_owners: tuple[ids.ServerId, ...]
     retired: tuple[ids.ServerId, ...]
     reason: str
 
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/releases.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/releases.py
@@ -1,4 +1,4 @@
-"""Queries between fronts before a slice or a server changes hands."""
+"""Queries between queue owners before a slice or a server changes hands."""
 
 from typing import NamedTuple
 from typing import Protocol
@@ -11,8 +11,8 @@
     """Asks whether a server has released slices.
 
     ``wanted`` are the slices with the tokens that they have in the log, and
-    ``head`` is the newest record that the asking front has read. The front that
-    answers must have read the log up to that record.
+    ``head`` is the newest record that the asking queue owner has read. The
+    queue owner that answers must have read the log up to that record.
     """
 
     service: ids.ServiceName
@@ -27,24 +27,25 @@
     released: list[ids.SliceIndex]
 
 
-class FrontDrainedQuery(NamedTuple):
-    """Asks whether an earlier front of a server has drained.
+class QueueOwnerDrainedQuery(NamedTuple):
+    """Asks whether an earlier queue owner of a server has drained.
 
-    ``front_token`` is the token of the earlier front, and ``head`` the record
-    that replaced it. An instance that has not read that record may still act.
+    ``queue_owner_token`` is the token of the earlier queue owner, and ``head``
+    the record that replaced it. An instance that has not read that record may
+    still act.
     """
 
     service: ids.ServiceName
     server: ids.ServerId
-    front_token: ids.Token
+    queue_owner_token: ids.Token
     head: ids.Offset
 
 
-class FrontDrainedReply(NamedTuple):
-    """Whether a front has drained: no request runs, and none can start.
+class QueueOwnerDrainedReply(NamedTuple):
+    """Whether a queue owner has drained: no request runs, and none can start.
 
     ``instance`` is the instance that answers. Another run of it at the same
-    address does not know about the earlier front.
+    address does not know about the earlier queue owner.
     """
 
     instance: ids.InstanceId
@@ -54,36 +55,37 @@
 class Takeover(NamedTuple):
     """A slice of a lost server, handed to its backup while the log is down.
 
-    ``token`` is the slice's token and ``front_token`` that of the lost server's
-    front. The takeover ends when the log replaces either of them.
+    ``token`` is the slice's token and ``queue_owner_token`` that of the lost
+    server's queue owner. The takeover ends when the log replaces either of
+    them.
     """
 
     slice: ids.SliceIndex
     owner: ids.ServerId
     token: ids.Token
-    front_token: ids.Token
+    queue_owner_token: ids.Token
 
 
 class ReleaseSource(Protocol):
-    """Asks fronts about the slices and requests of their servers."""
+    """Asks queue owners about the slices and requests of their servers."""
 
     async def await_release(
-        self, front: ids.InstanceId, query: ReleaseQuery
+        self, queue_owner: ids.InstanceId, query: ReleaseQuery
     ) -> ReleaseReply:
         """Waits a short while for slices to be released.
 
         Returns:
-            The released slices; none if the front cannot be reached.
+            The released slices; none if the queue owner cannot be reached.
         """
 
-    async def is_front_drained(
-        self, front: ids.InstanceId, query: FrontDrainedQuery
+    async def is_queue_owner_drained(
+        self, queue_owner: ids.InstanceId, query: QueueOwnerDrainedQuery
     ) -> bool:
-        """Returns whether an earlier front has certainly drained.
+        """Returns whether an earlier queue owner has certainly drained.
 
         Args:
-            front: The instance that was the front.
-            query: The query for the earlier front.
+            queue_owner: The instance that was the queue owner.
+            query: The query for the earlier queue owner.
         """
 
 
--- a/libs/bridgecross-ownership/src/bridgecross_ownership/reports.py
+++ b/libs/bridgecross-ownership/src/bridgecross_ownership/reports.py
@@ -13,15 +13,15 @@
 
 
 class ServerReport(NamedTuple):
-    """What a front observed of its server.
+    """What a queue owner observed of its server.
 
-    ``accepted_front_token`` is the front's token if the server has accepted
-    it, otherwise ``NO_TOKEN``.
+    ``accepted_queue_owner_token`` is the queue owner's token if the server has
+    accepted it, otherwise ``NO_TOKEN``.
     """
 
     server: ids.ServerId
     health: lease_manager.ServerHealth
-    accepted_front_token: ids.Token
+    accepted_queue_owner_token: ids.Token
 
 
 class SliceLoad(NamedTuple):
@@ -77,8 +77,8 @@
             self._loads[load.slice] = (
                 self._loads.get(load.slice, 0.0) + load.requests
             )
-        for seen in report.servers:
-            self._record_health(instance, seen)
+        for observed in report.servers:
+            self._record_health(instance, observed)
 
     def list_live(self, silence_s: float) -> list[ids.InstanceId]:
         """Returns the instances that reported in ``silence_s``, sorted."""
@@ -90,25 +90,33 @@
         )
 
     def find_health(
-        self, server: ids.ServerId, front: ids.InstanceId
+        self, server: ids.ServerId, queue_owner: ids.InstanceId
     ) -> lease_manager.ServerHealth:
-        """Returns the health that a server's front last reported."""
-        seen = self._find(server, front)
-        return seen.health if seen else lease_manager.ServerHealth.UNKNOWN
+        """Returns the health that a server's queue owner last reported."""
+        observed = self._find(server, queue_owner)
+        return (
+            observed.health if observed else lease_manager.ServerHealth.UNKNOWN
+        )
 
-    def is_front_accepted(
-        self, server: ids.ServerId, front: ids.InstanceId, token: ids.Token
+    def is_queue_owner_accepted(
+        self,
+        server: ids.ServerId,
+        queue_owner: ids.InstanceId,
+        token: ids.Token,
     ) -> bool:
-        """Returns whether a server has accepted its front's token."""
-        seen = self._find(server, front)
-        return seen is not None and seen.accepted_front_token == token
+        """Returns whether a server has accepted its queue owner's token."""
+        observed = self._find(server, queue_owner)
+        return (
+            observed is not None
+            and observed.accepted_queue_owner_token == token
+        )
 
     def list_down_reporters(self, server: ids.ServerId) -> set[ids.InstanceId]:
-        """Returns the fronts that reported a server down since it was up."""
+        """Returns the instances that reported a server down since it was up."""
         return self._down_reporters[server]
 
     def list_settled(self) -> set[leases.SliceGrant]:
-        """Returns the slices that any front reports as settled.
+        """Returns the slices that any queue owner reports as settled.
 
         The reports may be old; the tokens tell which slices moved since.
         """
@@ -119,7 +127,7 @@
         }
 
     def list_handed_over(self) -> set[leases.SliceGrant]:
-        """Returns the slices that any front reports as served by a backup."""
+        """Returns the slices that are reported as served by a backup."""
         return {
             grant
             for remembered in self._reports.values()
@@ -135,25 +143,25 @@
         }
 
     def _find(
-        self, server: ids.ServerId, front: ids.InstanceId
+        self, server: ids.ServerId, queue_owner: ids.InstanceId
     ) -> ServerReport | None:
-        """Returns the last report of a server by its front."""
-        remembered = self._reports.get(front)
+        """Returns the last report of a server by its queue owner."""
+        remembered = self._reports.get(queue_owner)
         if remembered is None:
             return None
-        for seen in remembered.report.servers:
-            if seen.server == server:
-                return seen
+        for observed in remembered.report.servers:
+            if observed.server == server:
+                return observed
         return None
 
     def _record_health(
-        self, instance: ids.InstanceId, seen: ServerReport
+        self, instance: ids.InstanceId, observed: ServerReport
     ) -> None:
-        """Records who reports a server down, until any front reports it up."""
-        if seen.health is lease_manager.ServerHealth.DOWN:
-            self._down_reporters[seen.server].add(instance)
-        elif seen.health is not lease_manager.ServerHealth.UNKNOWN:
-            self._down_reporters.pop(seen.server, None)
+        """Records who reports a server down until any reports it up."""
+        if observed.health is lease_manager.ServerHealth.DOWN:
+            self._down_reporters[observed.server].add(instance)
+        elif observed.health is not lease_manager.ServerHealth.UNKNOWN:
+            self._down_reporters.pop(observed.server, None)
 
     def _decay_loads(self, now_s: float) -> None:
         """Halves the request counts for each half-life since the last call."""
--- a/libs/bridgecross-ownership/tests/test_cell.py
+++ b/libs/bridgecross-ownership/tests/test_cell.py
@@ -27,9 +27,9 @@
     moves: dict[str, tuple[int, ...]],
     *,
     settled: tuple[int, ...] = (),
-    fronts: dict[str, str] | None = None,
+    queue_owners: dict[str, str] | None = None,
     backup: str = "",
-    accepted_fronts: tuple[str, ...] = (),
+    accepted_queue_owners: tuple[str, ...] = (),
     retired: tuple[str, ...] = (),
 ) -> records.Assignment:
     return records.Assignment(
@@ -42,14 +42,14 @@
             )
             for server, slices in moves.items()
         ),
-        fronts=tuple(
-            records.ServerFront(
+        queue_owners=tuple(
+            records.ServerQueueOwner(
                 ids.ServerId(s), ids.InstanceId(f), (), ids.ServerId(backup)
             )
-            for s, f in (fronts or {}).items()
+            for s, f in (queue_owners or {}).items()
         ),
         settled=tuple(map(ids.SliceIndex, settled)),
-        accepted_fronts=tuple(map(ids.ServerId, accepted_fronts)),
+        accepted_queue_owners=tuple(map(ids.ServerId, accepted_queue_owners)),
         retired=tuple(map(ids.ServerId, retired)),
         reason="",
     )
@@ -122,36 +122,40 @@
     assert isinstance(_apply(cell, 6, retire_now), appender.Applied)
 
 
-def test_earlier_fronts_are_kept_until_the_newest_is_accepted():
+def test_earlier_queue_owners_are_kept_until_the_newest_is_accepted():
     cell = _claimed()
     server = ids.ServerId("s1")
-    _apply(cell, 1, _assignment(0, 0, {}, fronts={"s1": "a"}))
-    assert cell.fronts[server].earlier == ()
-    _apply(cell, 2, _assignment(0, 1, {}, fronts={"s1": "b"}))
-    _apply(cell, 3, _assignment(0, 2, {}, fronts={"s1": "c"}))
-    earlier = cell.fronts[server].earlier
-    assert [(e.front, e.token) for e in earlier] == [("a", 1), ("b", 2)]
-    nobody = _assignment(0, 3, {}, accepted_fronts=("s9",))
+    _apply(cell, 1, _assignment(0, 0, {}, queue_owners={"s1": "a"}))
+    assert cell.queue_owners[server].earlier == ()
+    _apply(cell, 2, _assignment(0, 1, {}, queue_owners={"s1": "b"}))
+    _apply(cell, 3, _assignment(0, 2, {}, queue_owners={"s1": "c"}))
+    earlier = cell.queue_owners[server].earlier
+    assert [(e.instance, e.token) for e in earlier] == [("a", 1), ("b", 2)]
+    nobody = _assignment(0, 3, {}, accepted_queue_owners=("s9",))
     assert isinstance(_apply(cell, 4, nobody), appender.Void)
-    _apply(cell, 5, _assignment(0, 3, {}, accepted_fronts=("s1",)))
-    assert cell.fronts[server].earlier == ()
-    assert cell.fronts[server].token == 3
+    _apply(cell, 5, _assignment(0, 3, {}, accepted_queue_owners=("s1",)))
+    assert cell.queue_owners[server].earlier == ()
+    assert cell.queue_owners[server].token == 3
 
 
 def test_the_next_owner_of_a_slice_asks_the_backup_as_well():
     cell = _claimed()
     backup = ids.ServerId("s9")
-    fronts = {"s1": "a"}
+    queue_owners = {"s1": "a"}
     _apply(
-        cell, 1, _assignment(0, 0, {"s1": (0, 1)}, fronts=fronts, backup="s9")
+        cell,
+        1,
+        _assignment(
+            0, 0, {"s1": (0, 1)}, queue_owners=queue_owners, backup="s9"
+        ),
     )
     _apply(cell, 2, _assignment(0, 1, {"s2": (0,)}))
     assert cell.slices[0].prior == (ids.ServerId("s1"), backup)
     assert cell.slices[1].prior == ()
-    same = _assignment(0, 2, {}, fronts=fronts, backup="s8")
+    same = _assignment(0, 2, {}, queue_owners=queue_owners, backup="s8")
     _apply(cell, 3, same)
     assert cell.slices[1].prior == ()
-    _apply(cell, 4, _assignment(0, 3, {}, fronts={"s1": "b"}))
+    _apply(cell, 4, _assignment(0, 3, {}, queue_owners={"s1": "b"}))
     assert cell.slices[1].prior == (ids.ServerId("s8"),)
 
 
@@ -181,12 +185,12 @@
     _offsets,
     _moves,
     settled=st.lists(st.integers(0, SLICES - 1), max_size=2).map(tuple),
-    fronts=st.dictionaries(
+    queue_owners=st.dictionaries(
         st.sampled_from(["s1", "s2"]), st.sampled_from("ab"), max_size=1
     ),
-    accepted_fronts=st.lists(st.sampled_from(["s1", "s2"]), max_size=1).map(
-        tuple
-    ),
+    accepted_queue_owners=st.lists(
+        st.sampled_from(["s1", "s2"]), max_size=1
+    ).map(tuple),
     retired=st.lists(st.sampled_from(["s1", "s2"]), max_size=1).map(tuple),
 )
 
--- a/libs/bridgecross-ownership/tests/test_coordinator.py
+++ b/libs/bridgecross-ownership/tests/test_coordinator.py
@@ -24,7 +24,7 @@
 
 SERVICE = ids.ServiceName("rapor")
 ME = ids.InstanceId("a")
-FRONTS = {"rapor-1": "b", "rapor-2": "c"}
+QUEUE_OWNERS = {"rapor-1": "b", "rapor-2": "c"}
 SETTINGS = coordinators.CoordinatorSettings(
     slice_count=4,
     heartbeat_interval_ms=5,
@@ -87,15 +87,15 @@
     slices[0] = slices[0]._replace(
         token=ids.Token(2), prior=(ids.ServerId("rapor-1"),)
     )
-    fronts = {
-        ids.ServerId(server): cells.FrontState(
-            ids.InstanceId(front), ids.Token(1), (), cells.NO_SERVER, ()
+    queue_owners = {
+        ids.ServerId(server): cells.QueueOwnerState(
+            ids.InstanceId(queue_owner), ids.Token(1), (), cells.NO_SERVER, ()
         )
-        for server, front in FRONTS.items()
+        for server, queue_owner in QUEUE_OWNERS.items()
     }
     cell.restore(
         cells.CellSnapshot(
-            SERVICE, ids.Term(0), ME, ids.Offset(2), slices, fronts
+            SERVICE, ids.Term(0), ME, ids.Offset(2), slices, queue_owners
         )
     )
     return cell
@@ -104,7 +104,7 @@
 def _list_members() -> memberships.Membership:
     membership = memberships.Membership()
     roles = dict.fromkeys("abc", memberships.Role.ENTRY)
-    roles |= dict.fromkeys(FRONTS, memberships.Role.BACKEND)
+    roles |= dict.fromkeys(QUEUE_OWNERS, memberships.Role.BACKEND)
     membership.replace(
         [
             memberships.Listing(
@@ -126,11 +126,11 @@
 
 
 def _report(server: str, **about: list) -> reports.ServiceReport:
-    seen = reports.ServerReport(
+    server_report = reports.ServerReport(
         ids.ServerId(server), lease_manager.ServerHealth.UP, ids.Token(1)
     )
     lists = {"settled": [], "handed_over": [], "loads": []} | about
-    return reports.ServiceReport(SERVICE, [seen], **lists)
+    return reports.ServiceReport(SERVICE, [server_report], **lists)
 
 
 async def _coordinate(
@@ -177,7 +177,7 @@
 
 
 async def test_a_report_of_an_earlier_move_settles_no_later_one():
-    """The front's report is of token 1, and the slice moved to token 2."""
+    """The report is of token 1, and the slice moved to token 2."""
     cell = _cell_after_a_second_move()
     registry = reports.ReportRegistry(clocks.SystemClock())
     registry.add(ids.InstanceId("b"), _report("rapor-1", settled=_slice_0(1)))
@@ -239,7 +239,7 @@
     coordinators only. So the new coordinator counted as silent at once, and was
     replaced in turn. In a run beside other work, the log had terms 23, 32, 40,
     58, 64, 70, 74, 81, 85, 95 and 100 within 3 s. Each term gave servers other
-    fronts, and callers got no answers.
+    queue owners, and callers got no answers.
     """
     cell = _cell_after_a_second_move()
     coordinator = _make_coordinator(
--- a/libs/bridgecross-ownership/tests/test_fronts.py
+++ b/libs/bridgecross-ownership/tests/test_lease_manager_set.py
@@ -10,8 +10,8 @@
 from bridgecross_log import records as log_records
 from bridgecross_ownership import authority as authorities
 from bridgecross_ownership import cell as cells
-from bridgecross_ownership import fronts as front_sets
 from bridgecross_ownership import lease_manager
+from bridgecross_ownership import lease_manager_set
 from bridgecross_ownership import leases
 from bridgecross_ownership import records
 from bridgecross_ownership import releases
@@ -62,20 +62,22 @@
 
     def __init__(self) -> None:
         self.live: set[ids.InstanceId] = {ME}
-        # The instances that have drained as an earlier front.
+        # The instances that have drained as an earlier queue owner.
         self.drained: set[ids.InstanceId] = set()
-        self.asked: list[releases.FrontDrainedQuery] = []
+        self.asked: list[releases.QueueOwnerDrainedQuery] = []
 
     async def await_release(
-        self, front: ids.InstanceId, query: releases.ReleaseQuery
+        self, queue_owner: ids.InstanceId, query: releases.ReleaseQuery
     ) -> releases.ReleaseReply:
         return releases.ReleaseReply([])
 
-    async def is_front_drained(
-        self, front: ids.InstanceId, query: releases.FrontDrainedQuery
+    async def is_queue_owner_drained(
+        self,
+        queue_owner: ids.InstanceId,
+        query: releases.QueueOwnerDrainedQuery,
     ) -> bool:
         self.asked.append(query)
-        return front in self.drained
+        return queue_owner in self.drained
 
     async def has_read(
         self, instance: ids.InstanceId, offset: ids.Offset
@@ -84,9 +86,9 @@
 
 
 class _Service:
-    """A service of one slice; this instance is the front of rapor-1.
+    """A service of one slice; this instance is the queue owner of rapor-1.
 
-    With ``after_another``, another instance was the front before.
+    With ``after_another``, another instance was the queue owner before.
     """
 
     def __init__(
@@ -104,14 +106,14 @@
             ),
         )
         if after_another:
-            self.append_front(SERVER, OTHER)
-        self.append_front(SERVER, ME)
-        self.append_front(ids.ServerId("rapor-2"), OTHER)
+            self.append_queue_owner(SERVER, OTHER)
+        self.append_queue_owner(SERVER, ME)
+        self.append_queue_owner(ids.ServerId("rapor-2"), OTHER)
         self.append_move("rapor-2")
         clock = clocks.SystemClock()
         hybrid = hybrid_clock.HybridClock(clock)
         self.others = _Others()
-        self.fronts = front_sets.Fronts(
+        self.lease_managers = lease_manager_set.LeaseManagerSet(
             settings,
             lease_manager.LeaseManagerPorts(
                 ME,
@@ -127,12 +129,14 @@
             ),
         )
 
-    def append_front(
-        self, server: ids.ServerId, front: ids.InstanceId, *witnesses: str
+    def append_queue_owner(
+        self, server: ids.ServerId, queue_owner: ids.InstanceId, *witnesses: str
     ) -> None:
         named = tuple(map(ids.InstanceId, witnesses))
-        change = records.ServerFront(server, front, named, cells.NO_SERVER)
-        self._assign(fronts=(change,))
+        change = records.ServerQueueOwner(
+            server, queue_owner, named, cells.NO_SERVER
+        )
+        self._assign(queue_owners=(change,))
 
     def append_move(self, server: str) -> None:
         slices = (ids.SliceIndex(0),)
@@ -145,18 +149,18 @@
         wanted = leases.SliceGrant(ids.SliceIndex(0), self.cell.slices[0].token)
         query = releases.ReleaseQuery(SERVICE, SERVER, [wanted], self.cell.head)
         with anyio.move_on_after(0.5):
-            return (await self.fronts.answer_release(query)).released
+            return (await self.lease_managers.answer_release(query)).released
         return []
 
-    def _assign(self, *, moves=(), fronts=()) -> None:
+    def _assign(self, *, moves=(), queue_owners=()) -> None:
         assignment = records.Assignment(
             SERVICE,
             self.cell.term,
             self.cell.head,
             moves=moves,
-            fronts=fronts,
+            queue_owners=queue_owners,
             settled=(),
-            accepted_fronts=(),
+            accepted_queue_owners=(),
             retired=(),
             reason="",
         )
@@ -175,44 +179,45 @@
 
 async def _run_until_cut_off(service: _Service, tasks) -> None:
     """Lets the server accept some leases, then makes it unreachable."""
-    tasks.start_soon(service.fronts.run)
+    tasks.start_soon(service.lease_managers.run)
     while service.server.accepted < 3:
         await anyio.sleep(0.005)
     service.server.unreachable = True
     await anyio.sleep(0.02)
 
 
-async def test_a_front_that_missed_another_reports_nothing_as_released():
-    """This front's view of the server is older than the other's grants.
+async def test_a_queue_owner_that_missed_another_reports_nothing_as_released():
+    """This queue owner's view of the server is older than the other's grants.
 
-    Neither the other front nor its witness answers, so that front may still
-    act.
+    Neither the other queue owner nor its witness answers, so that queue owner
+    may still act.
     """
     service = _Service()
     async with anyio.create_task_group() as tasks:
         await _run_until_cut_off(service, tasks)
-        # All these records are read at once. The other front may have granted
-        # the slice to the server, which this front does not know of.
-        service.append_front(SERVER, OTHER, "c")
+        # All these records are read at once. The other queue owner may have
+        # granted the slice to the server, which this queue owner does not know
+        # of.
+        service.append_queue_owner(SERVER, OTHER, "c")
         service.append_move("rapor-1")
         service.append_move("rapor-2")
-        service.append_front(SERVER, ME)
-        service.fronts.notify()
+        service.append_queue_owner(SERVER, ME)
+        service.lease_managers.notify()
         assert await service.ask_release() == []
         tasks.cancel_scope.cancel()
 
 
-async def test_a_front_with_other_witnesses_continues():
+async def test_a_queue_owner_with_other_witnesses_continues():
     service = _Service()
     async with anyio.create_task_group() as tasks:
         await _run_until_cut_off(service, tasks)
-        manager = service.fronts.find(SERVER)
-        service.append_front(SERVER, ME, "c")
-        service.fronts.notify()
+        manager = service.lease_managers.find(SERVER)
+        service.append_queue_owner(SERVER, ME, "c")
+        service.lease_managers.notify()
         assert await service.ask_release() == [0], (
             "the manager knows what the server holds"
         )
-        assert service.fronts.find(SERVER) is manager
+        assert service.lease_managers.find(SERVER) is manager
         tasks.cancel_scope.cancel()
 
 
@@ -223,15 +228,18 @@
 
 
 @pytest.mark.parametrize("drains", [True, False])
-async def test_an_earlier_front_that_is_alive_is_asked_if_it_drained(drains):
+async def test_an_earlier_queue_owner_that_is_alive_is_asked_if_it_drained(
+    drains,
+):
     """The keys of a lost server were not served for 29 s.
 
-    If servers check no fences, the requests of an earlier front count as in
-    flight until the longest possible deadline has passed, 30 s. Fronts of some
-    servers change while the instances start: cizim-1 got its second front at
-    893.7 s and was killed at 895.9 s. Its keys went to cizim-2 at 898.9 s, but
-    were not served before 925.2 s, 31.5 s after the change of the front. The
-    earlier front was alive all the time and had no request in flight.
+    If servers check no fences, the requests of an earlier queue owner count as
+    in flight until the longest possible deadline has passed, 30 s. Queue owners
+    of some servers change while the instances start: cizim-1 got its second
+    queue owner at 893.7 s and was killed at 895.9 s. Its keys went to cizim-2
+    at 898.9 s, but were not served before 925.2 s, 31.5 s after the change of
+    the queue owner. The earlier queue owner was alive all the time and had no
+    request in flight.
     """
     service = _Service(UNFENCED, after_another=True)
     service.others.live.add(OTHER)
@@ -243,13 +251,13 @@
         expected = [0] if drains else []
         assert await service.ask_release() == expected
         tasks.cancel_scope.cancel()
-    earlier = service.cell.fronts[SERVER].earlier[0]
-    assert {query.front_token for query in service.others.asked} == {
+    earlier = service.cell.queue_owners[SERVER].earlier[0]
+    assert {query.queue_owner_token for query in service.others.asked} == {
         earlier.token
     }
 
 
-async def test_an_earlier_front_of_a_server_with_fences_is_not_asked():
+async def test_an_earlier_queue_owner_of_a_server_with_fences_is_not_asked():
     """Such a server may act until its lease ends, so asking does not help."""
     service = _Service(after_another=True)
     service.others.live.add(OTHER)
@@ -264,21 +272,23 @@
 async def _ask_drained(
     service: _Service, token: ids.Token, head: ids.Offset
 ) -> bool:
-    query = releases.FrontDrainedQuery(SERVICE, SERVER, token, head)
-    return (await service.fronts.answer_front_drained(query)).is_drained
+    query = releases.QueueOwnerDrainedQuery(SERVICE, SERVER, token, head)
+    return (
+        await service.lease_managers.answer_queue_owner_drained(query)
+    ).is_drained
 
 
-async def test_a_front_has_drained_once_none_of_its_requests_can_run():
+async def test_a_queue_owner_has_drained_once_none_of_its_requests_can_run():
     service = _Service(UNFENCED)
-    token = service.cell.fronts[SERVER].token
+    token = service.cell.queue_owners[SERVER].token
     async with anyio.create_task_group() as tasks:
         await _run_until_cut_off(service, tasks)
-        manager = service.fronts.find(SERVER)
+        manager = service.lease_managers.find(SERVER)
         assert manager is not None
         manager.begin_request(ids.SliceIndex(0))
         manager.begin_request(ids.SliceIndex(0))
-        service.append_front(SERVER, OTHER)
-        service.fronts.notify()
+        service.append_queue_owner(SERVER, OTHER)
+        service.lease_managers.notify()
         head = service.cell.head
         assert not await _ask_drained(service, token, head), "two are in flight"
         manager.end_request(ids.SliceIndex(0), 0.0)
@@ -289,22 +299,24 @@
         tasks.cancel_scope.cancel()
 
 
-async def test_a_front_that_never_started_has_drained_once_replaced():
+async def test_a_queue_owner_that_never_started_has_drained_once_replaced():
     service = _Service(UNFENCED)
-    token = service.cell.fronts[SERVER].token
+    token = service.cell.queue_owners[SERVER].token
     async with anyio.create_task_group() as tasks:
         await _run_until_cut_off(service, tasks)
         unread = ids.Offset(service.cell.head + 1)
         other = ids.Token(token + 1)
         assert not await _ask_drained(service, other, unread)
         assert await _ask_drained(service, other, service.cell.head)
-        assert not await _ask_drained(service, token, unread), "it is the front"
+        assert not await _ask_drained(service, token, unread), (
+            "it is the queue owner"
+        )
         tasks.cancel_scope.cancel()
 
 
-async def test_the_present_front_has_not_drained():
+async def test_the_present_queue_owner_has_not_drained():
     service = _Service(UNFENCED)
-    token = service.cell.fronts[SERVER].token
+    token = service.cell.queue_owners[SERVER].token
     async with anyio.create_task_group() as tasks:
         await _run_until_cut_off(service, tasks)
         assert not await _ask_drained(service, token, service.cell.head)
--- a/libs/bridgecross-ownership/tests/test_leases.py
+++ b/libs/bridgecross-ownership/tests/test_leases.py
@@ -38,7 +38,9 @@
     exchanges=_exchanges, rate=st.floats(1 - DRIFT_RATIO / 2, 1.0)
 )
 @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
-def test_no_delay_lets_a_lease_outlive_what_the_front_expects(exchanges, rate):
+def test_no_delay_lets_a_lease_outlive_what_the_queue_owner_expects(
+    exchanges, rate
+):
     """Delays requests and replies, and loses some replies."""
     server = _Server(rate)
     term = leases.LeaseTerm(DRIFT_RATIO)
--- a/libs/bridgecross-ownership/tests/test_planner.py
+++ b/libs/bridgecross-ownership/tests/test_planner.py
@@ -5,8 +5,8 @@
 from bridgecross_ownership import planner
 
 
-def _other(front: str, instances: str) -> tuple[ids.InstanceId, ...]:
-    return tuple(ids.InstanceId(i) for i in instances if i != front)
+def _other(queue_owner: str, instances: str) -> tuple[ids.InstanceId, ...]:
+    return tuple(ids.InstanceId(i) for i in instances if i != queue_owner)
 
 
 USABLE = planner.Eligibility.USABLE
@@ -17,13 +17,13 @@
 )
 
 
-def _other(front: str, instances: str) -> tuple[ids.InstanceId, ...]:
-    return tuple(ids.InstanceId(i) for i in instances if i != front)
+def _other(queue_owner: str, instances: str) -> tuple[ids.InstanceId, ...]:
+    return tuple(ids.InstanceId(i) for i in instances if i != queue_owner)
 
 
 def _cell(
     owners: list[str],
-    fronts: dict[str, str],
+    queue_owners: dict[str, str],
     backups: dict[str, str] | None = None,
 ) -> cells.Cell:
     cell = cells.Cell(ids.ServiceName("rapor"))
@@ -37,15 +37,15 @@
                 cells.SliceState(ids.ServerId(o), ids.Token(1), ())
                 for o in owners
             ],
-            fronts={
-                ids.ServerId(s): cells.FrontState(
+            queue_owners={
+                ids.ServerId(s): cells.QueueOwnerState(
                     ids.InstanceId(f),
                     ids.Token(1),
                     _other(f, "ab"),
                     ids.ServerId((backups or {}).get(s, "")),
                     (),
                 )
-                for s, f in fronts.items()
+                for s, f in queue_owners.items()
             },
         )
     )
@@ -58,9 +58,9 @@
     *,
     loads: dict[int, float] | None = None,
     instances: tuple[str, ...] = ("a", "b"),
-    fronts: dict[str, str] | None = None,
+    queue_owners: dict[str, str] | None = None,
     settings: planner.PlannerSettings = SETTINGS,
-    unfit: set[planner.UnfitFront] | None = None,
+    unfit: set[planner.UnfitQueueOwner] | None = None,
     domains: dict[str, str] | None = None,
     backups: dict[str, str] | None = None,
     handed_over: tuple[int, ...] = (),
@@ -70,19 +70,23 @@
     names = list(servers)
     following = dict(zip(names, [*names[1:], names[0]], strict=True))
     cell = _cell(
-        owners, spread if fronts is None else fronts, backups or following
+        owners,
+        spread if queue_owners is None else queue_owners,
+        backups or following,
     )
     if unaccepted:
         server = ids.ServerId(unaccepted)
-        earlier = cells.EarlierFront(ids.InstanceId("z"), ids.Token(0), ())
-        cell.fronts[server] = cell.fronts[server]._replace(earlier=(earlier,))
+        earlier = cells.EarlierQueueOwner(ids.InstanceId("z"), ids.Token(0), ())
+        cell.queue_owners[server] = cell.queue_owners[server]._replace(
+            earlier=(earlier,)
+        )
     view = planner.PlannerView(
         cell=cell,
         servers={ids.ServerId(s): st for s, st in servers.items()},
         instances=[ids.InstanceId(i) for i in instances],
         domains=domains or {},
         loads={ids.SliceIndex(i): v for i, v in (loads or {}).items()},
-        unfit_fronts=unfit or set(),
+        unfit_queue_owners=unfit or set(),
         handed_over={ids.SliceIndex(i) for i in handed_over},
     )
     return planner.plan(view, settings)
@@ -127,7 +131,7 @@
     assert plan.balanced == 3
 
 
-def test_balance_does_not_wait_for_an_earlier_front():
+def test_balance_does_not_wait_for_an_earlier_queue_owner():
     owners = ["s1"] * 24 + ["s2"]
     servers = {"s1": USABLE, "s2": USABLE}
     assert _plan(owners, servers).balanced > 0
@@ -156,31 +160,35 @@
     assert plan.is_empty
 
 
-def test_only_servers_of_a_lost_instance_change_front():
+def test_only_servers_of_a_lost_instance_change_queue_owner():
     servers = {f"s{i}": USABLE for i in range(6)}
-    fronts = {f"s{i}": "abc"[i % 3] for i in range(6)}
+    queue_owners = {f"s{i}": "abc"[i % 3] for i in range(6)}
     plan = _plan(
         [f"s{i % 6}" for i in range(24)],
         servers,
         instances=("a", "b"),
-        fronts=fronts,
+        queue_owners=queue_owners,
     )
-    changed = {change.server: change.front for change in plan.fronts}
-    assert set(changed) == {s for s, f in fronts.items() if f == "c"}
+    changed = {change.server: change.instance for change in plan.queue_owners}
+    assert set(changed) == {s for s, f in queue_owners.items() if f == "c"}
     assert set(changed.values()) == {"a", "b"}
 
 
-def test_an_unfit_front_is_replaced_once():
-    unfit = {planner.UnfitFront(ids.ServerId("s1"), ids.InstanceId("a"))}
-    plan = _plan(["s1"], {"s1": HELD}, fronts={"s1": "a"}, unfit=unfit)
-    assert [(c.server, c.front) for c in plan.fronts] == [("s1", "b")]
+def test_an_unfit_queue_owner_is_replaced_once():
+    unfit = {planner.UnfitQueueOwner(ids.ServerId("s1"), ids.InstanceId("a"))}
+    plan = _plan(["s1"], {"s1": HELD}, queue_owners={"s1": "a"}, unfit=unfit)
+    assert [(c.server, c.instance) for c in plan.queue_owners] == [("s1", "b")]
     alone = _plan(
-        ["s1"], {"s1": HELD}, fronts={"s1": "a"}, unfit=unfit, instances=("a",)
+        ["s1"],
+        {"s1": HELD},
+        queue_owners={"s1": "a"},
+        unfit=unfit,
+        instances=("a",),
     )
-    assert all(change.front == "a" for change in alone.fronts)
+    assert all(change.instance == "a" for change in alone.queue_owners)
 
 
-def test_no_domain_holds_a_server_with_its_front_or_a_front_with_witnesses():
+def test_no_domain_holds_a_server_with_its_queue_owner_or_that_with_witnesses():
     names = [f"e{i}" for i in range(9)]
     servers = {f"s{i}": USABLE for i in range(30)}
     domains = {n: "xyz"[i % 3] for i, n in enumerate([*names, *servers])}
@@ -188,17 +196,19 @@
         list(servers),
         servers,
         instances=tuple(names),
-        fronts={},
+        queue_owners={},
         domains=domains,
     )
-    assert len(plan.fronts) == 30
-    counts = collections.Counter(change.front for change in plan.fronts)
+    assert len(plan.queue_owners) == 30
+    counts = collections.Counter(
+        change.instance for change in plan.queue_owners
+    )
     assert max(counts.values()) <= 4
-    for change in plan.fronts:
-        assert domains[change.front] != domains[change.server]
+    for change in plan.queue_owners:
+        assert domains[change.instance] != domains[change.server]
         assert len(change.witnesses) == 2
         for witness in change.witnesses:
-            assert domains[witness] != domains[change.front]
+            assert domains[witness] != domains[change.instance]
 
 
 def test_a_backup_is_usable_in_another_domain_and_kept():
@@ -210,7 +220,7 @@
         domains=domains,
         backups={"s1": "s4", "s2": "s1", "s3": "s1", "s4": "s1"},
     )
-    assert [(c.server, c.backup) for c in plan.fronts] == [("s1", "s3")]
+    assert [(c.server, c.backup) for c in plan.queue_owners] == [("s1", "s3")]
 
 
 def test_a_slice_that_was_handed_over_gets_an_owner():
@@ -220,15 +230,19 @@
     assert set(plan.moves) == {2}
 
 
-def test_a_lost_witness_is_replaced_and_the_front_kept():
+def test_a_lost_witness_is_replaced_and_the_queue_owner_kept():
     servers = {"s1": USABLE}
-    plan = _plan(["s1"], servers, instances=("a", "c"), fronts={"s1": "a"})
-    (change,) = plan.fronts
-    assert (change.front, change.witnesses) == ("a", ("c",))
+    plan = _plan(
+        ["s1"], servers, instances=("a", "c"), queue_owners={"s1": "a"}
+    )
+    (change,) = plan.queue_owners
+    assert (change.instance, change.witnesses) == ("a", ("c",))
 
 
 def test_a_server_that_is_gone_is_retired_once_it_holds_nothing():
-    fronts = {"s1": "a", "s2": "b"}
-    assert _plan(["s1"], {"s1": USABLE}, fronts=fronts).retired == ["s2"]
-    held = _plan(["s2"], {"s1": USABLE}, fronts=fronts)
+    queue_owners = {"s1": "a", "s2": "b"}
+    assert _plan(["s1"], {"s1": USABLE}, queue_owners=queue_owners).retired == [
+        "s2"
+    ]
+    held = _plan(["s2"], {"s1": USABLE}, queue_owners=queue_owners)
     assert held.retired == []
--- a/libs/bridgecross-request/src/bridgecross_request/routing.py
+++ b/libs/bridgecross-request/src/bridgecross_request/routing.py
@@ -59,7 +59,7 @@
     """The owner of a key and its front, by the newest record read."""
 
     server: ids.ServerId
-    front: cells.FrontState
+    front: cells.QueueOwnerState
 
 
 class _Forward:
@@ -261,18 +261,18 @@
             return None
         index = hashing.find_slice(request.key, len(cell.slices))
         server = cell.slices[index].server
-        front = cell.fronts.get(server)
+        front = cell.queue_owners.get(server)
         return None if front is None else _Route(server, front)
 
     async def _try_route(
         self, request: requests.Request, route: _Route, forwards: _Forwards
     ) -> outcomes.Outcome | None:
         """Makes one attempt; returns None if its front was replaced."""
-        if route.front.front == self._ports.me:
+        if route.front.instance == self._ports.me:
             return await self._ports.runner.run(request)
         if not request.may_repeat:
             return await self._ports.forwarder.forward(
-                route.front.front, request
+                route.front.instance, request
             )
         return await self._forward_while_current(request, route, forwards)
 
@@ -289,7 +289,7 @@
             was replaced or the deadline has passed.
         """
         outcome: outcomes.Outcome | None = None
-        forward = forwards.start(route.front.front)
+        forward = forwards.start(route.front.instance)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
                 self._await_replacement, request, route, tasks.cancel_scope
@@ -310,7 +310,9 @@
     ) -> None:
         """Cancels a scope once the log names another front for the server."""
         await self._ports.changed.wait_until(
-            lambda: self._ports.cell.fronts.get(route.server) != route.front,
+            lambda: (
+                self._ports.cell.queue_owners.get(route.server) != route.front
+            ),
             self._left_s(request),
         )
         scope.cancel()
@@ -350,7 +352,7 @@
 def _describe_replaced(route: _Route) -> outcomes.Unknown:
     """Returns the outcome of an attempt whose front was replaced."""
     return outcomes.Unknown(
-        f"{route.front.front} did not answer before it was replaced"
+        f"{route.front.instance} did not answer before it was replaced"
     )
 
 
--- a/libs/bridgecross-request/src/bridgecross_request/runner.py
+++ b/libs/bridgecross-request/src/bridgecross_request/runner.py
@@ -13,8 +13,8 @@
 from bridgecross_core import outcomes
 from bridgecross_log import appender as appenders
 from bridgecross_ownership import cell as cells
-from bridgecross_ownership import fronts as front_sets
 from bridgecross_ownership import lease_manager
+from bridgecross_ownership import lease_manager_set
 from bridgecross_ownership import releases
 from bridgecross_request import backends
 from bridgecross_request import error_answers
@@ -65,7 +65,7 @@
     """The dependencies of a runner."""
 
     cell: cells.Cell
-    fronts: front_sets.Fronts
+    fronts: lease_manager_set.LeaseManagerSet
     backend: backends.Backend
     addresses: AddressBook
     intents: appenders.Appender
@@ -143,7 +143,7 @@
         refusal = self._refuse_poison(request)
         if refusal is not None:
             return refusal
-        front = self._ports.cell.fronts.get(takeover.owner)
+        front = self._ports.cell.queue_owners.get(takeover.owner)
         manager = self._ports.fronts.find(front.backup) if front else None
         if manager is None or not manager.take_over(takeover):
             return _refuse_stale("this instance knows of no such heir")
@@ -175,16 +175,16 @@
     ) -> outcomes.Outcome:
         """Runs a request at the backup of a server that cannot act."""
         takeover = manager.hand_over(index)
-        front = self._ports.cell.fronts.get(manager.front.backup)
+        front = self._ports.cell.queue_owners.get(manager.queue_owner.backup)
         if takeover is None or front is None:
             token = manager.find_grant_token(index)
             return self._describe_not_served(
                 _Attempt(request, manager, index, token or ids.NO_TOKEN)
             )
-        if front.front == self._ports.me:
+        if front.instance == self._ports.me:
             return await self.run_takeover(request, takeover)
         return await self._ports.backups.forward_to_backup(
-            front.front, request, takeover
+            front.instance, request, takeover
         )
 
     async def _run_queued(self, attempt: _Attempt) -> outcomes.Outcome:
@@ -249,7 +249,7 @@
         if not manager.is_open(attempt.slice, attempt.token):
             return _refuse_stale("the owner changed while the request waited")
         fence = backends.Fence(
-            attempt.slice, attempt.token, manager.front.token
+            attempt.slice, attempt.token, manager.queue_owner.token
         )
         manager.begin_request(attempt.slice)
         over_at_s = attempt.request.deadline_s + _WALL_CLOCK_SLACK_S
--- a/libs/bridgecross-request/tests/test_routing.py
+++ b/libs/bridgecross-request/tests/test_routing.py
@@ -54,7 +54,7 @@
 
 def _set_front(cell: cells.Cell, front: ids.InstanceId, token: int) -> None:
     """Makes an instance the front of the server."""
-    cell.fronts[SERVER] = cells.FrontState(
+    cell.queue_owners[SERVER] = cells.QueueOwnerState(
         front, ids.Token(token), (), ids.ServerId(""), ()
     )
 
--- a/libs/bridgecross-timeline/src/bridgecross_timeline/events.py
+++ b/libs/bridgecross-timeline/src/bridgecross_timeline/events.py
@@ -36,16 +36,16 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class FrontChanged:
-    """An instance became, or ceased to be, the front of a server."""
+class QueueOwnerChanged:
+    """An instance became, or ceased to be, the queue owner of a server."""
 
     # The name of the service.
     service: str
     # The id of the backend server.
     server: str
-    # The instance that fronts the server from now on.
+    # The queue owner of the server from now on.
     front: str
-    # The fencing token of the front.
+    # The fencing token of the queue owner.
     token: int
 
 
@@ -124,7 +124,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class FaultSeen:
+class FaultObserved:
     """Something outside this process failed or recovered."""
 
     # What failed or recovered, such as ``log`` or ``instance entry-2``.
@@ -136,7 +136,7 @@
 Detail = (
     TermBegan
     | SlicesMoved
-    | FrontChanged
+    | QueueOwnerChanged
     | SlicesGranted
     | LeaseLost
     | SettingsInForce
@@ -144,14 +144,14 @@
     | RequestRetried
     | DrainBegan
     | DrainEnded
-    | FaultSeen
+    | FaultObserved
 )
 """The details of an event; the type of the detail is the event's type."""
 
 _TYPE_BY_KIND: dict[str, type[Detail]] = {
     "term": TermBegan,
     "move": SlicesMoved,
-    "front": FrontChanged,
+    "front": QueueOwnerChanged,
     "grant": SlicesGranted,
     "lease": LeaseLost,
     "settings": SettingsInForce,
@@ -159,7 +159,7 @@
     "retry": RequestRetried,
     "drain": DrainBegan,
     "drained": DrainEnded,
-    "fault": FaultSeen,
+    "fault": FaultObserved,
 }
 _KIND_BY_TYPE = {
     detail_type: kind for kind, detail_type in _TYPE_BY_KIND.items()
--- a/tests/matrix/cluster.py
+++ b/tests/matrix/cluster.py
@@ -216,7 +216,7 @@
     def find_front(self, server: str) -> Node:
         """Returns the instance that fronts a server."""
         cell = self.replay_log().find_cell(SERVICE)
-        return self.nodes[cell.fronts[ids.ServerId(server)].front]
+        return self.nodes[cell.queue_owners[ids.ServerId(server)].instance]
 
     def list_ready(self) -> list[Node]:
         """Returns the running instances that are ready."""
--- a/tests/matrix/fakes.py
+++ b/tests/matrix/fakes.py
@@ -250,7 +250,7 @@
     "Inherit": "inherit",
     "Heartbeat": "heartbeat",
     "AwaitRelease": "await_release",
-    "Office": "answer_front_drained",
+    "Office": "answer_queue_owner_drained",
     "News": "news",
     "Ends": "exchange_poison_reports",
 }
--- a/tests/matrix/guards.py
+++ b/tests/matrix/guards.py
@@ -84,7 +84,9 @@
 
 def _grant_authority_always(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(
-        authority.Authority, "may_act_as_front", lambda self, witnesses: True
+        authority.Authority,
+        "may_act_as_queue_owner",
+        lambda self, witnesses: True,
     )
 
 
--- a/tests/matrix/test_outage.py
+++ b/tests/matrix/test_outage.py
@@ -68,7 +68,9 @@
     cluster: clusters.Cluster,
 ) -> None:
     cell = cluster.replay_log().find_cell(clusters.SERVICE)
-    backup = next(f.backup for s, f in cell.fronts.items() if s == "rapor-1")
+    backup = next(
+        f.backup for s, f in cell.queue_owners.items() if s == "rapor-1"
+    )
     cluster.servers["rapor-1"].lost = True
     await _await_served(cluster)
     cluster.servers[backup].frozen = True
@@ -82,7 +84,9 @@
     cluster: clusters.Cluster,
 ) -> None:
     cell = cluster.replay_log().find_cell(clusters.SERVICE)
-    backup = next(f.backup for s, f in cell.fronts.items() if s == "rapor-1")
+    backup = next(
+        f.backup for s, f in cell.queue_owners.items() if s == "rapor-1"
+    )
     front = cluster.find_front(backup)
     cluster.servers["rapor-1"].frozen = True
     await _await_served(cluster)
