Wording: the request package speaks of queue owners

Private names, the fence and the name of its header's constant, with their uses in the daemon, the stand-ins and the matrix. The header bridgecross-front-token, the reasons that callers read and the proof SHED_BY_SERVER are unchanged.

--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
@@ -243,7 +243,7 @@
         shared = self._shared
         return runners.RunnerPorts(
             cell=self.cell,
-            fronts=self.fronts,
+            lease_managers=self.fronts,
             backend=self.backend,
             addresses=shared.addresses,
             intents=shared.intents,
--- a/libs/bridgecross-request/src/bridgecross_request/__init__.py
+++ b/libs/bridgecross-request/src/bridgecross_request/__init__.py
@@ -6,8 +6,9 @@
 * ``backends``: sends a request to a backend server.
 * ``intents``: records in the log for requests that must run at most once.
 * ``poison_requests``: detects requests that crash one server after another.
-* ``runner``: runs a request on the instance that fronts the key's owner.
-* ``routing``: routes a request to the front of the key's owner, with retries.
+* ``runner``: runs a request on the queue owner of the key's server.
+* ``routing``: routes a request to the queue owner of the key's server, with
+  retries.
 * ``retries``: a retry budget that is a share of the traffic.
 """
 
--- a/libs/bridgecross-request/src/bridgecross_request/backends.py
+++ b/libs/bridgecross-request/src/bridgecross_request/backends.py
@@ -21,8 +21,8 @@
 SLICE_HEADER = b"bridgecross-slice"
 """The slice that the key belongs to."""
 
-FRONT_TOKEN_HEADER = b"bridgecross-front-token"
-"""The fencing token of the front that sends the request."""
+QUEUE_OWNER_TOKEN_HEADER = b"bridgecross-front-token"
+"""The fencing token of the queue owner that sends the request."""
 
 DEADLINE_HEADER = b"bridgecross-deadline-unix-ms"
 """The wall-clock time after which the server must not run the request."""
@@ -54,7 +54,7 @@
 
     slice: ids.SliceIndex
     token: ids.Token
-    front_token: ids.Token
+    queue_owner_token: ids.Token
 
 
 class Limit(NamedTuple):
@@ -232,7 +232,7 @@
         (b"content-length", b"%d" % len(request.body)),
         (SLICE_HEADER, b"%d" % fence.slice),
         (TOKEN_HEADER, b"%d" % fence.token),
-        (FRONT_TOKEN_HEADER, b"%d" % fence.front_token),
+        (QUEUE_OWNER_TOKEN_HEADER, b"%d" % fence.queue_owner_token),
         (DEADLINE_HEADER, b"%d" % int(limit.until_unix_s * 1_000)),
         (REQUEST_ID_HEADER, request.request_id.encode()),
         *request.headers,
--- a/libs/bridgecross-request/src/bridgecross_request/routing.py
+++ b/libs/bridgecross-request/src/bridgecross_request/routing.py
@@ -1,4 +1,4 @@
-"""Routes a request to the front of the key's owner, with retries."""
+"""Routes a request to the queue owner of the key's server, with retries."""
 
 import random
 from typing import NamedTuple
@@ -24,7 +24,7 @@
 
 
 class LocalRunner(Protocol):
-    """Runs requests whose key's owner this instance fronts."""
+    """Runs requests if this instance is the queue owner of the key's server."""
 
     async def run(self, request: requests.Request) -> outcomes.Outcome:
         """Runs a request once."""
@@ -56,18 +56,18 @@
 
 
 class _Route(NamedTuple):
-    """The owner of a key and its front, by the newest record read."""
+    """The server of a key and its queue owner, by the newest record read."""
 
     server: ids.ServerId
-    front: cells.QueueOwnerState
+    queue_owner: cells.QueueOwnerState
 
 
 class _Forward:
     """One attempt on another instance."""
 
-    def __init__(self, front: ids.InstanceId) -> None:
+    def __init__(self, queue_owner: ids.InstanceId) -> None:
         """Starts as a running attempt."""
-        self.front = front
+        self.queue_owner = queue_owner
         # The attempt's outcome; None while it is running.
         self.outcome: outcomes.Outcome | None = None
 
@@ -75,11 +75,11 @@
 class _Forwards:
     """The attempts of one request on other instances.
 
-    An attempt continues when the log replaces its front: that front may be
-    alive, and its answer is as good as any other. If the attempt were
+    An attempt continues when the log replaces its queue owner: that queue owner
+    may be alive, and its answer is as good as any other. If the attempt were
     cancelled, a request that did run would be reported as one that may have
-    run, and all requests in flight at that front would compete at once for the
-    few retries that are allowed.
+    run, and all requests in flight at that queue owner would compete at once
+    for the few retries that are allowed.
     """
 
     def __init__(
@@ -99,9 +99,9 @@
         self._ended: list[_Forward] = []
         self._changed = notifier.Notifier()
 
-    def start(self, front: ids.InstanceId) -> _Forward:
+    def start(self, queue_owner: ids.InstanceId) -> _Forward:
         """Starts an attempt."""
-        forward = _Forward(front)
+        forward = _Forward(queue_owner)
         self._running.append(forward)
         self._tasks.start_soon(self._run, forward)
         return forward
@@ -120,12 +120,16 @@
         """
         if not self._running:
             return None
-        front = self._running[-1].front
-        return outcomes.Unknown(f"{front} did not answer before the deadline")
+        queue_owner = self._running[-1].queue_owner
+        return outcomes.Unknown(
+            f"{queue_owner} did not answer before the deadline"
+        )
 
     async def _run(self, forward: _Forward) -> None:
         """Forwards the request and records the outcome of the attempt."""
-        outcome = await self._forwarder.forward(forward.front, self._request)
+        outcome = await self._forwarder.forward(
+            forward.queue_owner, self._request
+        )
         if isinstance(outcome, outcomes.Unknown):
             self.possibly_run = outcome
         forward.outcome = outcome
@@ -186,7 +190,9 @@
                     await self._back_off(request, last, attempt)
                     attempt += 1
                     continue
-                ended = await self._wait_for_replaced_front(request, forwards)
+                ended = await self._wait_for_replaced_queue_owner(
+                    request, forwards
+                )
             if ended is None:
                 break
             last = ended
@@ -203,10 +209,10 @@
             request, last, possibly_run, forwards
         )
 
-    async def _wait_for_replaced_front(
+    async def _wait_for_replaced_queue_owner(
         self, request: requests.Request, forwards: _Forwards
     ) -> outcomes.Outcome | None:
-        """Returns an outcome that a replaced front still delivers, if any."""
+        """Returns the outcome that a replaced queue owner sends, or None."""
         forward = await forwards.wait_end(self._left_s(request))
         return None if forward is None else forward.outcome
 
@@ -255,41 +261,42 @@
         )
 
     def _find_route(self, request: requests.Request) -> _Route | None:
-        """Returns the owner of a key and its front, if both are known."""
+        """Returns a key's server and its queue owner, if both are known."""
         cell = self._ports.cell
         if not cell.slices:
             return None
         index = hashing.find_slice(request.key, len(cell.slices))
         server = cell.slices[index].server
-        front = cell.queue_owners.get(server)
-        return None if front is None else _Route(server, front)
+        queue_owner = cell.queue_owners.get(server)
+        return None if queue_owner is None else _Route(server, queue_owner)
 
     async def _try_route(
         self, request: requests.Request, route: _Route, forwards: _Forwards
     ) -> outcomes.Outcome | None:
-        """Makes one attempt; returns None if its front was replaced."""
-        if route.front.instance == self._ports.me:
+        """Makes one attempt; returns None if its queue owner was replaced."""
+        if route.queue_owner.instance == self._ports.me:
             return await self._ports.runner.run(request)
         if not request.may_repeat:
             return await self._ports.forwarder.forward(
-                route.front.instance, request
+                route.queue_owner.instance, request
             )
         return await self._forward_while_current(request, route, forwards)
 
     async def _forward_while_current(
         self, request: requests.Request, route: _Route, forwards: _Forwards
     ) -> outcomes.Outcome | None:
-        """Forwards a repeatable request and waits until its front is replaced.
+        """Forwards a repeatable request; ends if its queue owner is replaced.
 
-        A frozen front never answers. Once the log names another front, a
-        request that may be repeated does not have to wait for the old one.
+        A frozen queue owner never answers. Once the log names another queue
+        owner, a request that may be repeated does not have to wait for the old
+        one.
 
         Returns:
-            The outcome, or an answer to an earlier attempt; None if the front
-            was replaced or the deadline has passed.
+            The outcome, or an answer to an earlier attempt; None if the queue
+            owner was replaced or the deadline has passed.
         """
         outcome: outcomes.Outcome | None = None
-        forward = forwards.start(route.front.instance)
+        forward = forwards.start(route.queue_owner.instance)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
                 self._await_replacement, request, route, tasks.cancel_scope
@@ -308,10 +315,11 @@
         route: _Route,
         scope: anyio.CancelScope,
     ) -> None:
-        """Cancels a scope once the log names another front for the server."""
+        """Cancels a scope once the log names another queue owner."""
         await self._ports.changed.wait_until(
             lambda: (
-                self._ports.cell.queue_owners.get(route.server) != route.front
+                self._ports.cell.queue_owners.get(route.server)
+                != route.queue_owner
             ),
             self._left_s(request),
         )
@@ -350,9 +358,9 @@
 
 
 def _describe_replaced(route: _Route) -> outcomes.Unknown:
-    """Returns the outcome of an attempt whose front was replaced."""
+    """Returns the outcome of an attempt whose queue owner was replaced."""
     return outcomes.Unknown(
-        f"{route.front.instance} did not answer before it was replaced"
+        f"{route.queue_owner.instance} did not answer before it was replaced"
     )
 
 
--- a/libs/bridgecross-request/src/bridgecross_request/runner.py
+++ b/libs/bridgecross-request/src/bridgecross_request/runner.py
@@ -1,4 +1,4 @@
-"""Runs a request on the instance that fronts the key's owner."""
+"""Runs a request on the queue owner of the key's server."""
 
 import collections
 from collections.abc import Callable
@@ -50,7 +50,7 @@
 
 
 class BackupForwarder(Protocol):
-    """Forwards requests to the fronts of backup servers on other instances."""
+    """Forwards requests to remote queue owners of backup servers."""
 
     async def forward_to_backup(
         self,
@@ -58,14 +58,14 @@
         request: requests.Request,
         takeover: releases.Takeover,
     ) -> outcomes.Outcome:
-        """Asks another instance to run a request at a backup that it fronts."""
+        """Asks a backup's queue owner to run a request there."""
 
 
 class RunnerPorts(NamedTuple):
     """The dependencies of a runner."""
 
     cell: cells.Cell
-    fronts: lease_manager_set.LeaseManagerSet
+    lease_managers: lease_manager_set.LeaseManagerSet
     backend: backends.Backend
     addresses: AddressBook
     intents: appenders.Appender
@@ -88,7 +88,7 @@
 
 
 class Runner:
-    """Runs requests of one service whose owner this instance fronts."""
+    """Runs requests of one service whose queue owner is this instance."""
 
     def __init__(self, settings: RunnerSettings, ports: RunnerPorts) -> None:
         """Starts without queues.
@@ -100,7 +100,7 @@
         self._settings = settings
         self._ports = ports
         self.queues: dict[ids.ServerId, queueing.TierQueue] = {}
-        # When each server was last seen to have ended.
+        # When each server was last observed to have ended.
         self._ended_s: dict[ids.ServerId, float] = {}
         self._errors = error_answers.ErrorAnswers()
         # Requests by tier that wait until the owner can serve, or for a slot.
@@ -113,7 +113,7 @@
             queue.settings = self._queue_settings()
 
     async def run(self, request: requests.Request) -> outcomes.Outcome:
-        """Runs a request once, if this instance fronts the key's owner."""
+        """Runs a request once, if this instance is the queue owner for it."""
         refusal = self._refuse_poison(request)
         if refusal is not None:
             return refusal
@@ -122,7 +122,7 @@
             return _refuse_stale("the service has no slices yet")
         index = hashing.find_slice(request.key, len(cell.slices))
         state = cell.slices[index]
-        manager = self._ports.fronts.find(state.server)
+        manager = self._ports.lease_managers.find(state.server)
         if manager is None:
             return _refuse_stale("this instance does not front the key's owner")
         token = manager.find_grant_token(index)
@@ -138,13 +138,17 @@
     ) -> outcomes.Outcome:
         """Runs a request at the backup of its key's owner.
 
-        This instance is the front of the backup.
+        This instance is the queue owner of the backup.
         """
         refusal = self._refuse_poison(request)
         if refusal is not None:
             return refusal
-        front = self._ports.cell.queue_owners.get(takeover.owner)
-        manager = self._ports.fronts.find(front.backup) if front else None
+        queue_owner = self._ports.cell.queue_owners.get(takeover.owner)
+        manager = (
+            self._ports.lease_managers.find(queue_owner.backup)
+            if queue_owner
+            else None
+        )
         if manager is None or not manager.take_over(takeover):
             return _refuse_stale("this instance knows of no such heir")
         index = takeover.slice
@@ -175,16 +179,18 @@
     ) -> outcomes.Outcome:
         """Runs a request at the backup of a server that cannot act."""
         takeover = manager.hand_over(index)
-        front = self._ports.cell.queue_owners.get(manager.queue_owner.backup)
-        if takeover is None or front is None:
+        queue_owner = self._ports.cell.queue_owners.get(
+            manager.queue_owner.backup
+        )
+        if takeover is None or queue_owner is None:
             token = manager.find_grant_token(index)
             return self._describe_not_served(
                 _Attempt(request, manager, index, token or ids.NO_TOKEN)
             )
-        if front.instance == self._ports.me:
+        if queue_owner.instance == self._ports.me:
             return await self.run_takeover(request, takeover)
         return await self._ports.backups.forward_to_backup(
-            front.instance, request, takeover
+            queue_owner.instance, request, takeover
         )
 
     async def _run_queued(self, attempt: _Attempt) -> outcomes.Outcome:
--- a/libs/bridgecross-request/tests/test_routing.py
+++ b/libs/bridgecross-request/tests/test_routing.py
@@ -42,20 +42,22 @@
     async def forward(
         self, instance: ids.InstanceId, request: requests.Request
     ) -> outcomes.Outcome:
-        raise AssertionError("the front is this instance")
+        raise AssertionError("the queue owner is this instance")
 
 
-def _make_cell(front: ids.InstanceId) -> cells.Cell:
+def _make_cell(queue_owner: ids.InstanceId) -> cells.Cell:
     cell = cells.Cell(ids.ServiceName("rapor"))
     cell.slices = [cells.SliceState(SERVER, ids.Token(1), ())]
-    _set_front(cell, front, 1)
+    _set_queue_owner(cell, queue_owner, 1)
     return cell
 
 
-def _set_front(cell: cells.Cell, front: ids.InstanceId, token: int) -> None:
-    """Makes an instance the front of the server."""
+def _set_queue_owner(
+    cell: cells.Cell, queue_owner: ids.InstanceId, token: int
+) -> None:
+    """Makes an instance the queue owner of the server."""
     cell.queue_owners[SERVER] = cells.QueueOwnerState(
-        front, ids.Token(token), (), ids.ServerId(""), ()
+        queue_owner, ids.Token(token), (), ids.ServerId(""), ()
     )
 
 
@@ -137,7 +139,7 @@
 
 
 class _TimedOutcome(NamedTuple):
-    """A front's outcome, and the time after which it arrives."""
+    """A queue owner's outcome, and the time after which it arrives."""
 
     after_s: float
     outcome: outcomes.Outcome
@@ -150,8 +152,8 @@
 BY_SECOND = outcomes.Answered(200, (), b"by the second")
 
 
-class _RemoteFronts:
-    """Fronts on other instances, which answer after a given time."""
+class _RemoteQueueOwners:
+    """Queue owners on other instances, which answer after a given time."""
 
     def __init__(self, answers: dict[ids.InstanceId, _TimedOutcome]) -> None:
         self._answers = answers
@@ -159,7 +161,7 @@
         self.cancelled: list[ids.InstanceId] = []
 
     async def run(self, request: requests.Request) -> outcomes.Outcome:
-        raise AssertionError("the front is another instance")
+        raise AssertionError("the queue owner is another one")
 
     async def forward(
         self, instance: ids.InstanceId, request: requests.Request
@@ -173,8 +175,8 @@
         return self._answers[instance].outcome
 
 
-# The outcomes of the first and the second front, the retries that are left,
-# and the expected outcome of the request.
+# The outcomes of the first and the second queue owner, the retries that are
+# left, and the expected outcome of the request.
 REPLACED = {
     "the first is alive, and no retry is left": (
         _TimedOutcome(0.2, BY_FIRST),
@@ -220,23 +222,23 @@
     REPLACED.values(),
     ids=REPLACED.keys(),
 )
-async def test_an_answer_of_a_front_that_was_replaced_is_delivered(
+async def test_an_answer_of_a_queue_owner_that_was_replaced_is_delivered(
     first, second, retries_count, expected
 ):
     """Callers got a 504 although the server had run their requests.
 
     After a server was lost on a busy machine, the instances also took one
-    another for lost, and the log named new fronts for servers, some of them
-    twice in a second. At each such record an instance cancelled all requests
-    that it had forwarded to the replaced front, although that front was alive
-    and would have answered. Trying them again counts as retries, of which ten
-    are allowed at once. The other requests, 70 in one run, failed with
-    "entry-2 did not answer before it was replaced" and more than two seconds
-    left, while the servers' logs show that they ran.
+    another for lost, and the log named new queue owners for servers, some of
+    them twice in a second. At each such record an instance cancelled all
+    requests that it had forwarded to the replaced queue owner, although that
+    queue owner was alive and would have answered. Trying them again counts as
+    retries, of which ten are allowed at once. The other requests, 70 in one
+    run, failed with "entry-2 did not answer before it was replaced" and more
+    than two seconds left, while the servers' logs show that they ran.
     """
-    fronts = _RemoteFronts({FIRST: first, SECOND: second})
+    queue_owners = _RemoteQueueOwners({FIRST: first, SECOND: second})
     cell = _make_cell(FIRST)
-    ports = _make_ports(cell, fronts)
+    ports = _make_ports(cell, queue_owners)
     router = routing.Router(retries.RetrySettings(0.0, 3), ports)
     for _ in range(10 - retries_count):
         router._budget.spend()
@@ -248,33 +250,33 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(ask)
         await anyio.sleep(0.05)
-        _set_front(cell, SECOND, 2)
+        _set_queue_owner(cell, SECOND, 2)
         ports.changed.notify()
     assert received == [expected]
-    assert fronts.sent[0] == FIRST
-    assert fronts.sent[1:] == [SECOND] * bool(retries_count)
+    assert queue_owners.sent[0] == FIRST
+    assert queue_owners.sent[1:] == [SECOND] * bool(retries_count)
 
 
 async def test_no_attempt_outlives_its_request():
-    fronts = _RemoteFronts(
+    queue_owners = _RemoteQueueOwners(
         {FIRST: NEVER, SECOND: _TimedOutcome(0.05, BY_SECOND)}
     )
     cell = _make_cell(FIRST)
-    ports = _make_ports(cell, fronts)
+    ports = _make_ports(cell, queue_owners)
     router = routing.Router(retries.RetrySettings(0.1, 3), ports)
     with anyio.move_on_after(0.1):
         await router.handle(_request("PUT"))
-    assert fronts.cancelled == [FIRST]
+    assert queue_owners.cancelled == [FIRST]
 
 
-async def test_a_frozen_front_costs_no_more_than_the_deadline():
-    fronts = _RemoteFronts({FIRST: NEVER, SECOND: NEVER})
+async def test_a_frozen_queue_owner_costs_no_more_than_the_deadline():
+    queue_owners = _RemoteQueueOwners({FIRST: NEVER, SECOND: NEVER})
     cell = _make_cell(FIRST)
     router = routing.Router(
-        retries.RetrySettings(0.1, 3), _make_ports(cell, fronts)
+        retries.RetrySettings(0.1, 3), _make_ports(cell, queue_owners)
     )
     begun_s = anyio.current_time()
     outcome = await router.handle(_request("PUT", limit_s=0.3))
     assert isinstance(outcome, outcomes.Unknown)
     assert 0.3 <= anyio.current_time() - begun_s < 0.6
-    assert fronts.cancelled == [FIRST]
+    assert queue_owners.cancelled == [FIRST]
--- a/libs/bridgecross-standins/src/bridgecross_standins/backend_standin.py
+++ b/libs/bridgecross-standins/src/bridgecross_standins/backend_standin.py
@@ -415,7 +415,7 @@
         key=key,
         slice=parse_number(backends.SLICE_HEADER),
         token=parse_number(backends.TOKEN_HEADER),
-        front_token=parse_number(backends.FRONT_TOKEN_HEADER),
+        front_token=parse_number(backends.QUEUE_OWNER_TOKEN_HEADER),
         deadline_ms=parse_number(backends.DEADLINE_HEADER),
         method=request.method,
         request_id=request.headers.get(backends.REQUEST_ID_HEADER.decode(), ""),
--- a/libs/bridgecross-standins/tests/test_backend_standin.py
+++ b/libs/bridgecross-standins/tests/test_backend_standin.py
@@ -100,7 +100,7 @@
     headers = {
         backends.SLICE_HEADER: str(GRANT.slice),
         backends.TOKEN_HEADER: str(GRANT.token),
-        backends.FRONT_TOKEN_HEADER: str(FRONT_TOKEN),
+        backends.QUEUE_OWNER_TOKEN_HEADER: str(FRONT_TOKEN),
         backends.DEADLINE_HEADER: str(int(time.time() * 1_000) + 60_000),
     }
     text_headers = {name.decode(): value for name, value in headers.items()}
--- a/tests/matrix/fakes.py
+++ b/tests/matrix/fakes.py
@@ -350,7 +350,7 @@
         return self._checks and (
             self._now_ms() >= self._lease_until_ms
             or self._grants.get(fence.slice) != fence.token
-            or fence.front_token != self._front_token
+            or fence.queue_owner_token != self._front_token
         )
 
     async def run(
@@ -388,7 +388,7 @@
                 key=request.key,
                 slice=fence.slice,
                 token=fence.token,
-                front_token=fence.front_token,
+                front_token=fence.queue_owner_token,
                 method=request.method,
                 request_id=request.request_id,
                 idempotency_key=request.idempotency_key,
