Wording: the daemon speaks of queue owners

Private names and comments, and the constant of the method "Office", whose name on the wire is unchanged. OwnerReply.front and front_token, the reasons "the front ... did not answer" and "the front sent no outcome", and the house, which is the customer's key in the settings, are unchanged. The help text of the gauge of slices says "whose queue this instance owns"; its name and labels stay.

--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_metrics.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_metrics.py
@@ -57,7 +57,7 @@
         )
         self._slices = aioprometheus.Gauge(
             "bridgecross_server_slices",
-            "Slices of a server that this instance fronts.",
+            "Slices of a server whose queue this instance owns.",
             registry=self._registry,
         )
 
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_peer_log_reader.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_peer_log_reader.py
@@ -1,14 +1,14 @@
 """Reads the control stream from other instances while the log is unavailable.
 
-The log names witnesses for each front of this instance. They are asked for the
-records that they have read. If they have none that this instance lacks, they
-have confirmed that it may continue to act as a front; otherwise it applies the
-records that it lacked.
-
-The log may be unreachable from this instance alone, and the instance may front
-no server and so have no witnesses, or its witnesses may be cut off as well. The
-other listed instances are therefore asked too, one per round, so that its state
-does not become outdated.
+The log names witnesses for each server whose queue this instance owns. They are
+asked for the records that they have read. If they have none that this instance
+lacks, they have confirmed that it may continue to act as a queue owner;
+otherwise it applies the records that it lacked.
+
+The log may be unreachable from this instance alone, and the instance may be the
+queue owner of no server and so have no witnesses, or its witnesses may be cut
+off as well. The other listed instances are therefore asked too, one per round,
+so that its state does not become outdated.
 """
 
 import bisect
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_poison_broadcast.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_poison_broadcast.py
@@ -1,9 +1,10 @@
 """Broadcasts which requests were running when a server's run ended.
 
-When the owner of a key ends, the key often moves to a server that another
-instance fronts. An instance that sees a run end under a request therefore sends
-a report to all listed instances at once. Instances that were not reached are
-retried until they are, and a new process asks the others for what they know.
+When the owner of a key ends, the key often moves to a server whose queue
+another instance owns. An instance that observes a run's end under a request
+therefore sends a report to all listed instances at once. Instances that were
+not reached are retried until they are, and a new process asks the others for
+what they know.
 """
 
 import anyio
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_service.py
@@ -56,7 +56,7 @@
 
 
 class ServiceParts:
-    """The coordinator, fronts, runner and router of one service."""
+    """The coordinator, lease managers, runner and router of one service."""
 
     def __init__(
         self, service: tree.Service, cell: cells.Cell, shared: SharedParts
@@ -73,7 +73,7 @@
         self.backend = shared.make_backend(
             _component_settings.backend_settings(service.policy)
         )
-        self.fronts = lease_manager_set.LeaseManagerSet(
+        self.lease_managers = lease_manager_set.LeaseManagerSet(
             _component_settings.lease_manager_settings(service.policy),
             self._lease_manager_ports(),
         )
@@ -93,7 +93,7 @@
         """Replaces the settings of all components."""
         self.service = service
         policy = service.policy
-        self.fronts.replace_settings(
+        self.lease_managers.replace_settings(
             _component_settings.lease_manager_settings(policy)
         )
         self.coordinator.settings = _component_settings.coordinator_settings(
@@ -109,14 +109,14 @@
 
     def notify(self) -> None:
         """Wakes waiting tasks after a possible change of the cell."""
-        self.fronts.notify()
+        self.lease_managers.notify()
         self.changed.notify()
 
     async def run(self) -> None:
-        """Runs the coordinator and the fronts until cancelled."""
+        """Runs the coordinator and the lease managers until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.coordinator.run)
-            tasks.start_soon(self.fronts.run)
+            tasks.start_soon(self.lease_managers.run)
 
     async def run_forwarded(
         self, wire: requests.WireRequest
@@ -142,7 +142,7 @@
 
     def build_report(self) -> reports.ServiceReport:
         """Returns what this instance reports to the coordinator."""
-        managers = list(self.fronts.managers.values())
+        managers = list(self.lease_managers.managers.values())
         loads = []
         for manager in managers:
             loads += [
@@ -193,7 +193,7 @@
                     else 0,
                     slices=self.cell.count_slices_of(manager.server),
                 )
-                for manager in self.fronts.managers.values()
+                for manager in self.lease_managers.managers.values()
             ],
             waiting=dict(self.runner.waiting),
             served=served,
@@ -243,7 +243,7 @@
         shared = self._shared
         return runners.RunnerPorts(
             cell=self.cell,
-            lease_managers=self.fronts,
+            lease_managers=self.lease_managers,
             backend=self.backend,
             addresses=shared.addresses,
             intents=shared.intents,
@@ -270,7 +270,7 @@
 
 
 class _ReleaseSource:
-    """Asks this instance's fronts directly, and other instances over gRPC."""
+    """Asks its own lease managers directly, and other instances over gRPC."""
 
     def __init__(
         self,
@@ -283,18 +283,22 @@
         self._parts = parts
 
     async def await_release(
-        self, front: ids.InstanceId, query: releases.ReleaseQuery
+        self, queue_owner: ids.InstanceId, query: releases.ReleaseQuery
     ) -> releases.ReleaseReply:
-        """Asks a front what was released; see ``releases.ReleaseSource``."""
-        if front == self._me:
-            return await self._parts.fronts.answer_release(query)
-        return await self._peers.await_release(front, query)
+        """Asks what was released; see ``releases.ReleaseSource``."""
+        if queue_owner == self._me:
+            return await self._parts.lease_managers.answer_release(query)
+        return await self._peers.await_release(queue_owner, query)
 
     async def is_queue_owner_drained(
-        self, front: ids.InstanceId, query: releases.QueueOwnerDrainedQuery
+        self,
+        queue_owner: ids.InstanceId,
+        query: releases.QueueOwnerDrainedQuery,
     ) -> bool:
-        """Asks an earlier front to confirm; see ``releases.ReleaseSource``."""
-        if front == self._me:
-            reply = await self._parts.fronts.answer_queue_owner_drained(query)
+        """Asks if an instance has drained; see ``releases.ReleaseSource``."""
+        if queue_owner == self._me:
+            reply = await self._parts.lease_managers.answer_queue_owner_drained(
+                query
+            )
             return reply.is_drained
-        return await self._peers.is_queue_owner_drained(front, query)
+        return await self._peers.is_queue_owner_drained(queue_owner, query)
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/instance.py
@@ -254,7 +254,7 @@
     async def forward(
         self, request: requests.WireRequest
     ) -> peer_protocol.WireOutcome:
-        """Runs a request whose key's owner this instance fronts."""
+        """Runs a request if this instance is its server's queue owner."""
         parts = self._services.get(request.service)
         if parts is None:
             return self._describe_unknown_service()
@@ -300,16 +300,16 @@
         parts = self._services.get(request.service)
         if parts is None:
             return releases.ReleaseReply([])
-        return await parts.fronts.answer_release(request)
+        return await parts.lease_managers.answer_release(request)
 
     async def answer_queue_owner_drained(
         self, request: releases.QueueOwnerDrainedQuery
     ) -> releases.QueueOwnerDrainedReply:
-        """Returns whether this instance has drained as an earlier front."""
+        """Returns whether this instance has drained as a queue owner."""
         parts = self._services.get(request.service)
         if parts is None:
             return releases.QueueOwnerDrainedReply(self._me, is_drained=False)
-        return await parts.fronts.answer_queue_owner_drained(request)
+        return await parts.lease_managers.answer_queue_owner_drained(request)
 
     async def exchange_poison_reports(
         self, request: poison_requests.PoisonReport
@@ -338,14 +338,14 @@
             return _NOT_FOUND
         index = hashing.find_slice(request.key, len(cell.slices))
         state = cell.slices[index]
-        front = cell.queue_owners.get(state.server)
+        queue_owner = cell.queue_owners.get(state.server)
         return peer_protocol.OwnerReply(
             found=True,
             slice=index,
             server=state.server,
             token=state.token,
-            front=front.instance if front else cells.NO_INSTANCE,
-            front_token=front.token if front else ids.NO_TOKEN,
+            front=queue_owner.instance if queue_owner else cells.NO_INSTANCE,
+            front_token=queue_owner.token if queue_owner else ids.NO_TOKEN,
             prior=list(state.prior),
             term=cell.term,
             coordinator=cell.coordinator,
@@ -548,7 +548,7 @@
         )
 
     def _has_servers_to_hand_over(self) -> bool:
-        """Returns whether servers remain that another instance can front."""
+        """Returns whether servers remain whose queue another can own."""
         others = [
             instance
             for instance, listing in self._membership.list_instances().items()
@@ -556,7 +556,7 @@
             and listing.state is memberships.ListedState.LIVE
         ]
         has_servers = any(
-            parts.fronts.managers for parts in self._services.values()
+            parts.lease_managers.managers for parts in self._services.values()
         )
         return has_servers and bool(others)
 
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peer_client.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_client.py
@@ -111,7 +111,7 @@
     async def forward(
         self, instance: ids.InstanceId, request: requests.Request
     ) -> outcomes.Outcome:
-        """Forwards a request to a front; see ``routing.Forwarder``."""
+        """Forwards a request to a queue owner; see ``routing.Forwarder``."""
         return await self._call(
             instance, request, peer_protocol.FORWARD, lambda wire: wire
         )
@@ -122,7 +122,7 @@
         request: requests.Request,
         takeover: releases.Takeover,
     ) -> outcomes.Outcome:
-        """Forwards a request to the front of a backup.
+        """Forwards a request to the queue owner of a backup.
 
         See ``runner.BackupForwarder``.
         """
@@ -170,10 +170,10 @@
         self._addresses = addresses
 
     async def await_release(
-        self, front: ids.InstanceId, query: releases.ReleaseQuery
+        self, queue_owner: ids.InstanceId, query: releases.ReleaseQuery
     ) -> releases.ReleaseReply:
-        """Asks a front what was released; see ``releases.ReleaseSource``."""
-        address = self._addresses.find_peer_address(front)
+        """Asks what was released; see ``releases.ReleaseSource``."""
+        address = self._addresses.find_peer_address(queue_owner)
         if address is None:
             return releases.ReleaseReply([])
         try:
@@ -184,25 +184,30 @@
             return releases.ReleaseReply([])
 
     async def is_queue_owner_drained(
-        self, front: ids.InstanceId, query: releases.QueueOwnerDrainedQuery
+        self,
+        queue_owner: ids.InstanceId,
+        query: releases.QueueOwnerDrainedQuery,
     ) -> bool:
-        """Asks an earlier front to confirm; see ``releases.ReleaseSource``."""
-        address = self._addresses.find_peer_address(front)
+        """Asks if an instance has drained; see ``releases.ReleaseSource``."""
+        address = self._addresses.find_peer_address(queue_owner)
         if address is None:
             return False
         try:
             reply = await self._client.call(
-                address, peer_protocol.FRONT_DRAINED, query, _RELEASE_TIMEOUT_S
+                address,
+                peer_protocol.QUEUE_OWNER_DRAINED,
+                query,
+                _RELEASE_TIMEOUT_S,
             )
         except peer_protocol.PeerUnreachableError:
             return False
-        return reply.instance == front and reply.is_drained
+        return reply.instance == queue_owner and reply.is_drained
 
 
 def _describe_failure(
     instance: ids.InstanceId, error: peer_protocol.PeerUnreachableError
 ) -> outcomes.Outcome:
-    """Returns the outcome of a request whose front did not reply."""
+    """Returns the outcome of a request whose queue owner did not reply."""
     reason = f"the front {instance} did not answer: {error.reason}"
     if error.never_sent:
         return outcomes.NotRun(
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peer_protocol.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_protocol.py
@@ -68,7 +68,7 @@
 
 
 class ServerStatus(NamedTuple):
-    """The state of a server as observed by its front.
+    """The state of a server as observed by its queue owner.
 
     ``busy`` counts the requests that it runs, and ``slices`` the slices that
     the log assigns to it.
@@ -84,7 +84,7 @@
     """The state of a service as known to one instance.
 
     ``waiting`` and ``served`` count requests by tier, and only those to servers
-    that this instance fronts.
+    whose queues this instance owns.
     """
 
     service: ids.ServiceName
@@ -226,7 +226,7 @@
 
 
 FORWARD = Method("Forward", requests.WireRequest, WireOutcome)
-"""Runs a request on the instance that fronts the key's owner."""
+"""Runs a request on the queue owner of the key's server."""
 
 INHERIT = Method("Inherit", InheritRequest, WireOutcome)
 """Runs a request at the backup of the key's lost owner."""
@@ -239,10 +239,10 @@
 )
 """Waits until a server has released slices."""
 
-FRONT_DRAINED = Method(
+QUEUE_OWNER_DRAINED = Method(
     "Office", releases.QueueOwnerDrainedQuery, releases.QueueOwnerDrainedReply
 )
-"""Returns whether an instance has drained as a front of a server."""
+"""Returns whether an instance has drained as a queue owner of a server."""
 
 NEWS = Method("News", NewsRequest, NewsReply)
 """Returns records of the control stream that an instance has read."""
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/peer_server.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/peer_server.py
@@ -32,7 +32,7 @@
     async def forward(
         self, request: requests.WireRequest
     ) -> peer_protocol.WireOutcome:
-        """Runs a request whose key's owner this instance fronts."""
+        """Runs a request if this instance is its server's queue owner."""
 
     async def inherit(
         self, request: peer_protocol.InheritRequest
@@ -52,7 +52,7 @@
     async def answer_queue_owner_drained(
         self, request: releases.QueueOwnerDrainedQuery
     ) -> releases.QueueOwnerDrainedReply:
-        """Returns whether this instance has drained as an earlier front."""
+        """Returns whether this instance has drained as a queue owner."""
 
     async def news(
         self, request: peer_protocol.NewsRequest
@@ -121,7 +121,7 @@
                                 service.await_release,
                             ),
                             self._handle(
-                                peer_protocol.FRONT_DRAINED,
+                                peer_protocol.QUEUE_OWNER_DRAINED,
                                 service.answer_queue_owner_drained,
                             ),
                             self._handle(peer_protocol.NEWS, service.news),
--- a/libs/bridgecross-daemon/tests/test_stored_forms.py
+++ b/libs/bridgecross-daemon/tests/test_stored_forms.py
@@ -73,14 +73,14 @@
         id="peer_protocol.AWAIT_RELEASE reply",
     ),
     pytest.param(
-        peer_protocol.FRONT_DRAINED._requests,
+        peer_protocol.QUEUE_OWNER_DRAINED._requests,
         "94a3733739a37338305152",
-        id="peer_protocol.FRONT_DRAINED request",
+        id="peer_protocol.QUEUE_OWNER_DRAINED request",
     ),
     pytest.param(
-        peer_protocol.FRONT_DRAINED._replies,
+        peer_protocol.QUEUE_OWNER_DRAINED._replies,
         "92a3733833c3",
-        id="peer_protocol.FRONT_DRAINED reply",
+        id="peer_protocol.QUEUE_OWNER_DRAINED reply",
     ),
     pytest.param(
         peer_protocol.NEWS._requests, "9154", id="peer_protocol.NEWS request"
