--- a/libs/bridgecross-standins/src/bridgecross_standins/backend_standin.py
+++ b/libs/bridgecross-standins/src/bridgecross_standins/backend_standin.py
@@ -108,7 +108,7 @@
     key: str
     slice: int
     token: int
-    front_token: int
+    queue_owner_token: int
     deadline_ms: int
     method: str
     request_id: str
@@ -142,7 +142,7 @@
         self._settings = settings
         self._incarnation = secrets.token_hex(8)
         self._started_s = time.monotonic()
-        self._front_token = int(ids.NO_TOKEN)
+        self._queue_owner_token = int(ids.NO_TOKEN)
         self._sequence = 0
         self._grants: dict[int, int] = {}
         self._lease_until_ms = 0.0
@@ -202,9 +202,9 @@
 
     def _find_refusal(self, request: leases.LeaseRequest) -> str:
         """Returns why a lease request is refused; empty if it is accepted."""
-        if request.front_token < self._front_token:
-            return f"front token {self._front_token} is newer"
-        if request.front_token > self._front_token:
+        if request.front_token < self._queue_owner_token:
+            return f"front token {self._queue_owner_token} is newer"
+        if request.front_token > self._queue_owner_token:
             return ""
         if request.sequence <= self._sequence:
             return f"sequence number {self._sequence} has been received"
@@ -212,7 +212,7 @@
 
     def _apply_grants(self, request: leases.LeaseRequest) -> None:
         """Replaces the grants; an echo of this run also extends the lease."""
-        self._front_token = request.front_token
+        self._queue_owner_token = request.front_token
         self._sequence = request.sequence
         self._grants = {grant.slice: grant.token for grant in request.grants}
         if not self._has_lease():
@@ -328,7 +328,7 @@
         return (
             not self._has_lease()
             or self._grants.get(info.slice) != info.token
-            or info.front_token != self._front_token
+            or info.queue_owner_token != self._queue_owner_token
         )
 
     def _refuse(
@@ -366,7 +366,7 @@
             key=info.key,
             slice=info.slice,
             token=info.token,
-            front_token=info.front_token,
+            front_token=info.queue_owner_token,
             method=info.method,
             request_id=info.request_id,
             idempotency_key=info.idempotency_key,
@@ -415,7 +415,7 @@
         key=key,
         slice=parse_number(backends.SLICE_HEADER),
         token=parse_number(backends.TOKEN_HEADER),
-        front_token=parse_number(backends.QUEUE_OWNER_TOKEN_HEADER),
+        queue_owner_token=parse_number(backends.QUEUE_OWNER_TOKEN_HEADER),
         deadline_ms=parse_number(backends.DEADLINE_HEADER),
         method=request.method,
         request_id=request.headers.get(backends.REQUEST_ID_HEADER.decode(), ""),
--- a/libs/bridgecross-standins/src/bridgecross_standins/checker.py
+++ b/libs/bridgecross-standins/src/bridgecross_standins/checker.py
@@ -35,8 +35,8 @@
     A request takes effect at its end. An effect under a lower token after one
     under a higher token means that a former owner kept serving after the key
     had a new owner. The exception is a server that has both tokens: it gets a
-    higher one when its front changes, and no other server owned the slice in
-    between, as the higher token would then be that server's.
+    higher one when its queue owner changes, and no other server owned the slice
+    in between, as the higher token would then be that server's.
     """
     violations = []
     newest: dict[tuple[str, int], JournalEntry] = {}
--- a/libs/bridgecross-standins/tests/test_backend_standin.py
+++ b/libs/bridgecross-standins/tests/test_backend_standin.py
@@ -38,7 +38,7 @@
 SEED = 20
 CALLER_COUNT = 8
 GRANT = leases.SliceGrant(ids.SliceIndex(0), ids.Token(2))
-FRONT_TOKEN = ids.Token(1)
+QUEUE_OWNER_TOKEN = ids.Token(1)
 
 
 class Lease(NamedTuple):
@@ -48,7 +48,7 @@
     until_s: float
 
 
-class Front:
+class QueueOwner:
     """Gives leases to a server and records them."""
 
     def __init__(self, client: httpx.AsyncClient) -> None:
@@ -70,7 +70,7 @@
         request = leases.LeaseRequest(
             service=ids.ServiceName("rapor"),
             front=ids.InstanceId("entry-1"),
-            front_token=FRONT_TOKEN,
+            front_token=QUEUE_OWNER_TOKEN,
             sequence=self._sequence,
             echo=echo,
             lease_ms=lease_ms,
@@ -100,7 +100,7 @@
     headers = {
         backends.SLICE_HEADER: str(GRANT.slice),
         backends.TOKEN_HEADER: str(GRANT.token),
-        backends.QUEUE_OWNER_TOKEN_HEADER: str(FRONT_TOKEN),
+        backends.QUEUE_OWNER_TOKEN_HEADER: str(QUEUE_OWNER_TOKEN),
         backends.DEADLINE_HEADER: str(int(time.time() * 1_000) + 60_000),
     }
     text_headers = {name.decode(): value for name, value in headers.items()}
@@ -142,12 +142,12 @@
         async with httpx.AsyncClient(
             transport=transport, base_url="http://server"
         ) as client:
-            front = Front(client)
-            await front.give_lease(1_000)
+            queue_owner = QueueOwner(client)
+            await queue_owner.give_lease(1_000)
             clock.jump_index = clock.reading_count + jump
             answer = await _write(client)
         journal = backend_standin.read_journal(path)
-        assert front.find_effects_without_lease(journal) == [], (
+        assert queue_owner.find_effects_without_lease(journal) == [], (
             f"stopped at reading {jump}"
         )
         ran = bool(checker.list_executed(journal))
@@ -175,15 +175,15 @@
             base_url=f"http://{address}", trust_env=False, timeout=5.0
         ) as client:
             await _await_server(client)
-            front = Front(client)
+            queue_owner = QueueOwner(client)
             for _ in range(STOP_COUNT):
-                await _stop_once(process, client, front, random_source)
+                await _stop_once(process, client, queue_owner, random_source)
     finally:
         process.signal(signal.SIGCONT)
         process.kill()
     journal = backend_standin.read_journal(path)
     assert len(checker.list_executed(journal)) > STOP_COUNT
-    assert front.find_effects_without_lease(journal) == []
+    assert queue_owner.find_effects_without_lease(journal) == []
 
 
 def _start(address, settings, folder: pathlib.Path) -> processes.Process:
@@ -202,19 +202,21 @@
             await anyio.sleep(0.05)
 
 
-async def _stop_once(process, client, front: Front, random_source) -> None:
+async def _stop_once(
+    process, client, queue_owner: QueueOwner, random_source
+) -> None:
     """Gives a lease and stops the busy server until the lease has expired."""
-    await front.give_lease(LEASE_MS)
+    await queue_owner.give_lease(LEASE_MS)
     async with anyio.create_task_group() as tasks:
 
         async def call() -> None:
-            while time.monotonic() < front.leases[-1].until_s:
+            while time.monotonic() < queue_owner.leases[-1].until_s:
                 await _write(client)
 
         for _ in range(CALLER_COUNT):
             tasks.start_soon(call)
         await anyio.sleep(random_source.uniform(0.0, LEASE_MS / 1_000))
         process.signal(signal.SIGSTOP)
-        remaining_s = front.leases[-1].until_s - time.monotonic()
+        remaining_s = queue_owner.leases[-1].until_s - time.monotonic()
         await anyio.sleep(max(remaining_s, 0.0) + 0.02)
         process.signal(signal.SIGCONT)
--- a/libs/bridgecross-standins/tests/test_checker.py
+++ b/libs/bridgecross-standins/tests/test_checker.py
@@ -34,7 +34,10 @@
     "one owner after another": ([("a", 2), ("b", 4), ("b", 4)], True),
     "the former owner keeps serving": ([("a", 2), ("b", 4), ("a", 2)], False),
     "two servers under one token": ([("a", 2), ("b", 2)], False),
-    "an owner whose front changed": ([("a", 2), ("a", 6), ("a", 2)], True),
+    "an owner whose queue owner changed": (
+        [("a", 2), ("a", 6), ("a", 2)],
+        True,
+    ),
     "the first owner again under a new token": (
         [("a", 2), ("b", 4), ("a", 6)],
         True,
