Wording: the emulator's servers know tokens

What a server of the emulator or of the ownership model had "seen" is the highest token that it knows.

--- a/libs/bridgecross-emulator/src/bridgecross_emulator/checks.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/checks.py
@@ -132,7 +132,7 @@
     """Returns poison requests that crashed too many servers.
 
     Crashes before the end of the last fault do not count: while instances are
-    lost or cut off, some may not know of crashes that others have seen.
+    lost or cut off, some may not know of crashes that others have observed.
 
     Args:
         cluster: The cluster.
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/ownership_model.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/ownership_model.py
@@ -57,7 +57,7 @@
     # leader could not send orders any more. Until then its server may restart,
     # and the new run, which knows no token, may accept an order of that leader.
     releases_wait_for_earlier: bool = True
-    # Servers refuse tokens lower than the highest that they have seen.
+    # Servers refuse tokens lower than the highest that they know.
     servers_check_tokens: bool = True
     # An order that is in transit when its server's run ends may reach the next
     # run. With connections this cannot happen: a connection ends together with
@@ -74,8 +74,8 @@
     run: int = 0
     # The remaining time for which it holds the key.
     holds_ticks: int = 0
-    # The highest token that this run has seen.
-    seen_token: int = 0
+    # The highest token that this run knows.
+    highest_token: int = 0
 
 
 class Map(NamedTuple):
@@ -162,7 +162,7 @@
 
 
 START = State(
-    (Server(holds_ticks=LEASE_TICKS, seen_token=1), Server()),
+    (Server(holds_ticks=LEASE_TICKS, highest_token=1), Server()),
     (
         Leader(
             leads=True,
@@ -322,12 +322,14 @@
     """Returns the state after an order has reached its server."""
     state = state._replace(orders=state.orders - {order})
     server = state.servers[order.server]
-    is_low = rules.servers_check_tokens and order.token < server.seen_token
+    is_low = rules.servers_check_tokens and order.token < server.highest_token
     is_lost = order.run != server.run and not rules.orders_outlive_runs
     if not server.is_up or is_low or is_lost:
         return state
-    seen_token = max(server.seen_token, order.token)
-    taken = server._replace(holds_ticks=LEASE_TICKS, seen_token=seen_token)
+    highest_token = max(server.highest_token, order.token)
+    taken = server._replace(
+        holds_ticks=LEASE_TICKS, highest_token=highest_token
+    )
     return _with_server(state, order.server, taken)
 
 
@@ -436,8 +438,8 @@
             _with_leader(state, index, proved),
         )
     if server.is_up and not server.is_leaving:
-        seen_token = max(server.seen_token, leader.known.token)
-        done = server._replace(holds_ticks=0, seen_token=seen_token)
+        highest_token = max(server.highest_token, leader.known.token)
+        done = server._replace(holds_ticks=0, highest_token=highest_token)
         yield Step(
             f"{name} is answered a release",
             _with_leader(_with_server(state, previous, done), index, answered),
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -176,8 +176,8 @@
         self._fleet = fleet
         self.work = work_lib.WorkSet(lambda: fleet.now_s)
         self._held: list[Held] = []
-        # Ranges with the highest token seen: first key, last key, token.
-        self._seen: list[tuple[int, int, int]] = []
+        # Ranges with the highest known token: first key, last key, token.
+        self._highest_tokens: list[tuple[int, int, int]] = []
 
     @property
     def is_cold(self) -> bool:
@@ -233,7 +233,7 @@
         self.ended.set()
         self.work.stop()
         self._held = []
-        self._seen = []
+        self._highest_tokens = []
 
     def start(self) -> None:
         """Starts a run under the same name, unless it is already running."""
@@ -257,7 +257,7 @@
     def grant(
         self, first: int, last: int, token: int, until_s: float, *, timely: bool
     ) -> attempts.GrantResult:
-        """Accepts a range, or refuses it if it has seen a higher token.
+        """Accepts a range, or refuses it if it knows a higher token.
 
         Args:
             first: The first key.
@@ -267,9 +267,9 @@
             timely: Whether the order was not delayed in transit and is not
                 carried out late.
         """
-        for seen_first, seen_last, seen in self._seen:
-            crosses = seen_first <= last and first <= seen_last
-            if crosses and seen > token:
+        for known_first, known_last, known_token in self._highest_tokens:
+            crosses = known_first <= last and first <= known_last
+            if crosses and known_token > token:
                 return attempts.Outranked()
         self._record_token(first, last, token)
         timely_until_s = until_s if timely else -math.inf
@@ -305,13 +305,13 @@
         ]
 
     def _record_token(self, first: int, last: int, token: int) -> None:
-        """Records the highest token seen for a range."""
-        self._seen = [
+        """Records the highest token known for a range."""
+        self._highest_tokens = [
             s
-            for s in self._seen
+            for s in self._highest_tokens
             if not (first <= s[0] and s[1] <= last and s[2] <= token)
         ]
-        self._seen.append((first, last, token))
+        self._highest_tokens.append((first, last, token))
 
     def _remove_range(self, first: int, last: int) -> None:
         """Removes a range from the held ranges; splits them if necessary."""
--- a/tests/emulated/test_innocent.py
+++ b/tests/emulated/test_innocent.py
@@ -63,7 +63,7 @@
 
 
 async def _crash_during_restarts(scene: crash_scene.Scene) -> None:
-    """Restarts instances, which then have seen no answer to the request."""
+    """Restarts instances, which then know of no answer to the request."""
     cluster = scene.cluster
     for number, name in enumerate(_names(scene)):
         killed = cluster.instances[number % len(cluster.instances)]
--- a/tests/emulated/test_ownership_model.py
+++ b/tests/emulated/test_ownership_model.py
@@ -56,14 +56,14 @@
     "server 0 ends",
     "server 0 starts again",
 )
-"""A server releases the key and restarts; its new run has seen no token."""
+"""A server releases the key and restarts; its new run knows no token."""
 
 
 def test_an_answered_release_holds_for_the_next_run_too():
     """An isolated earlier leader still renews by its stale state.
 
     Found by exploring all orders of ten events. The server released the range
-    and restarted at once; its new run has seen no token, so it takes the
+    and restarted at once; its new run knows no token, so it takes the
     renewal. This can happen within 1.5 s of the earlier leader's confirmation,
     and only if that leader does not learn of the later one.
     """
@@ -110,16 +110,16 @@
 def test_the_list_of_event_names_is_complete():
     """A missing name would raise an error where the event is only refused."""
     every = model.Rules(refusal_is_proof=True)
-    seen: set[str] = set()
+    observed: set[str] = set()
     states = {model.START}
     for _ in range(6):
         steps = [s for state in states for s in model._events(state, every, 3)]
-        seen |= {step.event for step in steps}
+        observed |= {step.event for step in steps}
         states = {step.state for step in steps}
     names = model._list_names(3)
-    assert seen <= names
+    assert observed <= names
     kinds = {re.sub(r"\d", "", name) for name in names}
-    assert {re.sub(r"\d", "", name) for name in seen} == kinds
+    assert {re.sub(r"\d", "", name) for name in observed} == kinds
 
 
 def test_no_order_after_release_and_restart_gives_a_key_two_holders():
--- a/tests/emulated/test_work.py
+++ b/tests/emulated/test_work.py
@@ -231,8 +231,10 @@
         with anyio.move_on_after(0.1):
             await fixture.release(2)
         await fixture.grant(1, 2)
-        seen = fixture.cluster.fleet.premature
-        assert [(p.server, p.other, p.key) for p in seen] == [("i-1", "i-0", 5)]
+        premature = fixture.cluster.fleet.premature
+        assert [(p.server, p.other, p.key) for p in premature] == [
+            ("i-1", "i-0", 5)
+        ]
         assert fixture.cluster.fleet.overlaps == []
 
     _simulate(scenario)
