Wording: the matrix speaks of queue owners

Private names of the cases, the cluster, the fake server and the guards' patches. The names of cases and guards stay: guards.py, the docs and commands with -k select by them. The fake server's reason "stale front" stays as well.

--- a/tests/matrix/cases.py
+++ b/tests/matrix/cases.py
@@ -185,20 +185,22 @@
     context.actor.unreachable = set()
 
 
-async def _slow_server_loses_front(context: FaultContext) -> None:
+async def _slow_server_loses_queue_owner(context: FaultContext) -> None:
     server = next(iter(context.cluster.servers.values()))
     server.service_s = 0.9
-    front = context.cluster.find_front(server.name)
+    queue_owner = context.cluster.find_queue_owner(server.name)
     await anyio.sleep(0.4)
-    front.link.lost = True
+    queue_owner.link.lost = True
     context.cluster.put_listing(server.name, membership.ListedState.LEAVING)
     await anyio.sleep(4.0)
     server.service_s = 0.005
 
 
-async def _isolated_front_and_leaving_server(context: FaultContext) -> None:
+async def _isolated_queue_owner_and_leaving_server(
+    context: FaultContext,
+) -> None:
     server = next(iter(context.cluster.servers.values()))
-    link = context.cluster.find_front(server.name).link
+    link = context.cluster.find_queue_owner(server.name).link
     link.log = False
     link.peers = False
     context.cluster.put_listing(server.name, membership.ListedState.LEAVING)
@@ -251,8 +253,8 @@
     "server lost": _lose_server_now,
     "server frozen": _freeze_server,
     "slow server cut off": _slow_server_cut_off,
-    "slow server loses its front": _slow_server_loses_front,
-    "front isolated, server leaves": _isolated_front_and_leaving_server,
+    "slow server loses its front": _slow_server_loses_queue_owner,
+    "front isolated, server leaves": _isolated_queue_owner_and_leaving_server,
     "list lags": _lag_list,
     "operators race": _race_operators,
     "instance starts": _start_instance,
--- a/tests/matrix/cluster.py
+++ b/tests/matrix/cluster.py
@@ -48,7 +48,8 @@
         "max_deadline_ms": 2_000,
     }
     place["drain_notice_ms"] = 500
-    # Long, so that a front that is cut off could still violate guarantees.
+    # Long, so that a queue owner that is cut off could still violate
+    # guarantees.
     place["authority_ms"] = 3_000
     document["slots_per_server"] = slots
     for caller in document["callers"].values():
@@ -213,8 +214,8 @@
         """Returns the instance that coordinates the service."""
         return self.nodes[self.replay_log().find_cell(SERVICE).coordinator]
 
-    def find_front(self, server: str) -> Node:
-        """Returns the instance that fronts a server."""
+    def find_queue_owner(self, server: str) -> Node:
+        """Returns the queue owner of a server."""
         cell = self.replay_log().find_cell(SERVICE)
         return self.nodes[cell.queue_owners[ids.ServerId(server)].instance]
 
--- a/tests/matrix/fakes.py
+++ b/tests/matrix/fakes.py
@@ -270,7 +270,7 @@
         self._clock = clock
         self._checks = checks
         self._incarnation = "run-1"
-        self._front_token = -1
+        self._queue_owner_token = -1
         self._sequence = 0
         self._grants: dict[int, int] = {}
         self._lease_until_ms = 0.0
@@ -302,7 +302,7 @@
         """Starts a new run without leases or tokens."""
         self.lost = False
         self._incarnation = f"run-{len(self.crash_times_s) + 1}"
-        self._front_token = -1
+        self._queue_owner_token = -1
         self._sequence = 0
         self._grants = {}
         self._lease_until_ms = 0.0
@@ -317,14 +317,14 @@
 
     def exchange(self, request: leases.LeaseRequest) -> leases.LeaseReply:
         """Handles a lease exchange."""
-        is_same_front = request.front_token == self._front_token
+        is_same_queue_owner = request.front_token == self._queue_owner_token
         accepted = (
             not self._checks
-            or request.front_token > self._front_token
-            or (is_same_front and request.sequence > self._sequence)
+            or request.front_token > self._queue_owner_token
+            or (is_same_queue_owner and request.sequence > self._sequence)
         )
         if accepted:
-            self._front_token = request.front_token
+            self._queue_owner_token = request.front_token
             self._sequence = request.sequence
             self._grants = {g.slice: g.token for g in request.grants}
             if self._now_ms() >= self._lease_until_ms:
@@ -350,7 +350,7 @@
         return self._checks and (
             self._now_ms() >= self._lease_until_ms
             or self._grants.get(fence.slice) != fence.token
-            or fence.queue_owner_token != self._front_token
+            or fence.queue_owner_token != self._queue_owner_token
         )
 
     async def run(
--- a/tests/matrix/guards.py
+++ b/tests/matrix/guards.py
@@ -97,7 +97,7 @@
     monkeypatch.setattr(_peer_log_reader.PeerLogReader, "has_read", has_read)
 
 
-def _ignore_earlier_fronts(monkeypatch: pytest.MonkeyPatch) -> None:
+def _ignore_earlier_queue_owners(monkeypatch: pytest.MonkeyPatch) -> None:
     original = lease_manager.LeaseManager.__init__
 
     def build(self: Any, *arguments: Any, **options: Any) -> None:
@@ -164,11 +164,13 @@
     monkeypatch.setattr(fakes.FakeServer, "exchange", exchange)
 
 
-def _accept_earlier_fronts(monkeypatch: pytest.MonkeyPatch) -> None:
+def _accept_earlier_queue_owners(monkeypatch: pytest.MonkeyPatch) -> None:
     original = fakes.FakeServer.exchange
 
     def exchange(self: Any, request: Any) -> Any:
-        self._front_token = min(self._front_token, request.front_token)
+        self._queue_owner_token = min(
+            self._queue_owner_token, request.front_token
+        )
         self._sequence = 0
         return original(self, request)
 
@@ -187,14 +189,14 @@
     "keeper: earlier owners let go first": _ignore_prior_owners,
     "keeper: a lost server's lease is waited for": _skip_lease_wait,
     "keeper: what the server still holds": _ignore_held_grants,
-    "keeper: earlier fronts are stopped first": _ignore_earlier_fronts,
+    "keeper: earlier fronts are stopped first": _ignore_earlier_queue_owners,
     "keeper: requests under way hold a slice": _ignore_running_requests,
     "runner: the last look before sending": _skip_lease_check,
     "authority: news must be fresh": _grant_authority_always,
     "authority: witnesses must have read": _skip_witnesses,
     "server: the fence": _disable_server_fence,
     "server: a lease counts from the echo": _start_lease_at_receipt,
-    "server: an earlier front is refused": _accept_earlier_fronts,
+    "server: an earlier front is refused": _accept_earlier_queue_owners,
 }
 """The patches that disable the guards, by the name of the guard."""
 
--- a/tests/matrix/test_outage.py
+++ b/tests/matrix/test_outage.py
@@ -34,34 +34,36 @@
     await _await_served(cluster)
 
 
-async def _cut_front_from_server(cluster: clusters.Cluster) -> None:
-    link = cluster.find_front("rapor-1").link
+async def _cut_queue_owner_from_server(cluster: clusters.Cluster) -> None:
+    link = cluster.find_queue_owner("rapor-1").link
     link.unreachable = {"rapor-1"}
     await _await_served(cluster)
     link.unreachable = set()
     await anyio.sleep(3.0)
 
 
-async def _freeze_server_then_lose_its_front(cluster: clusters.Cluster) -> None:
-    front = cluster.find_front("rapor-1")
+async def _freeze_server_then_lose_its_queue_owner(
+    cluster: clusters.Cluster,
+) -> None:
+    queue_owner = cluster.find_queue_owner("rapor-1")
     cluster.servers["rapor-1"].frozen = True
     await _await_served(cluster)
-    front.link.lost = True
+    queue_owner.link.lost = True
     cluster.servers["rapor-1"].frozen = False
     await anyio.sleep(5.0)
 
 
-async def _freeze_server_then_pause_its_front(
+async def _freeze_server_then_pause_its_queue_owner(
     cluster: clusters.Cluster,
 ) -> None:
-    front = cluster.find_front("rapor-1")
+    queue_owner = cluster.find_queue_owner("rapor-1")
     cluster.servers["rapor-1"].frozen = True
     await _await_served(cluster)
-    front.link.paused = True
+    queue_owner.link.paused = True
     cluster.servers["rapor-1"].frozen = False
     cluster.log.outage = False
     await anyio.sleep(8.0)
-    front.link.paused = False
+    queue_owner.link.paused = False
 
 
 async def _lose_server_then_freeze_its_backup(
@@ -80,27 +82,27 @@
     cluster.servers[backup].frozen = False
 
 
-async def _isolate_front_of_backup_as_the_log_returns(
+async def _isolate_queue_owner_of_backup_as_the_log_returns(
     cluster: clusters.Cluster,
 ) -> None:
     cell = cluster.replay_log().find_cell(clusters.SERVICE)
     backup = next(
         f.backup for s, f in cell.queue_owners.items() if s == "rapor-1"
     )
-    front = cluster.find_front(backup)
+    queue_owner = cluster.find_queue_owner(backup)
     cluster.servers["rapor-1"].frozen = True
     await _await_served(cluster)
-    front.link.log = False
-    front.link.peers = False
+    queue_owner.link.log = False
+    queue_owner.link.peers = False
     cluster.servers["rapor-1"].frozen = False
     cluster.log.outage = False
     await anyio.sleep(8.0)
-    front.link.log = True
-    front.link.peers = True
+    queue_owner.link.log = True
+    queue_owner.link.peers = True
 
 
-async def _lose_front(cluster: clusters.Cluster) -> None:
-    cluster.find_front("rapor-1").link.lost = True
+async def _lose_queue_owner(cluster: clusters.Cluster) -> None:
+    cluster.find_queue_owner("rapor-1").link.lost = True
     await anyio.sleep(5.0)
 
 
@@ -121,12 +123,12 @@
     "five minutes": _wait_five_minutes,
     "server lost": _lose_server,
     "server frozen and back": _freeze_server,
-    "front cut from its server": _cut_front_from_server,
-    "server lost, then its front": _freeze_server_then_lose_its_front,
-    "server lost, its front paused": _freeze_server_then_pause_its_front,
+    "front cut from its server": _cut_queue_owner_from_server,
+    "server lost, then its front": _freeze_server_then_lose_its_queue_owner,
+    "server lost, its front paused": _freeze_server_then_pause_its_queue_owner,
     "server lost, then its backup": _lose_server_then_freeze_its_backup,
-    "backup's front cut off": _isolate_front_of_backup_as_the_log_returns,
-    "front lost": _lose_front,
+    "backup's front cut off": _isolate_queue_owner_of_backup_as_the_log_returns,
+    "front lost": _lose_queue_owner,
     "instance started": _start_instance,
 }
 
--- a/tests/matrix/test_turned_away.py
+++ b/tests/matrix/test_turned_away.py
@@ -14,7 +14,7 @@
 
 
 @pytest.mark.parametrize("checks", [True, False], ids=["checks", "trusts"])
-def test_an_instance_that_fronts_nothing_follows_the_settings(checks):
+def test_an_instance_that_owns_no_queue_follows_the_settings(checks):
     loguru.logger.remove()
     environment = simpy.Environment()
 
@@ -23,9 +23,13 @@
             cluster = clusters.Cluster(environment, tasks, checks=checks)
             await cluster.start()
             await anyio.sleep(2.0)
-            fronts = {cluster.find_front(s).link.name for s in cluster.servers}
+            queue_owners = {
+                cluster.find_queue_owner(s).link.name for s in cluster.servers
+            }
             idle = [
-                n for n in cluster.nodes.values() if n.link.name not in fronts
+                n
+                for n in cluster.nodes.values()
+                if n.link.name not in queue_owners
             ]
             assert idle, "there are more instances than servers"
             for node in idle:
