Wording: benchmarks speak of queue owners and kinds of clusters

House of benchmarks/load.py, a set of servers and callers, is ClusterKind. The labels "key to front" and "servers fronted" of result rows stay, since results are compared by them; House of the settings, a customer, stays too.

--- a/benchmarks/fold.py
+++ b/benchmarks/fold.py
@@ -65,7 +65,7 @@
         )
         for number in range(servers)
     )
-    fronts = tuple(
+    queue_owners = tuple(
         records.ServerQueueOwner(
             _server_id(n),
             ids.InstanceId(f"entry-{n % 11}"),
@@ -82,7 +82,7 @@
         term=ids.Term(0),
         base=ids.Offset(0),
         moves=moves,
-        queue_owners=fronts,
+        queue_owners=queue_owners,
         settled=(),
         accepted_queue_owners=(),
         retired=(),
@@ -178,7 +178,7 @@
 
 
 def _measure_look_up(size: str, state: control.ControlState) -> list[rows.Row]:
-    """Measures the look-up from a key to the front of its owner."""
+    """Measures the look-up from a key to the queue owner of its server."""
     cell = state.find_cell(SERVICE)
     keys = [f"kopru-{number}" for number in range(_LOOK_UP_COUNT)]
 
--- a/benchmarks/layers.py
+++ b/benchmarks/layers.py
@@ -211,7 +211,7 @@
     instances: dict[str, psutil.Process],
     concurrency: int,
 ) -> list[rows.Row]:
-    """Measures whole requests, half of which are forwarded to the front."""
+    """Measures whole requests, of which half are forwarded to queue owners."""
     numbers = iter(range(1_000_000))
     async with httpcore.AsyncConnectionPool() as pool:
 
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -2,7 +2,7 @@
 
     python -m benchmarks.load [--seeds N] [--jobs N] [--loads NAME ...]
 
-Simulates different kinds of houses under several loads: an outage of all
+Simulates different kinds of clusters under several loads: an outage of all
 instances and their return, a burst, and a calm period. Each is simulated with
 the default settings and with each policy disabled. Prints a table of the
 achieved share of the attainable value: the mean over the seeds and, in
@@ -38,26 +38,26 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class House:
-    """The servers and callers of one kind of house."""
+class ClusterKind:
+    """The servers and callers of one kind of cluster."""
 
     servers: tuple[simulation.ServerKind, ...]
     callers: tuple[simulation.CallerKind, ...]
     instance_count: int
 
 
-def _make_house(
+def _make_cluster_kind(
     kinds: tuple[simulation.CallerKind, ...],
     instance_count: int,
     slots: int,
     on_full: str,
-) -> House:
-    """Returns a house whose servers are as busy as on a day of high load."""
+) -> ClusterKind:
+    """Returns a cluster whose servers are as busy as on a day of high load."""
     server_kinds = tuple(
         dataclasses.replace(kind, slots=slots, on_full=on_full)
         for kind in (loads.CATALOGUE, loads.BIDHOUSE, loads.TALLY)
     )
-    return House(server_kinds, kinds, instance_count)
+    return ClusterKind(server_kinds, kinds, instance_count)
 
 
 def _make_callers(
@@ -88,19 +88,19 @@
     )
 
 
-HOUSES = {
+CLUSTER_KINDS = {
     # Late answers have little value; callers wait six times their target
     # latency.
-    "patient callers, silent servers": _make_house(
+    "patient callers, silent servers": _make_cluster_kind(
         _make_callers(1.4, 1.0, 1.0, 0.3), 12, 6, "silent"
     ),
     # Late answers have half the value; callers wait 2.5 times their target
     # latency.
-    "impatient callers, shedding servers": _make_house(
+    "impatient callers, shedding servers": _make_cluster_kind(
         _make_callers(0.9, 1.0, 0.4, 0.5), 11, 4, "shed"
     ),
     # Late answers have almost no value.
-    "impatient callers, resetting servers": _make_house(
+    "impatient callers, resetting servers": _make_cluster_kind(
         _make_callers(1.4, 1.0, 0.4, 0.1), 8, 6, "reset"
     ),
 }
@@ -114,13 +114,13 @@
 
 def _run(job: tuple[str, str, str, int]) -> float:
     """Simulates one run; returns the achieved share of the attainable value."""
-    house_name, load_name, variant, seed = job
-    house = HOUSES[house_name]
+    kind_name, load_name, variant, seed = job
+    cluster_kind = CLUSTER_KINDS[kind_name]
     server_changes, dispatch_changes = VARIANTS[variant]
     load = simulation.Load(
-        house.servers,
-        house.callers,
-        instance_count=house.instance_count,
+        cluster_kind.servers,
+        cluster_kind.callers,
+        instance_count=cluster_kind.instance_count,
         seed=seed,
         server_settings=dataclasses.replace(
             servers.ServerSettings(), **server_changes
@@ -140,23 +140,27 @@
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--loads", nargs="+", choices=LOADS, default=LOADS)
     options = parser.parse_args(arguments)
-    columns = [(house, load) for house in HOUSES for load in options.loads]
+    columns = [
+        (kind_name, load)
+        for kind_name in CLUSTER_KINDS
+        for load in options.loads
+    ]
     jobs = [
-        (house, load, variant, seed)
+        (kind_name, load, variant, seed)
         for variant in VARIANTS
-        for house, load in columns
+        for kind_name, load in columns
         for seed in range(1, options.seeds + 1)
     ]
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
         ratios = dict(zip(jobs, pool.map(_run, jobs), strict=True))
-    headings = [f"{house}: {load}" for house, load in columns]
+    headings = [f"{kind_name}: {load}" for kind_name, load in columns]
     print("| off | " + " | ".join(headings) + " |")
     print("| --- " * (len(headings) + 1) + "|")
     for variant in VARIANTS:
         cells = []
-        for house, load in columns:
+        for kind_name, load in columns:
             ratios_by_seed = [
-                ratios[house, load, variant, seed]
+                ratios[kind_name, load, variant, seed]
                 for seed in range(1, options.seeds + 1)
             ]
             mean = statistics.fmean(ratios_by_seed)
