Wording: the command line and the settings

The lab commands simulate clusters, and print how many clusters were played; the tests check the new line as strictly, and nothing else in the tree reads it. The house of the settings file and its commands is a customer and stays, as do the texts "fronts" and "front" of status and owner, the JSON fields behind them, and "shed with", which log_analysis matches.

--- a/libs/bridgecross-cli/src/bridgecross_cli/_lab_commands.py
+++ b/libs/bridgecross-cli/src/bridgecross_cli/_lab_commands.py
@@ -1,4 +1,4 @@
-"""The ``lab`` commands, which simulate houses of emulated instances."""
+"""The ``lab`` commands, which simulate clusters of emulated instances."""
 
 import argparse
 import json
@@ -53,7 +53,7 @@
     for each in found:
         _shrink_and_save(each, draw(each.seed), options.keep)
     print(
-        f"{played_count} of {len(options.seeds)} houses played in "
+        f"{played_count} of {len(options.seeds)} clusters played in "
         f"{took_s:.1f} s; {len(found)} broke a promise"
     )
     return _commands.EXIT_NOT_DONE if found else 0
--- a/libs/bridgecross-cli/src/bridgecross_cli/main.py
+++ b/libs/bridgecross-cli/src/bridgecross_cli/main.py
@@ -70,7 +70,7 @@
 ) -> None:
     """Adds ``lab hunt`` and ``lab replay``."""
     lab = commands.add_parser(
-        "lab", help="simulate houses of emulated instances in virtual time"
+        "lab", help="simulate clusters of emulated instances in virtual time"
     )
     actions = lab.add_subparsers(required=True, metavar="ACTION")
     hunt = actions.add_parser(
--- a/libs/bridgecross-cli/tests/test_lab_commands.py
+++ b/libs/bridgecross-cli/tests/test_lab_commands.py
@@ -11,7 +11,7 @@
     arguments = ["lab", "hunt", "--seeds", "1-1", "--keep", str(tmp_path)]
     assert main.main(arguments) == 0
     printed = capsys.readouterr().out
-    assert "1 of 1 houses played" in printed
+    assert "1 of 1 clusters played" in printed
     assert "0 broke a promise" in printed
     assert not list(tmp_path.iterdir())
 
@@ -20,13 +20,13 @@
     arguments = ["lab", "hunt", "--seeds", "1-1", "--draw", "moving"]
     arguments += ["--minutes", "0", "--keep", str(tmp_path)]
     assert main.main(arguments) == 0
-    assert "0 of 1 houses played" in capsys.readouterr().out
+    assert "0 of 1 clusters played" in capsys.readouterr().out
 
 
 def test_hunt_starts_nothing_after_the_time_limit(tmp_path, capsys):
     arguments = ["lab", "hunt", "--seeds", "1-9", "--minutes", "0"]
     assert main.main([*arguments, "--keep", str(tmp_path)]) == 0
-    assert "0 of 9 houses played" in capsys.readouterr().out
+    assert "0 of 9 clusters played" in capsys.readouterr().out
 
 
 @pytest.mark.parametrize("seeds", ["", "x", "3-1", "1-", "-2", "1-2-3"])
--- a/libs/bridgecross-settings/src/bridgecross_settings/check.py
+++ b/libs/bridgecross-settings/src/bridgecross_settings/check.py
@@ -181,16 +181,18 @@
     parsed: _positions.ParsedDocument, source: str
 ) -> Iterator[findings.Finding]:
     """Yields a finding for each credential that an earlier caller also has."""
-    seen: dict[str, str] = {}
+    caller_by_digest: dict[str, str] = {}
     for caller, node in _items(parsed.document.get("callers")):
         digest = node.get("credential_sha256") if isinstance(node, dict) else 0
         if not isinstance(digest, str):
             continue
-        if digest in seen:
+        if digest in caller_by_digest:
             path = ("callers", caller, "credential_sha256")
-            problem = f"the credential is also that of {seen[digest]!r}"
+            problem = (
+                f"the credential is also that of {caller_by_digest[digest]!r}"
+            )
             yield _make_finding(parsed, source, path, problem, "")
-        seen.setdefault(digest, caller)
+        caller_by_digest.setdefault(digest, caller)
 
 
 def _collect_tiers(document: dict[str, Any]) -> dict[str, set[str]]:
--- a/libs/bridgecross-settings/src/bridgecross_settings/policy.py
+++ b/libs/bridgecross-settings/src/bridgecross_settings/policy.py
@@ -84,7 +84,7 @@
         tuple[str, ...], msgspec.Meta(extra=_DOWN_TO_SERVICE)
     ] = ()
     # The number of slices into which the service's keys are divided; cannot
-    # change after the service is first seen.
+    # change after the service is first read.
     slice_count: Annotated[
         int, msgspec.Meta(ge=1, le=1_000_000, extra=_DOWN_TO_SERVICE)
     ] = 128
