--- a/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
@@ -204,7 +204,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outranked:
-    """The server has seen a higher fencing token for one of the keys."""
+    """The server knows a higher fencing token for one of the keys."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/bridgecross-entry/src/bridgecross_entry/draining.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/draining.py
@@ -23,7 +23,7 @@
     is unavailable. In that case no lease would be renewed, and all keys would
     be unserved one lease after this instance has ended. The requests of this
     instance are done after 3 s. As it has 6 s to stop, it bridges 2.4 s more of
-    an outage of the log (seen in a simulated day).
+    an outage of the log (observed in a simulated day).
 
     Args:
         count_requests: Returns the number of requests without an answer.
--- a/libs/bridgecross-entry/src/bridgecross_entry/feeds.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/feeds.py
@@ -38,7 +38,7 @@
 class _SkippedRange(NamedTuple):
     """Offsets that were skipped because only the newest records were read.
 
-    A key that was added and removed within the range was never seen. An
+    A key that was added and removed within the range was never read. An
     instance that knows the topic up to an offset within the range may know such
     a key.
     """
--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -115,7 +115,7 @@
     # unreachable, and reads what it missed from the log.
     timeout_s: float = 0.4
     # The timeout grows with the length of a message, by this rate: half of the
-    # slowest link seen, of 5 Mbit/s.
+    # slowest observed link, of 5 Mbit/s.
     min_bytes_per_s: float = 300_000.0
     # The pause after a peer did not answer.
     pause_s: float = 1.0
--- a/libs/bridgecross-entry/src/bridgecross_entry/warmups.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/warmups.py
@@ -40,7 +40,7 @@
     list_age_max_s: float = 3.0
     # After a change of the list, no instance is certain for this long. It is
     # longer than the age of a usable list, so any two instances that are
-    # certain have both seen the list of some common moment, which ranks only
+    # certain have both read the list of some common moment, which ranks only
     # one of them first.
     list_stable_s: float = 3.5
 
--- a/libs/bridgecross-entry/tests/test_crash_watch.py
+++ b/libs/bridgecross-entry/tests/test_crash_watch.py
@@ -233,7 +233,7 @@
         pytest.param([], 0, id="never there"),
     ],
 )
-async def test_an_end_seen_by_others_counts_for_unanswered_requests(
+async def test_an_end_observed_by_others_counts_for_unanswered_requests(
     results, counted
 ):
     scene = Scene()
--- a/libs/bridgecross-entry/tests/test_restarts.py
+++ b/libs/bridgecross-entry/tests/test_restarts.py
@@ -92,7 +92,7 @@
     "two restarts in a read": Case([16, 32, 48], ["a@30"], ["a@30"]),
     "a late entry of an earlier run": Case([32, 16], ["a@20"], ["a@20"]),
     "removed in between": Case([16, "", 32], ["a@20"], ["a@20"]),
-    # The removal is not seen, so the newest entry might be an earlier run's.
+    # The removal is not read, so the newest entry might be an earlier run's.
     "removed, and the clock set back": Case([32, "", 16], ["a@10"], ["a@20"]),
     "no start time, where there was one": Case([16, "-"], [], []),
     "and its own entry again": Case([16, "-", 16], ["a@10"], ["a@10"]),
@@ -250,7 +250,7 @@
         following = fakes.CoordinatorHarness(
             platform_log, lease_servers, "entry-2"
         )
-        # This instance has never seen the earlier run listed.
+        # This instance has never read a list with the earlier run.
         following.registry.put(support.make_server("a", started_ms=32))
         following.registry.put(support.make_server("b", started_ms=16))
         async with anyio.create_task_group() as tasks:
--- a/libs/bridgecross-entry/tests/test_warmups.py
+++ b/libs/bridgecross-entry/tests/test_warmups.py
@@ -114,5 +114,5 @@
     assert not check.is_sole_issuer(RAPOR, "hall-1")
 
 
-def test_two_sole_issuers_would_have_seen_a_common_list():
+def test_two_sole_issuers_would_have_read_a_common_list():
     assert SETTINGS.list_stable_s > SETTINGS.list_age_max_s
