--- a/libs/bridgecross-ownership/tests/test_coordinator.py
+++ b/libs/bridgecross-ownership/tests/test_coordinator.py
@@ -369,13 +369,13 @@
     process: _StalledProcess,
     *stalls_s: float,
     is_in_check: bool,
-) -> list[dict[ids.ServerId, cells.FrontState]]:
+) -> list[dict[ids.ServerId, cells.QueueOwnerState]]:
     """Runs a coordinator in a process that stalls between some checks.
 
     Returns:
-        The fronts before each stall, and at the end.
+        The queue owners before each stall, and at the end.
     """
-    fronts = []
+    queue_owners = []
     coordinator = _make_coordinator(
         cell, process.registry, STALLED, process, process=process
     )
@@ -385,12 +385,12 @@
             for stall_s in stalls_s:
                 while process.checks_count < 4:
                     await anyio.sleep(0.001)
-                fronts.append(dict(cell.fronts))
+                queue_owners.append(dict(cell.queue_owners))
                 process.stall(stall_s, is_in_check=is_in_check)
             while process.checks_count < 4:
                 await anyio.sleep(0.001)
             tasks.cancel_scope.cancel()
-    return [*fronts, dict(cell.fronts)]
+    return [*queue_owners, dict(cell.queue_owners)]
 
 
 # Guards against a claim by a process that mistook its stall for silence.
@@ -408,18 +408,20 @@
     assert (cell.coordinator, cell.term) == ("b", term)
 
 
-# Guards against a coordinator that replaces all fronts after its stall.
+# Guards against a coordinator that replaces all queue owners after its stall.
 @pytest.mark.parametrize("is_in_check", [False, True])
 @pytest.mark.parametrize("stall_s", [2.5, 100.0])
-async def test_a_stalled_coordinator_keeps_the_fronts(stall_s, is_in_check):
+async def test_a_stalled_coordinator_keeps_the_queue_owners(
+    stall_s, is_in_check
+):
     cell = _cell_after_a_second_move()
     process = _StalledProcess()
     process.take_in()
     stalls_s = [*[0.4] * 10, stall_s, stall_s]
-    fronts = await _stall_repeatedly(
+    queue_owners = await _stall_repeatedly(
         cell, process, *stalls_s, is_in_check=is_in_check
     )
-    assert fronts[-1] == fronts[-2] == fronts[-3]
+    assert queue_owners[-1] == queue_owners[-2] == queue_owners[-3]
 
 
 async def test_an_instance_that_is_always_late_replaces_a_lost_coordinator():
