Heartbeats start at a fixed cadence

What callers could see: what follows from a needless change of the leader, beside an instance that does not answer. Seen here are the intervals of the heartbeats.

Cause: the leader waited 0.7 s after the end of a broadcast, and a broadcast lasts as long as its slowest call: 0.4 s if one instance is silent, 0.6 s for a long message. So two heartbeats to each of the others began 1.1 to 1.3 s apart, and a follower claims after 1.1 s. While all instances answered, the wait and the read of the list of servers ended 4 ms apart, so that two messages followed each other at once and nothing for 0.7 s.

Change: the wait counts from the start of the broadcast before, and is 0.4 s. A broadcast ends within 0.6 s, so this is the longest interval between two of them.

Cost: none while all is well; the second message of each pair moves to the middle of the 0.7 s between two reads of the list.

--- a/libs/bridgecross-entry/src/bridgecross_entry/follower.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/follower.py
@@ -90,7 +90,7 @@
     # decides how often the log is actually called while it does not answer.
     retry_pause_s: float = 0.3
     # An instance does not read while another one relays the topic and its last
-    # relay message is younger than this. Relay messages come every 0.7 s; after
+    # relay message is younger than this. Relay messages come every 0.4 s; after
     # the leader has ended, the next leader's first one comes after 1.4 s.
     relay_valid_s: float = 1.5
     # How often that is checked.
--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -91,7 +91,7 @@
     """Timing of claims and of the confirmation of the lead."""
 
     # An instance may claim when it has received no heartbeat for this long. The
-    # leader sends one every 0.7 s; this is about one and a half times that.
+    # leader sends one every 0.4 s, or 1.0 s after one that was not answered.
     heartbeat_timeout_s: float = 1.1
     # The same for an instance that has just started. The leader learns of it
     # from the log, within 1.2 s, and sends no heartbeats to it before that.
@@ -124,7 +124,7 @@
     # reach the log, another one leads after 1 s on average.
     log_lost_interval_s: float = 0.5
     # How long a confirmation of the lead is valid, counted from when it was
-    # requested. Heartbeats are sent every 0.7 s. When a majority misses one,
+    # requested. Heartbeats are sent every 0.4 s. When a majority misses two,
     # the leader reads the log instead, which takes up to 0.8 s.
     confirmation_valid_s: float = 1.5
     # A confirmation older than this is renewed by reading the log.
--- a/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
@@ -29,10 +29,12 @@
 class RelaySettings:
     """Settings for the leader's relay messages."""
 
-    # The leader sends after each read of the list of servers, or after this
-    # time without one. The message is also its heartbeat: others claim the lead
-    # after 1.1 s without it.
-    wait_s: float = 0.7
+    # The leader sends after each read of the list of servers, every 0.7 s, or
+    # this long after it began to send the last message. The message is also its
+    # heartbeat: others claim the lead after 1.1 s without it. Sending takes at
+    # most 0.6 s (``PeerSettings.timeout_s`` and 0.2 s for a long message), so
+    # this is the longest interval.
+    wait_s: float = 0.4
     # How many instances the leader asks at a time for topics that it cannot
     # read. Two thirds of them are likely to know, and answers of all of them at
     # once would saturate its link.
@@ -118,16 +120,23 @@
         """Sends relay messages while this instance leads, until cancelled."""
         async with anyio.create_task_group() as tasks:
             sent_update_count = 0
+            due_s = self._clock.monotonic_s() + self._settings.wait_s
             while True:
                 # An update during the last broadcast is sent without waiting.
                 if self._state.updated.count == sent_update_count:
-                    await self._state.updated.wait(self._settings.wait_s)
+                    await self._wait_until(due_s)
                 sent_update_count = self._state.updated.count
+                due_s = self._clock.monotonic_s() + self._settings.wait_s
                 if not self._leadership.is_leader:
                     self._known_offsets.clear()
                 elif self._state.is_complete:
                     await self.broadcast(tasks)
 
+    async def _wait_until(self, due_s: float) -> None:
+        """Waits for an update, until a time on the monotonic clock."""
+        left_s = due_s - self._clock.monotonic_s()
+        await self._state.updated.wait(max(left_s, 0.0))
+
     async def broadcast(self, tasks: anyio.abc.TaskGroup) -> None:
         """Sends one message to every instance, and counts the followers.
 
