A lost heartbeat does not hold back the next ones

What callers could see: what follows from a needless change of the leader, after a link was cut for half a second or some packets were lost.

Cause: a call that got no answer was given up after 0.4 s, and all calls to that instance paused for 1.0 s, heartbeats among them. Until the next broadcast that makes 1.4 s or more after the lost one, and a follower claims after 1.1 s. Any call began such a pause: a key map, or changes sent to an instance that lags.

Change: an instance whose last call got no answer, or to which calls are paused, is sent heartbeats without changes by a task of its own, one at a time, the first as soon as the failure is known, then every 0.4 s. Broadcasts count it as unknown and do not wait for it, so a silent instance no longer delays changes to the others by 0.4 s each time. An answer ends the pause, unless the failed message was longer than 4 KB: then the link may be slow, and changes, key maps and load reports keep the whole pause as before. One that refuses connections is called in each broadcast and counts as ended, as before. Within a pause, a further short failure neither extends it nor logs peer_lost again.

Why it holds: two heartbeats that arrive, with a lost one between them, are 0.8 s apart, or 1.0 s if one of the messages between is long; two long ones in a row (over 30 KB each) may take 1.2 s, and so do two lost ones in a row. Neither of these is mended here.

Another way weighed: a task for each instance with its own cadence, and no broadcasts. Then a round that confirms the lead would be put together from answers of different times, which leadership.py takes as one time.

--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -117,12 +117,15 @@
     # The timeout grows with the length of a message, by this rate: half of the
     # slowest observed link, of 5 Mbit/s.
     min_bytes_per_s: float = 300_000.0
-    # The pause after a peer did not answer.
+    # The pause after a peer did not answer. Heartbeats are sent nevertheless.
     pause_s: float = 1.0
+    # An answer ends the pause, unless the message that was not answered was
+    # longer than this: a slow link that carries a heartbeat may not carry a
+    # long message. 4 KB take 7 ms at 5 Mbit/s.
+    short_max_bytes: int = 4_000
     # A failed call is no evidence any more once the peer has not been called
-    # for this long. A leader calls each peer every 0.7 s, or 1.0 s plus a
-    # timeout after a failed call; an instance that begins to lead may have made
-    # its last call long ago.
+    # for this long. A leader calls each peer every 0.4 s, whether it answers or
+    # not; an instance that begins to lead may have made its last call long ago.
     failure_evidence_s: float = 3.0
 
 
@@ -149,6 +152,14 @@
     body: bytes = b""
 
 
+class _Pause(NamedTuple):
+    """A pause of the calls to a peer."""
+
+    until_s: float
+    # Whether any answer of the peer ends it.
+    ends_with_answer: bool
+
+
 class RelayReply(NamedTuple):
     """The answer to a relay."""
 
@@ -203,7 +214,9 @@
         self._clock = clock
         self._connect = connect or self._make_pool
         self._pools: dict[model.Address, exchange.Exchanger] = {}
-        self._paused_until_s: dict[model.Address, float] = {}
+        self._pauses: dict[model.Address, _Pause] = {}
+        # Peers whose last call got no answer, and was not refused either.
+        self._silent: set[model.Address] = set()
         # Since when a peer has not answered, and when its last call failed.
         self._unresponsive_since_s: dict[model.Address, float] = {}
         self._last_failure_s: dict[model.Address, float] = {}
@@ -222,7 +235,26 @@
     ) -> RelayResult:
         """Sends a relay to a peer; see ``encode_relay``."""
         envelope = _ENVELOPES.encode(_Envelope(returned, relay))
-        answer = await self._call(address, _RELAY_PATH, envelope)
+        return self._read_reply(
+            address, await self._call(address, _RELAY_PATH, envelope)
+        )
+
+    async def relay_despite_pause(
+        self,
+        address: model.Address,
+        relay: bytes,
+        returned: ReturnedStamp | None,
+    ) -> RelayResult:
+        """Sends a short relay to a peer, even while calls to it are paused."""
+        envelope = _ENVELOPES.encode(_Envelope(returned, relay))
+        return self._read_reply(
+            address, await self._call_now(address, _RELAY_PATH, envelope)
+        )
+
+    def _read_reply(
+        self, address: model.Address, answer: _CallResult
+    ) -> RelayResult:
+        """Decodes the answer to a relay."""
         if not answer.body:
             return RelayResult(answer.reception)
         try:
@@ -263,6 +295,19 @@
             return result.body
         return None
 
+    def is_paused(self, address: model.Address) -> bool:
+        """Whether calls to a peer are paused."""
+        pause = self._pauses.get(address)
+        return pause is not None and self._clock.monotonic_s() < pause.until_s
+
+    def may_be_silent(self, address: model.Address) -> bool:
+        """Whether a call to a peer is paused, or likely to get no answer."""
+        if self.is_paused(address):
+            return True
+        now_s = self._clock.monotonic_s()
+        is_unresponsive = self._is_known_unresponsive(address, now_s)
+        return address in self._silent and is_unresponsive
+
     def unresponsive_for_s(self, address: model.Address) -> float:
         """Returns for how long a peer has not answered.
 
@@ -290,19 +335,24 @@
     async def _call(
         self, address: model.Address, path: bytes, body: bytes
     ) -> _CallResult:
-        """Posts a message; pauses calls to a peer that does not accept it."""
-        now_s = self._clock.monotonic_s()
-        if now_s < self._paused_until_s.get(address, 0.0):
+        """Posts a message, unless calls to the peer are paused."""
+        if self.is_paused(address):
             # This does not apply to a terminated peer, which is called each
             # time, since it may have restarted.
             return _CallResult(Reception.UNKNOWN)
+        return await self._call_now(address, path, body)
+
+    async def _call_now(
+        self, address: model.Address, path: bytes, body: bytes
+    ) -> _CallResult:
+        """Posts a message; pauses calls to a peer that does not accept it."""
         result: exchange.Result = exchange.Broken("no answer in time")
         timeout_s = self._settings.timeout_s
         timeout_s += len(body) / self._settings.min_bytes_per_s
         with timeouts.move_on_after(timeout_s, self._clock):
             result = await self._post(address, path, body)
         if isinstance(result, exchange.Reply):
-            self._unresponsive_since_s.pop(address, None)
+            self._note_answer(address)
             if result.status == _HTTP_OK:
                 return _CallResult(Reception.ACCEPTED, result.body)
             if result.status == _HTTP_CONFLICT:
@@ -311,14 +361,46 @@
         else:
             reason = result.reason
         ended = isinstance(result, exchange.Unsent) and result.refused
+        self._note_failure(address, reason, len(body), ended=ended)
+        return _CallResult(Reception.ENDED if ended else Reception.UNKNOWN)
+
+    def _note_answer(self, address: model.Address) -> None:
+        """Records that a peer answered."""
+        self._unresponsive_since_s.pop(address, None)
+        self._silent.discard(address)
+        pause = self._pauses.get(address)
+        if pause is not None and pause.ends_with_answer:
+            del self._pauses[address]
+
+    def _note_failure(
+        self,
+        address: model.Address,
+        reason: str,
+        length_bytes: int,
+        *,
+        ended: bool,
+    ) -> None:
+        """Records a call that failed, and pauses calls to the peer.
+
+        A pause is neither extended nor logged again by a short message that
+        fails during it.
+        """
         now_s = self._clock.monotonic_s()
-        if not ended:
-            self._paused_until_s[address] = now_s + self._settings.pause_s
         if not self._is_known_unresponsive(address, now_s):
             self._unresponsive_since_s[address] = now_s
         self._last_failure_s[address] = now_s
+        if ended:
+            self._silent.discard(address)
+            self._pauses.pop(address, None)
+        else:
+            self._silent.add(address)
+        is_short = length_bytes <= self._settings.short_max_bytes
+        if is_short and self.is_paused(address):
+            return
+        if not ended:
+            until_s = now_s + self._settings.pause_s
+            self._pauses[address] = _Pause(until_s, is_short)
         self._journal.decision("peer_lost", address=str(address), reason=reason)
-        return _CallResult(Reception.ENDED if ended else Reception.UNKNOWN)
 
     async def _post(
         self, address: model.Address, path: bytes, body: bytes
--- a/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
@@ -33,7 +33,9 @@
     # this long after it began to send the last message. The message is also its
     # heartbeat: others claim the lead after 1.1 s without it. Sending takes at
     # most 0.6 s (``PeerSettings.timeout_s`` and 0.2 s for a long message), so
-    # this is the longest interval.
+    # this is the longest interval. After a message that was not answered, the
+    # instance is sent the next one as soon as that is known: 0.8 s after the
+    # one before, or 1.0 s if one of them was long.
     wait_s: float = 0.4
     # How many instances the leader asks at a time for topics that it cannot
     # read. Two thirds of them are likely to know, and answers of all of them at
@@ -108,6 +110,8 @@
         self._known_offsets: dict[model.Address, cluster_state.Offsets] = {}
         # Instances that are being sent changes too long for a regular message.
         self._catching_up: set[model.Address] = set()
+        # Instances that are sent heartbeats outside the broadcasts.
+        self._kept_in_touch: set[model.Address] = set()
         # The index of the next instance to ask for topics.
         self._next_polled = 0
         # The last answers; returned to their senders, who compute from them how
@@ -140,8 +144,13 @@
     async def broadcast(self, tasks: anyio.abc.TaskGroup) -> None:
         """Sends one message to every instance, and counts the followers.
 
+        An instance that is likely to be silent counts as unknown. It is sent
+        heartbeats by a task of its own, so that changes to the others do not
+        wait for it.
+
         Args:
-            tasks: Runs the tasks that let lagging instances catch up.
+            tasks: Runs the tasks that let lagging instances catch up, and those
+                that send heartbeats to silent ones.
         """
         claim = self._leadership.claim
         sent_s = self._clock.monotonic_s()
@@ -150,6 +159,10 @@
         polled = self._choose_polled()
 
         async def send_to(peer: model.Address) -> None:
+            if self._client.may_be_silent(peer):
+                received.append(peers.Reception.UNKNOWN)
+                tasks.start_soon(self._keep_in_touch, peer, tasks)
+                return
             known = self._known_offsets.get(peer, self._state.offsets())
             variant = (known, peer in polled)
             if variant not in messages:
@@ -164,6 +177,8 @@
             )
             if answer.reply.offsets:
                 tasks.start_soon(self._catch_up, peer, claim)
+            if self._client.may_be_silent(peer):
+                tasks.start_soon(self._keep_in_touch, peer, tasks)
 
         async with anyio.create_task_group() as calls:
             for peer in self._addresses():
@@ -179,6 +194,47 @@
         if self._can_count_majority(relay_round):
             self._leadership.note_relay_round(relay_round)
 
+    async def _keep_in_touch(
+        self, peer: model.Address, tasks: anyio.abc.TaskGroup
+    ) -> None:
+        """Sends heartbeats to an instance until it answers again.
+
+        They contain no changes, so they load a slow link no more than the
+        messages that the instance gets when nothing changes.
+
+        Args:
+            peer: The instance.
+            tasks: Runs the task that lets the instance catch up.
+        """
+        if peer in self._kept_in_touch:
+            return
+        self._kept_in_touch.add(peer)
+        try:
+            while self._leadership.is_leader and peer in self._addresses():
+                due_s = self._clock.monotonic_s() + self._settings.wait_s
+                await self._send_heartbeat(peer, tasks)
+                if not self._client.may_be_silent(peer):
+                    return
+                left_s = due_s - self._clock.monotonic_s()
+                await anyio.sleep(max(left_s, 0.0))
+        finally:
+            self._kept_in_touch.discard(peer)
+
+    async def _send_heartbeat(
+        self, peer: model.Address, tasks: anyio.abc.TaskGroup
+    ) -> None:
+        """Sends a message without changes, even while calls are paused."""
+        claim = self._leadership.claim
+        message = self._encode_changes(claim, self._state.offsets())
+        returned = self._find_returned_stamp(peer, message.written_s)
+        asked_s = self._clock.monotonic_s()
+        answer = await self._client.relay_despite_pause(
+            peer, message.encoded, returned
+        )
+        self._note_answer(peer, message, answer, asked_s)
+        if answer.reply.offsets and not self._client.is_paused(peer):
+            tasks.start_soon(self._catch_up, peer, claim)
+
     def _can_count_majority(self, relay_round: leadership.RelayRound) -> bool:
         """Whether the receivers include all instances that count.
 
@@ -300,6 +356,24 @@
         returned = self._find_returned_stamp(peer, message.written_s)
         asked_s = self._clock.monotonic_s()
         answer = await self._client.relay(peer, message.encoded, returned)
+        self._note_answer(peer, message, answer, asked_s)
+        return answer
+
+    def _note_answer(
+        self,
+        peer: model.Address,
+        message: _EncodedRelay,
+        answer: peers.RelayResult,
+        asked_s: float,
+    ) -> None:
+        """Stores what an answer tells about its sender.
+
+        Args:
+            peer: The sender of the answer.
+            message: The message that it answers.
+            answer: The answer.
+            asked_s: When the message was sent, on the monotonic clock.
+        """
         if answer.reply.stamp is not None:
             received_s = self._clock.monotonic_s()
             self._last_answers[peer] = _LastAnswer(
@@ -309,7 +383,6 @@
             self._known_offsets[peer] = answer.reply.offsets or message.offsets
             self._state.apply_from_follower(answer.reply.batches, asked_s)
             self._poison_broadcaster.reconcile(peer, answer.reply.poison_digest)
-        return answer
 
     def _find_returned_stamp(
         self, peer: model.Address, written_s: float
--- a/libs/bridgecross-entry/tests/test_peers.py
+++ b/libs/bridgecross-entry/tests/test_peers.py
@@ -59,3 +59,69 @@
     answers = [await client.relay(ADDRESS, b"", None) for _ in expected]
     assert [answer.reception for answer in answers] == expected
     assert not peer.results
+
+
+# Guards against heartbeats that a pause holds back, and pauses that outlast it.
+@pytest.mark.parametrize(
+    ("lengths_bytes", "is_paused"),
+    [
+        pytest.param([200, 200], False, id="it was out of reach for a moment"),
+        pytest.param([9_000, 200], True, id="its link may be slow"),
+        pytest.param([200, 9_000], True, id="and another call failed before"),
+    ],
+)
+async def test_an_answered_heartbeat_ends_the_pause_after_a_short_message(
+    lengths_bytes, is_paused
+):
+    manual = support.ManualClock()
+    peer = Peer(SILENT, SILENT, ACCEPTED)
+    client = peers.PeerClient(
+        peers.PeerSettings(),
+        support.make_journal(manual),
+        manual,
+        lambda _: peer,
+    )
+    for length_bytes in lengths_bytes:
+        answer = await client.relay_despite_pause(
+            ADDRESS, bytes(length_bytes), None
+        )
+        assert answer.reception is peers.Reception.UNKNOWN
+        assert client.is_paused(ADDRESS)
+        assert client.may_be_silent(ADDRESS)
+    answer = await client.relay_despite_pause(ADDRESS, b"", None)
+    assert answer.reception is peers.Reception.ACCEPTED
+    assert client.is_paused(ADDRESS) == is_paused
+    assert client.may_be_silent(ADDRESS) == is_paused
+    manual.now_s += peers.PeerSettings().pause_s
+    assert not client.may_be_silent(ADDRESS)
+
+
+async def test_an_instance_that_has_ended_is_not_silent():
+    """It counts as ended in the next round."""
+    manual = support.ManualClock()
+    peer = Peer(SILENT, REFUSED)
+    client = peers.PeerClient(
+        peers.PeerSettings(),
+        support.make_journal(manual),
+        manual,
+        lambda _: peer,
+    )
+    await client.relay(ADDRESS, b"", None)
+    answer = await client.relay_despite_pause(ADDRESS, b"", None)
+    assert answer.reception is peers.Reception.ENDED
+    assert not client.may_be_silent(ADDRESS)
+
+
+async def test_an_old_failure_does_not_show_that_a_peer_is_silent():
+    manual = support.ManualClock()
+    client = peers.PeerClient(
+        peers.PeerSettings(),
+        support.make_journal(manual),
+        manual,
+        lambda _: Peer(SILENT),
+    )
+    await client.relay(ADDRESS, b"", None)
+    manual.now_s += peers.PeerSettings().pause_s
+    assert client.may_be_silent(ADDRESS)
+    manual.now_s += peers.PeerSettings().failure_evidence_s
+    assert not client.may_be_silent(ADDRESS)
