--- a/libs/bridgecross-emulator/src/bridgecross_emulator/log_model.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/log_model.py
@@ -174,13 +174,7 @@
         record: logs.KeyedRecord,
         expected_end: int,
         may_send: logs.MaySend = logs.always,
-    ) -> (
-        logs.Appended
-        | logs.Conflict
-        | logs.Uncertain
-        | logs.Unreachable
-        | logs.Withheld
-    ):
+    ) -> logs.AppendResult:
         """Appends a record if the topic still ends at an offset."""
 
         def work() -> logs.Appended | logs.Conflict:
--- a/libs/bridgecross-entry/src/bridgecross_entry/log.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/log.py
@@ -78,6 +78,9 @@
     """Nothing was sent, as ``MaySend`` no longer allowed it."""
 
 
+AppendResult = Appended | Conflict | Uncertain | Unreachable | Withheld
+"""The result of a conditional append."""
+
 MaySend = Callable[[], bool]
 """Whether a record may still be sent: called once there is a connection, and
 nothing is awaited between the call and the first byte."""
@@ -105,7 +108,7 @@
         record: KeyedRecord,
         expected_end: int,
         may_send: MaySend = always,
-    ) -> Appended | Conflict | Uncertain | Unreachable | Withheld:
+    ) -> AppendResult:
         """Appends a record if the topic still ends at the expected offset."""
 
     async def put(self, topic: str, record: KeyedRecord) -> bool:
--- a/libs/bridgecross-entry/src/bridgecross_entry/log_breaker.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/log_breaker.py
@@ -161,13 +161,7 @@
         record: logs.KeyedRecord,
         expected_end: int,
         may_send: logs.MaySend = logs.always,
-    ) -> (
-        logs.Appended
-        | logs.Conflict
-        | logs.Uncertain
-        | logs.Unreachable
-        | logs.Withheld
-    ):
+    ) -> logs.AppendResult:
         """Appends a record conditionally; see ``PlatformLog``."""
         rejected = self._circuit(topic).reject_if_open(is_write=True)
         return rejected or await self._log.append(
