--- a/tests/emulated/test_heartbeats.py
+++ b/tests/emulated/test_heartbeats.py
@@ -153,10 +153,12 @@
 def test_a_failed_catch_up_delays_no_heartbeat():
     async def act(cluster, arrivals):
         arrivals.longest_bytes = 4_000
-        relayer = cluster.leader.parts.cluster_tasks._relayer
+        leading = cluster.leader.parts.cluster_tasks
         address = arrivals.follower.settings.peer_address
         with mock.patch.object(peers, "encode_relay", _pad):
-            cluster.run_in_background(relayer._catch_up, address)
+            cluster.run_in_background(
+                leading._relayer._catch_up, address, leading._leadership.claim
+            )
             await anyio.sleep(0.0)
         await anyio.sleep(3.0)
 
