Leaders log over which list they counted a majority

When two leaders consider themselves alone, nothing told what each had counted. lead_alone and lead_not_alone name the last counted round: listed, accepted, ended, the list's offset and age.

--- a/libs/bridgecross-entry/src/bridgecross_entry/cluster_state.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/cluster_state.py
@@ -329,6 +329,11 @@
         """Whether the list of instances has been read."""
         return self._instances.follower.next_offset is not None
 
+    @property
+    def instances_offset(self) -> int | None:
+        """The offset up to which the list of instances is known."""
+        return self._instances.follower.next_offset
+
     @property
     def has_lost_a_topic(self) -> bool:
         """Whether there is a topic that this instance cannot read."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -71,6 +71,10 @@
     ended_count: int
     # Whether one of them knows of a later claim.
     is_disputed: bool
+    # The offset up to which the list of instances was known that the heartbeat
+    # was sent to, and how long ago it was the newest.
+    list_offset: int | None = None
+    list_age_s: float = float("inf")
 
     @property
     def is_majority(self) -> bool:
@@ -218,6 +222,10 @@
         self._disputed_s = float("-inf")
         # Whether the lead was confirmed at the last check.
         self._was_confirmed = False
+        # The last round that was counted, and whether this instance was certain
+        # to be alone at the last check.
+        self._last_round: RelayRound | None = None
+        self._was_sole = False
         # When a majority of the instances was first known to have accepted the
         # newest claim, and when all were; infinite before that.
         self._majority_known_s = float("inf")
@@ -288,6 +296,7 @@
         """Records which instances accepted a heartbeat of this instance."""
         if not self.is_leader or relay_round.term != self._claim.term:
             return
+        self._last_round = relay_round
         if relay_round.is_disputed:
             # Another instance knows of a later claim; reading the log shows
             # which it is.
@@ -315,6 +324,7 @@
         while True:
             self._wait.check()
             self._log_confirmation_change()
+            self._log_sole_change()
             now_s = self._clock.monotonic_s()
             unconfirmed_s = now_s - self._confirmed_s
             if (
@@ -358,6 +368,27 @@
             leads=self.is_leader,
         )
 
+    def _log_sole_change(self) -> None:
+        """Logs that it became certain, or not, that this instance is alone."""
+        is_sole = self.sole_term is not None
+        counted = self._last_round
+        if is_sole == self._was_sole or counted is None:
+            return
+        self._was_sole = is_sole
+        now_s = self._clock.monotonic_s()
+        self._journal.lifecycle(
+            "lead_alone" if is_sole else "lead_not_alone",
+            term=self.term,
+            leads=self.is_leader,
+            listed=counted.peer_count + 1,
+            accepted=counted.accepted_count + 1,
+            ended=counted.ended_count,
+            list_offset=counted.list_offset,
+            list_age_s=round(counted.list_age_s, 3),
+            majority_s_ago=round(now_s - self._majority_confirmed_s, 3),
+            all_or_log_s_ago=round(now_s - self._unrivalled_s, 3),
+        )
+
     async def confirm(self) -> None:
         """Reads the log to find out whether another instance has claimed."""
         asked_s = self._clock.monotonic_s()
--- a/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
@@ -154,6 +154,8 @@
         """
         claim = self._leadership.claim
         sent_s = self._clock.monotonic_s()
+        list_offset = self._state.instances_offset
+        list_age_s = self._state.instances_age_s
         received: list[peers.Reception] = []
         messages: dict[tuple[cluster_state.Offsets, bool], _EncodedRelay] = {}
         polled = self._choose_polled()
@@ -190,6 +192,8 @@
             accepted_count=received.count(peers.Reception.ACCEPTED),
             ended_count=received.count(peers.Reception.ENDED),
             is_disputed=peers.Reception.DISPUTED in received,
+            list_offset=list_offset,
+            list_age_s=list_age_s,
         )
         if self._can_count_majority(relay_round):
             self._leadership.note_relay_round(relay_round)
--- a/libs/bridgecross-entry/tests/test_leadership_orders.py
+++ b/libs/bridgecross-entry/tests/test_leadership_orders.py
@@ -344,3 +344,32 @@
         await scene.leadership.run()
     assert scene.leadership.is_leader
     assert scene.claims_count() == 1
+
+
+# Guards against logs that do not tell over which list a leader counted.
+@pytest.mark.anyio
+async def test_what_was_counted_is_logged_when_a_leader_becomes_alone():
+    scene = await _lead()
+    lines = []
+    scene.leadership._journal.lifecycle = lambda event, **fields: lines.append(
+        (event, fields)
+    )
+    scene.leadership.note_relay_round(
+        leadership.RelayRound(
+            scene.leadership.term,
+            scene.clock.now_s,
+            peer_count=4,
+            accepted_count=4,
+            ended_count=0,
+            is_disputed=False,
+            list_offset=7,
+            list_age_s=0.25,
+        )
+    )
+    scene.leadership._log_sole_change()
+    scene.clock.now_s += leadership_support.SETTINGS.confirmation_valid_s
+    scene.leadership._log_sole_change()
+    assert [event for event, _ in lines] == ["lead_alone", "lead_not_alone"]
+    fields = lines[0][1]
+    assert (fields["listed"], fields["accepted"]) == (5, 5)
+    assert (fields["list_offset"], fields["list_age_s"]) == (7, 0.25)
