A leader counts the majority of the voters that the log names

What callers saw: two leaders alone at a time both issue quotas, so a limited server gets up to twice what it takes.

Cause: each leader counted a majority over the list of instances that it held. Two majorities share an instance only if they are of one set; nothing tied the list of a leader to that of the one before it.

Ruled out: a list that is read late (the later leader's was 0.6 s old), a wrong count, a restart that forgets, a wait that fits the 6.8 s.

Change: the log names the voters, a second key in the topic of claims, on condition that the topic ends where the leader knows it to. A leader inherits them with its claim, needs half of them before it is alone and a majority of them while it is, and alone names others. Messages are as before; an earlier build ignores the record, and after a leader that did not name the voters the list counts beside them.

Failed tries: ended voters in a lasting majority; a read of the log in place of a majority; unanimity after a gap with ended voters; the list as of the claim; retries without a pause.

All assertions stand; one added line runs the naming as run() would at its next check.

--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -34,9 +34,11 @@
 from bridgecross_entry import journal as journals
 from bridgecross_entry import log as logs
 from bridgecross_entry import model
+from bridgecross_entry import sole_lead
+from bridgecross_entry import voters as voters_lib
 
 TOPIC = "keyed.bridgecross-leader"
-"""The topic of claims; all claims have the same key."""
+"""The topic of claims, which have the same key, and of the voters."""
 
 _KEY = "leader"
 
@@ -62,13 +64,12 @@
     term: int
     # When it was sent, on the monotonic clock.
     sent_s: float
-    # The number of other known instances.
-    peer_count: int
-    # The number of them that accepted the heartbeat.
-    accepted_count: int
-    # The number of processes that have certainly ended and therefore follow no
-    # leader.
-    ended_count: int
+    # The other listed instances, by peer address.
+    peers: frozenset[model.Address]
+    # Those that accepted the heartbeat.
+    accepted: frozenset[model.Address]
+    # Those of which no process is left that may follow another leader.
+    ended: frozenset[model.Address]
     # Whether one of them knows of a later claim.
     is_disputed: bool
     # The offset up to which the list of instances was known that the heartbeat
@@ -79,15 +80,13 @@
     @property
     def is_majority(self) -> bool:
         """Whether most instances follow, counting the leader itself."""
-        return (
-            2 * (self.accepted_count + 1)
-            > self.peer_count + 1 - self.ended_count
-        )
+        listed_count = len(self.peers) + 1
+        return 2 * (len(self.accepted) + 1) > listed_count - len(self.ended)
 
     @property
     def is_unanimous(self) -> bool:
-        """Whether no instance can still follow another leader."""
-        return self.accepted_count + self.ended_count == self.peer_count
+        """Whether no listed instance can still follow another leader."""
+        return self.peers <= self.accepted | self.ended
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,16 +134,10 @@
     confirmation_renew_age_s: float = 0.9
     # How often an instance checks whether it should claim.
     check_interval_s: float = 0.1
-    # How many times as long as a confirmation is valid a new leader waits until
-    # it is certain to be alone: clocks may differ by 2%.
-    sole_wait_ratio: float = 1.04
-    # A leader is not certain to be alone once some instances have not answered
-    # for this long and it has not read its claim in the log either: a later
-    # leader may have removed instances from the list, after 20 s at the
-    # earliest, so that their majorities share no instance.
-    sole_missing_max_s: float = 10.0
-    # How often it reads the log for that, while it needs to be certain.
-    sole_confirm_interval_s: float = 3.0
+    # When the leader is certain to be the only one.
+    sole: sole_lead.SoleLeadSettings = dataclasses.field(
+        default_factory=sole_lead.SoleLeadSettings
+    )
 
     def is_weak(self, instance: model.InstanceSettings) -> bool:
         """Whether an instance should lead only if no other can."""
@@ -209,13 +202,15 @@
         self._leader_lost_log = False
         # When the latest confirmation of this instance's lead was requested.
         self._confirmed_s = float("-inf")
-        # The same, counting only confirmations by a majority.
-        self._majority_confirmed_s = float("-inf")
-        # When it was last certain that no listed instance followed a later
-        # leader: all accepted a heartbeat, or the log had no later claim.
-        self._unrivalled_s = float("-inf")
-        # When the log was last read for that.
-        self._sole_confirm_s = float("-inf")
+        # Whether this instance is certain to be the only leader.
+        self._sole = sole_lead.SoleLead(
+            settings.sole, instance.peer_address, clock
+        )
+        # The offset at which the topic of claims ends while no other instance
+        # appends to it; None if that is unknown.
+        self._topic_end: int | None = None
+        # When this instance last began to name the voters.
+        self._voters_asked_s = float("-inf")
         # How often another instance was found to know of a later claim, and
         # when last.
         self._dispute_count = 0
@@ -246,31 +241,9 @@
     def sole_term(self) -> int | None:
         """The term in which no other instance can consider itself alone.
 
-        None if that is not certain. Only majorities count, since two of them
-        share an instance, which accepts no heartbeat of an earlier leader any
-        more; an instance that reads its claim in the log may be another one
-        than the one that a majority follows. An earlier leader considers itself
-        alone for as long as its last majority is valid. That is waited for,
-        unless all instances are known to follow this leader.
-
-        This holds while both leaders know the same list of instances.
-        Majorities of lists from which a later leader removed instances need
-        not meet, so a leader that misses some instances also needs the log.
-        Instances that were added since an earlier leader read the list are not
-        covered.
+        None if that is not certain; see ``sole_lead``.
         """
-        now_s = self._clock.monotonic_s()
-        valid_s = self._settings.confirmation_valid_s
-        is_confirmed = now_s - self._majority_confirmed_s < valid_s
-        missing_s = now_s - self._unrivalled_s
-        has_rival = missing_s >= self._settings.sole_missing_max_s
-        if not self.is_leader or not is_confirmed or has_rival:
-            return None
-        waited_s = now_s - self._majority_known_s
-        is_alone = waited_s >= valid_s * self._settings.sole_wait_ratio
-        if is_alone or now_s >= self._known_to_all_s:
-            return self.term
-        return None
+        return self.term if self.is_leader and self._sole.is_certain else None
 
     @property
     def majority_known_s(self) -> float:
@@ -303,18 +276,20 @@
             self._dispute_count += 1
             self._disputed_s = self._clock.monotonic_s()
             self._confirmed_s = float("-inf")
-            self._majority_confirmed_s = float("-inf")
-            self._unrivalled_s = float("-inf")
+            self._sole.note_dispute()
             self._journal.decision("lead_disputed", term=relay_round.term)
-        elif relay_round.is_majority and relay_round.sent_s >= self._disputed_s:
+            return
+        self._sole.note_round(
+            relay_round.sent_s,
+            relay_round.peers | {self._instance.peer_address},
+            relay_round.accepted,
+            relay_round.ended,
+        )
+        if relay_round.is_majority and relay_round.sent_s >= self._disputed_s:
             self._confirmed_s = max(self._confirmed_s, relay_round.sent_s)
-            self._majority_confirmed_s = max(
-                self._majority_confirmed_s, relay_round.sent_s
-            )
             now_s = self._clock.monotonic_s()
             self._majority_known_s = min(self._majority_known_s, now_s)
             if relay_round.is_unanimous:
-                self._unrivalled_s = max(self._unrivalled_s, relay_round.sent_s)
                 self._known_to_all_s = min(self._known_to_all_s, now_s)
 
     async def run(self) -> None:
@@ -333,22 +308,19 @@
             ):
                 await self.confirm()
                 continue
-            if self._should_read_for_sole_term(now_s):
-                self._sole_confirm_s = now_s
+            if self._should_read_for_sole_term():
+                self._sole.note_read_begun()
                 await self.confirm()
                 continue
+            await self._name_voters_if_due()
             if self._is_claim_due():
                 await self._try_claim()
             await anyio.sleep(self._settings.check_interval_s)
 
-    def _should_read_for_sole_term(self, now_s: float) -> bool:
-        """Whether to read the log, since some instances do not answer."""
-        interval_s = self._settings.sole_confirm_interval_s
-        return (
-            self.is_leader
-            and now_s - self._unrivalled_s >= interval_s
-            and now_s - self._sole_confirm_s >= interval_s
-            and self.needs_sole_term()
+    def _should_read_for_sole_term(self) -> bool:
+        """Whether to read the log, so as to be certain to be alone."""
+        return self.is_leader and self._sole.should_read(
+            is_needed=self.needs_sole_term()
         )
 
     def _is_claim_due(self) -> bool:
@@ -375,18 +347,18 @@
         if is_sole == self._was_sole or counted is None:
             return
         self._was_sole = is_sole
-        now_s = self._clock.monotonic_s()
         self._journal.lifecycle(
             "lead_alone" if is_sole else "lead_not_alone",
             term=self.term,
             leads=self.is_leader,
-            listed=counted.peer_count + 1,
-            accepted=counted.accepted_count + 1,
-            ended=counted.ended_count,
+            voters=[len(voters) for voters in self._sole.sets.sets],
+            listed=len(counted.peers) + 1,
+            accepted=len(counted.accepted) + 1,
+            ended=len(counted.ended),
             list_offset=counted.list_offset,
             list_age_s=round(counted.list_age_s, 3),
-            majority_s_ago=round(now_s - self._majority_confirmed_s, 3),
-            all_or_log_s_ago=round(now_s - self._unrivalled_s, 3),
+            confirmed_s_ago=round(self._sole.confirmed_ago_s, 3),
+            unrivalled_s_ago=round(self._sole.unrivalled_ago_s, 3),
         )
 
     async def confirm(self) -> None:
@@ -400,14 +372,19 @@
                 self._follow(claim, self._settings.heartbeat_timeout_s)
             elif claim == self._claim and dispute_count == self._dispute_count:
                 # What was asked for before a dispute does not settle it.
-                self._note_newest_in_log(asked_s)
+                self._note_newest_in_log(asked_s, newest)
         await anyio.sleep(self._settings.check_interval_s)
 
-    def _note_newest_in_log(self, asked_s: float) -> None:
+    def _note_newest_in_log(self, asked_s: float, newest: logs.Newest) -> None:
         """Records that the log had no later claim than this instance's."""
-        if self.is_leader:
-            self._confirmed_s = max(self._confirmed_s, asked_s)
-            self._unrivalled_s = max(self._unrivalled_s, asked_s)
+        if not self.is_leader:
+            return
+        self._confirmed_s = max(self._confirmed_s, asked_s)
+        self._sole.note_newest_in_log(asked_s)
+        self._topic_end = max(self._topic_end or 0, newest.end)
+        named = self._read_voters(newest.records)
+        if named is not None and self._is_by(named, self._claim):
+            self._sole.note_named(named.voters)
 
     def handle_heartbeat(
         self, claim: Claim, *, log_lost: bool = False, resigns: bool = False
@@ -526,16 +503,22 @@
         # the newest one is this instance's, the answer to it was lost.
         term = max(read.term, self._claim.term) + 1
         await self._append_claim(
-            Claim(term, self._instance.name), newest.end, may_claim
+            Claim(term, self._instance.name), newest, may_claim
         )
 
     async def _append_claim(
-        self, claim: Claim, expected_end: int, may_claim: logs.MaySend
+        self, claim: Claim, newest: logs.Newest, may_claim: logs.MaySend
     ) -> None:
-        """Appends a claim, and leads unless a later one is known by then."""
+        """Appends a claim, and leads unless a later one is known by then.
+
+        Args:
+            claim: The claim.
+            newest: The records on top of which it is appended.
+            may_claim: Whether it may still be sent.
+        """
         record = logs.KeyedRecord(_KEY, _CLAIMS.encode(claim))
         asked_s = self._clock.monotonic_s()
-        result = await self._log.append(TOPIC, record, expected_end, may_claim)
+        result = await self._log.append(TOPIC, record, newest.end, may_claim)
         if not isinstance(result, logs.Appended):
             # If the answer was lost, the claim is found at the next read of the
             # log and takes effect then.
@@ -550,26 +533,113 @@
                 "claim_superseded", term=claim.term, later_term=self.term
             )
             return
-        self._lead(claim, asked_s)
+        self._topic_end = result.offset + 1
+        self._lead(claim, asked_s, newest.records)
 
-    def _lead(self, claim: Claim, asked_s: float) -> None:
+    def _lead(
+        self,
+        claim: Claim,
+        asked_s: float,
+        records: tuple[logs.KeyedRecord, ...],
+    ) -> None:
         """Begins to lead.
 
         Args:
             claim: The claim of this instance.
             asked_s: When it was sent to the log, on the monotonic clock.
+            records: The newest records of the topic before it.
         """
         self._know(claim)
         self._leader_lost_log = False
         self._confirmed_s = asked_s
-        self._majority_confirmed_s = float("-inf")
-        self._unrivalled_s = asked_s
+        self._begin_sole_lead(asked_s, records)
         self._majority_known_s = float("inf")
         self._known_to_all_s = float("inf")
         self.is_leader = True
         self._journal.lifecycle("leads", term=claim.term)
         self._on_change()
 
+    # The voters.
+
+    def _begin_sole_lead(
+        self, asked_s: float, records: tuple[logs.KeyedRecord, ...]
+    ) -> None:
+        """Begins to count the voters that earlier leaders may count."""
+        earlier = self._read(records)
+        named = self._read_voters(records)
+        self._sole.begin(
+            named.voters if named else None,
+            counts_list=named is None or not self._is_by(named, earlier),
+            asked_s=asked_s,
+        )
+
+    def _find_wanted_voters(self) -> voters_lib.VoterSet | None:
+        """Returns the voters to name in the log now; None to leave them."""
+        counted = self._last_round
+        if not self.is_leader or counted is None:
+            return None
+        if counted.term != self._claim.term:
+            return None
+        wanted = counted.peers | {self._instance.peer_address}
+        if not self._sole.needs_change(wanted):
+            return None
+        asked_ago_s = self._clock.monotonic_s() - self._voters_asked_s
+        if asked_ago_s < self._settings.sole.change_interval_s:
+            return None
+        followers = counted.accepted | {self._instance.peer_address}
+        if not voters_lib.VoterSets((wanted,)).have_majority(followers):
+            return None
+        return wanted
+
+    async def _name_voters_if_due(self) -> None:
+        """Names the voters in the log, unless they stay as they are."""
+        wanted = self._find_wanted_voters()
+        if wanted is not None:
+            await self._name_voters(wanted)
+
+    async def _name_voters(self, wanted: voters_lib.VoterSet) -> None:
+        """Names the voters in the log, unless there is a later claim."""
+        self._voters_asked_s = self._clock.monotonic_s()
+        if self._topic_end is None:
+            await self.confirm()
+        claim = self._claim
+        expected_end = self._topic_end
+
+        def may_name() -> bool:
+            return self.is_leader and self._claim == claim
+
+        if expected_end is None or not may_name():
+            return
+        # Unless it is appended for certain, a read of the log tells.
+        self._topic_end = None
+        self._sole.begin_change(wanted)
+        record = voters_lib.encode(claim.term, claim.instance, wanted)
+        result = await self._log.append(TOPIC, record, expected_end, may_name)
+        is_named = isinstance(result, logs.Appended)
+        self._journal.lifecycle(
+            "voters_named" if is_named else "voters_not_named",
+            term=claim.term,
+            voters=len(wanted),
+            result=type(result).__name__,
+        )
+        if isinstance(result, logs.Appended) and may_name():
+            self._topic_end = result.offset + 1
+            self._sole.complete_change(wanted)
+
+    def _is_by(self, named: voters_lib.NamedVoters, claim: Claim) -> bool:
+        """Whether the leader with a claim named some voters."""
+        return Claim(named.term, named.instance) == claim
+
+    def _read_voters(
+        self, records: tuple[logs.KeyedRecord, ...]
+    ) -> voters_lib.NamedVoters | None:
+        """Returns the voters that the log names; None if it names none."""
+        try:
+            return voters_lib.find(records)
+        except codec.CodecError as error:
+            self._journal.lifecycle("voters_unreadable", reason=str(error))
+            return None
+
     def _follow(self, claim: Claim, timeout_s: float) -> None:
         """Follows a claim, and waits this long for the next heartbeat."""
         self._wait.restart(timeout_s)
--- a/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
@@ -156,13 +156,13 @@
         sent_s = self._clock.monotonic_s()
         list_offset = self._state.instances_offset
         list_age_s = self._state.instances_age_s
-        received: list[peers.Reception] = []
+        received: dict[model.Address, peers.Reception] = {}
         messages: dict[tuple[cluster_state.Offsets, bool], _EncodedRelay] = {}
         polled = self._choose_polled()
 
         async def send_to(peer: model.Address) -> None:
             if self._client.may_be_silent(peer):
-                received.append(peers.Reception.UNKNOWN)
+                received[peer] = peers.Reception.UNKNOWN
                 tasks.start_soon(self._keep_in_touch, peer, tasks)
                 return
             known = self._known_offsets.get(peer, self._state.offsets())
@@ -172,7 +172,7 @@
                     claim, known, wants_batches=peer in polled
                 )
             answer = await self._send(peer, messages[variant])
-            received.append(
+            received[peer] = (
                 answer.reception
                 if answer.reply.counts_for_majority
                 else _COUNTS_AS_ENDED
@@ -188,10 +188,10 @@
         relay_round = leadership.RelayRound(
             claim.term,
             sent_s,
-            peer_count=len(received),
-            accepted_count=received.count(peers.Reception.ACCEPTED),
-            ended_count=received.count(peers.Reception.ENDED),
-            is_disputed=peers.Reception.DISPUTED in received,
+            peers=frozenset(received),
+            accepted=_find_all(received, peers.Reception.ACCEPTED),
+            ended=_find_all(received, peers.Reception.ENDED),
+            is_disputed=peers.Reception.DISPUTED in received.values(),
             list_offset=list_offset,
             list_age_s=list_age_s,
         )
@@ -247,7 +247,7 @@
         can read the list: others may have been added to it since and follow
         another leader.
         """
-        if relay_round.peer_count:
+        if relay_round.peers:
             return self._state.knows_instances
         return not self._state.instances_are_lost
 
@@ -419,3 +419,12 @@
             )
         finally:
             self._catching_up.discard(peer)
+
+
+def _find_all(
+    received: dict[model.Address, peers.Reception], reception: peers.Reception
+) -> frozenset[model.Address]:
+    """Returns the instances that received a message in some way."""
+    return frozenset(
+        peer for peer, each in received.items() if each is reception
+    )
--- a/libs/bridgecross-entry/tests/leadership_support.py
+++ b/libs/bridgecross-entry/tests/leadership_support.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import entry_support as support
+import pytest
 
 from bridgecross_entry import leadership
 from bridgecross_entry import log
@@ -18,8 +19,40 @@
 )
 
 
+def make_address(number):
+    return model.Address("127.0.0.1", 7_000 + number)
+
+
+def make_round(
+    term, sent_s, others_count, *, accepted=0, ended=0, disputed=False, own=0
+):
+    """Returns a round in which the first others accepted, the last ended."""
+    count = others_count + 1
+    others = [make_address(n) for n in range(count) if n != own]
+    return leadership.RelayRound(
+        term,
+        sent_s,
+        frozenset(others),
+        frozenset(others[:accepted]),
+        frozenset(others[others_count - ended :]),
+        disputed,
+    )
+
+
+def list_claims(platform_log):
+    """Returns the records of claims, without those of voters."""
+    records = platform_log.records[leadership.TOPIC]
+    return [record for record in records if record.key == leadership._KEY]
+
+
+def run_at_once(call):
+    """Runs a call that waits for nothing."""
+    with pytest.raises(StopIteration):
+        call.send(None)
+
+
 def make_leadership(number, platform_log, clock, count=5):
-    addresses = [model.Address("127.0.0.1", 7_000 + n) for n in range(count)]
+    addresses = [make_address(n) for n in range(count)]
     return leadership.Leadership(
         SETTINGS,
         dataclasses.replace(
--- a/libs/bridgecross-entry/tests/test_leadership.py
+++ b/libs/bridgecross-entry/tests/test_leadership.py
@@ -5,6 +5,7 @@
 import anyio
 import entry_fakes as fakes
 import entry_support as support
+import leadership_support
 import pytest
 
 from bridgecross_core import clock
@@ -29,7 +30,14 @@
 ):
     if sent_s is None:
         sent_s = clock.SystemClock().monotonic_s()
-    return leadership.RelayRound(term, sent_s, peers, accepted, ended, disputed)
+    return leadership_support.make_round(
+        term,
+        sent_s,
+        peers,
+        accepted=accepted,
+        ended=ended,
+        disputed=disputed,
+    )
 
 
 class Member:
@@ -415,6 +423,8 @@
             sent_s=manual.now_s,
         )
     )
+    # As at the next check of ``run``.
+    leadership_support.run_at_once(leading._name_voters_if_due())
 
 
 # Guards against two leaders that both grant what only one of them may grant.
--- a/libs/bridgecross-entry/tests/test_leadership_orders.py
+++ b/libs/bridgecross-entry/tests/test_leadership_orders.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 
 import anyio
 import entry_fakes as fakes
@@ -54,10 +55,12 @@
 
     def note_round(self, *, sent_s, accepted=4, disputed=False):
         term = self.leadership.term
-        relay_round = leadership.RelayRound(
-            term, sent_s, 4, accepted, 0, disputed
+        relay_round = leadership_support.make_round(
+            term, sent_s, 4, accepted=accepted, disputed=disputed, own=1
         )
         self.leadership.note_relay_round(relay_round)
+        # As at the next check of ``run``.
+        leadership_support.run_at_once(self.leadership._name_voters_if_due())
 
     async def do_during(self, call, waiting, action):
         """Runs a call of the leadership, and acts while the log is slow."""
@@ -72,7 +75,7 @@
                 self.log.may_return.set()
 
     def claims_count(self):
-        return len(self.log.records[leadership.TOPIC])
+        return len(leadership_support.list_claims(self.log))
 
 
 async def _lead():
@@ -205,7 +208,9 @@
 @pytest.mark.anyio
 async def test_answers_to_an_earlier_term_do_not_confirm_a_later_one():
     scene = await _lead()
-    earlier = leadership.RelayRound(0, scene.clock.now_s, 4, 4, 0, False)
+    earlier = leadership_support.make_round(
+        0, scene.clock.now_s, 4, accepted=4, own=1
+    )
     scene.hear(1)
     await scene.leadership._try_claim()
     assert scene.leadership.term == 2
@@ -354,22 +359,20 @@
     scene.leadership._journal.lifecycle = lambda event, **fields: lines.append(
         (event, fields)
     )
-    scene.leadership.note_relay_round(
-        leadership.RelayRound(
-            scene.leadership.term,
-            scene.clock.now_s,
-            peer_count=4,
-            accepted_count=4,
-            ended_count=0,
-            is_disputed=False,
-            list_offset=7,
-            list_age_s=0.25,
-        )
+    counted = leadership_support.make_round(
+        scene.leadership.term, scene.clock.now_s, 4, accepted=4, own=1
     )
+    counted = dataclasses.replace(counted, list_offset=7, list_age_s=0.25)
+    scene.leadership.note_relay_round(counted)
+    leadership_support.run_at_once(scene.leadership._name_voters_if_due())
     scene.leadership._log_sole_change()
     scene.clock.now_s += leadership_support.SETTINGS.confirmation_valid_s
     scene.leadership._log_sole_change()
-    assert [event for event, _ in lines] == ["lead_alone", "lead_not_alone"]
-    fields = lines[0][1]
+    assert [event for event, _ in lines] == [
+        "voters_named",
+        "lead_alone",
+        "lead_not_alone",
+    ]
+    fields = lines[1][1]
     assert (fields["listed"], fields["accepted"]) == (5, 5)
     assert (fields["list_offset"], fields["list_age_s"]) == (7, 0.25)
--- a/libs/bridgecross-entry/tests/test_leadership_stalls.py
+++ b/libs/bridgecross-entry/tests/test_leadership_stalls.py
@@ -57,7 +57,9 @@
             follower.handle_heartbeat(claim)
         if is_leader_inside:
             leader.note_relay_round(
-                leadership.RelayRound(claim.term, loop.now_s, 4, 4, 0, False)
+                leadership_support.make_round(
+                    claim.term, loop.now_s, 4, accepted=4
+                )
             )
 
     async with anyio.create_task_group() as tasks:
@@ -69,13 +71,13 @@
         for follower in followers:
             tasks.start_soon(follower.run)
         await anyio.sleep(STEADY_S)
-        claims_count = len(platform_log.records[leadership.TOPIC])
+        claims_count = len(leadership_support.list_claims(platform_log))
         await anyio.sleep(STALLED_S)
         while loop.steps_count <= max(loop.stalls, default=0):
             await anyio.sleep(HEARTBEAT_S)
         await anyio.sleep(AFTERWARDS_S)
         tasks.cancel_scope.cancel()
-    records = platform_log.records[leadership.TOPIC][claims_count:]
+    records = leadership_support.list_claims(platform_log)[claims_count:]
     return [leadership._CLAIMS.decode(r.value).instance for r in records]
 
 
@@ -146,7 +148,9 @@
             leadership_support.write_claim(platform_log, later)
             # Makes the leader read the log at its next check.
             leader.note_relay_round(
-                leadership.RelayRound(1, loop.now_s, 4, 4, 0, True)
+                leadership_support.make_round(
+                    1, loop.now_s, 4, accepted=4, disputed=True, own=1
+                )
             )
             # The log tells of the later leader before its first heartbeat.
             loop.next_send_s = loop.now_s + HEARTBEAT_S
@@ -161,7 +165,7 @@
         loop.run_until_complete(run())
     finally:
         loop.close()
-    return platform_log.records[leadership.TOPIC][3:], loop.stalled_in
+    return leadership_support.list_claims(platform_log)[3:], loop.stalled_in
 
 
 # Guards against a leader that finds a later one and claims after a stall.
