--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -34,8 +34,9 @@
 from bridgecross_entry import journal as journals
 from bridgecross_entry import log as logs
 from bridgecross_entry import model
+from bridgecross_entry import relay_rounds
 from bridgecross_entry import sole_lead
-from bridgecross_entry import voters as voters_lib
+from bridgecross_entry import voter_naming
 
 TOPIC = "keyed.bridgecross-leader"
 """The topic of claims, which have the same key, and of the voters."""
@@ -56,39 +57,6 @@
 _NO_CLAIM = Claim(-1, "")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayRound:
-    """The outcome of sending one heartbeat to all other instances."""
-
-    # The term of the claim under which it was sent.
-    term: int
-    # When it was sent, on the monotonic clock.
-    sent_s: float
-    # The other listed instances, by peer address.
-    peers: frozenset[model.Address]
-    # Those that accepted the heartbeat.
-    accepted: frozenset[model.Address]
-    # Those of which no process is left that may follow another leader.
-    ended: frozenset[model.Address]
-    # Whether one of them knows of a later claim.
-    is_disputed: bool
-    # The offset up to which the list of instances was known that the heartbeat
-    # was sent to, and how long ago it was the newest.
-    list_offset: int | None = None
-    list_age_s: float = float("inf")
-
-    @property
-    def is_majority(self) -> bool:
-        """Whether most instances follow, counting the leader itself."""
-        listed_count = len(self.peers) + 1
-        return 2 * (len(self.accepted) + 1) > listed_count - len(self.ended)
-
-    @property
-    def is_unanimous(self) -> bool:
-        """Whether no listed instance can still follow another leader."""
-        return self.peers <= self.accepted | self.ended
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeadershipSettings:
     """Timing of claims and of the confirmation of the lead."""
@@ -206,11 +174,9 @@
         self._sole = sole_lead.SoleLead(
             settings.sole, instance.peer_address, clock
         )
-        # The offset at which the topic of claims ends while no other instance
-        # appends to it; None if that is unknown.
-        self._topic_end: int | None = None
-        # When this instance last began to name the voters.
-        self._voters_asked_s = float("-inf")
+        self._namer = voter_naming.VoterNamer(
+            settings.sole, instance, log, TOPIC, self._sole, journal, clock
+        )
         # How often another instance was found to know of a later claim, and
         # when last.
         self._dispute_count = 0
@@ -219,7 +185,7 @@
         self._was_confirmed = False
         # The last round that was counted, and whether this instance was certain
         # to be alone at the last check.
-        self._last_round: RelayRound | None = None
+        self._last_round: relay_rounds.RelayRound | None = None
         self._was_sole = False
         # When a majority of the instances was first known to have accepted the
         # newest claim, and when all were; infinite before that.
@@ -265,7 +231,7 @@
         """
         return self._known_to_all_s
 
-    def note_relay_round(self, relay_round: "RelayRound") -> None:
+    def note_relay_round(self, relay_round: relay_rounds.RelayRound) -> None:
         """Records which instances accepted a heartbeat of this instance."""
         if not self.is_leader or relay_round.term != self._claim.term:
             return
@@ -279,12 +245,7 @@
             self._sole.note_dispute()
             self._journal.decision("lead_disputed", term=relay_round.term)
             return
-        self._sole.note_round(
-            relay_round.sent_s,
-            relay_round.peers | {self._instance.peer_address},
-            relay_round.accepted,
-            relay_round.ended,
-        )
+        self._sole.note_round(relay_round)
         if relay_round.is_majority and relay_round.sent_s >= self._disputed_s:
             self._confirmed_s = max(self._confirmed_s, relay_round.sent_s)
             now_s = self._clock.monotonic_s()
@@ -312,7 +273,8 @@
                 self._sole.note_read_begun()
                 await self.confirm()
                 continue
-            await self._name_voters_if_due()
+            if self.is_leader and self._last_round is not None:
+                await self._name_voters(self._last_round)
             if self._is_claim_due():
                 await self._try_claim()
             await anyio.sleep(self._settings.check_interval_s)
@@ -381,10 +343,7 @@
             return
         self._confirmed_s = max(self._confirmed_s, asked_s)
         self._sole.note_newest_in_log(asked_s)
-        self._topic_end = max(self._topic_end or 0, newest.end)
-        named = self._read_voters(newest.records)
-        if named is not None and self._is_by(named, self._claim):
-            self._sole.note_named(named.voters)
+        self._namer.note_newest(newest)
 
     def handle_heartbeat(
         self, claim: Claim, *, log_lost: bool = False, resigns: bool = False
@@ -533,7 +492,7 @@
                 "claim_superseded", term=claim.term, later_term=self.term
             )
             return
-        self._topic_end = result.offset + 1
+        self._namer.begin(claim.term, result.offset + 1)
         self._lead(claim, asked_s, newest.records)
 
     def _lead(
@@ -559,86 +518,29 @@
         self._journal.lifecycle("leads", term=claim.term)
         self._on_change()
 
-    # The voters.
-
     def _begin_sole_lead(
         self, asked_s: float, records: tuple[logs.KeyedRecord, ...]
     ) -> None:
         """Begins to count the voters that earlier leaders may count."""
-        earlier = self._read(records)
-        named = self._read_voters(records)
+        named = self._namer.find_named(records)
+        if named is None:
+            self._sole.begin(None, counts_list=True, asked_s=asked_s)
+            return
+        is_by_previous = self._read(records) == Claim(
+            named.term, named.instance
+        )
         self._sole.begin(
-            named.voters if named else None,
-            counts_list=named is None or not self._is_by(named, earlier),
-            asked_s=asked_s,
+            named.voters, counts_list=not is_by_previous, asked_s=asked_s
         )
 
-    def _find_wanted_voters(self) -> voters_lib.VoterSet | None:
-        """Returns the voters to name in the log now; None to leave them."""
-        counted = self._last_round
-        if not self.is_leader or counted is None:
-            return None
-        if counted.term != self._claim.term:
-            return None
-        wanted = counted.peers | {self._instance.peer_address}
-        if not self._sole.needs_change(wanted):
-            return None
-        asked_ago_s = self._clock.monotonic_s() - self._voters_asked_s
-        if asked_ago_s < self._settings.sole.change_interval_s:
-            return None
-        followers = counted.accepted | {self._instance.peer_address}
-        if not voters_lib.VoterSets((wanted,)).have_majority(followers):
-            return None
-        return wanted
-
-    async def _name_voters_if_due(self) -> None:
-        """Names the voters in the log, unless they stay as they are."""
-        wanted = self._find_wanted_voters()
-        if wanted is not None:
-            await self._name_voters(wanted)
-
-    async def _name_voters(self, wanted: voters_lib.VoterSet) -> None:
-        """Names the voters in the log, unless there is a later claim."""
-        self._voters_asked_s = self._clock.monotonic_s()
-        if self._topic_end is None:
-            await self.confirm()
+    async def _name_voters(self, counted: relay_rounds.RelayRound) -> None:
+        """Names the voters in the log, if they have changed."""
         claim = self._claim
-        expected_end = self._topic_end
 
         def may_name() -> bool:
             return self.is_leader and self._claim == claim
 
-        if expected_end is None or not may_name():
-            return
-        # Unless it is appended for certain, a read of the log tells.
-        self._topic_end = None
-        self._sole.begin_change(wanted)
-        record = voters_lib.encode(claim.term, claim.instance, wanted)
-        result = await self._log.append(TOPIC, record, expected_end, may_name)
-        is_named = isinstance(result, logs.Appended)
-        self._journal.lifecycle(
-            "voters_named" if is_named else "voters_not_named",
-            term=claim.term,
-            voters=len(wanted),
-            result=type(result).__name__,
-        )
-        if isinstance(result, logs.Appended) and may_name():
-            self._topic_end = result.offset + 1
-            self._sole.complete_change(wanted)
-
-    def _is_by(self, named: voters_lib.NamedVoters, claim: Claim) -> bool:
-        """Whether the leader with a claim named some voters."""
-        return Claim(named.term, named.instance) == claim
-
-    def _read_voters(
-        self, records: tuple[logs.KeyedRecord, ...]
-    ) -> voters_lib.NamedVoters | None:
-        """Returns the voters that the log names; None if it names none."""
-        try:
-            return voters_lib.find(records)
-        except codec.CodecError as error:
-            self._journal.lifecycle("voters_unreadable", reason=str(error))
-            return None
+        await self._namer.name_if_due(counted, may_name, self.confirm)
 
     def _follow(self, claim: Claim, timeout_s: float) -> None:
         """Follows a claim, and waits this long for the next heartbeat."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
@@ -23,6 +23,7 @@
 from bridgecross_entry import model
 from bridgecross_entry import peers
 from bridgecross_entry import poison_broadcast
+from bridgecross_entry import relay_rounds
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -185,7 +186,7 @@
         async with anyio.create_task_group() as calls:
             for peer in self._addresses():
                 calls.start_soon(send_to, peer)
-        relay_round = leadership.RelayRound(
+        relay_round = relay_rounds.RelayRound(
             claim.term,
             sent_s,
             peers=frozenset(received),
@@ -239,7 +240,7 @@
         if answer.reply.offsets and not self._client.is_paused(peer):
             tasks.start_soon(self._catch_up, peer, claim)
 
-    def _can_count_majority(self, relay_round: leadership.RelayRound) -> bool:
+    def _can_count_majority(self, relay_round: relay_rounds.RelayRound) -> bool:
         """Whether the receivers include all instances that count.
 
         An instance that has not read the list of instances cannot count a
--- a/libs/bridgecross-entry/src/bridgecross_entry/sole_lead.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/sole_lead.py
@@ -20,11 +20,11 @@
 one are always taken from a common set.
 """
 
-from collections.abc import Set as AbstractSet
 import dataclasses
 
 from bridgecross_core import clock as clocks
 from bridgecross_entry import model
+from bridgecross_entry import relay_rounds
 from bridgecross_entry import voters as voters_lib
 
 
@@ -197,34 +197,24 @@
         self._read_s = float("-inf")
         self._disputed_s = float("-inf")
 
-    def note_round(
-        self,
-        sent_s: float,
-        listed: voters_lib.VoterSet,
-        accepted: AbstractSet[model.Address],
-        ended: AbstractSet[model.Address],
-    ) -> None:
-        """Records a round of heartbeats that no instance disputed.
-
-        Args:
-            sent_s: When they were sent.
-            listed: All listed instances, with this one.
-            accepted: The instances that accepted theirs.
-            ended: Those of which no process is left that follows anybody.
-        """
+    def note_round(self, relay_round: relay_rounds.RelayRound) -> None:
+        """Records a round of heartbeats that no instance disputed."""
+        sent_s = relay_round.sent_s
         if sent_s < self._disputed_s:
             return
         if self._counts_list:
+            listed = relay_round.listed(self._own)
             self._sets = self._inherited.add(listed)
         now_s = self._clock.monotonic_s()
-        living = accepted | {self._own}
+        living = relay_round.accepted | {self._own}
+        living_or_ended = living | relay_round.ended
         if self._sets.have_majority(living):
             self._accepted_s = max(self._accepted_s, sent_s)
-        if self._sets.have_majority(living | ended):
+        if self._sets.have_majority(living_or_ended):
             self._accepted_or_ended_s = max(self._accepted_or_ended_s, sent_s)
-        if self._sets.have_half(living | ended):
+        if self._sets.have_half(living_or_ended):
             self._half_known_s = min(self._half_known_s, now_s)
-        if self._sets.are_within(living | ended):
+        if self._sets.are_within(living_or_ended):
             self._all_known_s = min(self._all_known_s, now_s)
             missing_s = sent_s - self._unrivalled_s
             # After that long one that has ended may have led meanwhile.
