--- a/libs/bridgecross-entry/tests/test_sole_lead.py
+++ b/libs/bridgecross-entry/tests/test_sole_lead.py
@@ -93,9 +93,12 @@
     scene.note_round(accepted, ended)
     scene.clock.now_s += _SETTINGS.confirmation_valid_s
     scene.note_round(accepted, ended)
+    scene.lead.note_newest_in_log(scene.clock.now_s)
     assert not scene.lead.is_settled
+    assert not scene.lead.is_certain
     scene.clock.now_s += 0.1
     assert scene.lead.is_settled is settles
+    assert scene.lead.is_certain is settles
 
 
 # Guards against a set that is replaced while an earlier leader counts it.
--- a/libs/bridgecross-entry/tests/test_voter_naming.py
+++ b/libs/bridgecross-entry/tests/test_voter_naming.py
@@ -100,6 +100,17 @@
     assert scene.find_named().voters == _SEVEN
 
 
+# Guards against a second record for want of an answer to the first.
+async def test_a_read_shows_that_the_log_names_the_voters():
+    scene = await _Scene().lead()
+    scene.log.lose_answer = True
+    await scene.note_round(others_count=6, accepted=6)
+    await scene.leader.confirm()
+    assert scene.leader._sole.sets.sets == (_SEVEN,)
+    await scene.note_round(others_count=6, accepted=6)
+    assert scene.count_records() == 2
+
+
 # Guards against a change by a leader that has been superseded.
 async def test_nobody_names_voters_after_a_later_claim():
     scene = await _Scene().lead()
@@ -130,6 +141,19 @@
     assert not following._sole.is_settled
 
 
+# Guards against an earlier version's leader, which counts the list.
+async def test_after_a_leader_that_named_nobody_the_list_counts_too():
+    scene = await _Scene().lead()
+    later = leadership.Claim(1, "entry-1")
+    leadership_support.write_claim(scene.log, later)
+    await scene.leader.confirm()
+    await scene.leader._try_claim()
+    assert scene.leader.is_leader
+    await scene.note_round(others_count=6, accepted=3)
+    assert scene.leader._sole.sets.sets == (_FIVE, _SEVEN)
+    assert scene.leader.sole_term is None
+
+
 # Guards against a record that another writer damaged.
 async def test_voters_that_are_unreadable_count_as_not_named():
     scene = _Scene()
