--- a/libs/bridgecross-entry/src/bridgecross_entry/sole_lead.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/sole_lead.py
@@ -14,10 +14,9 @@
 4. The log showed no later claim for a bounded time; a longer one if all voters
    followed meanwhile.
 
-By the first two, the voters change only in the hands of a leader whose earlier
-ones have no majority of any set any more, and on condition that no later claim
-is in the log. So a majority of one leader and half of the voters of the next
-one are always taken from a common set.
+Only a leader for which the second point holds replaces the voters, and only on
+condition that the log has no later claim. So whatever majority an earlier
+leader counts is one of a set of which the next one needs half.
 """
 
 import dataclasses
