One route of an unknown kind no longer refuses the whole configuration

Cause: a route whose Kind is not known made the whole document invalid. With one route of the kind upload no instance had a configuration, and every request was refused.

--- a/libs/bridgecross-entry/src/bridgecross_entry/cluster_state.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/cluster_state.py
@@ -39,6 +39,9 @@
 REFUSED_PREFIX = "refused/"
 """The prefix of the keys of records that name refused requests."""
 
+_LOGGED_WARNINGS_MAX_COUNT = 20
+"""The warnings of one configuration that are logged one by one."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClusterStateSettings:
@@ -581,7 +584,15 @@
             known_s_ago=(
                 None if follower.as_of_s is None else round(follower.age_s, 3)
             ),
+            warnings=len(new.warnings),
         )
+        for warning in new.warnings[:_LOGGED_WARNINGS_MAX_COUNT]:
+            self._journal.lifecycle(
+                "configuration_warning",
+                version=new.version,
+                place=str(warning.place),
+                problem=warning.problem,
+            )
 
     # Key maps.
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/model.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/model.py
@@ -7,6 +7,7 @@
 import dataclasses
 from typing import NamedTuple
 
+from bridgecross_core import findings
 from bridgecross_core import ids
 
 _RUN_MARK = "@"
@@ -127,6 +128,9 @@
     routes: tuple[Route, ...]
     services: Mapping[ids.ServiceName, Service]
     limits: CallerLimits
+    # Fields whose values this version does not know. They do not make the
+    # configuration invalid.
+    warnings: tuple[findings.Finding, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -200,6 +200,8 @@
         configuration = self._parts.cluster_state.configuration
         version = configuration.version if configuration else math.nan
         gauge.set({"what": "configuration_version"}, version)
+        warning_count = len(configuration.warnings) if configuration else 0
+        gauge.set({"what": "configuration_warnings"}, warning_count)
         as_of_s = self._parts.cluster_state.server_list_as_of_s
         age_s = math.nan if as_of_s is None else now_s - as_of_s
         gauge.set({"what": "server_list_age_s"}, age_s)
--- a/libs/bridgecross-entry/tests/test_cluster_state.py
+++ b/libs/bridgecross-entry/tests/test_cluster_state.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bridgecross_core import clock
+from bridgecross_core import findings
 from bridgecross_core import ids
 from bridgecross_entry import cluster_state
 from bridgecross_entry import follower
@@ -540,3 +541,25 @@
     _add(platform_log, "configuration", "config", b"2")
     await reader.read()
     assert reader.versions == [1, 2]
+
+
+async def test_a_configuration_with_warnings_is_applied_and_logged(
+    platform_log,
+):
+    reading_end, writing_end = os.pipe()
+    journal = journals.Journal(
+        "reader", journals.JournalSettings(), clock.SystemClock(), writing_end
+    )
+    reader = cluster_state_support.Reader(platform_log, journal)
+    place = findings.Place("config", path="routes[0]")
+    reader.decoder.warnings = 30 * (findings.Finding(place, "is not known"),)
+    await reader.read()
+    assert reader.versions == [1]
+    lines = _lines(reading_end)
+    in_force = [e for e in lines if e["event"] == "configuration_in_force"]
+    assert [e["warnings"] for e in in_force] == [30]
+    logged = [e for e in lines if e["event"] == "configuration_warning"]
+    assert {e["place"] for e in logged} == {"config: routes[0]"}
+    # A document with many unknown values must not flood the log.
+    assert len(logged) == 20
+    os.close(reading_end)
