--- a/libs/bridgecross-entry/src/bridgecross_entry/edge.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/edge.py
@@ -89,7 +89,9 @@
         send: listener.Send,
     ) -> None:
         """Serves one request, as an ASGI application."""
-        received_s = self._clock.monotonic_s()
+        received_s = scope["state"].get(listener.RECEIVED_S)
+        if received_s is None:
+            received_s = self._clock.monotonic_s()
         self.open_count += 1
         try:
             try:
--- a/libs/bridgecross-entry/src/bridgecross_entry/listener.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/listener.py
@@ -22,11 +22,15 @@
 """The key of ``scope["state"]`` under which an application stores a function
 to call when the caller disconnects."""
 
+RECEIVED_S = "bridgecross.received_s"
+"""The key of ``scope["state"]`` for the time at which the head of a request was
+read, on the monotonic clock; missing if it was read just now."""
+
 _BACKLOG = 2_048
 """Connections that may wait to be accepted; a dropped one costs a second."""
 
 
-class _DisconnectAwareProtocol(httptools_impl.HttpToolsProtocol):
+class DisconnectAwareProtocol(httptools_impl.HttpToolsProtocol):
     """Notifies the application as soon as the caller disconnects."""
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -65,12 +69,18 @@
 class Listener:
     """Serves an application at one address."""
 
-    def __init__(self, address: model.Address, app: App) -> None:
+    def __init__(
+        self,
+        address: model.Address,
+        app: App,
+        protocol: type[DisconnectAwareProtocol] = DisconnectAwareProtocol,
+    ) -> None:
         """Creates a listener that has not been started."""
         self._address = address
+        self._protocol = protocol
         self._config = uvicorn.Config(
             app,
-            http=_DisconnectAwareProtocol,
+            http=protocol,
             interface="asgi3",
             ws="none",
             lifespan="off",
@@ -117,7 +127,7 @@
 
     def _make_protocol(self) -> asyncio.Protocol:
         """Returns the protocol of a new connection."""
-        return _DisconnectAwareProtocol(
+        return self._protocol(
             config=self._config, server_state=self._state, app_state={}
         )
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/permits.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permits.py
@@ -88,6 +88,11 @@
     tried: tuple[ids.ServerId, ...]
     # Whether it may wait for a slot.
     may_wait: bool
+    # How long the caller had waited when the request arrived; 0 for the first
+    # attempt.
+    caller_age_s: float = 0.0
+    # A hash of the caller's address; 0 if unknown.
+    caller: int = 0
 
 
 class Reply(NamedTuple):
--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -106,6 +106,10 @@
     # weight: after this time a third is left. The other load on its machine
     # changes several times a second.
     pace_decay_s: float = 0.3
+    # Servers with at most this many slots have few. Requests there wait at a
+    # low utilization already, a slow one takes half of a server's capacity, and
+    # opening a connection holds a slot.
+    few_slots_count: int = 2
     # The assumed number of instances until a coordinator has reported it: users
     # run 8 to 11.
     first_instance_count: int = 8
@@ -391,6 +395,12 @@
             return math.inf
         return sum(slots) / len(slots) / self._instance_count
 
+    def has_few_slots(self, service: ids.ServiceName) -> bool:
+        """Whether the servers of a service have few slots on average."""
+        slots = [server.listed.slots for server in self.of_service(service)]
+        limit = self.settings.few_slots_count
+        return bool(slots) and sum(slots) <= limit * len(slots)
+
     def _late_slots(self, share: float) -> float:
         """Returns the slots for late requests, given the even share."""
         settings = self.settings
--- a/libs/bridgecross-entry/tests/test_servers.py
+++ b/libs/bridgecross-entry/tests/test_servers.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 import entry_support as support
 import pytest
 
@@ -159,3 +161,23 @@
     assert server.queue.settings.late_slots == pytest.approx(late_slots)
     limit = registry.concurrency_limit(server.listed.service)
     assert limit.late == pytest.approx(late_slots)
+
+
+@pytest.mark.parametrize(
+    ("slots", "expected"),
+    [
+        ([], False),
+        ([2, 2], True),
+        ([1, 2], True),
+        ([2, 3], False),
+        ([4, 4], False),
+    ],
+)
+def test_a_service_has_few_slots_by_the_mean_of_its_servers(
+    registry, slots, expected
+):
+    """Guards against new limits at services whose servers have more slots."""
+    for index, count in enumerate(slots):
+        listed = support.make_server(f"s{index}")
+        registry.put(dataclasses.replace(listed, slots=count))
+    assert registry.has_few_slots(ids.ServiceName("rapor")) is expected
