Requests for permits keep their form where nothing is known of the caller

Cause: two fields were appended to the message, and instances of earlier versions cannot decode a longer one.

Change: the fields are left out while they are empty, so the bytes are as before wherever nothing fills them.

--- a/libs/bridgecross-entry/src/bridgecross_entry/permits.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permits.py
@@ -130,7 +130,27 @@
     returned: Return | None = None
 
 
-MESSAGES = codec.Codec(Message)
+_UNKNOWN_CALLER_FIELDS_COUNT = Request._fields.index("caller_age_s")
+"""The number of leading fields of a request that say nothing of the caller."""
+
+
+class _MessageCodec(codec.Codec[Message]):
+    """Leaves out what is known of the caller if it is nothing.
+
+    Instances of earlier versions cannot decode a request with these fields, so
+    they are sent only where queues use them.
+    """
+
+    def encode(self, value: Message) -> bytes:
+        """Returns the encoded message."""
+        request = value.request
+        if request is None or request.caller or request.caller_age_s:
+            return super().encode(value)
+        shortened = tuple(request[:_UNKNOWN_CALLER_FIELDS_COUNT])
+        return self._encoder.encode((shortened, value.returned))
+
+
+MESSAGES = _MessageCodec(Message)
 REPLIES = codec.Codec(Reply)
 
 
--- a/libs/bridgecross-entry/tests/test_stored_forms.py
+++ b/libs/bridgecross-entry/tests/test_stored_forms.py
@@ -13,6 +13,12 @@
 from bridgecross_entry import permits
 from bridgecross_entry import poison_broadcast
 
+_PERMIT_MESSAGE = (
+    "9298a473313434a473313435cc92cb4062700000000000cb4062900000000000a473"
+    "31343992a473313530a473313531c394a473313532cb4063300000000000a664656e"
+    "696564cb4063500000000000"
+)
+
 FORMS = [
     pytest.param(leadership._CLAIMS, "9201a27332", id="leadership._CLAIMS"),
     pytest.param(
@@ -86,9 +92,7 @@
     ),
     pytest.param(
         permits.MESSAGES,
-        "9298a473313434a473313435cc92cb4062700000000000cb406290000000"
-        "0000a47331343992a473313530a473313531c394a473313532cb40633000"
-        "00000000a664656e696564cb4063500000000000",
+        _PERMIT_MESSAGE,
         id="permits.MESSAGES",
     ),
     pytest.param(
@@ -99,6 +103,15 @@
 ]
 
 
+def test_what_is_known_of_a_caller_is_decoded():
+    """Guards against a field that is left out although it is not empty."""
+    request = permits.MESSAGES.decode(bytes.fromhex(_PERMIT_MESSAGE)).request
+    for changes in ({"caller": 7}, {"caller_age_s": 0.5}):
+        message = permits.Message(request._replace(**changes))
+        encoded = permits.MESSAGES.encode(message)
+        assert permits.MESSAGES.decode(encoded) == message
+
+
 @pytest.mark.parametrize(("codec", "written"), FORMS)
 def test_stored_bytes_are_read_and_written_as_before(codec, written):
     data = bytes.fromhex(written)
