Idempotent requests of a caller's connection run concurrently

Cause: the listener ran the requests of a connection one after another. The age of a waiting request was not counted, it waited behind a slow one while servers were free, and a caller that disconnected cancelled only the newest one.

Responses are held until those before them are written. A disconnect cancels all, a response that closes the connection the later ones; while draining, only the last response closes. Invalid bytes are refused after earlier responses. Other connections are served by the base class alone.

--- a/libs/bridgecross-entry/src/bridgecross_entry/__init__.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/__init__.py
@@ -20,6 +20,9 @@
 * ``peers``: the messages between instances.
 * ``journal``, ``metrics``: bounded structured logs, and metrics.
 * ``listener``: HTTP listeners for callers and peers.
+* ``caller_protocol``: connections of callers, which may pipeline requests.
+* ``pipeline_order``: which of a connection's requests start, wait or end.
+* ``pipeline_monitor``: metrics and log lines of pipelined connections.
 * ``crash_watch``: finds requests during which servers crashed.
 * ``poison_broadcast``: shares those findings among the instances.
 * ``cluster_tasks``: the background tasks of an instance for the cluster.
--- a/libs/bridgecross-entry/src/bridgecross_entry/edge.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/edge.py
@@ -104,6 +104,18 @@
         finally:
             self.open_count -= 1
 
+    def is_idempotent(self, scope: listener.Scope) -> bool:
+        """Whether the route of a request allows it to run more than once.
+
+        Without a configuration or a route, this is not known, so it is False.
+        """
+        table = self._dispatcher.routes
+        request = self._codec.read(scope, b"", 0.0)
+        if table is None or isinstance(request, BadRequest):
+            return False
+        route = table.find(request.host, request.path)
+        return route is not None and route.idempotent
+
     async def _serve_request(
         self,
         scope: listener.Scope,
@@ -123,7 +135,7 @@
         if outcome is None:
             return
         answer = self._codec.write(request.request_id, outcome)
-        if self.draining:
+        if self.draining and scope["state"].get(listener.MAY_CLOSE, _always)():
             answer.headers.append((b"connection", b"close"))
         await listener.respond(send, *answer)
 
@@ -148,6 +160,11 @@
         await listener.respond(send, status, headers, reason.encode())
 
 
+def _always() -> bool:
+    """Returns True."""
+    return True
+
+
 def make_readiness_app(is_ready: Callable[[], bool]) -> listener.App:
     """Returns an application that answers 200 while the instance is ready."""
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/listener.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/listener.py
@@ -26,6 +26,11 @@
 """The key of ``scope["state"]`` for the time at which the head of a request was
 read, on the monotonic clock; missing if it was read just now."""
 
+MAY_CLOSE = "bridgecross.may_close"
+"""The key of ``scope["state"]`` for a function that returns whether the
+response may close the connection. Missing if it may. If later requests of the
+connection have been read, it may not; otherwise none is read after the call."""
+
 _BACKLOG = 2_048
 """Connections that may wait to be accepted; a dropped one costs a second."""
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
@@ -91,6 +91,18 @@
             "another, by kind and result.",
             registry=self.registry,
         )
+        self.pipelined_requests = aioprometheus.Counter(
+            "bridgecross_pipelined_requests_total",
+            "Requests that were read before an earlier one of their connection "
+            "was answered: started at once, waited, or cancelled later.",
+            registry=self.registry,
+        )
+        self.pipelines_paused = aioprometheus.Gauge(
+            "bridgecross_pipelines_paused",
+            "Callers' connections whose reading is paused because of their "
+            "unanswered requests.",
+            registry=self.registry,
+        )
         self.servers_unreached = aioprometheus.Gauge(
             "bridgecross_servers_unreached",
             "Servers to which this instance's last connection failed, by "
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -11,12 +11,16 @@
 
 from bridgecross_core import clock as clocks
 from bridgecross_entry import assembly
+from bridgecross_entry import caller_protocol
 from bridgecross_entry import draining
 from bridgecross_entry import edge
 from bridgecross_entry import follower as followers
 from bridgecross_entry import journal as journals
 from bridgecross_entry import listener
+from bridgecross_entry import memory_ledger
 from bridgecross_entry import model
+from bridgecross_entry import pipeline_monitor
+from bridgecross_entry import pipeline_order
 from bridgecross_entry import tasks as tasks_lib
 
 
@@ -64,8 +68,21 @@
         """Creates the listeners."""
         platform = self._parts.settings
         peer_server = self._parts.cluster_tasks.make_peer_server()
+        self._pipelines = pipeline_monitor.PipelineMonitor(
+            self._parts.metrics, self._journal, self._clock
+        )
         self._caller_listener = listener.Listener(
-            platform.caller_address, self._edge.serve
+            platform.caller_address,
+            self._edge.serve,
+            caller_protocol.make_protocol(
+                caller_protocol.PipelineParts(
+                    self._edge.is_idempotent,
+                    memory_ledger.UNLIMITED,
+                    self._pipelines,
+                    self._clock,
+                    pipeline_order.PipelineLimits(),
+                )
+            ),
         )
         self._listeners = [
             self._caller_listener,
@@ -153,7 +170,9 @@
         self._caller_listener.close_idle()
         await draining.wait_until_idle(
             lambda: (
-                self._edge.open_count + self._parts.forward_server.open_count
+                self._edge.open_count
+                + self._pipelines.unanswered_count
+                + self._parts.forward_server.open_count
             ),
             lambda: self._parts.cluster_tasks.coordinated_count,
             self._caller_listener.close_idle,
@@ -221,6 +240,8 @@
         limited_count = self._parts.registry.limited_count
         gauge.set({"what": "servers_limited"}, limited_count)
         self._parts.links.refresh_metrics()
+        paused_count = self._pipelines.paused_count
+        self._parts.metrics.pipelines_paused.set({}, paused_count)
         gauge.set({"what": "instances"}, self._parts.dispatcher.instance_count)
         gauge.set({"what": "in_flight"}, self._parts.dispatcher.in_flight_count)
         gauge.set(
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_caller_protocol.py
@@ -0,0 +1,389 @@
+"""Tests of connections of callers that pipeline their requests."""
+
+import asyncio
+import collections
+import contextlib
+
+import anyio
+import entry_fakes as fakes
+import entry_support as support
+import pytest
+
+from bridgecross_entry import caller_protocol
+from bridgecross_entry import listener
+from bridgecross_entry import memory_ledger
+from bridgecross_entry import metrics
+from bridgecross_entry import model
+from bridgecross_entry import pipeline_monitor
+from bridgecross_entry import pipeline_order
+
+# Instances run on uvloop, whose transports differ in details.
+pytestmark = [
+    pytest.mark.anyio,
+    pytest.mark.parametrize(
+        "anyio_backend", [("asyncio", {"use_uvloop": True})], ids=["uvloop"]
+    ),
+]
+
+LIMITS = pipeline_order.PipelineLimits(max_count=4, max_bytes=20_000)
+
+
+class Ledger:
+    """A ``memory_ledger.Ledger`` that records what is reserved."""
+
+    def __init__(self) -> None:
+        self.limit_bytes = 1_000_000
+        self.reserved_bytes = 0
+
+    def try_reserve(self, purpose, size_bytes):
+        assert purpose is memory_ledger.Purpose.PIPELINE
+        if self.reserved_bytes + size_bytes > self.limit_bytes:
+            return False
+        self.reserved_bytes += size_bytes
+        return True
+
+    def release(self, purpose, size_bytes):
+        self.reserved_bytes -= size_bytes
+        assert self.reserved_bytes >= 0
+
+
+class Site:
+    """A listener, its application and one caller.
+
+    The application answers a request once its path is in ``released``. Paths
+    that begin with ``/w`` are not idempotent.
+    """
+
+    def __init__(self, base: type | None = None) -> None:
+        self.clock = support.ManualClock()
+        self.ledger = Ledger()
+        journal = support.make_journal(self.clock)
+        self.metrics = metrics.Metrics()
+        self.monitor = pipeline_monitor.PipelineMonitor(
+            self.metrics, journal, self.clock
+        )
+        parts = caller_protocol.PipelineParts(
+            lambda scope: not scope["path"].startswith("/w"),
+            self.ledger,
+            self.monitor,
+            self.clock,
+            LIMITS,
+        )
+        protocol = base or caller_protocol.make_protocol(parts)
+        address = model.Address("127.0.0.1", 0)
+        self.listener = listener.Listener(address, self.serve, protocol)
+        self.released = collections.defaultdict(anyio.Event)
+        self.started: list[str] = []
+        self.cancelled: list[str] = []
+        self.bodies: dict[str, bytes] = {}
+        self.received_s: dict[str, float] = {}
+        self.failing: set[str] = set()
+        self.closing: set[str] = set()
+        self.draining = False
+
+    async def serve(self, scope, receive, send):
+        path = scope["path"]
+        state = scope["state"]
+        self.received_s[path] = state.get(listener.RECEIVED_S)
+        self.started.append(path)
+        body = await listener.read_body(receive, 10_000_000)
+        if body is None:
+            self.cancelled.append(path)
+            return
+        self.bodies[path] = body
+        with anyio.CancelScope() as scope_of_request:
+            state[listener.ON_DISCONNECT] = scope_of_request.cancel
+            await self.released[path].wait()
+        if scope_of_request.cancelled_caught:
+            self.cancelled.append(path)
+            return
+        if path in self.failing:
+            raise RuntimeError("the application fails")
+        headers = []
+        may_close = state.get(listener.MAY_CLOSE, lambda: True)
+        if path in self.closing or (self.draining and may_close()):
+            headers.append((b"connection", b"close"))
+        await listener.respond(send, 200, headers, path.encode())
+
+    async def connect(self):
+        port = self.listener._server.sockets[0].getsockname()[1]
+        self.reader, self.writer = await asyncio.open_connection(
+            "127.0.0.1", port
+        )
+
+    def send(self, *paths: str, body: bytes = b"", headers: str = "") -> None:
+        """Sends requests without waiting for responses."""
+        length = f"Content-Length: {len(body)}\r\n" if body else ""
+        head = f" HTTP/1.1\r\nHost: h\r\n{length}{headers}\r\n".encode()
+        self.writer.write(
+            b"".join(b"POST " + p.encode() + head + body for p in paths)
+        )
+
+    def release(self, *paths: str) -> None:
+        for path in paths:
+            self.released[path].set()
+
+    async def read_response(self) -> tuple[int, str, bool]:
+        """Returns status, body and whether the connection is to close."""
+        with anyio.fail_after(3.0):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            lines = head.decode().lower().split("\r\n")
+            fields = dict(x.split(": ") for x in lines[1:] if x)
+            size = int(fields["content-length"])
+            body = await self.reader.readexactly(size)
+        closes = fields.get("connection") == "close"
+        return int(lines[0].split()[1]), body.decode(), closes
+
+    async def read_paths(self, count: int) -> list[str]:
+        return [(await self.read_response())[1] for _ in range(count)]
+
+    async def expect_end(self) -> None:
+        with anyio.fail_after(3.0):
+            assert await self.reader.read() == b""
+
+    async def until_started(self, *paths: str) -> None:
+        await fakes.wait_until(lambda: self.started == list(paths))
+
+    def count(self, result: str) -> int:
+        counter = self.metrics.pipelined_requests
+        return counter.values.get({"result": result}) or 0
+
+
+@contextlib.asynccontextmanager
+async def _running(site):
+    await site.listener.start()
+    await site.connect()
+    yield site
+    site.writer.close()
+    site.listener.abort_all()
+    site.listener.stop()
+    await fakes.wait_until(lambda: site.monitor.unanswered_count == 0)
+    assert site.ledger.reserved_bytes == 0
+    assert site.monitor.paused_count == 0
+
+
+@pytest.fixture
+async def site():
+    async with _running(Site()) as running:
+        yield running
+
+
+async def test_idempotent_requests_run_at_once_and_are_answered_in_order(site):
+    site.send("/1", "/2", "/3")
+    await site.until_started("/1", "/2", "/3")
+    site.release("/3", "/2")
+    await anyio.sleep(0.05)
+    assert not site.reader._buffer  # nothing overtakes the first response
+    site.release("/1")
+    assert await site.read_paths(3) == ["/1", "/2", "/3"]
+    site.send("/4")
+    site.release("/4")
+    assert await site.read_paths(1) == ["/4"]
+    assert (site.count("started"), site.count("waited")) == (2, 0)
+
+
+async def test_a_request_after_a_held_response_keeps_the_order(site):
+    """Guards against taking the newest response as the end of all."""
+    site.send("/1", "/2")
+    site.release("/2")
+    await fakes.wait_until(lambda: "/2" in site.bodies)
+    await anyio.sleep(0.02)
+    site.send("/3")
+    site.release("/3")
+    await site.until_started("/1", "/2", "/3")
+    site.release("/1")
+    assert await site.read_paths(3) == ["/1", "/2", "/3"]
+
+
+async def test_a_non_idempotent_request_runs_alone(site):
+    site.send("/1")
+    await site.until_started("/1")
+    site.send("/w2", "/3")
+    await anyio.sleep(0.02)
+    site.clock.now_s += 7.0
+    assert site.started == ["/1"]
+    site.release("/1")
+    await site.until_started("/1", "/w2")
+    await anyio.sleep(0.02)
+    assert site.started == ["/1", "/w2"]
+    site.release("/w2", "/3")
+    assert await site.read_paths(3) == ["/1", "/w2", "/3"]
+    # The age of a request counts from when it was read, not from its start.
+    assert site.received_s == {"/1": 1_000.0, "/w2": 1_000.0, "/3": 1_000.0}
+    assert (site.count("started"), site.count("waited")) == (0, 2)
+
+
+async def test_each_body_reaches_its_own_request(site):
+    site.send("/1", body=b"a")
+    await site.until_started("/1")
+    site.send("/w2", body=b"b" * 9_000)
+    site.send("/3", body=b"c")
+    site.release("/1", "/w2", "/3")
+    assert await site.read_paths(3) == ["/1", "/w2", "/3"]
+    assert site.bodies == {"/1": b"a", "/w2": b"b" * 9_000, "/3": b"c"}
+
+
+@pytest.mark.parametrize("is_paused", [False, True])
+async def test_a_caller_that_disconnects_cancels_all(site, is_paused):
+    """Guards against work for callers that left, also while not reading."""
+    site.send("/1", "/2", "/w3", "/4")
+    if not is_paused:
+        await site.until_started("/1", "/2")
+        (protocol,) = site.listener._state.connections
+        protocol._order._limits = pipeline_order.PipelineLimits()
+        protocol._update_reading()
+    await site.until_started("/1", "/2")
+    assert (site.monitor.paused_count == 1) == is_paused
+    site.writer.close()
+    await fakes.wait_until(lambda: sorted(site.cancelled) == ["/1", "/2"])
+    site.release("/1", "/2", "/w3", "/4")
+    await anyio.sleep(0.02)
+    assert site.started == ["/1", "/2"]
+    assert site.count("cancelled") == 3
+
+
+@pytest.mark.parametrize("by", ["response", "request", "failure"])
+async def test_nothing_is_served_after_a_response_that_closes(site, by):
+    site.send("/1")
+    if by == "request":
+        site.send("/2", headers="Connection: close\r\n")
+    else:
+        (site.closing if by == "response" else site.failing).add("/2")
+        site.send("/2")
+        await site.until_started("/1", "/2")
+    site.send("/3", "/w4")
+    if by != "request":
+        await site.until_started("/1", "/2", "/3")
+    site.release("/2")
+    if by != "request":
+        await fakes.wait_until(lambda: site.cancelled == ["/3"])
+    site.release("/1", "/3", "/w4")
+    assert await site.read_response() == (200, "/1", False)
+    status, _, closes = await site.read_response()
+    assert (status, closes) == (500 if by == "failure" else 200, True)
+    await site.expect_end()
+    assert not {"/w4"} & set(site.started)
+
+
+async def test_an_application_that_fails_while_responding_ends_the_rest(site):
+    """Guards against responses after a truncated one."""
+
+    async def truncate(scope, receive, send):
+        if scope["path"] == "/1":
+            headers = [(b"content-length", b"9")]
+            await send(
+                {
+                    "type": "http.response.start",
+                    "status": 200,
+                    "headers": headers,
+                }
+            )
+            await site.released["/1"].wait()
+            raise RuntimeError("the application fails")
+        await site.serve(scope, receive, send)
+
+    await fakes.wait_until(lambda: len(site.listener._state.connections) == 1)
+    (protocol,) = site.listener._state.connections
+    protocol.app = truncate
+    site.send("/1", "/2")
+    await site.until_started("/2")
+    site.release("/1")
+    await fakes.wait_until(lambda: site.cancelled == ["/2"])
+    rest = await site.reader.read()
+    assert rest.count(b"HTTP/1.1") == 1
+
+
+@pytest.mark.parametrize("reason", ["count", "size", "memory"])
+async def test_reading_pauses_at_the_limits_and_resumes(site, reason):
+    paths = [f"/{number}" for number in range(40)]
+    site.release(*paths[1:])
+    body = {"count": b"", "size": b"x" * 9_000, "memory": b"x" * 1_500}[reason]
+    if reason == "memory":
+        site.ledger.limit_bytes = 2_000
+    site.send(*paths, body=body)
+    await fakes.wait_until(lambda: site.monitor.paused_count == 1)
+    await anyio.sleep(0.05)
+    assert len(site.started) <= LIMITS.max_count
+    # What was read is bounded by the limits and one piece.
+    (protocol,) = site.listener._state.connections
+    held_bytes = sum(each.size_bytes for each in protocol._order.requests)
+    assert held_bytes < LIMITS.max_bytes + 4_096
+    site.release("/0")
+    assert await site.read_paths(40) == paths
+    assert site.monitor.paused_count == 0
+
+
+async def test_a_request_beyond_the_limit_of_bytes_is_served_alone(site):
+    """Guards against a request that waits for bytes that are never read."""
+    body = b"x" * 300_000
+    site.send("/1", "/w2", "/3", body=body)
+    site.release("/1", "/w2", "/3")
+    assert await site.read_paths(3) == ["/1", "/w2", "/3"]
+    assert set(site.bodies.values()) == {body}
+
+
+@pytest.mark.parametrize("is_last_ready", [False, True])
+async def test_draining_answers_what_was_read(site, is_last_ready):
+    site.send("/1", "/w2", "/3")
+    await site.until_started("/1")
+    site.draining = True
+    if is_last_ready:
+        site.send("/4")
+        site.release("/1", "/w2", "/4")
+        await site.until_started("/1", "/w2", "/3", "/4")
+        site.draining = False
+        await fakes.wait_until(lambda: "/4" in site.bodies)
+        await anyio.sleep(0.02)
+    site.listener.close_idle()
+    site.listener.close_idle()
+    site.send("/5")
+    await anyio.sleep(0.02)
+    site.release("/1", "/w2", "/3")
+    count = 4 if is_last_ready else 3
+    responses = [await site.read_response() for _ in range(count)]
+    assert [closes for _, _, closes in responses] == (
+        [False] * (count - 1) + [True]
+    )
+    await site.expect_end()
+    assert "/5" not in site.started
+
+
+@pytest.mark.parametrize("is_in_body", [False, True])
+async def test_invalid_bytes_are_refused_in_order(site, is_in_body):
+    """Guards against a 400 that a caller takes for an earlier response."""
+    site.send("/1")
+    if is_in_body:
+        site.send("/2", headers="Transfer-Encoding: chunked\r\n")
+    await anyio.sleep(0.02)
+    site.writer.write(b"\x00nonsense\r\n\r\n")
+    await anyio.sleep(0.02)
+    site.release("/1")
+    assert await site.read_response() == (200, "/1", False)
+    status, _, closes = await site.read_response()
+    assert (status, closes) == (400, True)
+    await site.expect_end()
+
+
+async def _exchange_one_by_one(site):
+    """Returns the bytes of responses to requests without pipelining."""
+    site.release("/1", "/w2", "/3")
+    received = []
+    for path, body in (("/1", b""), ("/w2", b"x" * 100_000), ("/3", b"y")):
+        site.send(path, body=body)
+        received.append(await site.reader.readuntil(path.encode()))
+    site.writer.write(b"\x00nonsense\r\n\r\n")
+    received.append(await site.reader.read())
+    return received
+
+
+async def test_other_connections_are_served_as_by_the_base_class(monkeypatch):
+    def fail(order, request):
+        raise AssertionError("the connection is not pipelined")
+
+    monkeypatch.setattr(pipeline_order.PipelineOrder, "add", fail)
+    async with _running(Site()) as pipelining:
+        responses = await _exchange_one_by_one(pipelining)
+    async with _running(Site(listener.DisconnectAwareProtocol)) as plain:
+        assert await _exchange_one_by_one(plain) == responses
+    assert plain.bodies == pipelining.bodies
+    assert plain.started == pipelining.started
--- a/libs/bridgecross-entry/tests/test_edge.py
+++ b/libs/bridgecross-entry/tests/test_edge.py
@@ -1,10 +1,13 @@
-"""Tests that incomplete requests are not dispatched and leave no state."""
+"""Tests of what is dispatched, and which requests may run concurrently."""
+
+import types
 
 import entry_support as support
 import pytest
 
 from bridgecross_core import clock
 from bridgecross_entry import edge
+from bridgecross_entry import routes
 
 pytestmark = pytest.mark.anyio
 
@@ -68,3 +71,41 @@
     await caller_edge.serve({"state": {}}, receive, send)
     assert dispatcher.requests == requests
     assert caller_edge.open_count == 0
+
+
+class PathCodec(Codec):
+    """A codec that reads only the path."""
+
+    def read(self, scope, body, received_s):
+        if not scope["path"]:
+            return edge.BadRequest("there is no path")
+        return types.SimpleNamespace(host="h.example", path=scope["path"])
+
+
+@pytest.mark.parametrize(
+    ("path", "is_configured", "expected"),
+    [
+        pytest.param("/a/x", True, True, id="idempotent"),
+        pytest.param("/w/x", True, False, id="not idempotent"),
+        pytest.param("/b/x", True, False, id="no route"),
+        pytest.param("", True, False, id="unreadable"),
+        pytest.param("/a/x", False, False, id="no configuration"),
+    ],
+)
+async def test_the_route_decides_what_is_idempotent(
+    path, is_configured, expected
+):
+    real = clock.SystemClock()
+    dispatcher = Dispatcher()
+    if is_configured:
+        configured = (
+            support.make_route("/a/"),
+            support.make_route("/w/", idempotent=False),
+        )
+        dispatcher.routes = routes.RouteTable(
+            support.make_configuration(*configured)
+        )
+    caller_edge = edge.Edge(
+        dispatcher, PathCodec(), support.make_journal(real), real
+    )
+    assert caller_edge.is_idempotent({"path": path}) is expected
