Queues of services with few slots decide by a policy for overload

Late requests were admitted by an estimate that ignored newer requests that overtake them, waited for most of their time and were refused in the end; callers that came back were late and were refused again.

Queues now take an optional policy: a request that would wait in vain is refused at once with the time at which a slot is expected, callers that return go before newer ones within half of the grants, callers that request much more than others go after them, and each waiting tier gets one grant in ten. It is in use for services with few slots; permit requests of these name the caller and its age.

--- a/libs/bridgecross-entry/src/bridgecross_entry/admission.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/admission.py
@@ -52,7 +52,11 @@
         now_s = self._clock.monotonic_s()
         counted = self._queues.get(service)
         if counted is None:
-            queue = queueing.TierQueue(self._count_slots(service), self._clock)
+            queue = queueing.TierQueue(
+                self._count_slots(service),
+                self._clock,
+                self._registry.get_shares(service),
+            )
             counted = self._queues[service] = _CountedQueue(queue, now_s)
         elif now_s - counted.counted_s > self._settings.recount_interval_s:
             counted.queue.settings = self._count_slots(service)
@@ -67,4 +71,5 @@
             starvation_share_ratio=0.0,
             late_slots=limit.late,
             first_guess_s=self._registry.settings.first_guess_s,
+            overload=self._registry.find_overload(service),
         )
--- a/libs/bridgecross-entry/src/bridgecross_entry/caller_age.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/caller_age.py
@@ -33,6 +33,32 @@
     cluster_min_count: int = 3
 
 
+class RouteCallerAges:
+    """Estimates the age of the callers of all routes."""
+
+    def __init__(self, settings: CallerAgeSettings) -> None:
+        """Starts without a sample."""
+        self._settings = settings
+        self._estimators: dict[str, CallerAgeEstimator] = {}
+
+    def note_attempt(
+        self, route_name: str, caller_timeout_ms: float | None
+    ) -> float:
+        """Returns how long the caller of a new attempt has waited already.
+
+        Args:
+            route_name: The route of the attempt.
+            caller_timeout_ms: The caller's remaining timeout, if it said so.
+        """
+        estimator = self._estimators.get(route_name)
+        if estimator is None:
+            estimator = CallerAgeEstimator(self._settings)
+            self._estimators[route_name] = estimator
+        if caller_timeout_ms is not None:
+            estimator.add(caller_timeout_ms)
+        return estimator.age_s(caller_timeout_ms)
+
+
 class CallerAgeEstimator:
     """Estimates the initial timeout of one route's callers."""
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -42,6 +42,7 @@
 from bridgecross_entry import servers as servers_lib
 from bridgecross_entry import warmup_queries
 from bridgecross_entry import warmups as warmups_lib
+from bridgecross_request import fair_share
 from bridgecross_request import poison_requests
 from bridgecross_request import queueing
 
@@ -166,7 +167,7 @@
         self._retry_budgets: dict[
             ids.ServiceName, retry_budget.RetryBudget
         ] = {}
-        self._caller_ages: dict[str, caller_age.CallerAgeEstimator] = {}
+        self._caller_ages = caller_age.RouteCallerAges(settings.caller_ages)
         self._selector = server_selection.ServerSelector(
             settings.selection,
             instance,
@@ -300,7 +301,12 @@
         if request.caller_timeout_ms is not None:
             timeout_ms = min(timeout_ms, request.caller_timeout_ms)
         self._get_retry_budget(service).count_request(self._clock.monotonic_s())
-        age_s = self._caller_age_s(request, route)
+        age_s = self._caller_ages.note_attempt(
+            route.name, request.caller_timeout_ms
+        )
+        origin = fair_share.UNKNOWN
+        if self._registry.has_few_slots(service):
+            origin = request_state.make_origin(request, age_s)
         target_s = request.received_s - age_s + route.target_latency_ms / 1_000
         return request_state.RequestState(
             request,
@@ -311,22 +317,9 @@
             target_s,
             self.routes.configuration.version,
             _compute_fingerprint(request),
+            origin,
         )
 
-    def _caller_age_s(
-        self, request: attempts.EntryRequest, route: model.Route
-    ) -> float:
-        """Returns how long the caller had waited when the request arrived."""
-        estimator = self._caller_ages.get(route.name)
-        if estimator is None:
-            estimator = caller_age.CallerAgeEstimator(
-                self._settings.caller_ages
-            )
-            self._caller_ages[route.name] = estimator
-        if request.caller_timeout_ms is not None:
-            estimator.add(request.caller_timeout_ms)
-        return estimator.age_s(request.caller_timeout_ms)
-
     async def _try_servers(
         self, state: request_state.RequestState
     ) -> outcomes.Outcome:
@@ -447,6 +440,7 @@
             state.tried | self._list_unavailable_ids(state),
             lambda: owner is None or self._owners.is_owner(state, owner),
             lambda domain: self._selector.is_allowed(state.route, domain),
+            state.origin,
         )
         result = await permits.obtain(applicant)
         self._metrics.queue_seconds.observe(
@@ -527,7 +521,8 @@
         target_s = min(state.target_s, state.deadline_s)
         started_s = self._clock.monotonic_s()
         due = queueing.Deadlines(target_s, state.deadline_s)
-        slot = await queue.acquire(request_state.make_queue_tier(state), due)
+        tier = request_state.make_queue_tier(state)
+        slot = await queue.acquire(tier, due, state.origin)
         self._metrics.queue_seconds.observe(
             {"service": state.service}, self._clock.monotonic_s() - started_s
         )
--- a/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
@@ -35,6 +35,17 @@
             "verdict.",
             registry=self.registry,
         )
+        self.permit_refusals = aioprometheus.Counter(
+            "bridgecross_permit_refusals_total",
+            "Refused requests for permits, by service, reason and tier.",
+            registry=self.registry,
+        )
+        self.callers_above_share = aioprometheus.Gauge(
+            "bridgecross_callers_above_share",
+            "Callers that go after others since they request much more, by "
+            "service, at the instance that issues permits.",
+            registry=self.registry,
+        )
         self.limited_requests = aioprometheus.Counter(
             "bridgecross_limited_requests_total",
             "Requests for servers that limit their rate, by service and "
--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_client.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_client.py
@@ -26,6 +26,7 @@
 from bridgecross_entry import model
 from bridgecross_entry import permit_issuer
 from bridgecross_entry import permits
+from bridgecross_request import fair_share
 from bridgecross_request import queueing
 
 _HTTP_OK = 200
@@ -94,6 +95,8 @@
     is_current: Callable[[], bool]
     # Whether it may be served in a failure domain.
     is_allowed: Callable[[str], bool] = lambda _: True
+    # What is known of its caller, for services whose queues use it.
+    origin: fair_share.Origin = fair_share.UNKNOWN
 
 
 class Permit(NamedTuple):
@@ -376,6 +379,8 @@
             server.server_id if server else ids.ServerId(""),
             tuple(applicant.tried),
             may_wait,
+            applicant.origin.caller_age_s,
+            applicant.origin.caller,
         )
 
     async def _send(
--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
@@ -21,6 +21,7 @@
 from bridgecross_entry import permits
 from bridgecross_entry import servers as servers_lib
 from bridgecross_entry import warmups as warmups_lib
+from bridgecross_request import fair_share
 from bridgecross_request import queueing
 
 
@@ -80,8 +81,12 @@
 class _Pool:
     """The servers of one service in this failure domain."""
 
-    def __init__(self, queue: queueing.TierQueue) -> None:
+    def __init__(
+        self, queue: queueing.TierQueue, shares: fair_share.CallerShares
+    ) -> None:
         """Starts without any servers."""
+        # The requests of callers at all queues of the service.
+        self.shares = shares
         # The queue of requests that any of the servers can serve.
         self.queue = queue
         self.servers: dict[ids.ServerId, servers_lib.Server] = {}
@@ -157,6 +162,14 @@
         reply = await self._handle(request)
         labels = {"service": request.service, "verdict": reply.verdict.value}
         self._metrics.permits.inc(labels)
+        if reply.verdict is permits.Verdict.REFUSED:
+            self._metrics.permit_refusals.inc(
+                {
+                    "service": request.service,
+                    "reason": reply.reason,
+                    "tier": str(request.priority),
+                }
+            )
         return reply
 
     def handle_return(self, returned: permits.Return) -> None:
@@ -204,7 +217,8 @@
         deadlines = queueing.Deadlines(
             now_s + request.target_in_s, now_s + request.deadline_in_s
         )
-        if queue.try_acquire(self._make_queue_tier(request), deadlines):
+        tier = self._make_queue_tier(request)
+        if queue.try_acquire(tier, deadlines, _make_origin(request)):
             return self._grant(request, pool, server, may_be_cold=True)
         is_cold = server is not None and self._is_cold(server)
         if is_cold or not request.may_wait:
@@ -303,7 +317,9 @@
         """Waits in a queue on behalf of a request."""
         with waiter.scope:
             slot = await queue.acquire(
-                self._make_queue_tier(request), deadlines
+                self._make_queue_tier(request),
+                deadlines,
+                _make_origin(request),
             )
             if isinstance(slot, queueing.Refused):
                 wait_s = slot.retry_after_ms / 1_000
@@ -496,6 +512,12 @@
     def sweep(self) -> None:
         """Drops abandoned requests, and permits that were never returned."""
         self._warmups.sweep()
+        for service, pool in self._pools.items():
+            if self._registry.has_few_slots(service):
+                count = pool.shares.count_above()
+                self._metrics.callers_above_share.set(
+                    {"service": service}, count
+                )
         now_s = self._clock.monotonic_s()
         for ticket, waiter in list(self._waiters.items()):
             if now_s - waiter.last_polled_s > self._settings.waiter_timeout_s:
@@ -524,7 +546,10 @@
         now_s = self._clock.monotonic_s()
         pool = self._pools.get(service)
         if pool is None:
-            pool = _Pool(self._make_queue(1))
+            shares = fair_share.CallerShares(
+                self._server_settings.shares, self._clock
+            )
+            pool = _Pool(self._make_queue(service, 1, shares), shares)
             self._pools[service] = pool
         if now_s - pool.counted_s > self._settings.recount_interval_s:
             pool.counted_s = now_s
@@ -557,12 +582,13 @@
             if existing is None:
                 pool.servers[server_id] = servers_lib.Server(
                     each,
-                    self._make_queue(each.slots),
+                    self._make_queue(service, each.slots, pool.shares),
                     self._server_settings,
                     now_s,
                 )
             else:
                 existing.listed = each
+                self._update_overload(existing)
         slots = sum(
             self._usable_slots(s)
             for s in pool.servers.values()
@@ -570,7 +596,7 @@
             and s.listed.server_id in pool.staying
             and not self._backoff_left_s(s)
         )
-        pool.queue.settings = self._queue_settings(max(slots, 1))
+        pool.queue.settings = self._queue_settings(service, max(slots, 1))
 
     def _usable_slots(self, server: servers_lib.Server) -> int:
         """Returns how many slots of a server are counted.
@@ -580,20 +606,44 @@
         """
         return 1 if self._is_cold(server) else server.queue.settings.slots
 
-    def _make_queue(self, slots: int) -> queueing.TierQueue:
+    def _update_overload(self, server: servers_lib.Server) -> None:
+        """Sets how a server's queue works in overload, if that changed."""
+        queue = server.queue
+        overload = self._registry.find_overload(server.listed.service)
+        if queue.settings.overload is not overload:
+            queue.settings = dataclasses.replace(
+                queue.settings, overload=overload
+            )
+
+    def _make_queue(
+        self,
+        service: ids.ServiceName,
+        slots: int,
+        shares: fair_share.CallerShares,
+    ) -> queueing.TierQueue:
         """Returns a queue in front of some slots."""
-        return queueing.TierQueue(self._queue_settings(slots), self._clock)
+        return queueing.TierQueue(
+            self._queue_settings(service, slots), self._clock, shares
+        )
 
-    def _queue_settings(self, slots: int) -> queueing.QueueSettings:
+    def _queue_settings(
+        self, service: ids.ServiceName, slots: int
+    ) -> queueing.QueueSettings:
         """Returns settings of a queue in front of some slots."""
         return queueing.QueueSettings(
             slots,
             starvation_share_ratio=0.0,
             late_slots=float(slots),
             first_guess_s=self._server_settings.first_guess_s,
+            overload=self._registry.find_overload(service),
         )
 
 
+def _make_origin(request: permits.Request) -> fair_share.Origin:
+    """Returns what a request says of its caller."""
+    return fair_share.Origin(request.caller, request.caller_age_s)
+
+
 def _refuse(reason: str, wait_s: float) -> permits.Reply:
     """Returns a refusal with the time after which to retry."""
     return permits.Reply(
--- a/libs/bridgecross-entry/src/bridgecross_entry/request_state.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/request_state.py
@@ -1,11 +1,13 @@
 """The progress of one request through the dispatcher."""
 
 import dataclasses
+import zlib
 
 from bridgecross_core import ids
 from bridgecross_core import outcomes
 from bridgecross_entry import attempts
 from bridgecross_entry import model
+from bridgecross_request import fair_share
 from bridgecross_request import poison_requests
 from bridgecross_request import queueing
 
@@ -30,6 +32,8 @@
     configuration_version: int
     # Identifies repetitions of the request under other ids.
     fingerprint: poison_requests.Fingerprint
+    # What queues know of the caller; nothing unless they use it.
+    origin: fair_share.Origin = fair_share.UNKNOWN
     # The server that most recently rejected the request as overloaded.
     shed_by: ids.ServerId | None = None
     # Attempts that reached a server, whatever their result.
@@ -56,3 +60,12 @@
     """Returns the queue tier of a request's priority."""
     priority = state.route.priority
     return queueing.QueueTier(str(priority), priority, _QUEUE_MAX_COUNT)
+
+
+def make_origin(
+    request: attempts.EntryRequest, caller_age_s: float
+) -> fair_share.Origin:
+    """Returns what queues use of the caller of a request."""
+    # 0 means that the caller is unknown.
+    caller = max(zlib.crc32(request.caller.encode()), 1)
+    return fair_share.Origin(caller if request.caller else 0, caller_age_s)
--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -21,6 +21,8 @@
 from bridgecross_entry import journal as journals
 from bridgecross_entry import model
 from bridgecross_entry import notices as notices_lib
+from bridgecross_request import fair_share
+from bridgecross_request import overload as overload_lib
 from bridgecross_request import queueing
 
 _LAST_RUNS_MAX_COUNT = 10_000
@@ -110,6 +112,14 @@
     # low utilization already, a slow one takes half of a server's capacity, and
     # opening a connection holds a slot.
     few_slots_count: int = 2
+    # How their queues allocate slots while requests wait, and which callers go
+    # after others.
+    overload: overload_lib.OverloadSettings = dataclasses.field(
+        default_factory=overload_lib.OverloadSettings
+    )
+    shares: fair_share.ShareSettings = dataclasses.field(
+        default_factory=fair_share.ShareSettings
+    )
     # The assumed number of instances until a coordinator has reported it: users
     # run 8 to 11.
     first_instance_count: int = 8
@@ -185,7 +195,9 @@
         was_full = self._concurrency >= self._concurrency_max
         self._concurrency_max = float(settings.slots)
         self.queue.settings = dataclasses.replace(
-            self.queue.settings, late_slots=settings.late_slots
+            self.queue.settings,
+            late_slots=settings.late_slots,
+            overload=settings.overload,
         )
         if was_full or self._concurrency > self._concurrency_max:
             self._set_concurrency(self._concurrency_max)
@@ -312,6 +324,7 @@
         # The last listed run of each server, by server name.
         self._last_runs: dict[str, model.BackendServer] = {}
         self._by_service: dict[ids.ServiceName, dict[ids.ServerId, Server]] = {}
+        self._shares: dict[ids.ServiceName, fair_share.CallerShares] = {}
 
     def get(self, server_id: ids.ServerId) -> Server | None:
         """Returns a known server that may be running."""
@@ -401,6 +414,23 @@
         limit = self.settings.few_slots_count
         return bool(slots) and sum(slots) <= limit * len(slots)
 
+    def find_overload(
+        self, service: ids.ServiceName
+    ) -> overload_lib.OverloadSettings | None:
+        """Returns how queues of a service work in overload.
+
+        None if its servers have enough slots for a simpler order.
+        """
+        return self.settings.overload if self.has_few_slots(service) else None
+
+    def get_shares(self, service: ids.ServiceName) -> fair_share.CallerShares:
+        """Returns the counts of callers for this instance's own queues."""
+        shares = self._shares.get(service)
+        if shares is None:
+            shares = fair_share.CallerShares(self.settings.shares, self._clock)
+            self._shares[service] = shares
+        return shares
+
     def _late_slots(self, share: float) -> float:
         """Returns the slots for late requests, given the even share."""
         settings = self.settings
@@ -643,16 +673,31 @@
             starvation_share_ratio=0.0,
             late_slots=self._late_slots(share),
             first_guess_s=settings.first_guess_s,
+            overload=self.find_overload(listed.service),
         )
 
+    def _update_overload(self, service: ids.ServiceName) -> None:
+        """Sets how queues work in overload, after the servers changed."""
+        overload = self.find_overload(service)
+        for server in self.of_service(service):
+            if server.queue.settings.overload is not overload:
+                server.queue.settings = dataclasses.replace(
+                    server.queue.settings, overload=overload
+                )
+
     def _add(self, listed: model.BackendServer) -> None:
         """Adds a new server."""
         now_s = self._clock.monotonic_s()
-        queue = queueing.TierQueue(self._queue_settings(listed), self._clock)
+        queue = queueing.TierQueue(
+            self._queue_settings(listed),
+            self._clock,
+            self.get_shares(listed.service),
+        )
         server = Server(listed, queue, self.settings, now_s)
         self._servers[listed.server_id] = server
         of_service = self._by_service.setdefault(listed.service, {})
         of_service[listed.server_id] = server
+        self._update_overload(listed.service)
         if listed.leaving:
             server.leaving_since_s = now_s
         self._set_warmup(server)
--- a/libs/bridgecross-request/src/bridgecross_request/queueing.py
+++ b/libs/bridgecross-request/src/bridgecross_request/queueing.py
@@ -5,6 +5,9 @@
 slots that are left over, because a late answer is worth less to the caller
 than one in time, but more than none. So a backlog does not make new requests
 late.
+
+With ``QueueSettings.overload``, the order and the admission of requests that
+find no free slot are those of ``overload.OverloadPolicy`` instead.
 """
 
 import asyncio
@@ -16,9 +19,16 @@
 import anyio
 
 from bridgecross_core import clock as clocks
+from bridgecross_request import fair_share
+from bridgecross_request import grant_rates
+from bridgecross_request import overload as overload_lib
 
 _SMOOTHING_FACTOR = 0.1
 
+_QUEUE_FULL = "the queue of the tier is full"
+_CANNOT_MEET = "the deadline cannot be met"
+_HAS_PASSED = "the deadline has passed"
+
 LATE_WAIT_RATIO = 0.75
 """How long a late request may wait, as a share of its remaining time.
 
@@ -40,6 +50,9 @@
     late_slots: float
     # The estimate of how long a slot is held, until one was released.
     first_guess_s: float
+    # How slots are allocated while requests wait for them; None for queues
+    # whose servers have enough slots for a simpler order.
+    overload: overload_lib.OverloadSettings | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -85,6 +98,8 @@
     tier: QueueTier
     deadlines: Deadlines
     granted: anyio.Event
+    # Its place among others while the queue has a policy for overload.
+    claim: overload_lib.Claim
 
 
 class _MovingAverage:
@@ -105,12 +120,20 @@
 class TierQueue:
     """The queue in front of one backend server."""
 
-    def __init__(self, settings: QueueSettings, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        settings: QueueSettings,
+        clock: clocks.Clock,
+        shares: fair_share.CallerShares | None = None,
+    ) -> None:
         """Starts with all slots free.
 
         Args:
             settings: How slots are allocated; replaced when settings change.
             clock: The clock that deadlines and pauses are measured by.
+            shares: Counts the requests of callers, if the settings call for
+                it. Queues of one service may share it; if omitted, the queue
+                has its own.
         """
         self.settings = settings
         self.served: collections.Counter[str] = collections.Counter()
@@ -126,6 +149,8 @@
         # The same for each tier, by name: the time that one tier needs says
         # little about another whose requests are of another kind.
         self._tiers: dict[str, _MovingAverage] = {}
+        self._shares = shares
+        self._overload: overload_lib.OverloadPolicy | None = None
 
     @property
     def busy(self) -> int:
@@ -147,7 +172,10 @@
         return self._estimate_wait_behind_s(ahead)
 
     async def acquire(
-        self, tier: QueueTier, deadlines: Deadlines
+        self,
+        tier: QueueTier,
+        deadlines: Deadlines,
+        origin: fair_share.Origin = fair_share.UNKNOWN,
     ) -> Granted | Refused:
         """Waits for a slot.
 
@@ -157,27 +185,39 @@
         Args:
             tier: The request's tier.
             deadlines: The times by which the answer is wanted.
+            origin: What is known of the caller.
         """
-        now_s = self._clock.monotonic_s()
-        waiter = _Waiter(tier, deadlines, anyio.Event())
-        if self._has_room(late=self._is_late(waiter, now_s)):
-            self.force_acquire(tier)
+        if self.try_acquire(tier, deadlines, origin):
             return Granted()
+        now_s = self._clock.monotonic_s()
+        waiter = _make_waiter(tier, deadlines)
+        policy = self._find_policy()
+        if policy is not None:
+            return await self._acquire_in_overload(policy, waiter, origin)
         wait_s = self.estimate_wait_s(tier.priority)
         if self.waiting[tier.name] >= tier.limit:
-            return self._refuse("the queue of the tier is full", wait_s)
+            return self._refuse(_QUEUE_FULL, wait_s)
         if now_s + wait_s + self._expected_hold_s(tier) > deadlines.target_s:
             wait_s = self._estimate_late_wait_s(tier.priority)
             if wait_s > self._max_wait_s(waiter, now_s):
-                return self._refuse("the deadline cannot be met", wait_s)
+                return self._refuse(_CANNOT_MEET, wait_s)
         return await self._wait(waiter)
 
-    def try_acquire(self, tier: QueueTier, deadlines: Deadlines) -> bool:
+    def try_acquire(
+        self,
+        tier: QueueTier,
+        deadlines: Deadlines,
+        origin: fair_share.Origin = fair_share.UNKNOWN,
+    ) -> bool:
         """Takes a slot if one is free now; returns whether it did."""
-        waiter = _Waiter(tier, deadlines, anyio.Event())
+        waiter = _make_waiter(tier, deadlines)
         is_late = self._is_late(waiter, self._clock.monotonic_s())
         if not self._has_room(late=is_late):
             return False
+        policy = self._find_policy()
+        if policy is not None:
+            kind = policy.classify(tier.priority, origin, late=is_late)
+            policy.note_grant(tier.priority, kind)
         self.force_acquire(tier)
         return True
 
@@ -214,6 +254,66 @@
         self._grant_next()
         self._schedule_pause_end()
 
+    async def _acquire_in_overload(
+        self,
+        policy: overload_lib.OverloadPolicy,
+        waiter: _Waiter,
+        origin: fair_share.Origin,
+    ) -> Granted | Refused:
+        """Waits for a slot, unless the request would wait in vain."""
+        tier = waiter.tier
+        now_s = self._clock.monotonic_s()
+        policy.note_contended(tier.priority, origin)
+        claim = waiter.claim
+        claim.kind = policy.classify(tier.priority, origin, late=False)
+        if self.waiting[tier.name] >= tier.limit:
+            return self._refuse_in_overload(policy, waiter, _QUEUE_FULL)
+        waiting = self._list_claims()
+        capacity_per_s = self.settings.slots / self._service.value_s
+        hold_s = self._expected_hold_s(tier)
+        wait_s = policy.estimate_wait_s(claim, waiting, capacity_per_s)
+        if not policy.meets_target(claim, wait_s, hold_s, now_s):
+            claim.kind = policy.classify(tier.priority, origin, late=True)
+            late_slots = min(self.settings.late_slots, self.settings.slots)
+            wait_s = policy.estimate_wait_s(
+                claim, waiting, late_slots / self._service.value_s
+            )
+            if wait_s > self._max_wait_s(waiter, now_s):
+                return self._refuse_in_overload(policy, waiter, _CANNOT_MEET)
+        return await self._wait(waiter)
+
+    def _refuse_in_overload(
+        self,
+        policy: overload_lib.OverloadPolicy,
+        waiter: _Waiter,
+        reason: str,
+    ) -> Refused:
+        """Returns a refusal with the time at which a slot is expected."""
+        capacity_per_s = self.settings.slots / self._service.value_s
+        return_s = policy.assign_return_s(
+            waiter.claim, capacity_per_s, self._clock.monotonic_s()
+        )
+        return self._refuse(reason, return_s)
+
+    def _find_policy(self) -> overload_lib.OverloadPolicy | None:
+        """Returns the policy for overload, if the settings call for one."""
+        settings = self.settings.overload
+        if settings is None:
+            self._overload = None
+            return None
+        if self._overload is None:
+            shares = self._shares or fair_share.CallerShares(
+                fair_share.ShareSettings(), self._clock
+            )
+            self._overload = overload_lib.OverloadPolicy(
+                settings, shares, self._clock
+            )
+        return self._overload
+
+    def _list_claims(self) -> list[overload_lib.Claim]:
+        """Returns the claims of the waiting requests."""
+        return [waiter.claim for waiter in self._waiters]
+
     async def _wait(self, waiter: _Waiter) -> Granted | Refused:
         """Waits in the queue until a slot is granted or time runs out."""
         tier = waiter.tier
@@ -230,9 +330,10 @@
         if waiter.granted.is_set():
             return Granted()
         self._remove_waiter(waiter)
-        return self._refuse(
-            "the deadline has passed", self._expected_hold_s(tier)
-        )
+        policy = self._find_policy()
+        if policy is not None:
+            return self._refuse_in_overload(policy, waiter, _HAS_PASSED)
+        return self._refuse(_HAS_PASSED, self._expected_hold_s(tier))
 
     def _pause_late(self, held_s: float) -> None:
         """Starts a pause for late requests if they have less than one slot."""
@@ -296,6 +397,10 @@
             waiter = self._pick_next()
             if not self._may_grant(waiter):
                 return
+            if self._overload is not None:
+                claim = waiter.claim
+                self._overload.note_picked(claim, self._list_claims())
+                self._overload.note_grant(claim.priority, claim.kind)
             self._waiters.remove(waiter)
             self.waiting[waiter.tier.name] -= 1
             self.force_acquire(waiter.tier)
@@ -319,6 +424,10 @@
         It has the highest priority, except for the share of grants that goes
         to the lowest waiting tier.
         """
+        policy = self._find_policy()
+        if policy is not None:
+            picked = policy.pick(self._list_claims())
+            return next(w for w in self._waiters if w.claim is picked)
         ratio = self.settings.starvation_share_ratio
         candidates = self._waiters
         if ratio and self._grants % math.ceil(1 / ratio) == 0:
@@ -340,3 +449,11 @@
     def _refuse(self, reason: str, wait_s: float) -> Refused:
         """Returns a refusal with the time after which to try again."""
         return Refused(reason, max(int(wait_s * 1_000), 1))
+
+
+def _make_waiter(tier: QueueTier, deadlines: Deadlines) -> _Waiter:
+    """Returns a waiter that has not been classified."""
+    claim = overload_lib.Claim(
+        tier.priority, *deadlines, grant_rates.Kind.IN_TIME
+    )
+    return _Waiter(tier, deadlines, anyio.Event(), claim)
