--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
@@ -218,7 +218,7 @@
             now_s + request.target_in_s, now_s + request.deadline_in_s
         )
         tier = self._make_queue_tier(request)
-        if queue.try_acquire(tier, deadlines, _make_origin(request)):
+        if queue.try_acquire(tier, deadlines, request.origin):
             return self._grant(request, pool, server, may_be_cold=True)
         is_cold = server is not None and self._is_cold(server)
         if is_cold or not request.may_wait:
@@ -319,7 +319,7 @@
             slot = await queue.acquire(
                 self._make_queue_tier(request),
                 deadlines,
-                _make_origin(request),
+                request.origin,
             )
             if isinstance(slot, queueing.Refused):
                 wait_s = slot.retry_after_ms / 1_000
@@ -639,11 +639,6 @@
         )
 
 
-def _make_origin(request: permits.Request) -> fair_share.Origin:
-    """Returns what a request says of its caller."""
-    return fair_share.Origin(request.caller, request.caller_age_s)
-
-
 def _refuse(reason: str, wait_s: float) -> permits.Reply:
     """Returns a refusal with the time after which to retry."""
     return permits.Reply(
--- a/libs/bridgecross-entry/src/bridgecross_entry/permits.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permits.py
@@ -23,6 +23,7 @@
 from bridgecross_core import outcomes
 from bridgecross_entry import attempts
 from bridgecross_entry import model
+from bridgecross_request import fair_share
 
 PATH = b"/permits"
 """The path at which instances request and return permits."""
@@ -94,6 +95,11 @@
     # A hash of the caller's address; 0 if unknown.
     caller: int = 0
 
+    @property
+    def origin(self) -> fair_share.Origin:
+        """What it says of its caller."""
+        return fair_share.Origin(self.caller, self.caller_age_s)
+
 
 class Reply(NamedTuple):
     """An issuer's answer."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -454,6 +454,7 @@
             self._add(listed)
             return
         known.listed = listed
+        self._update_overload(listed.service)
         self._note_warmup(known)
         if listed.leaving:
             self._note_leaving(known, "it announced that it is leaving")
@@ -520,6 +521,7 @@
             return
         known.ended = True
         del self._by_service[known.listed.service][server_id]
+        self._update_overload(known.listed.service)
         self._journal.decision(
             "server_ended",
             server=server_id,
--- a/libs/bridgecross-entry/tests/test_dispatch.py
+++ b/libs/bridgecross-entry/tests/test_dispatch.py
@@ -1,5 +1,6 @@
 import dataclasses
 import time
+import zlib
 
 import anyio
 import entry_support as support
@@ -15,6 +16,7 @@
 from bridgecross_entry import metrics
 from bridgecross_entry import model
 from bridgecross_entry import servers
+from bridgecross_request import fair_share
 
 pytestmark = pytest.mark.anyio
 
@@ -112,7 +114,7 @@
             "test",
         )
 
-    async def ask(self, *, path="/a/x", caller_timeout_ms=400.0):
+    async def ask(self, *, path="/a/x", caller_timeout_ms=400.0, caller=""):
         request = attempts.EntryRequest(
             request_id="id1",
             method=b"GET",
@@ -124,6 +126,7 @@
             key=7,
             received_s=clock.SystemClock().monotonic_s(),
             caller_timeout_ms=caller_timeout_ms,
+            caller=caller,
         )
         return await self.dispatcher.run(request)
 
@@ -470,3 +473,36 @@
     outcome = await scene.ask()
     assert isinstance(outcome, outcomes.NotRun)
     assert backends.sent == []
+
+
+class RecordingPermits:
+    """Issues no permits, and records who applied for one."""
+
+    def __init__(self) -> None:
+        self.applicants = []
+
+    def is_used(self, service):
+        return True
+
+    async def obtain(self, applicant):
+        self.applicants.append(applicant)
+
+
+@pytest.mark.parametrize(
+    ("slots", "expected"),
+    [(4, fair_share.UNKNOWN), (2, fair_share.Origin(zlib.crc32(b"10.0.0.7")))],
+)
+async def test_callers_are_named_only_where_slots_are_few(slots, expected):
+    """Guards against messages that earlier versions cannot decode."""
+    scene = Scene(Backends(OK))
+    for name in ("a", "b"):
+        listed = dataclasses.replace(support.make_server(name), slots=slots)
+        scene.registry.put(listed)
+    scene.dispatcher._permits = recorded = RecordingPermits()
+    await scene.ask(caller="10.0.0.7")
+    assert [each.origin for each in recorded.applicants] == [expected]
+    has_policy = [
+        server.queue.settings.overload is not None
+        for server in scene.registry.of_service(ids.ServiceName("rapor"))
+    ]
+    assert has_policy == [slots == 2] * 2
--- a/libs/bridgecross-entry/tests/test_permit_client.py
+++ b/libs/bridgecross-entry/tests/test_permit_client.py
@@ -15,6 +15,7 @@
 from bridgecross_entry import permit_issuer
 from bridgecross_entry import permits
 from bridgecross_entry import servers
+from bridgecross_request import fair_share
 from bridgecross_request import queueing
 
 pytestmark = pytest.mark.anyio
@@ -119,7 +120,13 @@
     )
 
 
-async def _obtain(client, *, server=None, is_current=lambda: True):
+async def _obtain(
+    client,
+    *,
+    server=None,
+    is_current=lambda: True,
+    origin=fair_share.UNKNOWN,
+):
     now_s = clock.SystemClock().monotonic_s()
     applicant = permit_client.Applicant(
         RAPOR,
@@ -128,6 +135,7 @@
         server,
         (),
         is_current,
+        origin=origin,
     )
     async with anyio.create_task_group() as tasks:
         client.start(tasks)
@@ -353,3 +361,13 @@
     second = _make(issuers, near=tuple(reversed(near)))
     issuer = permit_client._IssuerScope(RAPOR, "hall-1")
     assert first._addresses(issuer) == second._addresses(issuer)
+
+
+@pytest.mark.parametrize(
+    "origin", [fair_share.UNKNOWN, fair_share.Origin(7, 0.5)]
+)
+async def test_issuers_are_told_what_is_known_of_the_caller(issuers, origin):
+    """Guards against callers that are refused twice as nobody knows them."""
+    issuers.scripts[NEAR] = [GRANTED]
+    await _obtain(_make(issuers), origin=origin)
+    assert issuers.requests[-1].origin == origin
--- a/libs/bridgecross-entry/tests/test_permit_issuer.py
+++ b/libs/bridgecross-entry/tests/test_permit_issuer.py
@@ -12,6 +12,7 @@
 from bridgecross_entry import permit_issuer
 from bridgecross_entry import permits
 from bridgecross_entry import servers
+from bridgecross_request import fair_share
 
 pytestmark = pytest.mark.anyio
 
@@ -36,6 +37,7 @@
         self.registry.put(support.make_server("a"))
         self.registry.put(support.make_server("b"))
         self.registry.put(support.make_server("far", domain="hall-2"))
+        self.metrics = metrics.Metrics()
         # Whether this issuer is certain to be the only one.
         self.is_sole_issuer = True
         self.issuer = permit_issuer.PermitIssuer(
@@ -49,7 +51,7 @@
             "hall-1",
             self.registry,
             journal,
-            metrics.Metrics(),
+            self.metrics,
             real,
             lambda _: self.is_sole_issuer,
         )
@@ -77,6 +79,7 @@
         deadline_in_s=20.0,
         may_wait=True,
         tried=(),
+        origin=fair_share.UNKNOWN,
     ) -> permits.Reply:
         self.last_request = permits.Request(
             RAPOR,
@@ -87,6 +90,8 @@
             ids.ServerId(server),
             tried,
             may_wait,
+            origin.caller_age_s,
+            origin.caller,
         )
         return await self.issuer.handle_request(self.last_request)
 
@@ -465,3 +470,65 @@
     reply = await scene.issuer.handle_request(scene.last_request)
     assert reply.verdict is permits.Verdict.REFUSED
     assert scene.issuer.granted_count == SLOTS - 1
+
+
+def _put_two_slots(scene) -> None:
+    for name, domain in (("a", "hall-1"), ("b", "hall-1"), ("far", "hall-2")):
+        listed = support.make_server(name, domain=domain)
+        scene.registry.put(dataclasses.replace(listed, slots=2))
+
+
+@pytest.mark.parametrize("few", [False, True])
+async def test_refused_caller_goes_first_only_where_slots_are_few(scene, few):
+    """Guards against second refusals, and another order at other services."""
+    if few:
+        _put_two_slots(scene)
+    slots = 2 if few else SLOTS
+    for number in range(slots):
+        await scene.ask(f"a-{number}", server="a")
+    back = fair_share.Origin(1, 0.5)
+    replies = {}
+
+    async def wait(ticket, target_in_s, origin):
+        while replies.get(ticket) is not permits.Verdict.GRANTED:
+            reply = await scene.ask(
+                ticket, server="a", target_in_s=target_in_s, origin=origin
+            )
+            replies[ticket] = reply.verdict
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(wait, "new", 10.0, fair_share.Origin(2))
+        tasks.start_soon(wait, "back", 11.0, back)
+        await anyio.sleep(0.03)
+        scene.return_permit("a-0")
+        await anyio.sleep(0.03)
+        first = "back" if few else "new"
+        assert replies[first] is permits.Verdict.GRANTED
+        tasks.cancel_scope.cancel()
+
+
+async def test_repeated_request_counts_once_against_its_caller(scene):
+    """Guards against callers held back because their requests wait."""
+    _put_two_slots(scene)
+    for number in range(2):
+        await scene.ask(f"a-{number}", server="a")
+    for caller in (1, 2, 3):
+        await scene.ask(
+            f"w-{caller}", server="a", origin=fair_share.Origin(caller)
+        )
+    for _ in range(20):
+        await scene.ask("w-1", server="a", origin=fair_share.Origin(1))
+    scene.issuer.sweep()
+    gauge = scene.metrics.callers_above_share
+    assert gauge.get({"service": RAPOR}) == 0
+
+
+async def test_refusals_are_counted_by_reason_and_tier(scene):
+    """Guards against overload that no metric explains."""
+    await scene.fill("a")
+    reply = await scene.ask(
+        "late", server="a", target_in_s=0.0, deadline_in_s=0.05
+    )
+    assert reply.verdict is permits.Verdict.REFUSED
+    labels = {"service": RAPOR, "reason": reply.reason, "tier": "1"}
+    assert scene.metrics.permit_refusals.get(labels) == 1
--- a/libs/bridgecross-request/src/bridgecross_request/grant_rates.py
+++ b/libs/bridgecross-request/src/bridgecross_request/grant_rates.py
@@ -10,7 +10,10 @@
     """What decides on the order of requests within a tier."""
 
     RETURNING = "returning"
-    """The caller was refused before."""
+    """The caller was refused before, and can be answered by its target."""
+
+    RETURNING_LATE = "returning_late"
+    """The caller was refused before, and will be answered late."""
 
     IN_TIME = "in_time"
     """A first attempt that can be answered by its target time."""
--- a/libs/bridgecross-request/src/bridgecross_request/overload.py
+++ b/libs/bridgecross-request/src/bridgecross_request/overload.py
@@ -1,10 +1,11 @@
 """Order and admission of requests where capacity is insufficient.
 
 A request that would wait in vain is refused at once, and its caller goes
-before newer ones when it returns. Requests that were admitted keep their place
-although they may become late, so that almost none of them waits in vain.
+before newer ones when it returns. A request that was admitted and becomes late
+gets the same share of grants, so that almost none waits in vain.
 """
 
+import collections
 from collections.abc import Collection
 import dataclasses
 import math
@@ -26,6 +27,10 @@
     # before first attempts of their tier. With more than half, first attempts
     # would be refused only because of the retries that refusals cause.
     returning_share_ratio: float = 0.5
+    # The part of all grants of that share which may go to callers that will be
+    # answered late. An answer in time is worth more than theirs, but a second
+    # refusal leaves them nothing.
+    late_returning_share_ratio: float = 0.3
     # The share of grants of each tier that waits.
     tier_min_share_ratio: float = 0.1
     # The time over which rates of grants are measured: as long as callers
@@ -33,7 +38,7 @@
     rate_window_s: float = 1.0
     # The part of its time that a first attempt may be expected to wait. The
     # rest is for work that takes longer than the mean.
-    wait_max_ratio: float = 0.8
+    wait_max_ratio: float = 0.9
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,8 +49,9 @@
     # The times after which the answer is late, and worthless.
     target_s: float
     deadline_s: float
-    # Decided when the request arrives; it keeps its place from then on.
     kind: grant_rates.Kind
+    # After this time an answer is likely to be late.
+    late_from_s: float = math.inf
 
 
 class OverloadPolicy:
@@ -70,8 +76,10 @@
         self._rates = grant_rates.GrantRates(settings.rate_window_s, clock)
         self._turns = tier_turns.TierTurns()
         self._return_times = return_times.ReturnTimes()
-        # Grants for which returning callers may go first.
+        # Grants for which returning callers may go first, and those of them
+        # that may go to callers that will be answered late.
         self._returning_credit = 1.0
+        self._late_credit = 1.0
 
     def classify(
         self, priority: int, origin: fair_share.Origin, *, late: bool
@@ -80,7 +88,7 @@
         if self._shares.is_above(priority, origin):
             return _Kind.ABOVE_SHARE
         if origin.is_returning:
-            return _Kind.RETURNING
+            return _Kind.RETURNING_LATE if late else _Kind.RETURNING
         return _Kind.LATE if late else _Kind.IN_TIME
 
     def note_contended(self, priority: int, origin: fair_share.Origin) -> None:
@@ -123,40 +131,70 @@
             higher + ahead + 1,
             capacity_per_s - higher_per_s - overtaking_per_s,
         )
+        if claim.kind is _Kind.RETURNING_LATE:
+            same = sum(each.kind is claim.kind for each in own)
+            ratio = self._settings.late_returning_share_ratio
+            share_per_s = ratio * (capacity_per_s - higher_per_s)
+            wait_s = min(wait_s, _divide(higher + same + 1, share_per_s))
         least_per_s = self._settings.tier_min_share_ratio * capacity_per_s
         return min(wait_s, _divide(ahead + 1, least_per_s - overtaking_per_s))
 
     def _count_ahead(self, claim: Claim, own: Collection[Claim]) -> float:
         """Returns how many requests of its own tier go before a new one."""
-        rank = _RANKS[claim.kind]
-        returning = sum(each.kind is _Kind.RETURNING for each in own)
+        counts = collections.Counter(each.kind for each in own)
+        returning = counts[_Kind.RETURNING]
+        in_time = counts[_Kind.IN_TIME]
+        late_returning = counts[_Kind.RETURNING_LATE]
         if claim.kind is _Kind.RETURNING:
-            first = sum(each.kind is _Kind.IN_TIME for each in own)
             ratio = self._settings.returning_share_ratio
-            return min((returning + 1) / ratio - 1, returning + first)
-        ahead = sum(
-            _RANKS[each.kind] < rank
-            or (each.kind is claim.kind and _due_s(each) <= _due_s(claim))
-            for each in own
-            if each.kind is not _Kind.RETURNING
-        )
+            return min((returning + 1) / ratio - 1, returning + in_time)
         if claim.kind is _Kind.IN_TIME:
+            ahead = sum(
+                each.kind is claim.kind and each.target_s <= claim.target_s
+                for each in own
+            )
             # Returning callers take turns with first attempts.
-            return ahead + min(returning, ahead + 1)
-        return ahead + returning
+            return ahead + min(returning + late_returning, ahead + 1)
+        if claim.kind is _Kind.RETURNING_LATE:
+            return returning + in_time + late_returning
+        if claim.kind is _Kind.LATE:
+            return len(own) - counts[_Kind.ABOVE_SHARE]
+        return len(own)
 
     def pick(self, waiting: Collection[Claim]) -> Claim:
         """Returns the request that gets the next slot."""
+        self._demote(waiting)
         priorities = {each.priority for each in waiting}
         priority = self._turns.pick(
             priorities, self._settings.tier_min_share_ratio
         )
-        returns_first = self._returning_credit >= 1.0
         return min(
             (each for each in waiting if each.priority == priority),
-            key=lambda each: _sort_key(each, returns_first=returns_first),
+            key=self._sort_key,
         )
 
+    def _demote(self, waiting: Collection[Claim]) -> None:
+        """Reclassifies waiting requests that will be late after all.
+
+        They have waited, so they get the share of returning callers.
+        """
+        now_s = self._clock.monotonic_s()
+        for claim in waiting:
+            is_in_time = claim.kind in {_Kind.IN_TIME, _Kind.RETURNING}
+            if is_in_time and now_s > claim.late_from_s:
+                claim.kind = _Kind.RETURNING_LATE
+
+    def _sort_key(self, claim: Claim) -> tuple[float, float]:
+        """Returns the sort key of a request; the lowest key goes first."""
+        rank = _RANKS[claim.kind]
+        if self._returning_credit >= 1.0:
+            # The smaller share is first: it would never be used otherwise.
+            if claim.kind is _Kind.RETURNING:
+                rank = -1
+            elif claim.kind is _Kind.RETURNING_LATE and self._late_credit >= 1:
+                rank = -2
+        return rank, _due_s(claim)
+
     def note_picked(self, picked: Claim, waiting: Collection[Claim]) -> None:
         """Counts a grant to a request that waited.
 
@@ -167,11 +205,14 @@
         self._turns.note_grant(
             picked.priority, {each.priority for each in waiting}
         )
-        credit = self._returning_credit
-        if picked.kind is _Kind.RETURNING:
-            credit = max(credit - 1.0, 0.0)
+        settings = self._settings
+        returning = self._returning_credit - (picked.kind in _RETURNING)
+        late = self._late_credit - (picked.kind is _Kind.RETURNING_LATE)
         self._returning_credit = min(
-            credit + self._settings.returning_share_ratio, 1.0
+            max(returning, 0.0) + settings.returning_share_ratio, 1.0
+        )
+        self._late_credit = min(
+            max(late, 0.0) + settings.late_returning_share_ratio, 1.0
         )
 
     def assign_return_s(
@@ -189,31 +230,27 @@
         )
 
 
+_RETURNING = (_Kind.RETURNING, _Kind.RETURNING_LATE)
+
 _RANKS = {
-    _Kind.RETURNING: 0,
-    _Kind.IN_TIME: 1,
-    _Kind.LATE: 2,
-    _Kind.ABOVE_SHARE: 3,
+    _Kind.IN_TIME: 0,
+    _Kind.RETURNING: 1,
+    _Kind.RETURNING_LATE: 2,
+    _Kind.LATE: 3,
+    _Kind.ABOVE_SHARE: 4,
 }
-"""The order of kinds within a tier."""
+"""The order of kinds within a tier, beyond the share of returning callers."""
 
 _OVERTAKING = {
     _Kind.RETURNING: (),
-    _Kind.IN_TIME: (_Kind.RETURNING,),
-    _Kind.LATE: (_Kind.RETURNING, _Kind.IN_TIME),
-    _Kind.ABOVE_SHARE: (_Kind.RETURNING, _Kind.IN_TIME, _Kind.LATE),
+    _Kind.IN_TIME: _RETURNING,
+    _Kind.RETURNING_LATE: (_Kind.RETURNING, _Kind.IN_TIME),
+    _Kind.LATE: (*_RETURNING, _Kind.IN_TIME),
+    _Kind.ABOVE_SHARE: (*_RETURNING, _Kind.IN_TIME, _Kind.LATE),
 }
 """The kinds of which newer requests go before a waiting one."""
 
 
-def _sort_key(claim: Claim, *, returns_first: bool) -> tuple[float, float]:
-    """Returns the sort key of a request; the lowest key goes first."""
-    rank = float(_RANKS[claim.kind])
-    if claim.kind is _Kind.RETURNING and not returns_first:
-        rank = _RANKS[_Kind.IN_TIME] + 0.5
-    return rank, _due_s(claim)
-
-
 def _due_s(claim: Claim) -> float:
     """Returns the time by which requests of one kind are ordered."""
     return claim.target_s if claim.kind is _Kind.IN_TIME else claim.deadline_s
--- a/libs/bridgecross-request/src/bridgecross_request/queueing.py
+++ b/libs/bridgecross-request/src/bridgecross_request/queueing.py
@@ -271,6 +271,7 @@
         waiting = self._list_claims()
         capacity_per_s = self.settings.slots / self._service.value_s
         hold_s = self._expected_hold_s(tier)
+        claim.late_from_s = claim.target_s - hold_s
         wait_s = policy.estimate_wait_s(claim, waiting, capacity_per_s)
         if not policy.meets_target(claim, wait_s, hold_s, now_s):
             claim.kind = policy.classify(tier.priority, origin, late=True)
--- /dev/null
+++ b/libs/bridgecross-request/tests/test_overload.py
@@ -0,0 +1,175 @@
+import anyio
+import anyio.lowlevel
+import pytest
+
+from bridgecross_core import clock as clocks
+from bridgecross_request import fair_share
+from bridgecross_request import grant_rates
+from bridgecross_request import overload
+from bridgecross_request import queueing
+
+pytestmark = pytest.mark.anyio
+
+Kind = grant_rates.Kind
+FIRST = queueing.QueueTier("0", 0, 64)
+LAST = queueing.QueueTier("2", 2, 64)
+BACK = fair_share.Origin(7, 0.4)
+HOLD_S = 0.1
+
+
+class ManualClock(clocks.SystemClock):
+    now_s = 100.0
+
+    def monotonic_s(self) -> float:
+        return self.now_s
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+def _queue(clock, *, policy=True, slots=1) -> queueing.TierQueue:
+    settings = queueing.QueueSettings(slots, 0.0, slots, HOLD_S)
+    if policy:
+        settings = queueing.QueueSettings(
+            slots, 0.0, slots, HOLD_S, overload.OverloadSettings()
+        )
+    return queueing.TierQueue(settings, clock)
+
+
+def _due(clock, target_s=5.0, deadline_s=10.0) -> queueing.Deadlines:
+    return queueing.Deadlines(clock.now_s + target_s, clock.now_s + deadline_s)
+
+
+async def _serve(clock, queue, waiting) -> list[str]:
+    """Queues requests behind a running one; returns their names in order."""
+    order: list[str] = []
+    queue.force_acquire(FIRST)
+
+    async def request(name, tier, due, origin) -> None:
+        slot = await queue.acquire(tier, due, origin)
+        if isinstance(slot, queueing.Granted):
+            order.append(name)
+            queue.release(HOLD_S, tier)
+
+    async with anyio.create_task_group() as tasks:
+        for each in waiting:
+            tasks.start_soon(request, *each)
+            await anyio.lowlevel.checkpoint()
+        queue.release(HOLD_S, FIRST)
+    return order
+
+
+async def test_sustained_load_late_request_is_refused_at_once(clock):
+    """Guards against waits that newer requests in time make endless.
+
+    The queue holds one request, but all slots went to requests in time.
+    """
+    queue = _queue(clock)
+    for _ in range(60):
+        assert queue.try_acquire(FIRST, _due(clock))
+        queue.release(HOLD_S, FIRST)
+        clock.now_s += HOLD_S
+    queue.force_acquire(FIRST)
+    with anyio.fail_after(1.0):
+        refused = await queue.acquire(FIRST, _due(clock, 0.15, 2.0))
+    assert isinstance(refused, queueing.Refused)
+    assert refused.retry_after_ms <= 2_000 / 3
+
+
+@pytest.mark.parametrize(
+    ("policy", "expected"),
+    [(False, "abcxyz"), (True, "xaybzc")],
+    ids=["off", "on"],
+)
+async def test_retries_after_refusals_take_turns_with_newcomers(
+    clock, policy, expected
+):
+    """Guards against second refusals, and against starved newcomers.
+
+    Without the policy the order is as before: by target time only.
+    """
+    due = _due(clock)
+    later = _due(clock, 6.0)
+    waiting = [(name, FIRST, due, fair_share.UNKNOWN) for name in "abc"]
+    waiting += [(name, FIRST, later, BACK) for name in "xyz"]
+    queue = _queue(clock, policy=policy)
+    assert "".join(await _serve(clock, queue, waiting)) == expected
+
+
+async def test_flood_of_highest_tier_leaves_lowest_one_grant_in_ten(clock):
+    """Guards against a tier that gets nothing while a higher one waits."""
+    due = _due(clock)
+    waiting = [("low", LAST, due, fair_share.UNKNOWN)] * 2
+    waiting += [("high", FIRST, due, fair_share.UNKNOWN)] * 30
+    order = await _serve(clock, _queue(clock), waiting)
+    assert [n for n, name in enumerate(order) if name == "low"] == [9, 19]
+
+
+async def test_immediate_retries_are_at_expense_of_their_caller(clock):
+    """Guards against a caller that takes all slots by asking most often."""
+    queue = _queue(clock)
+    due = _due(clock)
+    waiting = [("greedy", FIRST, due, fair_share.Origin(1, 0.3))] * 12
+    waiting += [(f"{n}", FIRST, due, fair_share.Origin(n)) for n in range(2, 6)]
+    # Requests beyond the least number that counts against a caller.
+    order = await _serve(clock, queue, waiting)
+    assert set(order[-5:]) == {"greedy"}
+
+
+@pytest.mark.parametrize("kind", [Kind.IN_TIME, Kind.RETURNING])
+def test_slow_servers_make_admitted_request_late(clock, kind):
+    """Guards against requests in time that become late behind late ones."""
+    policy = overload.OverloadPolicy(
+        overload.OverloadSettings(),
+        fair_share.CallerShares(fair_share.ShareSettings(), clock),
+        clock,
+    )
+    now_s = clock.now_s
+    overdue = overload.Claim(0, now_s, now_s + 9, kind, now_s - 0.1)
+    fresh = overload.Claim(0, now_s + 1, now_s + 9, Kind.IN_TIME)
+    policy.note_picked(
+        overload.Claim(0, 0, 0, Kind.RETURNING_LATE), [overdue, fresh]
+    )
+    assert policy.pick([overdue, fresh]) is fresh
+    assert overdue.kind is Kind.RETURNING_LATE
+
+
+async def test_burst_of_refusals_spreads_returns(clock):
+    """Guards against callers refused together that return together."""
+    queue = _queue(clock)
+    queue.force_acquire(FIRST)
+    due = _due(clock, 0.01, 3.0)
+    full = queueing.QueueTier("0", 0, 0)
+    refused = [await queue.acquire(full, due) for _ in range(20)]
+    times = [each.retry_after_ms for each in refused]
+    assert len(set(times)) > 15
+    assert max(times) <= 1_000
+
+
+def test_callers_of_equal_rate_or_alone_are_not_above_share(clock):
+    """Guards against callers held back although none requests more."""
+    shares = fair_share.CallerShares(fair_share.ShareSettings(), clock)
+    for _ in range(50):
+        shares.add(0, fair_share.Origin(1))
+    assert not shares.is_above(0, fair_share.Origin(1))
+    for caller in range(2, 12):
+        shares.add(0, fair_share.Origin(caller))
+    assert shares.is_above(0, fair_share.Origin(1))
+    assert not shares.is_above(0, fair_share.Origin(2))
+    assert not shares.is_above(1, fair_share.Origin(1))
+    assert shares.count_above() == 1
+    clock.now_s += 10.0
+    assert shares.count_above() == 0
+
+
+def test_flood_of_addresses_takes_bounded_memory(clock):
+    """Guards against memory that grows with the number of callers."""
+    settings = fair_share.ShareSettings(callers_max_count=16)
+    shares = fair_share.CallerShares(settings, clock)
+    for number in range(5_000):
+        shares.add(0, fair_share.Origin(1_000 + number))
+        shares.add(0, fair_share.Origin(1))
+    assert shares.is_above(0, fair_share.Origin(1))
+    assert len(shares._current[0].by_caller) <= 16
--- a/tests/load/simulation.py
+++ b/tests/load/simulation.py
@@ -34,6 +34,7 @@
 from bridgecross_entry import permit_issuer
 from bridgecross_entry import permits
 from bridgecross_entry import servers
+from tests.load import totals as totals_lib
 
 _LINK_S = 0.0005
 _CALLER_LINK_S = 0.008
@@ -82,6 +83,9 @@
     retries: int = 2
     # The share of requests for the hot key; the other keys are random.
     hot_key_share: float = 0.0
+    # The number of addresses that they come from; 0 if that is not known.
+    addresses_count: int = 0
+    heeds_retry_after: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,37 +121,25 @@
     )
 
 
-@dataclasses.dataclass(slots=True)
-class Totals:
-    """The results of a group of requests."""
-
-    attainable_value: float = 0.0
-    achieved_value: float = 0.0
-    in_time: int = 0
-    late: int = 0
-    unserved: int = 0
-
-    @property
-    def ratio(self) -> float:
-        """The achieved share of the attainable value."""
-        return (
-            self.achieved_value / self.attainable_value
-            if self.attainable_value
-            else 1.0
-        )
-
-
 @dataclasses.dataclass(slots=True)
 class Report:
     """The results of a simulation."""
 
-    total: Totals = dataclasses.field(default_factory=Totals)
-    kinds: dict[str, Totals] = dataclasses.field(default_factory=dict)
+    total: totals_lib.Totals = dataclasses.field(
+        default_factory=totals_lib.Totals
+    )
+    kinds: dict[str, totals_lib.Totals] = dataclasses.field(
+        default_factory=dict
+    )
     # By the second in which the first attempt was sent.
-    seconds: dict[int, Totals] = dataclasses.field(default_factory=dict)
+    seconds: dict[int, totals_lib.Totals] = dataclasses.field(
+        default_factory=dict
+    )
     # How long refused requests waited before the refusal.
     held_s: list[float] = dataclasses.field(default_factory=list)
     attempts_count: int = 0
+    # Callers that were not served, and refused more than once.
+    refused_again_count: int = 0
     outcome_counts: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -162,8 +154,8 @@
         """Counts the result of one caller's request."""
         groups = (
             self.total,
-            self.kinds.setdefault(kind.name, Totals()),
-            self.seconds.setdefault(int(first_sent_s), Totals()),
+            self.kinds.setdefault(kind.name, totals_lib.Totals()),
+            self.seconds.setdefault(int(first_sent_s), totals_lib.Totals()),
         )
         for totals in groups:
             totals.attainable_value += kind.value
@@ -550,6 +542,7 @@
         """Sends the attempts of one caller and records the result."""
         first_sent_s = self._clock.monotonic_s()
         deadline_s = first_sent_s + kind.patience_s
+        refusals_count = 0
         for attempt, index in enumerate(order):
             left_s = deadline_s - self._clock.monotonic_s()
             if left_s <= 0:
@@ -569,9 +562,12 @@
             left_s = deadline_s - self._clock.monotonic_s()
             pause_s = _RETRY_PAUSE_S
             if isinstance(outcome, outcomes.NotRun):
-                retry_after_s = outcome.retry_after_ms / 1_000
-                pause_s = max(min(retry_after_s, left_s / 3), pause_s)
+                refusals_count += 1
+                if kind.heeds_retry_after:
+                    retry_after_s = outcome.retry_after_ms / 1_000
+                    pause_s = max(min(retry_after_s, left_s / 3), pause_s)
             await anyio.sleep(max(pause_s, 0.0))
+        self.report.refused_again_count += refusals_count > 1
         self.report.record(kind, first_sent_s, 0.0, "unserved")
 
     async def _send_attempt(
@@ -606,6 +602,7 @@
             key=key,
             received_s=started_s,
             caller_timeout_ms=float(int(left_s * 1_000)),
+            caller=_find_address(kind, request_id),
         )
         self.report.attempts_count += 1
         outcome: outcomes.Outcome | None = None
@@ -626,6 +623,14 @@
     )
 
 
+def _find_address(kind: CallerKind, request_id: str) -> str:
+    """Returns the address of a caller; empty if it is not known."""
+    if not kind.addresses_count:
+        return ""
+    number = int(request_id.split("-")[-2]) % kind.addresses_count
+    return f"{kind.name}-{number}"
+
+
 def _is_within(period_s: tuple[float, float], now_s: float) -> bool:
     return period_s[0] <= now_s < period_s[1]
 
