Late callers that return may use the whole share of returning callers

With a smaller part, callers without keys were refused more than once more often than before. Load tests compare the policy off and on: fewer requests are refused after a long wait, fewer callers are refused more than once, and callers that retry immediately cost others nothing.

--- a/libs/bridgecross-request/src/bridgecross_request/overload.py
+++ b/libs/bridgecross-request/src/bridgecross_request/overload.py
@@ -27,10 +27,10 @@
     # before first attempts of their tier. With more than half, first attempts
     # would be refused only because of the retries that refusals cause.
     returning_share_ratio: float = 0.5
-    # The part of all grants of that share which may go to callers that will be
-    # answered late. An answer in time is worth more than theirs, but a second
-    # refusal leaves them nothing.
-    late_returning_share_ratio: float = 0.3
+    # The part of all grants, within that share, for those of them that will be
+    # answered late. All of it by default, since a second refusal leaves them
+    # nothing; less gives more answers in time and more callers without any.
+    late_returning_share_ratio: float = 0.5
     # The share of grants of each tier that waits.
     tier_min_share_ratio: float = 0.1
     # The time over which rates of grants are measured: as long as callers
@@ -188,7 +188,7 @@
         """Returns the sort key of a request; the lowest key goes first."""
         rank = _RANKS[claim.kind]
         if self._returning_credit >= 1.0:
-            # The smaller share is first: it would never be used otherwise.
+            # Those that are late already have the least time left.
             if claim.kind is _Kind.RETURNING:
                 rank = -1
             elif claim.kind is _Kind.RETURNING_LATE and self._late_credit >= 1:
--- a/tests/load/test_overload.py
+++ b/tests/load/test_overload.py
@@ -142,8 +142,8 @@
     """Guards against requests held for long before they are refused."""
     off, on = (_measure(run(_CASES[name])) for run in (_run_off, _RUN_ON))
     assert on.held_ratio < off.held_ratio / 3
-    assert on.refused_again_ratio < off.refused_again_ratio + 0.01
-    assert on.served_ratio > off.served_ratio - 0.01
+    assert on.refused_again_ratio < off.refused_again_ratio
+    assert on.served_ratio > off.served_ratio
 
 
 def test_each_tier_is_served_in_surge():
