--- a/libs/bridgecross-entry/src/bridgecross_entry/load_view.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/load_view.py
@@ -45,6 +45,13 @@
         # until it is 1, counts are scaled up accordingly.
         self._filled_ratio = 0.0
 
+    def set_window(self, window_s: float) -> None:
+        """Changes the window; the load stays as it is known."""
+        ratio = window_s / self._window_s
+        if ratio != 1.0:
+            self._window_s = window_s
+            self._weights = {k: w * ratio for k, w in self._weights.items()}
+
     def add(self, key: int, requests: int) -> None:
         """Counts requests for a key."""
         self._weights[key] = self._weights.get(key, 0.0) + requests
@@ -62,9 +69,13 @@
 
     def load(self) -> planner.KeyLoad:
         """Returns the requests per second of each key."""
-        window_s = self._window_s * max(self._filled_ratio, 0.1)
+        filled_ratio = max(self._filled_ratio, 0.1)
+        window_s = self._window_s * filled_ratio
+        # Counts that decay have the error of even counts over twice the window.
+        counted_s = 2.0 * window_s / (2.0 - filled_ratio)
         return planner.KeyLoad(
-            {key: weight / window_s for key, weight in self._weights.items()}
+            {key: weight / window_s for key, weight in self._weights.items()},
+            counted_s,
         )
 
 
@@ -73,7 +84,8 @@
 
     def __init__(self, settings: LoadSettings) -> None:
         """Starts without any load."""
-        self._settings = settings
+        self._usual_settings = settings
+        self.settings = settings
         self._fast = _KeyWeights(settings.fast_window_s)
         self._slow = _KeyWeights(settings.slow_window_s)
         # Decaying answer counts and slot time of each server.
@@ -90,6 +102,12 @@
         self._last_decay_s: float | None = None
         self._last_step_s: float | None = None
 
+    def use(self, settings: LoadSettings | None) -> None:
+        """Changes the settings; None restores the initial ones."""
+        self.settings = settings or self._usual_settings
+        self._fast.set_window(self.settings.fast_window_s)
+        self._slow.set_window(self.settings.slow_window_s)
+
     def add_report(
         self,
         keys: tuple[load.KeyCount, ...],
@@ -115,7 +133,7 @@
         self._fast.decay(passed_s)
         self._slow.decay(passed_s)
         passed_s = now_s - self._last_step_s
-        if passed_s >= self._settings.step_s:
+        if passed_s >= self.settings.step_s:
             self._last_step_s = now_s
             self._sum_up(servers, passed_s)
 
@@ -127,7 +145,7 @@
         A server cannot work for longer than its slots allow; the rest of the
         time from sending to answer was spent in its queue (Little's law).
         """
-        decay_factor = math.exp(-passed_s / self._settings.server_window_s)
+        decay_factor = math.exp(-passed_s / self.settings.server_window_s)
         for server in servers:
             server_id = server.server_id
             busy_slot_s = min(
@@ -153,7 +171,7 @@
     ) -> dict[ids.ServerId, float]:
         """Returns the requests per second that each server can process."""
         servers = list(servers)
-        settings = self._settings
+        settings = self.settings
         answers = sum(self._answers[s.server_id] for s in servers)
         busy_slot_s = sum(self._busy_slot_s[s.server_id] for s in servers)
         prior_count = settings.prior_count
