Count load by work among servers with few slots

Cause: routes of one service differ in work, so servers with the same number of requests differed in load, and those with long requests looked slow.

Change: where servers have few slots and an instance has seen several routes, keys and answers count by the mean duration of their route relative to the service's. Reports then carry scaled integers and a last field with the units; it is left out otherwise, so that the bytes are as before.

--- a/libs/bridgecross-entry/src/bridgecross_entry/attempt_results.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempt_results.py
@@ -45,7 +45,9 @@
         refusals: refusals_lib.Refusals,
         watch: crash_watch.CrashWatch,
         is_keyed: Callable[[request_state.RequestState], bool],
-        count_answer: Callable[[ids.ServiceName, ids.ServerId, float], None],
+        count_answer: Callable[
+            [ids.ServiceName, ids.ServerId, float, str], None
+        ],
         clock: clocks.Clock,
     ) -> None:
         """Stores what results are reported to.
@@ -58,7 +60,8 @@
             watch: Finds out which requests crash servers.
             is_keyed: Whether the servers of a request's service own keys.
             count_answer: Counts an answer for the load of its service: the
-                service, the server, and how long the attempt took in seconds.
+                service, the server, how long the attempt took in seconds, and
+                the route.
             clock: The time source.
         """
         self._settings = settings
@@ -168,7 +171,9 @@
         state.possible_runs += 1
         if not failed:
             server.raise_concurrency()
-            self._count_answer(state.service, server_id, held_s)
+            self._count_answer(
+                state.service, server_id, held_s, state.route.name
+            )
             state.trail.append(f"{server_id}: {answer.status}")
             return answer
         state.trail.append(f"{server_id}: failed with {answer.status}")
--- a/libs/bridgecross-entry/src/bridgecross_entry/load_view.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/load_view.py
@@ -52,7 +52,7 @@
             self._window_s = window_s
             self._weights = {k: w * ratio for k, w in self._weights.items()}
 
-    def add(self, key: int, requests: int) -> None:
+    def add(self, key: int, requests: float) -> None:
         """Counts requests for a key."""
         self._weights[key] = self._weights.get(key, 0.0) + requests
 
@@ -95,8 +95,8 @@
         self._busy_slot_s = collections.defaultdict(float)
         # Answer counts since the last step, and the time from sending to
         # answer, which includes queueing.
-        self._step_answers: collections.Counter[ids.ServerId]
-        self._step_answers = collections.Counter()
+        self._step_answers: collections.defaultdict[ids.ServerId, float]
+        self._step_answers = collections.defaultdict(float)
         self._step_busy_s: collections.defaultdict[ids.ServerId, float]
         self._step_busy_s = collections.defaultdict(float)
         self._last_decay_s: float | None = None
@@ -112,13 +112,14 @@
         self,
         keys: tuple[load.KeyCount, ...],
         servers: tuple[load.ServerCount, ...],
+        units_per_request: int = 1,
     ) -> None:
-        """Adds one load report."""
+        """Adds one load report; for the arguments, see ``load.LoadReport``."""
         for key, requests in keys:
-            self._fast.add(key, requests)
-            self._slow.add(key, requests)
+            self._fast.add(key, requests / units_per_request)
+            self._slow.add(key, requests / units_per_request)
         for server_id, answers, busy_s in servers:
-            self._step_answers[server_id] += answers
+            self._step_answers[server_id] += answers / units_per_request
             self._step_busy_s[server_id] += busy_s
 
     def advance(
--- a/libs/bridgecross-entry/tests/planning_support.py
+++ b/libs/bridgecross-entry/tests/planning_support.py
@@ -36,15 +36,6 @@
     return dataclasses.replace(support.make_server(name), slots=slots)
 
 
-def with_budget(
-    settings: planner.PlanSettings, ratio: float
-) -> planner.PlanSettings:
-    """Returns settings with another budget, of which a move takes its keys."""
-    return dataclasses.replace(
-        settings, moved_per_min_ratio=ratio, move_min_key_count=1
-    )
-
-
 def clustered_rates(chance: random.Random, total: float) -> Rates:
     """Returns rates of which most belong to keys close to one another."""
     weights: dict[int, float] = {}
--- a/libs/bridgecross-entry/tests/test_few_slots.py
+++ b/libs/bridgecross-entry/tests/test_few_slots.py
@@ -1,3 +1,4 @@
+import dataclasses
 import random
 
 import entry_support as support
@@ -117,7 +118,9 @@
 # Guards against churn without bound: the load moves elsewhere again and again.
 def test_no_minute_has_more_moves_than_the_budget_allows():
     settings, load_settings = planning.FEW_SLOTS
-    limited = planning.with_budget(settings, 0.1)
+    limited = dataclasses.replace(
+        settings, moved_per_min_ratio=0.1, move_min_key_count=1
+    )
     scene = _make_scene((limited, load_settings))
     for _ in range(6):
         scene.run(2.0)
