Emulated servers state their slots, and connections to them are counted

Cause: how many connections a request costs could not be measured, and no emulated service had few slots. Change: KeptConnections models the idle connections of an instance; BackendClient.can_reuse_connection tells exactly whether the next request needs a new one; exchanges of a process that ends can be broken; Interrupted says whether the server may be the cause (always so far).

--- a/libs/bridgecross-emulator/src/bridgecross_emulator/__init__.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/__init__.py
@@ -7,6 +7,7 @@
 * ``log_model``: the platform's log, and each instance's client of it.
 * ``network``: links between instances.
 * ``servers``: servers that own keys, with their runs, leases and tokens.
+* ``kept_connections``: connections that instances keep to servers.
 * ``instances``: one emulated instance.
 * ``cluster``: all of them together.
 * ``callers``: callers, and poison requests, which crash servers.
@@ -25,6 +26,7 @@
     "cluster",
     "faults",
     "instances",
+    "kept_connections",
     "log_model",
     "move_faults",
     "network",
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/cluster.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/cluster.py
@@ -46,8 +46,12 @@
     return f"zone-{number}"
 
 
+_WEAK_CORES = 0.4
+"""The cores of instances that are too weak for tasks for others."""
+
+
 def make_settings(
-    number: int, *, is_first_start: bool = False
+    number: int, *, is_first_start: bool = False, cores: float = 1.0
 ) -> model.InstanceSettings:
     """Returns the settings of an instance, by its number from 0."""
     address = model.Address(f"10.1.0.{number + 1}", _PEER_PORT)
@@ -59,7 +63,7 @@
         peer_address=address,
         metrics_address=address,
         log_address=address,
-        cores=1.0,
+        cores=cores,
         link_mbps=1_000.0,
         bounds=BOUNDS,
         is_first_start=is_first_start,
@@ -71,6 +75,8 @@
     """The parts of a cluster."""
 
     instance_count: int = 5
+    # The first so many instances are strong; all of them, if None.
+    strong_instance_count: int | None = None
     # Servers of the service whose keys have owners, and of the other service.
     server_count: int = 0
     free_server_count: int = 0
@@ -163,7 +169,13 @@
         clock = virtual.Clock(
             self._environment, self._rng.uniform(0.0, _LONGEST_UP_S), host
         )
-        settings = make_settings(number, is_first_start=is_first_start)
+        strong_count = self._settings.strong_instance_count
+        is_strong = strong_count is None or number < strong_count
+        settings = make_settings(
+            number,
+            is_first_start=is_first_start,
+            cores=1.0 if is_strong else _WEAK_CORES,
+        )
         address = settings.peer_address
         process = instances.EmulatedInstance(
             settings,
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/network.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/network.py
@@ -60,6 +60,10 @@
         # How often the connections to a process have been reset.
         self._reset_counts: collections.Counter[model.Address]
         self._reset_counts = collections.Counter()
+        # The exchanges with each process that have no answer yet.
+        self.open_exchanges: dict[
+            model.Address, set[asyncio.Future[peers.PeerReply | None]]
+        ] = {}
         # How often all open connections have been made silent.
         self.silenced_count = 0
         # The number of messages that arrived, by path, and the bytes of their
@@ -112,6 +116,12 @@
         """Resets the connections to a process; what it does goes on."""
         self._reset_counts[receiver] += 1
 
+    def break_exchanges(self, receiver: model.Address) -> None:
+        """Resets connections whose exchanges have no answer yet, at once."""
+        for answered in self.open_exchanges.pop(receiver, ()):
+            if not answered.done():
+                answered.set_result(None)
+
     def count_resets(self, receiver: model.Address) -> int:
         """Returns how often connections to a process have been reset."""
         return self._reset_counts[receiver]
@@ -173,7 +183,16 @@
         body = request.partition(b"\r\n\r\n")[2]
         self._network.message_bytes[path] += len(body)
         resets_count = self._network.count_resets(self._receiver)
-        reply = await _answer(process, request)
+        answered: asyncio.Future[peers.PeerReply | None]
+        answered = asyncio.get_running_loop().create_future()
+        others = self._network.open_exchanges.setdefault(self._receiver, set())
+        others.add(answered)
+        try:
+            reply = await _answer(process, request, answered)
+        finally:
+            others.discard(answered)
+        if reply is None:
+            return exchanges.Broken("connection reset")
         if resets_count != self._network.count_resets(self._receiver):
             return exchanges.Broken("connection reset")
         self._network.message_bytes[path] += len(reply.body)
@@ -181,12 +200,18 @@
         return exchanges.Reply(reply.status, (), reply.body)
 
 
-async def _answer(process: _Process, request: bytes) -> peers.PeerReply:
-    """Returns the answer of a process; if its host is paused, once resumed."""
+async def _answer(
+    process: _Process,
+    request: bytes,
+    answered: asyncio.Future[peers.PeerReply | None],
+) -> peers.PeerReply | None:
+    """Returns the answer of a process; if its host is paused, once resumed.
+
+    Returns None if the exchange is broken before.
+    """
     head, _, body = request.partition(b"\r\n\r\n")
     path = head.split(b" ", 2)[1]
     loop = asyncio.get_running_loop()
-    answered: asyncio.Future[peers.PeerReply] = loop.create_future()
     begun: list[asyncio.Task[None]] = []
 
     async def answer() -> None:
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/server_clients.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/server_clients.py
@@ -9,6 +9,7 @@
 from bridgecross_core import ids
 from bridgecross_core import outcomes
 from bridgecross_emulator import broken_links
+from bridgecross_emulator import kept_connections
 from bridgecross_emulator import servers
 from bridgecross_emulator import work as work_lib
 from bridgecross_entry import attempts
@@ -135,6 +136,7 @@
         # For each server, the run to which a connection is kept, and since when
         # by the instance's clock; -inf if the server has reported its warmup.
         self._kept: dict[model.Address, tuple[int, float]] = {}
+        self._pool = kept_connections.KeptConnections(fleet, sender)
 
     async def query_warmup_left_s(
         self,
@@ -162,6 +164,7 @@
             return None
         left_s = found.reported_cold_s
         self._kept[server.address] = (found.started_ms, -math.inf)
+        self._open_another(found)
         await self._fleet.network.cross(server.address, self._sender)
         return left_s
 
@@ -188,7 +191,11 @@
         if self._kept.get(server.address, (None,))[0] != found.started_ms:
             now_s = self._clock.monotonic_s()
             self._kept[server.address] = (found.started_ms, now_s)
-        return await self._deliver(server, found, request, sent_s)
+        self._pool.take(found)
+        result = await self._deliver(server, found, request, sent_s)
+        if not isinstance(result, attempts.Interrupted):
+            self._pool.keep(found)
+        return result
 
     async def _deliver(
         self,
@@ -307,10 +314,20 @@
             fleet.schedule_crash(server, request.target)
 
     def is_connected(self, server: model.BackendServer) -> bool:
-        """Whether the server is up, as connections are not modelled here."""
+        """Whether the server is up: servers are not chosen by connections."""
         found = self._fleet.servers.get(server.address)
         return found is not None and found.is_up
 
+    def can_reuse_connection(self, server: model.BackendServer) -> bool:
+        """Whether the next request needs no new connection to a server."""
+        found = self._fleet.servers.get(server.address)
+        return found is not None and self._pool.can_reuse(found)
+
+    def _open_another(self, server: servers.EmulatedServer) -> None:
+        """Counts a connection that a probe opened, and keeps it."""
+        self._fleet.opened_count[self._sender] += 1
+        self._pool.keep(server)
+
     async def connect(
         self, server: model.BackendServer
     ) -> attempts.NotSent | None:
@@ -322,7 +339,9 @@
             network = self._fleet.network
             await network.cross(self._sender, server.address)
             await network.cross(server.address, self._sender)
-            if self.is_connected(server):
+            found = self._fleet.servers.get(server.address)
+            if found is not None and found.is_up:
+                self._open_another(found)
                 return None
             return attempts.NotSent("connection refused", refused=True)
         return attempts.NotSent("connecting took too long")
@@ -333,7 +352,11 @@
         if unsent is not None:
             return unsent.refused
         await self._fleet.network.cross(self._sender, server.address)
-        return not self.is_connected(server)
+        found = self._fleet.servers.get(server.address)
+        if found is None or not found.is_up:
+            return True
+        self._open_another(found)
+        return False
 
     def sweep(self, known: Container[ids.ServerId]) -> None:
         """Does nothing, because nothing has to be closed."""
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/servers.py
@@ -1,5 +1,6 @@
 """Models of backend servers that own keys: runs, leases and fencing tokens."""
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import math
@@ -25,6 +26,10 @@
 """The duration of a request; ``ServerSettings.work_s`` without this header."""
 
 
+DEFAULT_SLOTS = 4
+"""The slots of a server whose entry states none."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerSettings:
     """The behavior of servers, and the timing of their faults."""
@@ -42,6 +47,8 @@
     order_timeout_s: float = 0.5
     # How long a request takes.
     work_s: float = 0.06
+    # How many slots servers state; any number of requests runs at a time.
+    slots: int = DEFAULT_SLOTS
     # How long a poison request takes to crash its server, and how long the
     # server takes to restart.
     crash_after_s: float = 0.04
@@ -150,6 +157,7 @@
     ) -> None:
         """Initializes the server; the fleet starts it."""
         self.name = name
+        self.slots = fleet.settings.slots
         # The failure domain in which it runs.
         self.domain = domain
         self.service = service
@@ -378,6 +386,10 @@
         self.arrivals: dict[RunOfServer, list[Arrival]] = {}
         # When an answer first told an instance of a limit of a run.
         self.limit_told_s: dict[tuple[model.Address, RunOfServer], float] = {}
+        # The connections to servers that each instance has opened.
+        self.opened_count: collections.Counter[model.Address] = (
+            collections.Counter()
+        )
         self.network = network
         # The links from instances to servers that are broken.
         self.links = broken_links.BrokenLinks()
@@ -566,7 +578,10 @@
         server.domain,
         round(server.reported_cold_s * 1_000),
     )
-    return " ".join(str(field) for field in fields).encode()
+    words = [str(field) for field in fields]
+    if server.slots != DEFAULT_SLOTS:
+        words.append(str(server.slots))
+    return " ".join(words).encode()
 
 
 def decode_server(record: logs.KeyedRecord) -> model.BackendServer:
@@ -576,14 +591,14 @@
         ValueError: The entry is invalid.
     """
     words = record.value.decode().split()
-    service, host, port, state, started, domain, cold_ms = words
+    service, host, port, state, started, domain, cold_ms, *slots = words
     started_ms = int(started)
     return model.BackendServer(
         model.name_run(record.key, started_ms),
         ids.ServiceName(service),
         model.Address(host, int(port)),
         domain,
-        4,
+        int(slots[0]) if slots else DEFAULT_SLOTS,
         state == "leaving",
         float(cold_ms),
         record.key,
--- a/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
@@ -69,6 +69,8 @@
     """It was sent, but no complete answer arrived: it may have run."""
 
     reason: str
+    # Whether the server may be the cause; not if a relay was lost.
+    blames_server: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,6 +156,12 @@
     def is_connected(self, server: model.BackendServer) -> bool:
         """Whether there is an idle connection to a server."""
 
+    def can_reuse_connection(self, server: model.BackendServer) -> bool:
+        """Whether the next request needs no new connection to a server.
+
+        Unlike ``is_connected``, this is exact as far as this process knows.
+        """
+
     async def query_warmup_left_s(
         self,
         server: model.BackendServer,
--- a/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -370,6 +370,12 @@
         """Whether an idle connection has not been closed by the server."""
         return any(idle.connection.usable for idle in self._idle)
 
+    @property
+    def can_reuse_connection(self) -> bool:
+        """Whether the next exchange uses an idle connection."""
+        now_s = self._clock.monotonic_s()
+        return any(self._is_fresh(idle, now_s) for idle in self._idle)
+
     def prefer_verified(self, known_s: float) -> bool:
         """Makes the next exchange use a verified connection.
 
--- a/tests/emulated/crash_scene.py
+++ b/tests/emulated/crash_scene.py
@@ -16,6 +16,7 @@
 from bridgecross_emulator import callers
 from bridgecross_emulator import cluster as clusters
 from bridgecross_emulator import instances
+from bridgecross_emulator import servers
 from bridgecross_emulator import virtual
 
 POISON_KEY = 26_851
@@ -169,6 +170,9 @@
     service: str = instances.SERVICE
     instance_count: int = 5
     server_count: int = 6
+    # How many slots each server has, and how many instances are strong.
+    slots: int = servers.DEFAULT_SLOTS
+    strong_instance_count: int | None = None
     seed: int = 1
     # Number of failure domains of the servers.
     server_domain_count: int = 1
@@ -191,7 +195,9 @@
                         free_server_count=self.server_count,
                         server_domain_count=self.server_domain_count,
                         warmup=self.warmup,
+                        strong_instance_count=self.strong_instance_count,
                         seed=self.seed,
+                        servers=servers.ServerSettings(slots=self.slots),
                     ),
                     environment,
                     tasks,
