Requests for servers with few slots go through relays

Cause: where many instances share a server, nearly every request opens a connection, which holds one of the server's few slots. Change: relay_choice ranks the strong instances of the server's failure domain and decides which way a request goes; relay_contacts keeps stamps of relays in use and ends exchanges with silent ones; forward_client sends through a given instance with the encoding and evaluation of forwarded requests; forward_server rejects relayed requests beyond a bound by its cores. The way to a relay does not count as the server's latency, and a lost relay is not blamed on it.

--- a/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
@@ -12,6 +12,7 @@
 import anyio.abc
 
 from bridgecross_core import clock as clocks
+from bridgecross_core import ids
 from bridgecross_entry import attempts
 from bridgecross_entry import cluster_state
 from bridgecross_entry import cluster_tasks
@@ -35,6 +36,9 @@
 from bridgecross_entry import permit_issuer
 from bridgecross_entry import quota_client
 from bridgecross_entry import quota_issuer
+from bridgecross_entry import relay_choice
+from bridgecross_entry import relay_contacts
+from bridgecross_entry import relayed_requests
 from bridgecross_entry import server_links
 from bridgecross_entry import server_ways
 from bridgecross_entry import servers as servers_lib
@@ -122,12 +126,32 @@
             self.metrics,
             clock,
         )
+        contacts = relay_contacts.RelayContacts(
+            relay_contacts.ContactSettings(),
+            channels,
+            journal,
+            clock,
+        )
+        choice = relay_choice.RelayChoice(
+            relay_choice.RelaySettings(),
+            self.settings.peer_address,
+            self._has_few_slots,
+            self._strong_instances,
+            contacts.heard_s,
+            journal,
+            clock,
+        )
+        contacts.on_silent = choice.note_failed
+        self.relays = relayed_requests.RelayedRequests(
+            choice, contacts, self.backend_client, self.forwarder, clock
+        )
         self.ways = server_ways.RequestWays(
             server_ways.WaySettings(),
             self.backend_client,
             self.links,
             self.probes,
             self.forwarder,
+            self.relays,
         )
         direct_leases = adapter.make_lease_client()
         direct_orders = server_ways.DirectOrders(
@@ -222,6 +246,7 @@
             journal,
             self.metrics,
             clock,
+            self.settings.cores,
         )
         self.dispatcher = dispatch.Dispatcher(
             dispatch_settings,
@@ -294,12 +319,14 @@
         self.watch.start(tasks)
         self.probes.start(tasks)
         self.reach.start(tasks)
+        self.relays.start(tasks)
 
     def sweep(self) -> None:
         """Removes stale state."""
         self.registry.drop_stale()
         self.links.sweep(self.registry.known_ids())
         self.reach.sweep(self.registry.known_ids())
+        self.relays.sweep(self.registry.known_ids())
         self.registry.notices.limits.sweep()
         self.quota_issuer.sweep()
         self.issuer.sweep()
@@ -336,6 +363,10 @@
         """Returns the instances of a domain that may issue permits."""
         return self.cluster_state.strong_instances(domain)
 
+    def _has_few_slots(self, service: ids.ServiceName) -> bool:
+        """Whether the servers of a service have few slots on average."""
+        return self.registry.has_few_slots(service)
+
     def _configure(self, new: model.Configuration) -> None:
         """Applies a new configuration."""
         self.registry.configure(new.services)
--- a/libs/bridgecross-entry/src/bridgecross_entry/attempt_results.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempt_results.py
@@ -136,8 +136,9 @@
     ) -> outcomes.Outcome | None:
         """Retries an interrupted attempt if a repetition is harmless."""
         state.possible_runs += 1
-        server.note_interrupted()
-        server.lower_concurrency(self._clock.monotonic_s())
+        if result.blames_server:
+            server.note_interrupted()
+            server.lower_concurrency(self._clock.monotonic_s())
         server_id = server.listed.server_id
         state.trail.append(f"{server_id}: interrupted: {result.reason}")
         if self._watch.ledger.is_suspect(state.fingerprint):
@@ -147,7 +148,8 @@
         # Only the owner of the key could serve the request, and an owner that
         # resets the connection this early is full, so the caller has to retry.
         early_s = self._settings.early_reset_ratio * server.latency_s
-        is_full = self._is_keyed(state) and held_s < early_s
+        is_early = result.blames_server and held_s < early_s
+        is_full = self._is_keyed(state) and is_early
         if not is_full and state.route.idempotent and self._may_retry(state):
             return None
         return self._refusals.make_final_outcome(
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -590,12 +590,15 @@
             if refusal is not None:
                 return self._refusals.make_final_outcome(state, refusal)
             started_s = self._clock.monotonic_s()
+            state.hop_s = 0.0
             try:
                 result = await self._send(state, server, permit, keyed=keyed)
                 if isinstance(result, outcomes.NotRun):
                     return self._refusals.make_final_outcome(state, result)
             finally:
-                held_s = self._clock.monotonic_s() - started_s
+                # What is learned of a server's speed leaves out the way to a
+                # relay.
+                held_s = self._clock.monotonic_s() - started_s - state.hop_s
                 if permit is None:
                     server.queue.release(
                         held_s, request_state.make_queue_tier(state)
@@ -768,6 +771,7 @@
             valid_until_s,
             state.route.allowed_areas,
             state.forwarded_by.append,
+            state.add_hop,
         )
 
     async def _is_warmup_state_known(
--- a/libs/bridgecross-entry/src/bridgecross_entry/forward_client.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/forward_client.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
-import math
+from typing import NamedTuple
 from typing import TypeVar
 
 from bridgecross_core import clock as clocks
@@ -17,6 +17,12 @@
 from bridgecross_entry import peers
 
 _Reply = TypeVar("_Reply", forwards.RequestReply, forwards.OrderReply)
+_AnyReply = TypeVar(
+    "_AnyReply",
+    forwards.RequestReply,
+    forwards.OrderReply,
+    forwards.RelayedReply,
+)
 
 _SHOW_NO_REACH = frozenset(
     {forwards.ResultKind.INTERRUPTED, forwards.OrderResultKind.NO_REPLY}
@@ -42,6 +48,16 @@
     tries_max_count: int = 3
 
 
+class Relayed(NamedTuple):
+    """What became of a request that was to go through a relay."""
+
+    attempt: attempts.Attempt | attempts.Withheld
+    # What the result shows to be unusable.
+    blamed: forwards.Blamed = forwards.Blamed.NOTHING
+    # How long the relay waited for the server; None if it did not reply.
+    served_s: float | None = None
+
+
 class ForwardClient:
     """Sends what this instance cannot send straight to a server."""
 
@@ -100,6 +116,84 @@
 
         ``NotSent`` says that it was refused only if others are refused too.
         """
+        result = await self._send(
+            server,
+            forwards.REQUEST_PATH,
+            self._make_encoder(server, request, remaining_ms, terms),
+            forwards.REQUEST_REPLIES,
+            may_send,
+            terms.allowed_areas,
+            terms.on_forwarded,
+            lambda reply: (
+                reply.kind is forwards.ResultKind.NOT_SENT
+                or reply.kind is forwards.ResultKind.REFUSED
+            ),
+        )
+        attempt = self._read_result(server, result)
+        self._count("request", attempt)
+        return attempt
+
+    async def relay_request(
+        self,
+        relay: model.Address,
+        server: model.BackendServer,
+        request: attempts.EntryRequest,
+        remaining_ms: float,
+        may_send: attempts.MaySend,
+        terms: forwards.Terms,
+    ) -> Relayed:
+        """Sends a request through a given instance, and no other one.
+
+        It reaches the server as a rule, so nobody is asked, and nothing is
+        recorded about which instances reach the server.
+        """
+        returned = self._channels.return_stamp(relay)
+        if returned is None:
+            return Relayed(attempts.NotSent("the relay's clock is not known"))
+        encode = self._make_encoder(server, request, remaining_ms, terms)
+        self._reach.note_use(relay, 1)
+        try:
+            result = await self._post(
+                relay,
+                forwards.RELAYED_PATH,
+                encode(returned),
+                forwards.RELAYED_REPLIES,
+                may_send,
+            )
+        finally:
+            self._reach.note_use(relay, -1)
+        relayed = self._read_relayed(relay, server, result)
+        self._count("relay", relayed.attempt)
+        return relayed
+
+    def _read_relayed(
+        self,
+        relay: model.Address,
+        server: model.BackendServer,
+        result: forwards.RelayedReply | exchange.Unsent | exchange.Broken,
+    ) -> Relayed:
+        """Returns what an exchange with a relay shows."""
+        if isinstance(result, forwards.RelayedReply):
+            attempt = self._read_result(server, result.reply)
+            return Relayed(attempt, result.blamed, result.served_s)
+        # A relay that refuses connections says nothing about the server.
+        reason = f"relay {relay}: {result.reason}"
+        if isinstance(result, exchange.Broken):
+            attempt = attempts.Interrupted(reason, blames_server=False)
+        elif result.is_withheld:
+            return Relayed(attempts.Withheld())
+        else:
+            attempt = attempts.NotSent(reason)
+        return Relayed(attempt, forwards.Blamed.RELAY)
+
+    def _make_encoder(
+        self,
+        server: model.BackendServer,
+        request: attempts.EntryRequest,
+        remaining_ms: float,
+        terms: forwards.Terms,
+    ) -> Callable[[peers.ReturnedStamp], bytes]:
+        """Returns a function that encodes a request for another instance."""
         content = forwards.pack(request)
         deadline_s = self._clock.monotonic_s() + remaining_ms / 1_000
 
@@ -122,41 +216,31 @@
                 )
             )
 
-        written_s = -math.inf
+        return encode
 
-        def may_write() -> bool:
-            nonlocal written_s
-            written_s = self._clock.monotonic_s()
-            return may_send()
-
-        result = await self._send(
-            server,
-            forwards.REQUEST_PATH,
-            encode,
-            forwards.REQUEST_REPLIES,
-            may_write,
-            terms.allowed_areas,
-            terms.on_forwarded,
-            lambda reply: (
-                reply.kind is forwards.ResultKind.NOT_SENT
-                or reply.kind is forwards.ResultKind.REFUSED
-            ),
-        )
+    def _read_result(
+        self,
+        server: model.BackendServer,
+        result: forwards.RequestReply | exchange.Unsent | exchange.Broken,
+    ) -> attempts.Attempt | attempts.Withheld:
+        """Returns the result of a request, and reports the server's notice."""
         match result:
             case forwards.RequestReply():
                 self._report_notice(server, result)
-                attempt: attempts.Attempt | attempts.Withheld = (
-                    forwards.unpack_result(result)
-                )
+                return forwards.unpack_result(result)
             case exchange.Broken():
-                attempt = attempts.Interrupted(result.reason)
+                return attempts.Interrupted(result.reason)
             case exchange.Unsent(is_withheld=True):
-                attempt = attempts.Withheld()
+                return attempts.Withheld()
             case _:
-                attempt = attempts.NotSent(result.reason, result.refused)
-        name = type(attempt).__name__
-        self._metrics.forwards.inc({"kind": "request", "result": name})
-        return attempt
+                return attempts.NotSent(result.reason, result.refused)
+
+    def _count(
+        self, kind: str, result: attempts.Attempt | attempts.Withheld
+    ) -> None:
+        """Counts a request that was sent through another instance."""
+        name = type(result).__name__
+        self._metrics.forwards.inc({"kind": kind, "result": name})
 
     async def send_order(
         self,
@@ -304,13 +388,24 @@
         started_s = self._clock.monotonic_s()
         self._reach.note_use(address, 1)
         try:
-            answer = await self._channels.post(address, path, body, may_send)
+            return await self._post(address, path, body, replies, may_send)
         except BaseException:
             # The caller has left, or the time is over.
             self._reach.note_unanswered(address, started_s)
             raise
         finally:
             self._reach.note_use(address, -1)
+
+    async def _post(
+        self,
+        address: model.Address,
+        path: bytes,
+        body: bytes,
+        replies: codec.Codec[_AnyReply],
+        may_send: attempts.MaySend,
+    ) -> _AnyReply | exchange.Unsent | exchange.Broken:
+        """Posts a message, decodes its answer, and keeps the stamp."""
+        answer = await self._channels.post(address, path, body, may_send)
         if not isinstance(answer, bytes):
             return answer
         try:
--- a/libs/bridgecross-entry/src/bridgecross_entry/forward_server.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/forward_server.py
@@ -33,6 +33,8 @@
 
 _NO_LINK = "the instance does not reach it either"
 
+_FORBIDDEN = attempts.NotSent("what the instance knows forbids it")
+
 _CLOCK_RATIO = 1.02
 """The clocks of two instances may differ by 2%."""
 
@@ -44,6 +46,15 @@
     # The number of other servers that are connected to, to find out whether
     # the links of this instance work; one of them may have ended too.
     witness_count: int = 2
+    # How many relayed requests are in progress at a time, for each core. Their
+    # senders have another way. Beyond this number, processing what arrives
+    # together delays this instance's own requests noticeably, at up to 1 ms of
+    # a core for each.
+    relayed_per_core_count: int = 64
+    # When a server that works on a relayed request is probed; see
+    # ``server_ways.WaySettings``. The sender has no link that it could probe.
+    patience_s: float = 0.25
+    patience_ratio: float = 3.0
 
 
 class _RejectedError(Exception):
@@ -51,7 +62,7 @@
 
 
 class ForwardServer:
-    """Answers the messages of instances whose own links are broken."""
+    """Answers instances whose own links are broken, or for which it relays."""
 
     def __init__(
         self,
@@ -66,6 +77,7 @@
         journal: journals.Journal,
         metrics: metrics_lib.Metrics,
         clock: clocks.Clock,
+        cores: float = 1.0,
     ) -> None:
         """Answers nothing by itself.
 
@@ -81,11 +93,16 @@
             journal: Logs messages that cannot be read.
             metrics: Counts what is sent for others.
             clock: The time source.
+            cores: The processor cores of this instance.
         """
         # Whether this instance stops, so that it takes nothing new.
         self.is_stopping = False
         # The number of messages that are not answered yet.
         self.open_count = 0
+        self._relayed_count = 0
+        self._relayed_max_count = max(
+            1, math.floor(settings.relayed_per_core_count * cores)
+        )
         self._settings = settings
         self._registry = registry
         self._links = links
@@ -109,6 +126,7 @@
         handlers: dict[bytes, Callable[[bytes], Awaitable[bytes]]] = {
             forwards.REACH_PATH: self._answer_query,
             forwards.REQUEST_PATH: self._answer_request,
+            forwards.RELAYED_PATH: self._answer_relayed,
             forwards.ORDER_PATH: self._answer_order,
         }
         self.open_count += 1
@@ -218,13 +236,62 @@
             result = attempts.NotSent(str(error))
         else:
             result = await self._send_request(forwarded, received_s - age_s)
-        name = type(result).__name__
-        self._metrics.forwards.inc({"kind": "for another", "result": name})
+        self._count("for another", result)
         reply = forwards.pack_result(self._stamp(), result)
         return forwards.REQUEST_REPLIES.encode(
             self._add_notice(forwarded.server_id, reply)
         )
 
+    async def _answer_relayed(self, body: bytes) -> bytes:
+        """Sends a request as a relay of its server, if there is capacity."""
+        forwarded = forwards.REQUESTS.decode(body)
+        received_s = self._clock.monotonic_s()
+        result: attempts.Attempt | attempts.Withheld
+        blamed = forwards.Blamed.NOTHING
+        try:
+            age_s = self._check_age(forwarded.validity, received_s)
+            if self._relayed_count >= self._relayed_max_count:
+                raise _RejectedError("the relay has no capacity")
+        except _RejectedError as error:
+            result = attempts.NotSent(str(error))
+            blamed = forwards.Blamed.RELAY
+        else:
+            result = await self._relay(forwarded, received_s - age_s)
+            if isinstance(result, attempts.NotSent) and result != _FORBIDDEN:
+                blamed = forwards.Blamed.LINK
+        self._count("relay for another", result)
+        served_s = self._clock.monotonic_s() - received_s
+        reply = forwards.pack_result(self._stamp(), result)
+        reply = self._add_notice(forwarded.server_id, reply)
+        return forwards.RELAYED_REPLIES.encode(
+            forwards.RelayedReply(reply, blamed, served_s)
+        )
+
+    async def _relay(
+        self, forwarded: forwards.ForwardedRequest, written_s: float
+    ) -> attempts.Attempt | attempts.Withheld:
+        """Sends a request, and probes a server that stays silent."""
+        self._relayed_count += 1
+        try:
+            server = self._registry.get(forwarded.server_id)
+            if server is None:
+                return await self._send_request(forwarded, written_s)
+            patience_s = max(
+                self._settings.patience_s,
+                self._settings.patience_ratio * server.latency_s,
+            )
+            with self._probes.watch(server.listed, patience_s):
+                return await self._send_request(forwarded, written_s)
+        finally:
+            self._relayed_count -= 1
+
+    def _count(
+        self, kind: str, result: attempts.Attempt | attempts.Withheld
+    ) -> None:
+        """Counts a request that was sent for another instance."""
+        name = type(result).__name__
+        self._metrics.forwards.inc({"kind": kind, "result": name})
+
     def _check_age(
         self, validity: forwards.Validity, received_s: float
     ) -> float:
@@ -274,7 +341,7 @@
 
         state = await self._warmups.check(server, may_send)
         if state is not warmup_queries.WarmupState.KNOWN or not may_send():
-            return attempts.NotSent("what the instance knows forbids it")
+            return _FORBIDDEN
         left_s = deadline_s - self._clock.monotonic_s()
         request = forwards.unpack(content, written_s, left_s * 1_000)
         return await self._exchange(server, request, fingerprint, may_send)
--- a/libs/bridgecross-entry/src/bridgecross_entry/forwards.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/forwards.py
@@ -26,7 +26,14 @@
 ORDER_PATH = b"/order"
 """The path at which an instance is sent a lease order for a server."""
 
-PATHS = frozenset({REACH_PATH, REQUEST_PATH, ORDER_PATH})
+RELAYED_PATH = b"/relayed"
+"""The path at which a relay is sent a request for a server.
+
+Unlike at ``REQUEST_PATH``, the sender has another way, so that the receiver
+rejects what it has no capacity for.
+"""
+
+PATHS = frozenset({REACH_PATH, REQUEST_PATH, ORDER_PATH, RELAYED_PATH})
 
 
 class Reach(enum.Enum):
@@ -126,6 +133,33 @@
     limit_per_s: float | None = None
 
 
+class Blamed(enum.Enum):
+    """Why a relay did not send a request, as far as others are concerned."""
+
+    NOTHING = "nothing"
+    """It was sent, or what forbids it concerns this request only."""
+
+    LINK = "link"
+    """The relay does not reach the server."""
+
+    RELAY = "relay"
+    """The relay takes no requests at present, or did not answer."""
+
+
+class RelayedReply(NamedTuple):
+    """The result of a request that was sent through a relay."""
+
+    reply: RequestReply
+    blamed: Blamed = Blamed.NOTHING
+    # How long the relay waited for the server.
+    served_s: float = 0.0
+
+    @property
+    def stamp(self) -> peers.Stamp:
+        """The stamp of the answer."""
+        return self.reply.stamp
+
+
 class OrderKind(enum.Enum):
     """The kinds of lease orders."""
 
@@ -172,6 +206,7 @@
 REACH_REPLIES = codec.Codec(ReachReply)
 REQUESTS = codec.Codec(ForwardedRequest)
 REQUEST_REPLIES = codec.Codec(RequestReply)
+RELAYED_REPLIES = codec.Codec(RelayedReply)
 ORDERS = codec.Codec(ForwardedOrder)
 ORDER_REPLIES = codec.Codec(OrderReply)
 
@@ -188,6 +223,9 @@
     allowed_areas: frozenset[str] = frozenset()
     # Called with each instance that it is sent through.
     on_forwarded: Callable[[model.Address], None] = lambda _: None
+    # Called with the time that an attempt took on its way to and from a relay,
+    # which is no property of the server.
+    on_hop: Callable[[float], None] = lambda _: None
 
 
 def pack(request: attempts.EntryRequest) -> Content:
--- a/libs/bridgecross-entry/src/bridgecross_entry/permits.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permits.py
@@ -57,7 +57,7 @@
     """The outcome of the request that a permit was used for."""
 
     UNUSED = "unused"
-    """Nothing was sent, or the caller disconnected."""
+    """Nothing was sent, the caller disconnected, or a relay was lost."""
 
     ANSWERED = "answered"
     FAILED = "failed"
@@ -177,7 +177,7 @@
     if isinstance(result, attempts.Shed):
         return Outcome.SHED
     if isinstance(result, attempts.Interrupted):
-        return Outcome.INTERRUPTED
+        return Outcome.INTERRUPTED if result.blames_server else Outcome.UNUSED
     if isinstance(result, attempts.NotOwner):
         return Outcome.DENIED
     return Outcome.REFUSED if result.refused else Outcome.UNREACHABLE
--- a/libs/bridgecross-entry/src/bridgecross_entry/request_state.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/request_state.py
@@ -48,9 +48,15 @@
     trail: list[str] = dataclasses.field(default_factory=list)
     # The instances that it was sent through, in order.
     forwarded_by: list[model.Address] = dataclasses.field(default_factory=list)
+    # The time that its present attempt took on its way to and from a relay.
+    hop_s: float = 0.0
     # The last error answer of a server.
     last_failure: outcomes.Answered | None = None
 
+    def add_hop(self, hop_s: float) -> None:
+        """Counts the time of a way to and from a relay."""
+        self.hop_s += hop_s
+
 
 def make_queue_tier(state: RequestState) -> queueing.QueueTier:
     """Returns the queue tier of a request's priority."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/server_ways.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/server_ways.py
@@ -15,6 +15,7 @@
 from bridgecross_entry import link_probes
 from bridgecross_entry import model
 from bridgecross_entry import peers
+from bridgecross_entry import relayed_requests
 from bridgecross_entry import server_links
 
 _NOT_VALID = forwards.Validity(
@@ -59,6 +60,7 @@
         links: server_links.ServerLinks,
         probes: link_probes.LinkProbes,
         forwarder: forward_client.ForwardClient | None = None,
+        relays: relayed_requests.RelayedRequests | None = None,
     ) -> None:
         """Stores the ways.
 
@@ -69,17 +71,22 @@
             probes: Finds out which links work.
             forwarder: Sends requests through other instances; without it, all
                 go straight.
+            relays: Sends requests through the relays of servers; if omitted,
+                no server has relays.
         """
         self._settings = settings
         self._client = client
         self._links = links
         self._probes = probes
         self._forwarder = forwarder
+        self._relays = relays
 
     def is_straight(self, server_id: ids.ServerId) -> bool:
-        """Whether requests go straight to a server at present.
+        """Whether this instance's link to a server is used at present.
 
-        Without other instances there is no other way.
+        Relays do not count: servers are preferred, and asked whether they are
+        cold, as if all requests went straight. Without other instances there
+        is no other way.
         """
         if self._forwarder is None or self._links.is_usable(server_id):
             return True
@@ -107,6 +114,19 @@
         """
         started_s = self._probes.now_s()
         result: attempts.Attempt | attempts.Withheld
+        if (
+            self._relays is not None
+            and terms is not None
+            and self.is_straight(server.server_id)
+        ):
+            relayed = await self._relays.send(
+                server, request, remaining_ms, may_send, terms
+            )
+            if relayed is not None:
+                return relayed
+            now_s = self._probes.now_s()
+            remaining_ms -= (now_s - started_s) * 1_000
+            started_s = now_s
         result = attempts.NotSent("the link to it is broken")
         if self.is_straight(server.server_id):
             patience_s = max(
--- a/libs/bridgecross-entry/tests/test_forward_server.py
+++ b/libs/bridgecross-entry/tests/test_forward_server.py
@@ -104,7 +104,7 @@
             clock,
         )
         self.server = forward_server.ForwardServer(
-            forward_server.ForwardServerSettings(),
+            forward_server.ForwardServerSettings(relayed_per_core_count=2),
             self.registry,
             self.links,
             probes,
@@ -149,6 +149,20 @@
         reply = await self.server.answer(forwards.REQUEST_PATH, body)
         return forwards.REQUEST_REPLIES.decode(reply.body)
 
+    async def relay(self, validity=None):
+        """Sends a request for the server a as to a relay."""
+        request = forwards.ForwardedRequest(
+            ids.ServerId("a"),
+            validity or await self.validate(),
+            CONTENT,
+            is_keyed=True,
+            has_quota=False,
+            covers_cold=False,
+        )
+        body = forwards.REQUESTS.encode(request)
+        reply = await self.server.answer(forwards.RELAYED_PATH, body)
+        return forwards.RELAYED_REPLIES.decode(reply.body)
+
     async def order(self, validity=None):
         """Sends a grant for the server a; returns the result."""
         order = forwards.ForwardedOrder(
@@ -286,6 +300,47 @@
     assert scene.servers.sent == []
 
 
+BLAMED = {
+    _stop: forwards.Blamed.RELAY,
+    _wait: forwards.Blamed.RELAY,
+    _cut: forwards.Blamed.LINK,
+    _end: forwards.Blamed.LINK,
+}
+
+
+@pytest.mark.parametrize("happen", FORBIDDEN.values(), ids=FORBIDDEN)
+async def test_what_a_relay_knows_is_respected(happen):
+    scene = Scene()
+    validity = await scene.validate()
+    happen(scene)
+    relayed = await scene.relay(validity)
+    result = forwards.unpack_result(relayed.reply)
+    assert isinstance(result, attempts.NotSent)
+    assert relayed.blamed is BLAMED.get(happen, forwards.Blamed.NOTHING)
+    assert scene.servers.sent == []
+
+
+# Guards against a relay that has no processor left for its own requests.
+async def test_a_relay_takes_no_more_than_it_has_capacity_for():
+    scene = Scene()
+    scene.servers.result = None
+    async with anyio.create_task_group() as tasks:
+        for _ in range(2):
+            tasks.start_soon(scene.relay)
+        while len(scene.servers.sent) < 2:
+            await anyio.sleep(0.001)
+        scene.servers.result = ANSWER
+        full = await scene.relay()
+        # Whose own links are broken has no other way.
+        helped = forwards.unpack_result(await scene.send())
+        tasks.cancel_scope.cancel()
+    assert full.blamed is forwards.Blamed.RELAY
+    assert full.reply.kind is forwards.ResultKind.NOT_SENT
+    assert helped == ANSWER
+    again = await scene.relay()
+    assert forwards.unpack_result(again.reply) == ANSWER
+
+
 @pytest.mark.parametrize("happen", [_cool, _limit, _back_off, _refuse, _wait])
 async def test_the_helper_looks_again_at_the_first_byte(happen):
     scene = Scene()
