--- a/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
@@ -69,6 +69,8 @@
     """It was sent, but no complete answer arrived: it may have run."""
 
     reason: str
+    # Whether the server may be the cause; not if a relay was lost.
+    blames_server: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -163,6 +165,12 @@
         the server may have become silent.
         """
 
+    def can_reuse_connection(self, server: model.BackendServer) -> bool:
+        """Whether the next request needs no new connection to a server.
+
+        Unlike ``is_connected``, this is exact as far as this process knows.
+        """
+
     async def query_warmup_left_s(
         self,
         server: model.BackendServer,
