Memory for bodies and answers is limited

Cause: nothing limited the bytes that an instance holds for its callers. Large bodies, or callers that do not read their answers, could use up the memory of the process and end all its requests. Change: if the settings state a limit, a ledger grants memory for bodies before they are read, with a part that only small ones may use. What does not fit is refused as not run, with 503. Forwarded requests are admitted in the same way. Answers count until they are written. Send buffers are watched, and connections of callers that do not read are closed. Without a limit, none of these parts is created.

--- a/libs/bridgecross-entry/src/bridgecross_entry/edge.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/edge.py
@@ -16,6 +16,8 @@
 from bridgecross_entry import journal as journals
 from bridgecross_entry import limit_broadcast
 from bridgecross_entry import listener
+from bridgecross_entry import memory_gate
+from bridgecross_entry import memory_ledger
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import peers
 from bridgecross_entry import permit_issuer
@@ -71,8 +73,17 @@
         codec: CallerCodec,
         journal: journals.Journal,
         clock: clocks.Clock,
+        memory: memory_gate.MemoryGate | None = None,
     ) -> None:
-        """Creates an application that is ready to serve."""
+        """Creates an application that is ready to serve.
+
+        Args:
+            dispatcher: Runs requests.
+            codec: Decodes requests and encodes answers.
+            journal: Logs requests that cannot be parsed.
+            clock: The time source.
+            memory: Admits bodies, if the memory of the process is limited.
+        """
         # Whether answers ask callers to close their connections.
         self.draining = False
         # The number of requests that have arrived and are not yet answered.
@@ -81,6 +92,7 @@
         self._codec = codec
         self._journal = journal
         self._clock = clock
+        self._memory = memory
 
     async def serve(
         self,
@@ -94,6 +106,11 @@
             received_s = self._clock.monotonic_s()
         self.open_count += 1
         try:
+            if self._memory is not None:
+                await self._serve_within_memory(
+                    self._memory, scope, receive, send, received_s
+                )
+                return
             try:
                 body = await listener.read_body(receive, self._max_body_bytes())
             except ValueError as error:
@@ -104,6 +121,46 @@
         finally:
             self.open_count -= 1
 
+    async def _serve_within_memory(
+        self,
+        memory: memory_gate.MemoryGate,
+        scope: listener.Scope,
+        receive: listener.Receive,
+        send: listener.Send,
+        received_s: float,
+    ) -> None:
+        """Serves a request for whose body memory is reserved."""
+        with memory.hold_body() as hold:
+            try:
+                body = await memory_gate.read_body(
+                    scope, receive, self._max_body_bytes(), hold
+                )
+            except ValueError as error:
+                answer = self._reject(413, str(error))
+            except memory_gate.NoMemoryError as error:
+                memory.note_refusal("body", str(error))
+                answer = self._refuse_memory(scope, received_s, str(error))
+            else:
+                if body is not None:
+                    await self._serve_request(scope, body, received_s, send)
+                return
+        # What the request held is released: its body is not used any more.
+        await listener.refuse_body(receive, send, *answer)
+
+    def _refuse_memory(
+        self, scope: listener.Scope, received_s: float, reason: str
+    ) -> CallerAnswer:
+        """Returns the refusal of a request that does not fit."""
+        request = self._codec.read(scope, b"", received_s)
+        if isinstance(request, BadRequest):
+            return self._reject(400, request.reason)
+        outcome = outcomes.NotRun(
+            outcomes.NotRunProof.REFUSED_BY_ADMISSION,
+            reason,
+            retry_after_ms=memory_gate.RETRY_AFTER_MS,
+        )
+        return self._codec.write(request.request_id, outcome)
+
     async def _serve_request(
         self,
         scope: listener.Scope,
@@ -125,7 +182,13 @@
         answer = self._codec.write(request.request_id, outcome)
         if self.draining:
             answer.headers.append((b"connection", b"close"))
-        await listener.respond(send, *answer)
+        if self._memory is None:
+            await listener.respond(send, *answer)
+            return
+        with self._memory.hold_answer(
+            memory_ledger.Purpose.ANSWER, len(answer.body)
+        ):
+            await listener.respond(send, *answer)
 
     def _max_body_bytes(self) -> int:
         """Returns the largest body that a caller may send, in bytes."""
@@ -138,14 +201,17 @@
         self, send: listener.Send, status: int, reason: str
     ) -> None:
         """Refuses an invalid request and closes the connection."""
+        answer = self._reject(status, reason)
+        answer.headers.append((b"connection", b"close"))
+        await listener.respond(send, *answer)
+
+    def _reject(self, status: int, reason: str) -> CallerAnswer:
+        """Returns the answer to an invalid request."""
         self._journal.decision(
             "request_unreadable", status=status, reason=reason
         )
-        headers = [
-            (b"content-type", b"text/plain"),
-            (b"connection", b"close"),
-        ]
-        await listener.respond(send, status, headers, reason.encode())
+        headers = [(b"content-type", b"text/plain")]
+        return CallerAnswer(status, headers, reason.encode())
 
 
 def make_readiness_app(is_ready: Callable[[], bool]) -> listener.App:
@@ -188,14 +254,24 @@
     quota_issuer: quota_issuers.QuotaIssuer,
     limit_broadcaster: limit_broadcast.LimitBroadcaster,
     forwarding: forward_server.ForwardServer,
+    memory: memory_gate.MemoryGate | None = None,
 ) -> listener.App:
-    """Returns an application that answers other instances."""
+    """Returns an application that answers other instances.
+
+    If ``memory`` is given, it admits the requests that instances forward. Their
+    queries and lease orders are small and needed while memory is short, too.
+    """
 
     async def serve(
         scope: listener.Scope,
         receive: listener.Receive,
         send: listener.Send,
     ) -> None:
+        if memory is not None and scope["raw_path"] == forwards.REQUEST_PATH:
+            await _serve_forward_within_memory(
+                memory, forwarding, scope, receive, send
+            )
+            return
         is_forward = scope["raw_path"] in forwards.PATHS
         max_bytes = _FORWARD_MAX_BYTES if is_forward else _PEER_BODY_MAX_BYTES
         try:
@@ -223,18 +299,50 @@
     return serve
 
 
+async def _serve_forward_within_memory(
+    memory: memory_gate.MemoryGate,
+    forwarding: forward_server.ForwardServer,
+    scope: listener.Scope,
+    receive: listener.Receive,
+    send: listener.Send,
+) -> None:
+    """Serves a forwarded request for which memory is reserved."""
+    with memory.hold_forward() as hold:
+        try:
+            body = await memory_gate.read_body(
+                scope, receive, _FORWARD_MAX_BYTES, hold
+            )
+        except ValueError:
+            status = 413
+        except memory_gate.NoMemoryError as error:
+            memory.note_refusal("forward", str(error))
+            # For the other instance, any status but 200 means "not sent".
+            status = 503
+        else:
+            if body is not None:
+                await _serve_forward(forwarding, scope, body, send, memory)
+            return
+    await listener.refuse_body(receive, send, status, [], b"")
+
+
 async def _serve_forward(
     forwarding: forward_server.ForwardServer,
     scope: listener.Scope,
     body: bytes,
     send: listener.Send,
+    memory: memory_gate.MemoryGate | None = None,
 ) -> None:
     """Serves an instance whose links are broken, until it disconnects."""
     reply: peers.PeerReply | None = None
     with anyio.CancelScope() as cancel_scope:
         scope["state"][listener.ON_DISCONNECT] = cancel_scope.cancel
         reply = await forwarding.answer(scope["raw_path"], body)
-    if reply is not None:
+    if reply is None:
+        return
+    if memory is None:
+        await listener.respond(send, reply.status, [], reply.body)
+        return
+    with memory.hold_answer(memory_ledger.Purpose.FORWARD, len(reply.body)):
         await listener.respond(send, reply.status, [], reply.body)
 
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/listener.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/listener.py
@@ -4,14 +4,19 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
+import socket
+import struct
 from typing import Any
+from typing import cast
 
+import anyio
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
 from uvicorn.server import ServerState
 
 from bridgecross_entry import journal as journals
 from bridgecross_entry import model
+from bridgecross_entry import send_buffers
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -30,13 +35,61 @@
 """Connections that may wait to be accepted; a dropped one costs a second."""
 
 
+_LINGER_S = 1.0
+"""How long the rest of a refused body is read. A connection that is closed with
+unread bytes is reset, and the caller may lose the refusal."""
+
+_TCP_INFO_BYTES = 192
+_BYTES_ACKED_OFFSET_BYTES = 120
+"""The position of ``tcpi_bytes_acked``, an unsigned 64-bit number, in the
+structure ``tcp_info``."""
+
+
 class DisconnectAwareProtocol(httptools_impl.HttpToolsProtocol):
     """Notifies the application as soon as the caller disconnects."""
 
+    # Watches the send buffer, if the memory of the process is limited.
+    buffers: send_buffers.SendBuffers | None = None
+
+    @property
+    def peer(self) -> str:
+        """The address of the caller."""
+        return self.client[0] if self.client else ""
+
+    def unsent_bytes(self) -> int:
+        """Returns the size of the send buffer."""
+        return self.transport.get_write_buffer_size()
+
+    def acknowledged_bytes(self) -> int:
+        """Returns how many bytes the caller has acknowledged so far."""
+        sock = self.transport.get_extra_info("socket")
+        try:
+            info = sock.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES
+            )
+        except OSError:
+            return 0  # It is being closed.
+        (acknowledged_bytes,) = struct.unpack_from(
+            "=Q", info, _BYTES_ACKED_OFFSET_BYTES
+        )
+        return int(acknowledged_bytes)
+
+    def abort(self) -> None:
+        """Closes the connection and drops its send buffer."""
+        self.transport.abort()
+
+    def pause_writing(self) -> None:
+        """Counts a large send buffer at once."""
+        super().pause_writing()
+        if self.buffers is not None:
+            self.buffers.note(self)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Calls the function that the application stored, if any."""
         cycle = self.cycle
         super().connection_lost(exc)
+        if self.buffers is not None:
+            self.buffers.forget(self)
         if cycle is not None and not cycle.response_complete:
             on_disconnect = cycle.scope["state"].get(ON_DISCONNECT)
             if on_disconnect is not None:
@@ -74,9 +127,18 @@
         address: model.Address,
         app: App,
         protocol: type[DisconnectAwareProtocol] = DisconnectAwareProtocol,
+        buffers: send_buffers.SendBuffers | None = None,
     ) -> None:
-        """Creates a listener that has not been started."""
+        """Creates a listener that has not been started.
+
+        Args:
+            address: The address to listen at.
+            app: Serves the requests.
+            protocol: Handles a connection.
+            buffers: Watches the send buffers of the connections, if given.
+        """
         self._address = address
+        self._buffers = buffers
         self._protocol = protocol
         self._config = uvicorn.Config(
             app,
@@ -125,16 +187,39 @@
         if self._server is not None:
             self._server.close()
 
+    async def watch_send_buffers(self) -> None:
+        """Checks the send buffers of all connections at intervals."""
+        while self._buffers is not None:
+            await asyncio.sleep(self._buffers.settings.interval_s)
+            # The state has only connections that ``_make_protocol`` made.
+            self._buffers.check(
+                cast(set[DisconnectAwareProtocol], self._state.connections)
+            )
+
     def _make_protocol(self) -> asyncio.Protocol:
         """Returns the protocol of a new connection."""
-        return self._protocol(
+        protocol = self._protocol(
             config=self._config, server_state=self._state, app_state={}
         )
+        protocol.buffers = self._buffers
+        return protocol
+
+
+Grow = Callable[[int], None]
+"""Is told the size of a body so far; raises if it must not grow."""
 
 
-async def read_body(receive: Receive, max_bytes: int) -> bytes | None:
+async def read_body(
+    receive: Receive, max_bytes: int, grow: Grow | None = None
+) -> bytes | None:
     """Returns the body of a request; None if the caller disconnected.
 
+    Args:
+        receive: Returns the next message of the caller.
+        max_bytes: The size that is allowed.
+        grow: Called with the size of what has been received; what it raises
+            ends the reading.
+
     Raises:
         ValueError: The body is larger than allowed.
     """
@@ -148,10 +233,47 @@
         size_bytes += len(pieces[-1])
         if size_bytes > max_bytes:
             raise ValueError(f"the body has more than {max_bytes} bytes")
+        if grow is not None:
+            grow(size_bytes)
         if not message.get("more_body", False):
             return pieces[0] if len(pieces) == 1 else b"".join(pieces)
 
 
+def declared_body_bytes(scope: Scope) -> int:
+    """Returns the ``Content-Length`` of a request; 0 without one."""
+    for name, value in scope["headers"]:
+        if name == b"content-length" and value.isdigit():
+            return int(value)
+    return 0
+
+
+async def refuse_body(
+    receive: Receive,
+    send: Send,
+    status: int,
+    headers: list[tuple[bytes, bytes]],
+    body: bytes,
+) -> None:
+    """Sends a complete answer to a request whose body will not be used.
+
+    The connection is closed once the caller has stopped sending the body. The
+    rest of it is read in small pieces, which are dropped.
+    """
+    headers.append((b"content-length", str(len(body)).encode()))
+    headers.append((b"connection", b"close"))
+    await send(
+        {"type": "http.response.start", "status": status, "headers": headers}
+    )
+    part = {"type": "http.response.body", "body": body, "more_body": True}
+    await send(part)
+    with anyio.move_on_after(_LINGER_S):
+        while True:
+            message = await receive()
+            if not message.get("more_body", False):
+                break
+    await send({"type": "http.response.body", "body": b""})
+
+
 async def respond(
     send: Send,
     status: int,
--- a/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
@@ -97,6 +97,22 @@
             "service.",
             registry=self.registry,
         )
+        self.memory = aioprometheus.Gauge(
+            "bridgecross_memory_bytes",
+            "Memory for requests and answers: the limit, and what is in use "
+            "by purpose.",
+            registry=self.registry,
+        )
+        self.memory_refusals = aioprometheus.Counter(
+            "bridgecross_memory_refusals_total",
+            "Requests refused because their bodies did not fit, by reason.",
+            registry=self.registry,
+        )
+        self.slow_readers_closed = aioprometheus.Counter(
+            "bridgecross_slow_readers_closed_total",
+            "Connections closed because the caller did not read its answer.",
+            registry=self.registry,
+        )
         self.topics = aioprometheus.Gauge(
             "bridgecross_topics",
             "What is known of each topic of the log: offset, age in seconds, "
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -16,6 +16,7 @@
 from bridgecross_entry import follower as followers
 from bridgecross_entry import journal as journals
 from bridgecross_entry import listener
+from bridgecross_entry import memory_limits
 from bridgecross_entry import model
 from bridgecross_entry import tasks as tasks_lib
 
@@ -53,8 +54,15 @@
         self._journal = journal
         self._parts = assembly.Assembly(adapter, clock, journal)
         self._parts.on_configuration = self._apply_caller_limits
+        self._memory = memory_limits.make(
+            self._parts.settings.memory_mb, journal, self._parts.metrics, clock
+        )
         self._edge = edge.Edge(
-            self._parts.dispatcher, adapter.make_caller_codec(), journal, clock
+            self._parts.dispatcher,
+            adapter.make_caller_codec(),
+            journal,
+            clock,
+            self._memory.gate,
         )
         self._make_listeners()
         self._stop_requested = anyio.Event()
@@ -65,7 +73,9 @@
         platform = self._parts.settings
         peer_server = self._parts.cluster_tasks.make_peer_server()
         self._caller_listener = listener.Listener(
-            platform.caller_address, self._edge.serve
+            platform.caller_address,
+            self._edge.serve,
+            buffers=self._memory.buffers,
         )
         self._listeners = [
             self._caller_listener,
@@ -82,6 +92,7 @@
                     self._parts.quota_issuer,
                     self._parts.cluster_tasks.limit_broadcaster,
                     self._parts.forward_server,
+                    self._memory.gate,
                 ),
             ),
             listener.Listener(
@@ -110,6 +121,11 @@
             tasks.start_soon(
                 tasks_lib.keep_running, self._write_tally, self._journal
             )
+            tasks.start_soon(
+                tasks_lib.keep_running,
+                self._caller_listener.watch_send_buffers,
+                self._journal,
+            )
             tasks.start_soon(self._watch_signals)
             await self._stop_requested.wait()
             await self._drain()
@@ -183,6 +199,7 @@
             await anyio.sleep(self._settings.sweep_interval_s)
             self._journal.flush()
             self._parts.sweep()
+            self._memory.sweep()
 
     async def _write_tally(self) -> None:
         """Logs the totals of requests at regular intervals."""
@@ -221,6 +238,7 @@
         limited_count = self._parts.registry.limited_count
         gauge.set({"what": "servers_limited"}, limited_count)
         self._parts.links.refresh_metrics()
+        memory_limits.refresh_metrics(self._memory, self._parts.metrics)
         gauge.set({"what": "instances"}, self._parts.dispatcher.instance_count)
         gauge.set({"what": "in_flight"}, self._parts.dispatcher.in_flight_count)
         gauge.set(
