A caller that leaves during a large upload's request is noticed

Cause: uvicorn stops reading at 64 KiB of a body, also when the body is complete. While such a request ran, a disconnect was not noticed, so its memory stayed reserved until the request ended. Change: with a memory limit, reading continues once a body is complete.

--- a/libs/bridgecross-entry/src/bridgecross_entry/listener.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/listener.py
@@ -11,6 +11,7 @@
 
 import anyio
 import uvicorn
+from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 from uvicorn.server import ServerState
 
@@ -34,7 +35,6 @@
 _BACKLOG = 2_048
 """Connections that may wait to be accepted; a dropped one costs a second."""
 
-
 _LINGER_S = 1.0
 """How long the rest of a refused body is read. A connection that is closed with
 unread bytes is reset, and the caller may lose the refusal."""
@@ -78,6 +78,19 @@
         """Closes the connection and drops its send buffer."""
         self.transport.abort()
 
+    def on_message_complete(self) -> None:
+        """Continues to read once a request has been received.
+
+        ``uvicorn`` stops reading at 64 KiB of a body, also at its end, until
+        the response is complete. A caller that disconnects would not be
+        noticed, and its body would be held as long as its request runs.
+        """
+        super().on_message_complete()
+        if self.buffers is None or self.pipeline:
+            return
+        if len(self.cycle.body) > flow_control.HIGH_WATER_LIMIT:
+            self.flow.resume_reading()
+
     def pause_writing(self) -> None:
         """Counts a large send buffer at once."""
         super().pause_writing()
