--- a/libs/bridgecross-entry/src/bridgecross_entry/forwards.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/forwards.py
@@ -33,7 +33,10 @@
 rejects what it has no capacity for.
 """
 
-PATHS = frozenset({REACH_PATH, REQUEST_PATH, ORDER_PATH, RELAYED_PATH})
+REQUEST_PATHS = frozenset({REQUEST_PATH, RELAYED_PATH})
+"""The paths of messages that contain a caller's request."""
+
+PATHS = REQUEST_PATHS | {REACH_PATH, ORDER_PATH}
 
 
 class Reach(enum.Enum):
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -17,7 +17,7 @@
 from bridgecross_entry import follower as followers
 from bridgecross_entry import journal as journals
 from bridgecross_entry import listener
-from bridgecross_entry import memory_ledger
+from bridgecross_entry import memory_limits
 from bridgecross_entry import model
 from bridgecross_entry import pipeline_monitor
 from bridgecross_entry import pipeline_order
@@ -57,8 +57,15 @@
         self._journal = journal
         self._parts = assembly.Assembly(adapter, clock, journal)
         self._parts.on_configuration = self._apply_caller_limits
+        self._memory = memory_limits.make(
+            self._parts.settings.memory_mb, journal, self._parts.metrics, clock
+        )
         self._edge = edge.Edge(
-            self._parts.dispatcher, adapter.make_caller_codec(), journal, clock
+            self._parts.dispatcher,
+            adapter.make_caller_codec(),
+            journal,
+            clock,
+            self._memory.gate,
         )
         self._make_listeners()
         self._stop_requested = anyio.Event()
@@ -77,12 +84,13 @@
             caller_protocol.make_protocol(
                 caller_protocol.PipelineParts(
                     self._edge.is_idempotent,
-                    memory_ledger.UNLIMITED,
+                    self._memory.ledger,
                     self._pipelines,
                     self._clock,
                     pipeline_order.PipelineLimits(),
                 )
             ),
+            buffers=self._memory.buffers,
         )
         self._listeners = [
             self._caller_listener,
@@ -99,6 +107,7 @@
                     self._parts.quota_issuer,
                     self._parts.cluster_tasks.limit_broadcaster,
                     self._parts.forward_server,
+                    self._memory.gate,
                 ),
             ),
             listener.Listener(
@@ -127,6 +136,11 @@
             tasks.start_soon(
                 tasks_lib.keep_running, self._write_tally, self._journal
             )
+            tasks.start_soon(
+                tasks_lib.keep_running,
+                self._caller_listener.watch_send_buffers,
+                self._journal,
+            )
             tasks.start_soon(self._watch_signals)
             await self._stop_requested.wait()
             await self._drain()
@@ -202,6 +216,7 @@
             await anyio.sleep(self._settings.sweep_interval_s)
             self._journal.flush()
             self._parts.sweep()
+            self._memory.sweep()
 
     async def _write_tally(self) -> None:
         """Logs the totals of requests at regular intervals."""
@@ -242,6 +257,7 @@
         self._parts.links.refresh_metrics()
         paused_count = self._pipelines.paused_count
         self._parts.metrics.pipelines_paused.set({}, paused_count)
+        memory_limits.refresh_metrics(self._memory, self._parts.metrics)
         gauge.set({"what": "instances"}, self._parts.dispatcher.instance_count)
         gauge.set({"what": "in_flight"}, self._parts.dispatcher.in_flight_count)
         gauge.set(
