--- a/libs/bridgecross-entry/tests/test_memory_limits.py
+++ b/libs/bridgecross-entry/tests/test_memory_limits.py
@@ -205,6 +205,7 @@
     [
         (forwards.REQUEST_PATH, 0, 200),
         (forwards.REQUEST_PATH, 12_000_000, 503),
+        (forwards.RELAYED_PATH, 12_000_000, 503),
         (forwards.ORDER_PATH, 16_000_001, 200),
         (forwards.REACH_PATH, 16_000_001, 200),
     ],
