An owner that rejects with a free slot is tried once more

Cause: a server that rejects at random, with "not run", made its callers return: the owner of a key is the only one that can serve it, and requests gave up at its first rejection.

Change: where servers have few slots, a request that had a permit is sent to the owner once more, under a new permit and a retry of the budget. The server has a free slot, as its issuer counts them. Otherwise as before.

--- a/libs/bridgecross-entry/src/bridgecross_entry/attempt_results.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempt_results.py
@@ -32,6 +32,11 @@
     # latency was reset because the server is full; answers that break off do
     # so after the work.
     early_reset_ratio: float = 0.25
+    # How often a request is sent again to the owner of its key that rejected it
+    # although it had a permit. The owner has a free slot then, so it does not
+    # reject for lack of one, and the caller would have to return for the same
+    # owner. Each time costs a retry of the service's budget.
+    owner_retries_max_count: int = 1
 
 
 class ResultHandler:
@@ -79,9 +84,18 @@
         server: servers_lib.Server,
         result: attempts.Attempt,
         held_s: float,
+        *,
+        had_permit: bool = False,
     ) -> outcomes.Outcome | None:
         """Records the result of an attempt, and decides how to go on.
 
+        Args:
+            state: The request.
+            server: The server that it was sent to.
+            result: The result.
+            held_s: How long the attempt took.
+            had_permit: Whether a slot of the server was granted for it.
+
         Returns:
             The outcome of the request; None if another attempt is allowed.
         """
@@ -100,16 +114,8 @@
                 server.note_unreachable(now_s)
             state.trail.append(f"{server_id}: not sent: {result.reason}")
         elif isinstance(result, attempts.Shed):
-            state.shed_by = server_id
             server.note_answer(held_s, failed=True)
-            server.lower_concurrency(now_s)
-            backoff_s = self._registry.notices.backoff_left_s(server_id)
-            backoff_text = (
-                f", asks for {backoff_s:.1f} s of rest" if backoff_s else ""
-            )
-            state.trail.append(
-                f"{server_id}: shed with {result.status}{backoff_text}"
-            )
+            self._note_shed(state, server, result, had_permit=had_permit)
         else:
             state.trail.append(f"{server_id}: not the owner")
             is_other_server = result.answered_by != server.listed.name
@@ -130,6 +136,29 @@
         )
         return self._refusals.make_final_outcome(state, refusal)
 
+    def _note_shed(
+        self,
+        state: request_state.RequestState,
+        server: servers_lib.Server,
+        result: attempts.Shed,
+        *,
+        had_permit: bool,
+    ) -> None:
+        """Records that a server rejected a request."""
+        server_id = server.listed.server_id
+        backoff_s = self._registry.notices.backoff_left_s(server_id)
+        if had_permit and not backoff_s and self._may_try_owner(state):
+            state.owner_retries_count += 1
+        else:
+            state.shed_by = server_id
+        server.lower_concurrency(self._clock.monotonic_s())
+        backoff_text = (
+            f", asks for {backoff_s:.1f} s of rest" if backoff_s else ""
+        )
+        state.trail.append(
+            f"{server_id}: shed with {result.status}{backoff_text}"
+        )
+
     async def _handle_interrupted(
         self,
         state: request_state.RequestState,
@@ -184,6 +213,18 @@
             return None
         return answer
 
+    def _may_try_owner(self, state: request_state.RequestState) -> bool:
+        """Whether the owner of a key may be tried again after it rejected.
+
+        Where servers have more slots, callers return instead, as before.
+        """
+        return (
+            self._is_keyed(state)
+            and self._registry.has_few_slots(state.service)
+            and state.owner_retries_count
+            < self._settings.owner_retries_max_count
+        )
+
     def _may_retry(self, state: request_state.RequestState) -> bool:
         """Whether another attempt is allowed and the deadline is not over."""
         trail_count = len(state.trail)
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -615,7 +615,9 @@
         self._metrics.attempts.inc(
             {"service": state.service, "result": result_name}
         )
-        return await self._results.handle(state, server, result, held_s)
+        return await self._results.handle(
+            state, server, result, held_s, had_permit=permit is not None
+        )
 
     async def _reserve_attempt(
         self,
--- a/libs/bridgecross-entry/src/bridgecross_entry/request_state.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/request_state.py
@@ -40,6 +40,8 @@
     delivered_count: int = 0
     # Attempts that ran or may have run.
     possible_runs: int = 0
+    # How often it was sent again to the owner of its key that rejected it.
+    owner_retries_count: int = 0
     # How often a server answered that it does not own the key.
     not_owner_count: int = 0
     # Whether an attempt has been sent and has no answer yet.
--- a/libs/bridgecross-entry/tests/test_dispatch.py
+++ b/libs/bridgecross-entry/tests/test_dispatch.py
@@ -15,6 +15,7 @@
 from bridgecross_entry import keymap
 from bridgecross_entry import metrics
 from bridgecross_entry import model
+from bridgecross_entry import permit_client
 from bridgecross_entry import servers
 from bridgecross_request import fair_share
 
@@ -491,6 +492,60 @@
         self.applicants.append(applicant)
 
 
+class GrantingPermits(RecordingPermits):
+    """Grants a permit for the owner of the key to whoever applies."""
+
+    async def obtain(self, applicant):
+        await super().obtain(applicant)
+        server_id = applicant.server.server_id
+        return permit_client.Permit(
+            server_id, "t", support.INSTANCE.peer_address
+        )
+
+    def return_permit(self, *returned: object):
+        del returned
+
+
+@pytest.mark.parametrize(
+    ("slots", "script", "status", "sent"),
+    [
+        pytest.param(2, [SHED, OK], 200, 2, id="accepted the second time"),
+        pytest.param(2, [SHED, SHED], 503, 2, id="rejected twice"),
+        pytest.param(4, [SHED], 503, 1, id="more slots"),
+    ],
+)
+async def test_an_owner_that_rejects_with_a_free_slot_is_tried_once_more(
+    slots, script, status, sent
+):
+    """Guards against callers who return for what one retry would settle."""
+    backends = Backends(*script)
+    scene = Scene(backends, keyed=True, idempotent=False)
+    for name in ("a", "b"):
+        listed = dataclasses.replace(support.make_server(name), slots=slots)
+        scene.registry.put(listed)
+    scene.put_map(1, _owned_by("a"))
+    scene.dispatcher._permits = permits = GrantingPermits()
+    outcome = await scene.ask()
+    assert outcome.status == status
+    assert backends.sent == ["a"] * sent
+    assert len(permits.applicants) == sent
+
+
+async def test_without_a_retry_in_the_budget_an_owner_is_tried_once():
+    bounds = dataclasses.replace(
+        support.BOUNDS, retry_ratio=0.0, retry_slack=0.0
+    )
+    backends = Backends(SHED, OK)
+    scene = Scene(backends, keyed=True, bounds=bounds)
+    for name in ("a", "b"):
+        listed = dataclasses.replace(support.make_server(name), slots=2)
+        scene.registry.put(listed)
+    scene.put_map(1, _owned_by("a"))
+    scene.dispatcher._permits = GrantingPermits()
+    assert (await scene.ask()).status == 503
+    assert backends.sent == ["a"]
+
+
 @pytest.mark.parametrize(
     ("slots", "expected"),
     [(4, fair_share.UNKNOWN), (2, fair_share.Origin(zlib.crc32(b"10.0.0.7")))],
