A few early requests no longer look like a hot key

Cause: in the first reports after a start, three requests for one key look like a rate beyond a server's capacity, and its owner's other keys moved away.

Change: the key's load must exceed the capacity by the error of its count, and a hot key counts as moved only if its move was made. The support of the tests over time is shorter.

--- a/libs/bridgecross-entry/src/bridgecross_entry/hot_keys.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/hot_keys.py
@@ -51,7 +51,11 @@
             break
         holder = next(r for r in ranges if r.first_key <= key <= r.last_key)
         capacity = servers.get(holder.owner)
-        if capacity is None or weight <= capacity or holder.previous_owner:
+        if capacity is None or holder.previous_owner:
+            continue
+        # In the first reports, a few requests look like a high rate.
+        error = settings.urgent.min_errors * load.error_of(capacity)
+        if weight <= capacity + error:
             continue
         owner = _choose_owner(
             holder.owner, servers, owners, settings, may_move_key=may_move_key
--- a/libs/bridgecross-entry/src/bridgecross_entry/rebalancing.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/rebalancing.py
@@ -31,7 +31,7 @@
 
     moves: tuple[planner.Move, ...] = ()
     reason: str = _BUSIER
-    # Whether a single hot key is moved.
+    # Whether a single hot key is moved; it is the first move then.
     moves_hot_key: bool = False
     # The load of the keys that were considered.
     load: planner.KeyLoad | None = None
@@ -95,7 +95,8 @@
         )
         if len(selected) < len(moves):
             self._log_held_back(settings, len(moves) - len(selected), now_s)
-        return plan._replace(moves=selected)
+        moves_hot_key = plan.moves_hot_key and plan.moves[0] in selected
+        return plan._replace(moves=selected, moves_hot_key=moves_hot_key)
 
     def note_made(
         self, plan: Plan, settings: planner.PlanSettings, now_s: float
--- a/libs/bridgecross-entry/tests/planning_support.py
+++ b/libs/bridgecross-entry/tests/planning_support.py
@@ -6,7 +6,6 @@
 
 import bisect
 import collections
-from collections.abc import Callable
 import dataclasses
 import random
 
@@ -32,12 +31,10 @@
 
 
 def make_server(name: str, slots: int) -> model.BackendServer:
-    """Returns a backend server with some slots."""
     return dataclasses.replace(support.make_server(name), slots=slots)
 
 
 def clustered_rates(chance: random.Random, total: float) -> Rates:
-    """Returns rates of which most belong to keys close to one another."""
     weights: dict[int, float] = {}
     for share, first_key, width, count in (
         (0.1, 9_000, 300, 300),
@@ -62,8 +59,6 @@
 
 @dataclasses.dataclass
 class Scene:
-    """One service whose keys a planner assigns."""
-
     rates: Rates
     settings: planner.PlanSettings
     load_settings: load_view.LoadSettings
@@ -90,7 +85,6 @@
         self._settle()
 
     def start_leader(self) -> None:
-        """Replaces the leader by one that knows only the key map."""
         self.view = load_view.LoadView(self.load_settings)
         self.rebalancer = rebalancing.Rebalancer(
             ids.ServiceName("rapor"),
@@ -100,11 +94,9 @@
         )
 
     def capacities(self) -> dict[ids.ServerId, float]:
-        """Returns the capacities as the leader estimates them."""
         return self.view.capacities(self.servers)
 
     def _settle(self) -> None:
-        """Completes the moves that have taken their time."""
         self.ranges = keymap.merge_neighbours(
             r._replace(previous_owner=keymap.NO_SERVER, token=0)
             if self.now_s >= r.token / 1_000
@@ -114,14 +106,12 @@
         self._starts = [r.first_key for r in self.ranges]
 
     def server_rates(self) -> dict[ids.ServerId, float]:
-        """Returns the true request rate of each server."""
         rates = dict.fromkeys(self.true_capacities, 0.0)
         for key, rate in self.rates.items():
             rates[self.holder_of(key)] += rate
         return rates
 
     def holder_of(self, key: int) -> ids.ServerId:
-        """Returns the server to which requests for a key go."""
         found = self.ranges[bisect.bisect_right(self._starts, key) - 1]
         return found.previous_owner or found.owner
 
@@ -148,17 +138,8 @@
             waiting += rate * few_slots.compute_wait_ratio(2, utilization)
         return waiting / sum(self.rates.values())
 
-    def run(
-        self,
-        duration_s: float,
-        note: Callable[[], None] = lambda: None,
-    ) -> tuple[float, float]:
-        """Runs for some time; returns the mean excess and waiting ratios.
-
-        Args:
-            duration_s: How long.
-            note: Called after each step.
-        """
+    def run(self, duration_s: float) -> tuple[float, float]:
+        """Runs for some time; returns the mean excess and waiting ratios."""
         results = []
         end_s = self.now_s + duration_s
         while self.now_s < end_s - 1e-9:
@@ -167,12 +148,10 @@
             self.now_s += STEP_S
             self._settle()
             self._plan()
-            note()
         excess, waiting = zip(*results, strict=True)
         return sum(excess) / len(excess), sum(waiting) / len(waiting)
 
     def _report(self) -> None:
-        """Reports the requests and answers of one step."""
         counts = {
             key: self._draw_poisson(rate * STEP_S)
             for key, rate in self.rates.items()
@@ -198,7 +177,6 @@
             self.view.add_report(*self._reports.popleft())
 
     def _draw_poisson(self, mean: float) -> int:
-        """Returns a random count."""
         count = 0
         left = mean - self.chance.expovariate(1.0)
         while left > 0:
@@ -207,7 +185,6 @@
         return count
 
     def _plan(self) -> None:
-        """Plans and starts moves."""
         self.view.advance(self.servers, self.now_s)
         limit = self.settings.max_moves(len(SPEEDS), many_idle=True)
         if sum(bool(r.previous_owner) for r in self.ranges) >= limit:
@@ -236,7 +213,6 @@
 
 
 def _measure(settings, seed: int) -> list[float]:
-    """Returns excess and waiting ratios, moves and share of keys moved."""
     rates = clustered_rates(random.Random(seed), 325.0)
     scene = Scene(rates, *settings, seed=seed)
     figures: list[float] = []
