--- a/libs/bridgecross-entry/src/bridgecross_entry/attempt_results.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempt_results.py
@@ -50,9 +50,7 @@
         refusals: refusals_lib.Refusals,
         watch: crash_watch.CrashWatch,
         is_keyed: Callable[[request_state.RequestState], bool],
-        count_answer: Callable[
-            [ids.ServiceName, ids.ServerId, float, str], None
-        ],
+        count_answer: Callable[[ids.ServiceName, ids.ServerId, float], None],
         clock: clocks.Clock,
     ) -> None:
         """Stores what results are reported to.
@@ -65,8 +63,7 @@
             watch: Finds out which requests crash servers.
             is_keyed: Whether the servers of a request's service own keys.
             count_answer: Counts an answer for the load of its service: the
-                service, the server, how long the attempt took in seconds, and
-                the route.
+                service, the server, and how long the attempt took in seconds.
             clock: The time source.
         """
         self._settings = settings
@@ -202,9 +199,7 @@
         state.possible_runs += 1
         if not failed:
             server.raise_concurrency()
-            self._count_answer(
-                state.service, server_id, held_s, state.route.name
-            )
+            self._count_answer(state.service, server_id, held_s)
             state.trail.append(f"{server_id}: {answer.status}")
             return answer
         state.trail.append(f"{server_id}: failed with {answer.status}")
--- a/libs/bridgecross-entry/src/bridgecross_entry/cluster_tasks.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/cluster_tasks.py
@@ -197,7 +197,7 @@
         """Creates the handler of messages from other instances."""
         return peers.PeerServer(
             lambda report: self._view(report.service).add_report(
-                report.keys, report.servers, report.units_per_request
+                report.keys, report.servers
             ),
             self._apply_map,
             self._mark_settled,
@@ -340,18 +340,18 @@
         """Reports the load of one service to its coordinator."""
         key_map = self._table.newest(service)
         counter = self._dispatcher.loads.setdefault(service, load.LoadCounter())
-        by_work = self._registry.has_few_slots(service)
-        counts = counter.pop_counts(by_work=by_work)
-        if key_map is None or not (counts.keys or counts.servers):
+        keys, servers = counter.pop_counts()
+        if key_map is None or not (keys or servers):
             return
         if key_map.coordinator == self._instance.name:
-            self._view(service).add_report(*counts)
+            self._view(service).add_report(keys, servers)
             return
         report = load.LoadReport(
             ids.InstanceId(self._instance.name),
             service,
             window_s,
-            *counts,
+            keys,
+            servers,
         )
         await self._peer_client.report_load(key_map.coordinator_address, report)
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
@@ -19,7 +19,6 @@
 from bridgecross_core import clock as clocks
 from bridgecross_core import ids
 from bridgecross_core import notifier
-from bridgecross_entry import few_slots
 from bridgecross_entry import follower as followers
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
@@ -30,7 +29,6 @@
 from bridgecross_entry import model
 from bridgecross_entry import planner
 from bridgecross_entry import proofs
-from bridgecross_entry import rebalancing
 from bridgecross_entry import server_capacities
 from bridgecross_entry import servers as servers_lib
 
@@ -144,9 +142,10 @@
         # When the last completed move that is not yet recorded in the log
         # ended; None if all are recorded.
         self._unrecorded_since_s: float | None = None
-        self._rebalancer = rebalancing.Rebalancer(
-            service, loads, journal, metrics
-        )
+        # When a hot key was last moved, and when load was last rebalanced
+        # without urgency.
+        self._hot_key_moved_s = float("-inf")
+        self._rebalanced_s = float("-inf")
         self._superseded = False
 
     async def run(self) -> None:
@@ -425,16 +424,8 @@
         self._registry.note_owners(self._service, self._possible_holders())
         self._loads.advance(eligible, self._clock.monotonic_s())
         capacities = self._capacities.of(eligible)
-        settings = few_slots.choose(
-            self._plan_settings,
-            self._registry,
-            self._service,
-            self._loads,
-            eligible,
-        )
         movable = tuple(r for r in self._ranges if self._is_movable(r))
         moves: tuple[planner.Move, ...] = ()
-        plan: rebalancing.Plan | None = None
         reason = "owner is leaving or lost"
         restarted = self._plan_restarts(movable, capacities)
         if restarted:
@@ -444,7 +435,7 @@
             load = self._loads.slow_load()
             moves = planner.plan_evacuation(movable, load, capacities)
             moves = tuple(m for m in moves if self._may_move_now(m))
-        max_moves = settings.max_moves(len(capacities), many_idle=True)
+        max_moves = self._plan_settings.max_moves(len(capacities))
         may_rebalance = (
             with_rebalancing and self._lease_manager.previous_orders_expired
         )
@@ -453,19 +444,11 @@
             and may_rebalance
             and self._count_short_moves() < max_moves
         ):
-            plan = self._rebalancer.plan(
-                self._ranges,
-                capacities,
-                settings,
-                self._may_move_now,
-                self._clock.monotonic_s(),
-            )
-            moves, reason = plan.moves, plan.reason
+            moves = self._plan_rebalancing(capacities)
+            moves = tuple(m for m in moves if self._may_move_now(m))
+            reason = "owner is busier than others"
         if moves or self._lease_manager.outranked:
-            appended = await self._append_moves(tasks, moves, reason)
-            if appended and plan is not None:
-                now_s = self._clock.monotonic_s()
-                self._rebalancer.note_made(plan, settings, now_s)
+            await self._append_moves(tasks, moves, reason)
         elif self._unrecorded_since_s is not None and not self._moving:
             await self._record_settled()
 
@@ -543,6 +526,32 @@
         if await self._append(self._ranges):
             self._unrecorded_since_s = None
 
+    def _plan_rebalancing(
+        self, capacities: dict[ids.ServerId, float]
+    ) -> tuple[planner.Move, ...]:
+        """Returns moves that relieve overloaded servers."""
+        now_s = self._clock.monotonic_s()
+        settings = self._plan_settings
+        fast = self._loads.fast_load()
+        if now_s - self._hot_key_moved_s >= settings.hot_key_interval_s:
+            hot = planner.plan_hot_key(self._ranges, fast, capacities, settings)
+            if hot is not None:
+                self._hot_key_moved_s = now_s
+                return (hot,)
+        moves = planner.plan_rebalancing(
+            self._ranges, fast, capacities, settings, settings.urgent
+        )
+        if moves or now_s - self._rebalanced_s < settings.rebalance_interval_s:
+            return moves
+        self._rebalanced_s = now_s
+        return planner.plan_rebalancing(
+            self._ranges,
+            self._loads.slow_load(),
+            capacities,
+            settings,
+            settings.steady,
+        )
+
     def _may_move_now(self, move: planner.Move) -> bool:
         """Whether a move could proceed at once.
 
@@ -568,8 +577,8 @@
         tasks: anyio.abc.TaskGroup,
         moves: tuple[planner.Move, ...],
         reason: str,
-    ) -> bool:
-        """Appends moves to the log, then starts them; whether it did."""
+    ) -> None:
+        """Appends moves to the log, then starts them."""
         version = self._version + 1
         ranges = self._ranges
         for move in moves:
@@ -582,7 +591,7 @@
             for r in ranges
         )
         if not await self._append(ranges):
-            return False
+            return
         self._lease_manager.outranked -= outranked
         for move in moves:
             self._journal.decision(
@@ -597,7 +606,6 @@
         for key_range in self._ranges:
             if key_range.token == version:
                 self._start_move(tasks, key_range, resumed=False)
-        return True
 
     def _resume_moves(self, tasks: anyio.abc.TaskGroup) -> None:
         """Starts the pending moves of a map that was adopted or created."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -334,9 +334,7 @@
                 return refusals_lib.not_run(
                     "the service needs a key", status=400
                 )
-            self._get_load_counter(state.service).count_key(
-                state.request.key, state.route.name
-            )
+            self._get_load_counter(state.service).count_key(state.request.key)
         attempt = self._try_owner if keyed else self._try_any_server
         while self._clock.monotonic_s() < state.deadline_s:
             if len(state.trail) > _TRAIL_MAX_COUNT:
--- a/libs/bridgecross-entry/src/bridgecross_entry/load_view.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/load_view.py
@@ -45,14 +45,7 @@
         # until it is 1, counts are scaled up accordingly.
         self._filled_ratio = 0.0
 
-    def set_window(self, window_s: float) -> None:
-        """Changes the window; the load stays as it is known."""
-        ratio = window_s / self._window_s
-        if ratio != 1.0:
-            self._window_s = window_s
-            self._weights = {k: w * ratio for k, w in self._weights.items()}
-
-    def add(self, key: int, requests: float) -> None:
+    def add(self, key: int, requests: int) -> None:
         """Counts requests for a key."""
         self._weights[key] = self._weights.get(key, 0.0) + requests
 
@@ -69,13 +62,9 @@
 
     def load(self) -> planner.KeyLoad:
         """Returns the requests per second of each key."""
-        filled_ratio = max(self._filled_ratio, 0.1)
-        window_s = self._window_s * filled_ratio
-        # Counts that decay have the error of even counts over twice the window.
-        counted_s = 2.0 * window_s / (2.0 - filled_ratio)
+        window_s = self._window_s * max(self._filled_ratio, 0.1)
         return planner.KeyLoad(
-            {key: weight / window_s for key, weight in self._weights.items()},
-            counted_s,
+            {key: weight / window_s for key, weight in self._weights.items()}
         )
 
 
@@ -84,8 +73,7 @@
 
     def __init__(self, settings: LoadSettings) -> None:
         """Starts without any load."""
-        self._usual_settings = settings
-        self.settings = settings
+        self._settings = settings
         self._fast = _KeyWeights(settings.fast_window_s)
         self._slow = _KeyWeights(settings.slow_window_s)
         # Decaying answer counts and slot time of each server.
@@ -95,31 +83,24 @@
         self._busy_slot_s = collections.defaultdict(float)
         # Answer counts since the last step, and the time from sending to
         # answer, which includes queueing.
-        self._step_answers: collections.defaultdict[ids.ServerId, float]
-        self._step_answers = collections.defaultdict(float)
+        self._step_answers: collections.Counter[ids.ServerId]
+        self._step_answers = collections.Counter()
         self._step_busy_s: collections.defaultdict[ids.ServerId, float]
         self._step_busy_s = collections.defaultdict(float)
         self._last_decay_s: float | None = None
         self._last_step_s: float | None = None
 
-    def use(self, settings: LoadSettings | None) -> None:
-        """Changes the settings; None restores the initial ones."""
-        self.settings = settings or self._usual_settings
-        self._fast.set_window(self.settings.fast_window_s)
-        self._slow.set_window(self.settings.slow_window_s)
-
     def add_report(
         self,
         keys: tuple[load.KeyCount, ...],
         servers: tuple[load.ServerCount, ...],
-        units_per_request: int = 1,
     ) -> None:
-        """Adds one load report; for the arguments, see ``load.LoadReport``."""
+        """Adds one load report."""
         for key, requests in keys:
-            self._fast.add(key, requests / units_per_request)
-            self._slow.add(key, requests / units_per_request)
+            self._fast.add(key, requests)
+            self._slow.add(key, requests)
         for server_id, answers, busy_s in servers:
-            self._step_answers[server_id] += answers / units_per_request
+            self._step_answers[server_id] += answers
             self._step_busy_s[server_id] += busy_s
 
     def advance(
@@ -134,7 +115,7 @@
         self._fast.decay(passed_s)
         self._slow.decay(passed_s)
         passed_s = now_s - self._last_step_s
-        if passed_s >= self.settings.step_s:
+        if passed_s >= self._settings.step_s:
             self._last_step_s = now_s
             self._sum_up(servers, passed_s)
 
@@ -146,7 +127,7 @@
         A server cannot work for longer than its slots allow; the rest of the
         time from sending to answer was spent in its queue (Little's law).
         """
-        decay_factor = math.exp(-passed_s / self.settings.server_window_s)
+        decay_factor = math.exp(-passed_s / self._settings.server_window_s)
         for server in servers:
             server_id = server.server_id
             busy_slot_s = min(
@@ -172,7 +153,7 @@
     ) -> dict[ids.ServerId, float]:
         """Returns the requests per second that each server can process."""
         servers = list(servers)
-        settings = self.settings
+        settings = self._settings
         answers = sum(self._answers[s.server_id] for s in servers)
         busy_slot_s = sum(self._busy_slot_s[s.server_id] for s in servers)
         prior_count = settings.prior_count
--- a/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
@@ -73,17 +73,6 @@
             "Keys given to another owner, by service.",
             registry=self.registry,
         )
-        self.move_budget_used = aioprometheus.Gauge(
-            "bridgecross_move_budget_used_ratio",
-            "The used share of the keys that may be moved at once, by service "
-            "with few slots.",
-            registry=self.registry,
-        )
-        self.moves_held_back = aioprometheus.Counter(
-            "bridgecross_moves_held_back_total",
-            "Moves of keys that the budget held back, by service.",
-            registry=self.registry,
-        )
         self.request_seconds = aioprometheus.Histogram(
             "bridgecross_request_seconds",
             "Time from the head of a request to its outcome, by service.",
--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -100,7 +100,7 @@
     relay: bytes
 
 
-_LOADS = load.REPORTS
+_LOADS = codec.Codec(load.LoadReport)
 _MAPS = codec.Codec(keymap.KeyMap)
 _SETTLED = codec.Codec(tuple[Settled, ...])
 _RELAYS = codec.Codec(Relay)
--- a/libs/bridgecross-entry/src/bridgecross_entry/planner.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/planner.py
@@ -9,7 +9,6 @@
 from collections.abc import Mapping
 import dataclasses
 import itertools
-import math
 from typing import NamedTuple
 
 from bridgecross_core import ids
@@ -30,10 +29,6 @@
     # receive little while most are near it, and a hot range would need very
     # many moves.
     fill_ratio: float
-    # And its load exceeds these limits by so many standard errors of the count
-    # of its requests, so that chance moves no keys. While many servers are
-    # idle, this does not apply: a busy one is no chance then.
-    min_errors: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,35 +60,10 @@
     # Pieces whose load differs from the wanted load by no more than this share
     # of it are considered equal; the one with the fewest keys moves.
     piece_tolerance_ratio: float = 0.3
-    # The number of moves in one plan while many servers are idle, as a share of
-    # the servers: the load is divided so badly that requests are refused
-    # although most of the capacity is free. 0 makes no exception.
-    idle_moves_ratio: float = 0.0
-    # A server is idle below this share of the mean utilization. At least this
-    # share of the servers are many.
-    idle_ratio: float = 0.5
-    idle_servers_ratio: float = 0.25
-    # The share of the servers that may be set aside for single keys that exceed
-    # the capacity of their owners.
-    isolated_max_ratio: float = 0.0
-    # The most keys moved in any minute to balance load, as a share of all keys.
-    # Moves off lost and leaving servers are neither limited nor counted.
-    moved_per_min_ratio: float = math.inf
-    # A move counts as at least so many keys: whatever its size, it takes a
-    # record in the log and two orders, and delays requests for its keys.
-    move_min_key_count: int = 1
-    # The share of its capacity that a server is given at a time, and how long
-    # it then gets nothing more: its capacity may be known from few answers, and
-    # it holds nothing of the keys that it gets.
-    fill_step_ratio: float = math.inf
-    fill_step_s: float = 0.5
-
-    def max_moves(self, servers: int, *, many_idle: bool = False) -> int:
+
+    def max_moves(self, servers: int) -> int:
         """Returns the largest number of moves in one plan."""
-        ratio = self.moves_max_ratio
-        if many_idle:
-            ratio = max(ratio, self.idle_moves_ratio)
-        return max(self.moves_max_count, int(servers * ratio))
+        return max(self.moves_max_count, int(servers * self.moves_max_ratio))
 
 
 class Move(NamedTuple):
@@ -122,8 +92,6 @@
     capacity: float
     # The load of the keys that it owns.
     load: float = 0.0
-    # The load that it may still be given in this plan.
-    room: float = math.inf
 
     @property
     def utilization(self) -> float:
@@ -134,17 +102,12 @@
 class KeyLoad:
     """The load of each key, stored as prefix sums."""
 
-    def __init__(
-        self, weights: Mapping[int, float], window_s: float = math.inf
-    ) -> None:
+    def __init__(self, weights: Mapping[int, float]) -> None:
         """Computes the prefix sums.
 
         Args:
             weights: The load by key; keys without load may be omitted.
-            window_s: The time over which requests were counted. If omitted, the
-                load is considered exact.
         """
-        self._window_s = window_s
         each = [0.0] * (keymap.LAST_KEY + 1)
         for key, weight in weights.items():
             each[key] = weight
@@ -157,10 +120,6 @@
         """Returns the load of a range; both ends are inclusive."""
         return self._sums[last_key + 1] - self._sums[first_key]
 
-    def error_of(self, load: float) -> float:
-        """Returns the standard error of a load that was counted."""
-        return math.sqrt(load / self._window_s)
-
     def list_heavier(self, load: float) -> list[tuple[int, float]]:
         """Returns the keys whose load exceeds a limit, with their loads."""
         return [(k, w) for k, w in self._weights.items() if w > load]
@@ -230,7 +189,6 @@
     servers: Mapping[ids.ServerId, float],
     settings: PlanSettings,
     limits: RebalanceLimits,
-    rooms: Mapping[ids.ServerId, float] | None = None,
 ) -> tuple[Move, ...]:
     """Returns moves that relieve the busiest servers.
 
@@ -242,7 +200,6 @@
         servers: The capacity of each server that stays.
         settings: Limits for the moves.
         limits: Thresholds above which a server is relieved.
-        rooms: The load that each server may be given; unlimited if omitted.
     """
     bins = _make_bins(ranges, load, servers)
     if len(bins) < 2:  # noqa: PLR2004 (one server cannot be relieved)
@@ -253,32 +210,17 @@
     mean = load_sum / sum(b.capacity for b in bins)
     busy_limit = max(mean * limits.imbalance_ratio, limits.busy_ratio)
     level = max(mean, limits.fill_ratio)
-    for each in bins:
-        each.room = rooms[each.server_id] if rooms is not None else math.inf
-    idle_limit = settings.idle_ratio * mean
-    idle_count = sum(b.utilization < idle_limit for b in bins)
-    many_idle = idle_count >= settings.idle_servers_ratio * len(bins)
-    max_moves = settings.max_moves(len(bins), many_idle=many_idle)
     moves: list[Move] = []
     # Servers that may still be relieved. One that cannot be, because a single
     # key draws too much, must not prevent relieving the next one.
     relievable = list(bins)
-    while relievable and len(moves) < max_moves:
+    while relievable and len(moves) < settings.max_moves(len(bins)):
         busiest = max(relievable, key=lambda b: b.utilization)
-        receivers = [b for b in bins if b.room > 0]
-        if not receivers:
-            break
-        least_busy = min(receivers, key=lambda b: b.utilization)
+        least_busy = min(bins, key=lambda b: b.utilization)
         if busiest.utilization <= busy_limit:
             break
-        busy_load = busy_limit * busiest.capacity
-        error = limits.min_errors * load.error_of(busy_load)
-        if not many_idle and busiest.load <= busy_load + error:
-            relievable.remove(busiest)
-            continue
         excess = (busiest.utilization - level) * busiest.capacity
         headroom = (level - least_busy.utilization) * least_busy.capacity
-        headroom = min(headroom, least_busy.room)
         max_load = (
             limits.busy_ratio - least_busy.utilization
         ) * least_busy.capacity
@@ -295,7 +237,6 @@
             continue
         busiest.load -= weight
         least_busy.load += weight
-        least_busy.room -= weight
         moves.append(Move(*piece, least_busy.server_id))
         ranges = keymap.assign(ranges, *piece, least_busy.server_id, -1)
     return tuple(moves)
