Queues of few slots keep requests in time first, and share among callers

Cause: the order for overload took slots from requests in time for late callers that returned, and refused at once what newer requests might overtake.

Change: what may wait, and that requests in time go first, is as in all queues. The policy now orders late requests (returning callers first), puts callers that request much more than others last, gives each tier one grant in forty while it waits, and spreads returns. Whether a request is late is decided for each grant, as without the policy.

--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
@@ -218,7 +218,7 @@
             now_s + request.target_in_s, now_s + request.deadline_in_s
         )
         tier = self._make_queue_tier(request)
-        if queue.try_acquire(tier, deadlines, request.origin):
+        if queue.try_acquire(tier, deadlines):
             return self._grant(request, pool, server, may_be_cold=True)
         is_cold = server is not None and self._is_cold(server)
         if is_cold or not request.may_wait:
--- a/libs/bridgecross-request/src/bridgecross_request/fair_share.py
+++ b/libs/bridgecross-request/src/bridgecross_request/fair_share.py
@@ -115,7 +115,9 @@
         own = sum(half.by_caller[caller] for half in halves)
         if own < settings.min_count:
             return False
-        others = max(len(half.by_caller.keys() - {caller}) for half in halves)
+        others = max(
+            len(half.by_caller) - (caller in half.by_caller) for half in halves
+        )
         total = sum(half.total for half in halves)
         # Callers that were dropped are not among the others, which raises the
         # mean: in doubt, a caller is not above its share.
--- a/libs/bridgecross-request/src/bridgecross_request/queueing.py
+++ b/libs/bridgecross-request/src/bridgecross_request/queueing.py
@@ -6,8 +6,8 @@
 than one in time, but more than none. So a backlog does not make new requests
 late.
 
-With ``QueueSettings.overload``, the order and the admission of requests that
-find no free slot are those of ``overload.OverloadPolicy`` instead.
+With ``QueueSettings.overload``, the order of waiting requests and the times at
+which refused callers return are those of ``overload.OverloadPolicy`` instead.
 """
 
 import asyncio
@@ -20,7 +20,6 @@
 
 from bridgecross_core import clock as clocks
 from bridgecross_request import fair_share
-from bridgecross_request import grant_rates
 from bridgecross_request import overload as overload_lib
 
 _SMOOTHING_FACTOR = 0.1
@@ -98,8 +97,8 @@
     tier: QueueTier
     deadlines: Deadlines
     granted: anyio.Event
-    # Its place among others while the queue has a policy for overload.
-    claim: overload_lib.Claim
+    # What is known of the caller.
+    origin: fair_share.Origin = fair_share.UNKNOWN
 
 
 class _MovingAverage:
@@ -187,37 +186,28 @@
             deadlines: The times by which the answer is wanted.
             origin: What is known of the caller.
         """
-        if self.try_acquire(tier, deadlines, origin):
+        if self.try_acquire(tier, deadlines):
             return Granted()
         now_s = self._clock.monotonic_s()
-        waiter = _make_waiter(tier, deadlines)
+        waiter = _Waiter(tier, deadlines, anyio.Event(), origin)
         policy = self._find_policy()
         if policy is not None:
-            return await self._acquire_in_overload(policy, waiter, origin)
+            policy.note_contended(tier.priority, origin)
         wait_s = self.estimate_wait_s(tier.priority)
         if self.waiting[tier.name] >= tier.limit:
-            return self._refuse(_QUEUE_FULL, wait_s)
+            return self._refuse(waiter, _QUEUE_FULL, wait_s)
         if now_s + wait_s + self._expected_hold_s(tier) > deadlines.target_s:
             wait_s = self._estimate_late_wait_s(tier.priority)
             if wait_s > self._max_wait_s(waiter, now_s):
-                return self._refuse(_CANNOT_MEET, wait_s)
+                return self._refuse(waiter, _CANNOT_MEET, wait_s)
         return await self._wait(waiter)
 
-    def try_acquire(
-        self,
-        tier: QueueTier,
-        deadlines: Deadlines,
-        origin: fair_share.Origin = fair_share.UNKNOWN,
-    ) -> bool:
+    def try_acquire(self, tier: QueueTier, deadlines: Deadlines) -> bool:
         """Takes a slot if one is free now; returns whether it did."""
-        waiter = _make_waiter(tier, deadlines)
+        waiter = _Waiter(tier, deadlines, anyio.Event())
         is_late = self._is_late(waiter, self._clock.monotonic_s())
         if not self._has_room(late=is_late):
             return False
-        policy = self._find_policy()
-        if policy is not None:
-            kind = policy.classify(tier.priority, origin, late=is_late)
-            policy.note_grant(tier.priority, kind)
         self.force_acquire(tier)
         return True
 
@@ -254,48 +244,6 @@
         self._grant_next()
         self._schedule_pause_end()
 
-    async def _acquire_in_overload(
-        self,
-        policy: overload_lib.OverloadPolicy,
-        waiter: _Waiter,
-        origin: fair_share.Origin,
-    ) -> Granted | Refused:
-        """Waits for a slot, unless the request would wait in vain."""
-        tier = waiter.tier
-        now_s = self._clock.monotonic_s()
-        policy.note_contended(tier.priority, origin)
-        claim = waiter.claim
-        claim.kind = policy.classify(tier.priority, origin, late=False)
-        if self.waiting[tier.name] >= tier.limit:
-            return self._refuse_in_overload(policy, waiter, _QUEUE_FULL)
-        waiting = self._list_claims()
-        capacity_per_s = self.settings.slots / self._service.value_s
-        hold_s = self._expected_hold_s(tier)
-        claim.late_from_s = claim.target_s - hold_s
-        wait_s = policy.estimate_wait_s(claim, waiting, capacity_per_s)
-        if not policy.meets_target(claim, wait_s, hold_s, now_s):
-            claim.kind = policy.classify(tier.priority, origin, late=True)
-            late_slots = min(self.settings.late_slots, self.settings.slots)
-            wait_s = policy.estimate_wait_s(
-                claim, waiting, late_slots / self._service.value_s
-            )
-            if wait_s > self._max_wait_s(waiter, now_s):
-                return self._refuse_in_overload(policy, waiter, _CANNOT_MEET)
-        return await self._wait(waiter)
-
-    def _refuse_in_overload(
-        self,
-        policy: overload_lib.OverloadPolicy,
-        waiter: _Waiter,
-        reason: str,
-    ) -> Refused:
-        """Returns a refusal with the time at which a slot is expected."""
-        capacity_per_s = self.settings.slots / self._service.value_s
-        return_s = policy.assign_return_s(
-            waiter.claim, capacity_per_s, self._clock.monotonic_s()
-        )
-        return self._refuse(reason, return_s)
-
     def _find_policy(self) -> overload_lib.OverloadPolicy | None:
         """Returns the policy for overload, if the settings call for one."""
         settings = self.settings.overload
@@ -311,9 +259,19 @@
             )
         return self._overload
 
-    def _list_claims(self) -> list[overload_lib.Claim]:
-        """Returns the claims of the waiting requests."""
-        return [waiter.claim for waiter in self._waiters]
+    def _make_claim(
+        self, policy: overload_lib.OverloadPolicy, waiter: _Waiter
+    ) -> overload_lib.Claim:
+        """Returns what decides on the order of a waiting request."""
+        priority = waiter.tier.priority
+        return overload_lib.Claim(
+            priority,
+            waiter.deadlines.target_s,
+            waiter.deadlines.deadline_s,
+            waiter.deadlines.target_s - self._expected_hold_s(waiter.tier),
+            waiter.origin.is_returning,
+            policy.is_above_share(priority, waiter.origin),
+        )
 
     async def _wait(self, waiter: _Waiter) -> Granted | Refused:
         """Waits in the queue until a slot is granted or time runs out."""
@@ -331,10 +289,8 @@
         if waiter.granted.is_set():
             return Granted()
         self._remove_waiter(waiter)
-        policy = self._find_policy()
-        if policy is not None:
-            return self._refuse_in_overload(policy, waiter, _HAS_PASSED)
-        return self._refuse(_HAS_PASSED, self._expected_hold_s(tier))
+        hold_s = self._expected_hold_s(tier)
+        return self._refuse(waiter, _HAS_PASSED, hold_s)
 
     def _pause_late(self, held_s: float) -> None:
         """Starts a pause for late requests if they have less than one slot."""
@@ -398,10 +354,6 @@
             waiter = self._pick_next()
             if not self._may_grant(waiter):
                 return
-            if self._overload is not None:
-                claim = waiter.claim
-                self._overload.note_picked(claim, self._list_claims())
-                self._overload.note_grant(claim.priority, claim.kind)
             self._waiters.remove(waiter)
             self.waiting[waiter.tier.name] -= 1
             self.force_acquire(waiter.tier)
@@ -427,8 +379,7 @@
         """
         policy = self._find_policy()
         if policy is not None:
-            picked = policy.pick(self._list_claims())
-            return next(w for w in self._waiters if w.claim is picked)
+            return self._pick_by(policy)
         ratio = self.settings.starvation_share_ratio
         candidates = self._waiters
         if ratio and self._grants % math.ceil(1 / ratio) == 0:
@@ -437,6 +388,13 @@
         now_s = self._clock.monotonic_s()
         return min(candidates, key=lambda w: self._sort_key(w, now_s))
 
+    def _pick_by(self, policy: overload_lib.OverloadPolicy) -> _Waiter:
+        """Returns the next waiter by a policy for overload."""
+        claims = [self._make_claim(policy, each) for each in self._waiters]
+        picked = policy.pick(claims)
+        policy.note_picked(picked, claims)
+        return self._waiters[claims.index(picked)]
+
     def _sort_key(
         self, waiter: _Waiter, now_s: float
     ) -> tuple[int, bool, float]:
@@ -447,14 +405,18 @@
         )
         return waiter.tier.priority, late, due_s
 
-    def _refuse(self, reason: str, wait_s: float) -> Refused:
-        """Returns a refusal with the time after which to try again."""
-        return Refused(reason, max(int(wait_s * 1_000), 1))
-
+    def _refuse(self, waiter: _Waiter, reason: str, wait_s: float) -> Refused:
+        """Returns a refusal with the time after which to try again.
 
-def _make_waiter(tier: QueueTier, deadlines: Deadlines) -> _Waiter:
-    """Returns a waiter that has not been classified."""
-    claim = overload_lib.Claim(
-        tier.priority, *deadlines, grant_rates.Kind.IN_TIME
-    )
-    return _Waiter(tier, deadlines, anyio.Event(), claim)
+        Args:
+            waiter: The request.
+            reason: Why it is refused.
+            wait_s: The time, unless a policy for overload assigns another one.
+        """
+        policy = self._find_policy()
+        if policy is not None:
+            wait_s = policy.assign_return_s(
+                waiter.deadlines.deadline_s,
+                self.settings.slots / self._service.value_s,
+            )
+        return Refused(reason, max(int(wait_s * 1_000), 1))
