Name and explain the parts of the order in overload

The name Claim is that of a log record in the glossary, and several comments lacked units or described the order before it was simplified. Claim is now WaitingRequest, and the comments state units, clocks and reasons.

--- a/libs/bridgecross-entry/src/bridgecross_entry/attempt_results.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempt_results.py
@@ -211,7 +211,8 @@
     def _may_try_owner(self, state: request_state.RequestState) -> bool:
         """Whether the owner of a key may be tried again after it rejected.
 
-        Where servers have more slots, callers return instead, as before.
+        It is only for services whose servers have few slots; callers of other
+        services have to return.
         """
         return (
             self._is_keyed(state)
--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
@@ -85,7 +85,7 @@
         self, queue: queueing.TierQueue, shares: fair_share.CallerShares
     ) -> None:
         """Starts without any servers."""
-        # The requests of callers at all queues of the service.
+        # Counts the requests of callers at all queues of the service.
         self.shares = shares
         # The queue of requests that any of the servers can serve.
         self.queue = queue
--- a/libs/bridgecross-entry/src/bridgecross_entry/permits.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permits.py
@@ -97,7 +97,7 @@
 
     @property
     def origin(self) -> fair_share.Origin:
-        """What it says of its caller."""
+        """What the request says about its caller."""
         return fair_share.Origin(self.caller, self.caller_age_s)
 
 
@@ -141,7 +141,7 @@
 
 
 class _MessageCodec(codec.Codec[Message]):
-    """Leaves out what is known of the caller if it is nothing.
+    """Leaves out the fields about the caller if they have their defaults.
 
     Instances of earlier versions cannot decode a request with these fields, so
     they are sent only where queues use them.
--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -108,15 +108,15 @@
     # weight: after this time a third is left. The other load on its machine
     # changes several times a second.
     pace_decay_s: float = 0.3
-    # Servers with at most this many slots have few. Requests there wait at a
-    # low utilization already, a slow one takes half of a server's capacity, and
-    # opening a connection holds a slot.
+    # A service whose servers have at most this many slots on average has few
+    # slots. Requests there wait at a low utilization already, a slow one takes
+    # half of a server's capacity, and opening a connection holds a slot.
     few_slots_count: int = 2
-    # How their queues allocate slots while requests wait, and which callers go
-    # after others.
+    # How the queues of services with few slots order waiting requests.
     overload: overload_lib.OverloadSettings = dataclasses.field(
         default_factory=overload_lib.OverloadSettings
     )
+    # Which callers go after others in these queues.
     shares: fair_share.ShareSettings = dataclasses.field(
         default_factory=fair_share.ShareSettings
     )
--- a/libs/bridgecross-request/src/bridgecross_request/fair_share.py
+++ b/libs/bridgecross-request/src/bridgecross_request/fair_share.py
@@ -34,8 +34,9 @@
 class ShareSettings:
     """When a caller is above its share."""
 
-    # How long requests are counted. A caller with two retries is done within
-    # two or three seconds, so this covers all attempts for one request.
+    # How long requests are counted; the older half of this time is dropped as a
+    # whole. A caller with two retries is done within two or three seconds, so
+    # this covers all attempts for one request.
     window_s: float = 4.0
     # How many times the mean of the other callers a caller may request. A
     # caller that heeds Retry-After makes at most three attempts where others
@@ -44,7 +45,8 @@
     # The fewest requests with which a caller can be above its share: fewer
     # occur when a few of its requests coincide.
     min_count: int = 8
-    # The number of callers counted, for each tier and half of the window.
+    # The maximum number of callers that are counted, for each tier and half of
+    # the window. This bounds memory when many addresses send requests.
     callers_max_count: int = 256
 
 
@@ -76,6 +78,7 @@
         """Starts without any requests."""
         self._settings = settings
         self._clock = clock
+        # When the current half of the window began, on the monotonic clock.
         self._begun_s = -math.inf
         # By priority, for the current half of the window and the one before.
         self._current: dict[int, _Counts] = {}
@@ -119,8 +122,9 @@
             len(half.by_caller) - (caller in half.by_caller) for half in halves
         )
         total = sum(half.total for half in halves)
-        # Callers that were dropped are not among the others, which raises the
-        # mean: in doubt, a caller is not above its share.
+        # Callers that the summary has dropped are missing from ``others``, but
+        # their requests are in ``total``. This raises the mean, so that a
+        # caller is rather not found to be above its share.
         return others > 0 and (
             own > settings.excess_ratio * (total - own) / others
         )
--- a/libs/bridgecross-request/src/bridgecross_request/overload.py
+++ b/libs/bridgecross-request/src/bridgecross_request/overload.py
@@ -20,24 +20,26 @@
 class OverloadSettings:
     """How slots are allocated while requests wait for them."""
 
-    # The share of grants of each tier that waits. Lower tiers have more time
-    # and are mostly served once a surge is over; this keeps a long one from
-    # leaving them nothing, and costs the higher tiers little.
+    # The minimum share of grants of each tier that waits, so that a long surge
+    # of higher tiers does not leave it nothing. With one in ten, the lowest
+    # tier got slots early that it could have had later, and the value of three
+    # tiers in a simulated surge fell from 0.931 to 0.909.
     tier_min_share_ratio: float = 0.025
-    # The share of the slots that refused callers can expect when they return.
+    # The share of the capacity at which refused callers are told to return.
     # With more, first attempts would be refused because of them.
     returning_share_ratio: float = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
-class Claim:
-    """What decides on the order of a waiting request."""
+class WaitingRequest:
+    """The properties of a request that decide when it gets a slot."""
 
     priority: int
-    # The times after which the answer is late, and worthless.
+    # After this time, on the monotonic clock, the answer is late.
     target_s: float
+    # After this time the answer is worth nothing: the caller has left.
     deadline_s: float
-    # After this time, a request that gets a slot is likely to be late.
+    # A request that gets a slot after this time is likely to be late.
     late_from_s: float
     # Whether the caller was refused before.
     is_returning: bool
@@ -75,7 +77,7 @@
         """Whether a caller requests much more than others of its tier."""
         return self._shares.is_above(priority, origin)
 
-    def pick(self, waiting: Collection[Claim]) -> Claim:
+    def pick(self, waiting: Collection[WaitingRequest]) -> WaitingRequest:
         """Returns the request that gets the next slot."""
         priorities = {each.priority for each in waiting}
         priority = self._turns.pick(
@@ -87,11 +89,13 @@
             key=lambda each: _sort_key(each, now_s),
         )
 
-    def note_picked(self, picked: Claim, waiting: Collection[Claim]) -> None:
-        """Counts a grant to a request that waited.
+    def note_picked(
+        self, picked: WaitingRequest, waiting: Collection[WaitingRequest]
+    ) -> None:
+        """Counts the choice of a waiting request as a grant to its tier.
 
         Args:
-            picked: The request that gets the slot.
+            picked: The request that is next.
             waiting: All requests that wait, including it.
         """
         self._turns.note_grant(
@@ -104,8 +108,8 @@
         """Returns after how many seconds a refused caller should return.
 
         Args:
-            deadline_s: When the caller leaves.
-            capacity_per_s: The rate at which slots become free.
+            deadline_s: When the caller leaves, on the monotonic clock.
+            capacity_per_s: How many slots become free each second.
         """
         return self._return_times.assign_s(
             self._clock.monotonic_s(),
@@ -114,11 +118,13 @@
         )
 
 
-def _sort_key(claim: Claim, now_s: float) -> tuple[bool, bool, bool, float]:
+def _sort_key(
+    request: WaitingRequest, now_s: float
+) -> tuple[bool, bool, bool, float]:
     """Returns the sort key of a request; the lowest key goes first."""
-    is_late = now_s > claim.late_from_s
+    is_late = now_s > request.late_from_s
     # A late caller that was refused before would get nothing if it was refused
     # again; one that is in time is ordered by its target, which is earlier.
-    goes_later = is_late and not claim.is_returning
-    due_s = claim.deadline_s if is_late else claim.target_s
-    return claim.is_above_share, is_late, goes_later, due_s
+    goes_later = is_late and not request.is_returning
+    due_s = request.deadline_s if is_late else request.target_s
+    return request.is_above_share, is_late, goes_later, due_s
--- a/libs/bridgecross-request/src/bridgecross_request/queueing.py
+++ b/libs/bridgecross-request/src/bridgecross_request/queueing.py
@@ -130,9 +130,9 @@
         Args:
             settings: How slots are allocated; replaced when settings change.
             clock: The clock that deadlines and pauses are measured by.
-            shares: Counts the requests of callers, if the settings call for
-                it. Queues of one service may share it; if omitted, the queue
-                has its own.
+            shares: Counts the requests of callers if
+                ``QueueSettings.overload`` is set. Queues of one service may
+                share it; if omitted, the queue has its own.
         """
         self.settings = settings
         self.served: collections.Counter[str] = collections.Counter()
@@ -259,12 +259,12 @@
             )
         return self._overload
 
-    def _make_claim(
+    def _describe(
         self, policy: overload_lib.OverloadPolicy, waiter: _Waiter
-    ) -> overload_lib.Claim:
-        """Returns what decides on the order of a waiting request."""
+    ) -> overload_lib.WaitingRequest:
+        """Returns the properties of a waiter that decide on its order."""
         priority = waiter.tier.priority
-        return overload_lib.Claim(
+        return overload_lib.WaitingRequest(
             priority,
             waiter.deadlines.target_s,
             waiter.deadlines.deadline_s,
@@ -390,10 +390,10 @@
 
     def _pick_by(self, policy: overload_lib.OverloadPolicy) -> _Waiter:
         """Returns the next waiter by a policy for overload."""
-        claims = [self._make_claim(policy, each) for each in self._waiters]
-        picked = policy.pick(claims)
-        policy.note_picked(picked, claims)
-        return self._waiters[claims.index(picked)]
+        waiting = [self._describe(policy, each) for each in self._waiters]
+        picked = policy.pick(waiting)
+        policy.note_picked(picked, waiting)
+        return self._waiters[waiting.index(picked)]
 
     def _sort_key(
         self, waiter: _Waiter, now_s: float
@@ -411,7 +411,8 @@
         Args:
             waiter: The request.
             reason: Why it is refused.
-            wait_s: The time, unless a policy for overload assigns another one.
+            wait_s: The time until the caller should try again, unless a
+                policy for overload assigns another one.
         """
         policy = self._find_policy()
         if policy is not None:
--- a/libs/bridgecross-request/src/bridgecross_request/return_times.py
+++ b/libs/bridgecross-request/src/bridgecross_request/return_times.py
@@ -2,35 +2,38 @@
 
 import random
 
-RETURN_RATIO = 1 / 3
+_MAX_RETURN_RATIO = 1 / 3
 """Callers heed a Retry-After up to this share of their remaining time."""
 
 _MIN_SPREAD_RATIO = 0.5
+"""Callers that exceed the capacity for returns are spread over the time between
+this share of the longest Retry-After and all of it."""
 
 
 class ReturnTimes:
     """Assigns each refused caller a time at which a slot is expected.
 
-    The times are as far apart as slots for returning callers become free, so
-    that callers refused together do not return together.
+    Callers that are refused together return at different times, at the rate at
+    which they can be served.
     """
 
     def __init__(self) -> None:
         """Starts without refused callers."""
+        # The latest return time that was assigned, on the monotonic clock.
         self._last_s = float("-inf")
 
     def assign_s(
-        self, now_s: float, deadline_s: float, returning_per_s: float
+        self, now_s: float, deadline_s: float, returns_per_s: float
     ) -> float:
         """Returns after how many seconds a refused caller should return.
 
         Args:
-            now_s: The current time.
-            deadline_s: When the caller leaves.
-            returning_per_s: The rate of grants for returning callers.
+            now_s: The current time, on the monotonic clock.
+            deadline_s: When the caller leaves, on the same clock.
+            returns_per_s: How many refused callers may return each second.
         """
-        longest_s = RETURN_RATIO * max(deadline_s - now_s, 0.0)
-        next_s = max(self._last_s, now_s) + 1.0 / max(returning_per_s, 1e-9)
+        longest_s = _MAX_RETURN_RATIO * max(deadline_s - now_s, 0.0)
+        next_s = max(self._last_s, now_s) + 1.0 / max(returns_per_s, 1e-9)
         if next_s - now_s <= longest_s:
             self._last_s = next_s
             return next_s - now_s
--- a/libs/bridgecross-request/src/bridgecross_request/tier_turns.py
+++ b/libs/bridgecross-request/src/bridgecross_request/tier_turns.py
@@ -8,7 +8,8 @@
 
     def __init__(self) -> None:
         """Starts without waiting tiers."""
-        # Grants to other tiers since a tier began to wait or had a grant.
+        # By priority, the grants to other tiers since the tier began to wait or
+        # had a grant.
         self._passed: dict[int, int] = {}
 
     def pick(self, waiting: Collection[int], min_share_ratio: float) -> int:
@@ -16,7 +17,8 @@
 
         Args:
             waiting: The priorities of the waiting requests; not empty.
-            min_share_ratio: The share of grants of each waiting tier.
+            min_share_ratio: The minimum share of grants of each waiting tier;
+                below 1.
         """
         overdue = [
             priority
--- a/libs/bridgecross-request/tests/test_overload.py
+++ b/libs/bridgecross-request/tests/test_overload.py
@@ -1,3 +1,5 @@
+"""Tests the order among callers while requests wait for few slots."""
+
 import anyio
 import anyio.lowlevel
 import pytest
@@ -96,7 +98,6 @@
     due = _due(clock)
     waiting = [("greedy", FIRST, due, fair_share.Origin(1, 0.3))] * 12
     waiting += [(f"{n}", FIRST, due, fair_share.Origin(n)) for n in range(2, 6)]
-    # Requests beyond the least number that counts against a caller.
     order = await _serve(clock, queue, waiting)
     assert set(order[-5:]) == {"greedy"}
 
@@ -110,7 +111,9 @@
     )
     now_s = clock.now_s
     first, second = (
-        overload.Claim(0, target_s, now_s + 9, late_from_s, False, False)
+        overload.WaitingRequest(
+            0, target_s, now_s + 9, late_from_s, False, False
+        )
         for target_s, late_from_s in [
             (now_s + 0.2, now_s + 0.1),
             (now_s + 1.0, now_s + 0.9),
