Memory reservations and send buffers have usual names

A hold, a judge and fields such as since_s and moved_s did not say what they are. The reservation of a body, the period of a slow reader and the reason to close its connection are now named as such; doc comments state units.

--- a/libs/bridgecross-entry/src/bridgecross_entry/edge.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/edge.py
@@ -142,10 +142,10 @@
         received_s: float,
     ) -> None:
         """Serves a request for whose body memory is reserved."""
-        with memory.hold_body() as hold:
+        with memory.reserve_body() as reservation:
             try:
                 body = await memory_gate.read_body(
-                    scope, receive, self._max_body_bytes(), hold
+                    scope, receive, self._max_body_bytes(), reservation
                 )
             except ValueError as error:
                 answer = self._reject(413, str(error))
@@ -156,7 +156,7 @@
                 if body is not None:
                     await self._serve_request(scope, body, received_s, send)
                 return
-        # What the request held is released: its body is not used any more.
+        # The body is not used any more, so its memory has been released.
         await listener.refuse_body(receive, send, *answer)
 
     def _refuse_memory(
@@ -197,7 +197,7 @@
         if self._memory is None:
             await listener.respond(send, *answer)
             return
-        with self._memory.hold_answer(
+        with self._memory.count_answer(
             memory_ledger.Purpose.ANSWER, len(answer.body)
         ):
             await listener.respond(send, *answer)
@@ -227,7 +227,7 @@
 
 
 def _always() -> bool:
-    """Returns True."""
+    """Allows a response to close its connection; see ``MAY_CLOSE``."""
     return True
 
 
@@ -324,10 +324,10 @@
     send: listener.Send,
 ) -> None:
     """Serves a forwarded request for which memory is reserved."""
-    with memory.hold_forward() as hold:
+    with memory.reserve_forward() as reservation:
         try:
             body = await memory_gate.read_body(
-                scope, receive, _FORWARD_MAX_BYTES, hold
+                scope, receive, _FORWARD_MAX_BYTES, reservation
             )
         except ValueError:
             status = 413
@@ -349,7 +349,7 @@
     send: listener.Send,
     memory: memory_gate.MemoryGate | None = None,
 ) -> None:
-    """Serves an instance whose links are broken, until it disconnects."""
+    """Serves a message of another instance until that disconnects."""
     reply: peers.PeerReply | None = None
     with anyio.CancelScope() as cancel_scope:
         scope["state"][listener.ON_DISCONNECT] = cancel_scope.cancel
@@ -359,7 +359,7 @@
     if memory is None:
         await listener.respond(send, reply.status, [], reply.body)
         return
-    with memory.hold_answer(memory_ledger.Purpose.FORWARD, len(reply.body)):
+    with memory.count_answer(memory_ledger.Purpose.FORWARD, len(reply.body)):
         await listener.respond(send, reply.status, [], reply.body)
 
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/listener.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/listener.py
@@ -45,6 +45,9 @@
 unread bytes is reset, and the caller may lose the refusal."""
 
 _TCP_INFO_BYTES = 192
+"""How many bytes of the structure ``tcp_info`` are read; see
+``include/uapi/linux/tcp.h`` of Linux. They include ``tcpi_bytes_acked``."""
+
 _BYTES_ACKED_OFFSET_BYTES = 120
 """The position of ``tcpi_bytes_acked``, an unsigned 64-bit number, in the
 structure ``tcp_info``."""
@@ -97,7 +100,10 @@
             self.flow.resume_reading()
 
     def pause_writing(self) -> None:
-        """Counts a large send buffer at once."""
+        """Counts a send buffer that exceeds the transport's high-water mark.
+
+        Smaller ones are counted at the next check.
+        """
         super().pause_writing()
         if self.buffers is not None:
             self.buffers.note(self)
@@ -223,20 +229,20 @@
         return protocol
 
 
-Grow = Callable[[int], None]
-"""Is told the size of a body so far; raises if it must not grow."""
+CheckSize = Callable[[int], None]
+"""Called with the size of a body in bytes as far as it has been received;
+raises an error if the rest must not be read."""
 
 
 async def read_body(
-    receive: Receive, max_bytes: int, grow: Grow | None = None
+    receive: Receive, max_bytes: int, check_size: CheckSize | None = None
 ) -> bytes | None:
     """Returns the body of a request; None if the caller disconnected.
 
     Args:
         receive: Returns the next message of the caller.
-        max_bytes: The size that is allowed.
-        grow: Called with the size of what has been received; what it raises
-            ends the reading.
+        max_bytes: The maximum size of the body.
+        check_size: Called after each piece; its errors are passed on.
 
     Raises:
         ValueError: The body is larger than allowed.
@@ -251,8 +257,8 @@
         size_bytes += len(pieces[-1])
         if size_bytes > max_bytes:
             raise ValueError(f"the body has more than {max_bytes} bytes")
-        if grow is not None:
-            grow(size_bytes)
+        if check_size is not None:
+            check_size(size_bytes)
         if not message.get("more_body", False):
             return pieces[0] if len(pieces) == 1 else b"".join(pieces)
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/memory_gate.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/memory_gate.py
@@ -15,7 +15,7 @@
 """The shortest time between two log lines about refusals."""
 
 RETRY_AFTER_MS = 1_000
-"""When a refused request may come again: by then, most of the requests that
+"""When a refused request may be repeated: by then, most of the requests that
 hold memory now are answered."""
 
 
@@ -23,10 +23,10 @@
     """There is no room for the body of a request."""
 
 
-class BodyHold:
+class BodyReservation:
     """The memory that is reserved for the body of one request.
 
-    Used as a context manager, which releases the memory at its end.
+    A context manager that releases the memory at its end.
     """
 
     def __init__(
@@ -40,7 +40,8 @@
         Args:
             ledger: Grants memory.
             purpose: What the body is held for.
-            copies_count: How many copies of the body are held at a time.
+            copies_count: The maximum number of copies of the body that exist
+                at a time.
         """
         self._ledger = ledger
         self._purpose = purpose
@@ -48,7 +49,7 @@
         self._held_bytes = 0
 
     def __enter__(self) -> Self:
-        """Returns this hold."""
+        """Returns this reservation."""
         return self
 
     def __exit__(
@@ -62,13 +63,16 @@
         self._held_bytes = 0
 
     def grow(self, body_bytes: int) -> None:
-        """Reserves what a body needs that has at least this size.
+        """Enlarges the reservation for a body of at least this size.
 
-        The reservation is made anew for the whole size: the ledger must not
-        take a large body that arrives in pieces for many small ones.
+        The whole size is reserved anew: the ledger must not take a large body
+        that arrives in pieces for many small ones.
+
+        Args:
+            body_bytes: The size of one copy of the body.
 
         Raises:
-            NoMemoryError: There is no room; what was reserved stays so.
+            NoMemoryError: There is no room; the reservation is unchanged.
         """
         wanted_bytes = body_bytes * self._copies_count
         if 0 < wanted_bytes <= self._held_bytes:
@@ -100,27 +104,30 @@
         self._logged_s = -_LOG_INTERVAL_S
         self._last_reason = ""
 
-    def hold_body(self) -> BodyHold:
-        """Returns the hold of a caller's request.
+    def reserve_body(self) -> BodyReservation:
+        """Returns an empty reservation for a caller's request.
 
         At most two copies exist at a time: the received pieces and the joined
         body, and later the body and the message to the server.
         """
-        return BodyHold(self._ledger, memory_ledger.Purpose.BODY, 2)
+        return BodyReservation(self._ledger, memory_ledger.Purpose.BODY, 2)
 
-    def hold_forward(self) -> BodyHold:
-        """Returns the hold of a request that another instance forwards.
+    def reserve_forward(self) -> BodyReservation:
+        """Returns an empty reservation for a request of another instance.
 
         The message is held until its answer is written, next to the decoded
         body and the message to the server.
         """
-        return BodyHold(self._ledger, memory_ledger.Purpose.FORWARD, 3)
+        return BodyReservation(self._ledger, memory_ledger.Purpose.FORWARD, 3)
 
     @contextlib.contextmanager
-    def hold_answer(
+    def count_answer(
         self, purpose: memory_ledger.Purpose, size_bytes: int
     ) -> Iterator[None]:
-        """Counts an answer; it exists, so it cannot be refused any more."""
+        """Counts an answer while it is written, beyond the limit if need be.
+
+        It exists already, so refusing it would release nothing.
+        """
         self._ledger.reserve(purpose, size_bytes)
         try:
             yield
@@ -159,12 +166,18 @@
     scope: listener.Scope,
     receive: listener.Receive,
     max_bytes: int,
-    hold: BodyHold,
+    reservation: BodyReservation,
 ) -> bytes | None:
     """Returns the body of a request; None if the caller disconnected.
 
     A body whose size is stated is read only if there is room for all of it.
 
+    Args:
+        scope: The request, which may state the size of its body.
+        receive: Returns the next message of the caller.
+        max_bytes: The maximum size of the body.
+        reservation: Grows with the body.
+
     Raises:
         ValueError: The body is larger than allowed.
         NoMemoryError: There is no room for it.
@@ -172,5 +185,5 @@
     declared_bytes = listener.declared_body_bytes(scope)
     if declared_bytes > max_bytes:
         raise ValueError(f"the body has more than {max_bytes} bytes")
-    hold.grow(declared_bytes)
-    return await listener.read_body(receive, max_bytes, hold.grow)
+    reservation.grow(declared_bytes)
+    return await listener.read_body(receive, max_bytes, reservation.grow)
--- a/libs/bridgecross-entry/src/bridgecross_entry/memory_ledger.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/memory_ledger.py
@@ -77,7 +77,7 @@
 
         Args:
             settings: How the memory is divided.
-            memory_mb: The memory that the process may use.
+            memory_mb: The memory that the process may use, in 10^6 bytes.
         """
         self._settings = settings
         rest_bytes = memory_mb * _MEGABYTE - settings.program_bytes
@@ -98,7 +98,7 @@
 
     @property
     def is_short(self) -> bool:
-        """Whether there is room for small reservations at most."""
+        """Whether there is no room for large reservations."""
         return self._total_bytes >= self._large_limit_bytes
 
     def used_bytes(self, purpose: Purpose) -> int:
@@ -108,8 +108,8 @@
     def try_reserve(self, purpose: Purpose, size_bytes: int) -> bool:
         """Reserves bytes if there is room; returns whether it did.
 
-        A reservation of 0 bytes fails, too, while the limit is exceeded: the
-        request would need memory for its answer.
+        A reservation of 0 bytes also fails while the limit is exceeded, since
+        the request would need memory for its answer.
         """
         is_small = size_bytes <= self._settings.small_max_bytes
         limit_bytes = self.limit_bytes if is_small else self._large_limit_bytes
--- a/libs/bridgecross-entry/src/bridgecross_entry/memory_limits.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/memory_limits.py
@@ -32,10 +32,10 @@
     metrics: metrics_lib.Metrics,
     clock: clocks.Clock,
 ) -> MemoryLimits:
-    """Returns the parts for a process that may use so much memory.
+    """Returns the parts that keep a process within its memory limit.
 
     Args:
-        memory_mb: The limit of the process; 0 if there is none.
+        memory_mb: The limit of the process, in 10^6 bytes; 0 if there is none.
         journal: Logs refusals and closed connections.
         metrics: Counts them.
         clock: The time source.
@@ -55,7 +55,7 @@
 
 
 def refresh_metrics(limits: MemoryLimits, metrics: metrics_lib.Metrics) -> None:
-    """Updates the gauges; without a limit, there are none."""
+    """Updates the gauges of memory, which are set only if there is a limit."""
     ledger = limits.ledger
     if not isinstance(ledger, memory_ledger.MemoryLedger):
         return
--- a/libs/bridgecross-entry/src/bridgecross_entry/model.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/model.py
@@ -187,7 +187,8 @@
     # Whether the whole system starts for the first time: there is no leader
     # yet, and no request is served before all have started.
     is_first_start: bool = False
-    # The memory that the process may use; 0 if the platform states no limit.
+    # The memory that the process may use, in 10^6 bytes; 0 if the platform
+    # states no limit.
     memory_mb: float = 0.0
     # The area of each failure domain.
     area_of_domain: Mapping[str, str] = dataclasses.field(default_factory=dict)
--- a/libs/bridgecross-entry/src/bridgecross_entry/send_buffers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/send_buffers.py
@@ -60,12 +60,14 @@
 
     # The bytes that the ledger counts.
     counted_bytes: int
-    # When the caller was last known to keep up, and what it had acknowledged.
-    since_s: float
-    since_bytes: int
-    # When it last acknowledged anything, and what by then.
-    moved_s: float
-    last_bytes: int
+    # When the current period of ``read_timeout_s`` began, and how many bytes of
+    # the connection the caller had acknowledged by then.
+    period_began_s: float
+    period_began_bytes: int
+    # When the caller was last found to have acknowledged more, and how many
+    # bytes of the connection it has acknowledged.
+    progress_s: float
+    acknowledged_bytes: int
 
 
 class SendBuffers:
@@ -126,33 +128,34 @@
         for connection, backlog in list(self._backlogs.items()):
             total_bytes = connection.acknowledged_bytes()
             if has_stalled:
-                backlog.since_s = now_s
-            if has_stalled or total_bytes != backlog.last_bytes:
-                backlog.moved_s = now_s
-            backlog.last_bytes = total_bytes
-            reason = self._judge(backlog, now_s)
+                backlog.period_began_s = now_s
+            if has_stalled or total_bytes != backlog.acknowledged_bytes:
+                backlog.progress_s = now_s
+            backlog.acknowledged_bytes = total_bytes
+            reason = self._find_close_reason(backlog, now_s)
             if reason is not None:
                 self._close(connection, backlog, now_s, reason)
 
-    def _judge(self, backlog: _Backlog, now_s: float) -> str | None:
+    def _find_close_reason(self, backlog: _Backlog, now_s: float) -> str | None:
         """Returns why a connection must be closed; None if it may stay.
 
-        Callers that read a large response have the time for an ordinary one
-        again and again. While memory is short they have it once, and a caller
-        that reads nothing at all has less: others are refused meanwhile.
+        A caller that reads a large response gets another period after each
+        ordinary response's worth of bytes. While memory is short, it gets only
+        one, and a caller that reads nothing at all gets less time, since other
+        callers are refused meanwhile.
         """
         is_short = self._ledger.is_short
-        if is_short and now_s - backlog.moved_s >= self.settings.stuck_s:
+        if is_short and now_s - backlog.progress_s >= self.settings.stuck_s:
             return "it reads nothing while memory is short"
-        if now_s - backlog.since_s < self.settings.read_timeout_s:
+        if now_s - backlog.period_began_s < self.settings.read_timeout_s:
             return None
-        read_bytes = backlog.last_bytes - backlog.since_bytes
+        read_bytes = backlog.acknowledged_bytes - backlog.period_began_bytes
         if read_bytes < self.settings.response_bytes:
             return "it reads too slowly"
         if is_short:
             return "it reads slowly while memory is short"
-        backlog.since_s = now_s
-        backlog.since_bytes = backlog.last_bytes
+        backlog.period_began_s = now_s
+        backlog.period_began_bytes = backlog.acknowledged_bytes
         return None
 
     def _close(
@@ -169,8 +172,8 @@
             caller=connection.peer,
             reason=reason,
             unsent_bytes=backlog.counted_bytes,
-            read_bytes=backlog.last_bytes - backlog.since_bytes,
-            waited_s=round(now_s - backlog.since_s, 1),
+            read_bytes=backlog.acknowledged_bytes - backlog.period_began_bytes,
+            waited_s=round(now_s - backlog.period_began_s, 1),
         )
         self.forget(connection)
         connection.abort()
--- a/libs/bridgecross-entry/tests/test_memory_ledger.py
+++ b/libs/bridgecross-entry/tests/test_memory_ledger.py
@@ -1,4 +1,4 @@
-"""Tests which reservations the ledger grants, and of the gate before it."""
+"""Tests which reservations the ledger and the gate before it grant."""
 
 import entry_support as support
 import pytest
@@ -53,11 +53,11 @@
 def test_a_large_body_in_small_pieces_gets_no_room_of_small_requests():
     ledger = memory_ledger.MemoryLedger(SETTINGS, 2)
     ledger.reserve(ANSWER, 700)
-    with memory_gate.BodyHold(ledger, BODY, 2) as hold:
+    with memory_gate.BodyReservation(ledger, BODY, 2) as reservation:
         for size_bytes in (5, 10, 25):
-            hold.grow(size_bytes)
+            reservation.grow(size_bytes)
         with pytest.raises(memory_gate.NoMemoryError):
-            hold.grow(30)
+            reservation.grow(30)
         assert ledger.used_bytes(BODY) == 50
     assert ledger.used_bytes(BODY) == 0
 
