Relays, pauses and link probes say what they are

Comments of the relays described what is left alone or shown without naming it, and times lacked their clock. Doc comments now name pauses, queries and units; RelayContacts.want is note_wanted, as the other methods that record.

--- a/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
@@ -161,8 +161,12 @@
     ) -> bool:
         """Whether a server's machine has the requests sent before a time.
 
-        False if the bytes of one in progress are not acknowledged: the link to
-        the server may have become silent.
+        False if bytes of a request in progress are not acknowledged: the link
+        to the server may have become silent.
+
+        Args:
+            server: The server.
+            sent_before_s: The time, on the monotonic clock.
         """
 
     def can_reuse_connection(self, server: model.BackendServer) -> bool:
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -591,8 +591,8 @@
                 if isinstance(result, outcomes.NotRun):
                     return self._refusals.make_final_outcome(state, result)
             finally:
-                # What is learned of a server's speed leaves out the way to a
-                # relay.
+                # The time between this instance and a relay says nothing about
+                # the speed of the server.
                 held_s = self._clock.monotonic_s() - started_s - state.hop_s
                 if permit is None:
                     server.queue.release(
--- a/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -138,7 +138,8 @@
         # is verified once the server has reported its state on it.
         self.opened_s = opened_s
         self.is_verified = False
-        # When the request in progress was sent.
+        # When the latest request was sent, on the monotonic clock; infinite
+        # before the first one.
         self.sent_s = math.inf
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -323,7 +324,7 @@
             sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0)
         )
     except OSError:
-        # The socket is closed; whoever waits for its answer is told so.
+        # The socket is closed, so the exchange on it ends as broken.
         return 0
     return int(struct.unpack("i", packed)[0])
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/forward_client.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/forward_client.py
@@ -52,9 +52,10 @@
     """What became of a request that was to go through a relay."""
 
     attempt: attempts.Attempt | attempts.Withheld
-    # What the result shows to be unusable.
+    # What later requests must avoid.
     blamed: forwards.Blamed = forwards.Blamed.NOTHING
-    # How long the relay waited for the server; None if it did not reply.
+    # The time from the receipt of the request at the relay to its result; None
+    # if the relay did not reply.
     served_s: float | None = None
 
 
@@ -144,8 +145,8 @@
     ) -> Relayed:
         """Sends a request through a given instance, and no other one.
 
-        It reaches the server as a rule, so nobody is asked, and nothing is
-        recorded about which instances reach the server.
+        A relay normally reaches the server, so it is not asked first, and
+        nothing is recorded about which instances reach the server.
         """
         returned = self._channels.return_stamp(relay)
         if returned is None:
@@ -172,7 +173,7 @@
         server: model.BackendServer,
         result: forwards.RelayedReply | exchange.Unsent | exchange.Broken,
     ) -> Relayed:
-        """Returns what an exchange with a relay shows."""
+        """Returns the result of an exchange with a relay."""
         if isinstance(result, forwards.RelayedReply):
             attempt = self._read_result(server, result.reply)
             return Relayed(attempt, result.blamed, result.served_s)
--- a/libs/bridgecross-entry/src/bridgecross_entry/forward_server.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/forward_server.py
@@ -46,13 +46,14 @@
     # The number of other servers that are connected to, to find out whether
     # the links of this instance work; one of them may have ended too.
     witness_count: int = 2
-    # How many relayed requests are in progress at a time, for each core. Their
-    # senders have another way. Beyond this number, processing what arrives
-    # together delays this instance's own requests noticeably, at up to 1 ms of
-    # a core for each.
+    # The maximum number of relayed requests in progress for each core; senders
+    # of others use another way. At up to 1 ms of a core for each, processing
+    # more that arrive together would delay this instance's own requests
+    # noticeably.
     relayed_per_core_count: int = 64
-    # When a server that works on a relayed request is probed; see
-    # ``server_ways.WaySettings``. The sender has no link that it could probe.
+    # When a server that works on a relayed request is probed: as for requests
+    # of this instance, see ``server_ways.WaySettings``. The sender does not use
+    # its own link, so it cannot notice a silent one.
     patience_s: float = 0.25
     patience_ratio: float = 3.0
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/forwards.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/forwards.py
@@ -137,10 +137,10 @@
 
 
 class Blamed(enum.Enum):
-    """Why a relay did not send a request, as far as others are concerned."""
+    """What later requests must avoid after one that a relay did not send."""
 
     NOTHING = "nothing"
-    """It was sent, or what forbids it concerns this request only."""
+    """The request was sent, or the reason concerns this request only."""
 
     LINK = "link"
     """The relay does not reach the server."""
@@ -154,7 +154,8 @@
 
     reply: RequestReply
     blamed: Blamed = Blamed.NOTHING
-    # How long the relay waited for the server.
+    # The time from the receipt of the request at the relay to its result. The
+    # rest of what the sender measures is not due to the server.
     served_s: float = 0.0
 
     @property
@@ -226,8 +227,8 @@
     allowed_areas: frozenset[str] = frozenset()
     # Called with each instance that it is sent through.
     on_forwarded: Callable[[model.Address], None] = lambda _: None
-    # Called with the time that an attempt took on its way to and from a relay,
-    # which is no property of the server.
+    # Called with the time in seconds that an attempt spent between this
+    # instance and a relay, which says nothing about the server.
     on_hop: Callable[[float], None] = lambda _: None
 
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/link_probes.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/link_probes.py
@@ -18,8 +18,9 @@
 from bridgecross_entry import tasks as tasks_lib
 
 _SENT_RATIO = 0.2
-"""The part of the patience within which a request is sent. The rest is time for
-the acknowledgement, which the kernel of a busy machine may delay."""
+"""Only requests sent within this part of the patience can cause a probe. The
+rest is time for the acknowledgement, which the kernel of a busy machine may
+delay."""
 
 
 class _Probe:
@@ -120,9 +121,9 @@
         Args:
             server: The server.
             patience_s: How long it may be silent.
-            sends_requests: Whether the block sends a request. If its bytes are
-                acknowledged, the link works and the server is busy: a probe
-                would only cost it a connection.
+            sends_requests: Whether the block sends a request. If the bytes of
+                requests are acknowledged, the link works and the server is
+                busy, so a probe would only cost it a connection.
         """
         begun_s = self._clock.monotonic_s()
         sent_before_s = math.inf
@@ -145,9 +146,9 @@
         Args:
             server: The server.
             since_s: The time.
-            sent_before_s: It is not probed if the requests that were sent to it
-                before this time are acknowledged; infinite if it is probed
-                whether or not they are.
+            sent_before_s: The server is not probed if all requests sent to it
+                before this time are acknowledged. If this is infinite, it is
+                probed in any case.
         """
         server_id = server.server_id
         if self._links.heard_s(server_id) >= since_s:
--- a/libs/bridgecross-entry/src/bridgecross_entry/relay_choice.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relay_choice.py
@@ -34,21 +34,23 @@
     # Requests with a larger body go straight: their bytes would delay the other
     # requests on the relay's link longer than opening a connection takes.
     body_max_bytes: int = 64 * 1024
-    # Requests with less time left go straight: a relay that is out of reach is
-    # recognized too late for another attempt.
+    # Requests with less time left go straight: there would be no time for
+    # another attempt once a relay is found to be out of reach.
     remaining_min_s: float = 0.1
-    # How long a relay is left alone after it did not answer or refused. The
-    # pause doubles each time, and a request that was sent through it ends that.
+    # How long a relay is left alone after it did not answer or refused a
+    # request. The pause doubles with each failure until a request has been sent
+    # through the relay again.
     first_pause_s: float = 1.0
     longest_pause_s: float = 8.0
 
 
 class Way(NamedTuple):
-    """What is decided about a request."""
+    """The way that one request goes to its server."""
 
     # The relay that it goes through; None if it goes straight.
     relay: model.Address | None
-    # Relays that would be used if they were known to answer.
+    # Better relays that are not known to answer, in order. They are to be
+    # asked, so that later requests can use them.
     wanted: tuple[model.Address, ...] = ()
 
 
@@ -59,12 +61,13 @@
 class _Pause(NamedTuple):
     """A time for which a relay is left alone."""
 
+    # On the monotonic clock.
     began_s: float
     length_s: float
 
 
-class _Subject(NamedTuple):
-    """What is left alone."""
+class _PauseKey(NamedTuple):
+    """What a pause applies to."""
 
     relay: model.Address
     # A server that is not reached through the relay; empty for all servers.
@@ -72,7 +75,10 @@
 
 
 class _Ranked(NamedTuple):
-    """The relays of a server, as long as the candidates are the same object."""
+    """The cached relays of a server.
+
+    They are valid as long as the list of candidates is the same object.
+    """
 
     candidates: Sequence[model.Address]
     relays: tuple[model.Address, ...]
@@ -111,7 +117,7 @@
         journal: journals.Journal,
         clock: clocks.Clock,
     ) -> None:
-        """Leaves no relay alone yet.
+        """Starts without pauses.
 
         Args:
             settings: When requests go through relays.
@@ -119,8 +125,9 @@
             has_few_slots: Whether the servers of a service have few slots.
             strong_instances: Returns those of a failure domain; the same
                 object until one of them changes.
-            heard_s: Returns when an instance last answered, or None if that is
-                too long ago to send something through it.
+            heard_s: Returns when an instance last answered, on the monotonic
+                clock, or None if that is too long ago to send something
+                through it.
             journal: Logs relays that are left alone.
             clock: The time source.
         """
@@ -132,7 +139,7 @@
         self._journal = journal
         self._clock = clock
         self._ranked: dict[ids.ServerId, _Ranked] = {}
-        self._pauses: dict[_Subject, _Pause] = {}
+        self._pauses: dict[_PauseKey, _Pause] = {}
 
     def choose(
         self,
@@ -141,13 +148,13 @@
         remaining_s: float,
         is_connected: Callable[[], bool],
     ) -> Way:
-        """Returns which way a request goes.
+        """Returns the way that a request goes.
 
         Args:
             server: Its server.
             body_bytes: The size of its body.
             remaining_s: The time until its deadline.
-            is_connected: Whether there is an open connection to the server.
+            is_connected: Whether an idle connection to the server can be used.
         """
         settings = self._settings
         if not self._has_few_slots(server.service):
@@ -183,23 +190,23 @@
         return ranked.relays
 
     def _is_ready(self, relay: model.Address) -> bool:
-        """Whether a relay answered lately, and since it was left alone."""
+        """Whether a relay answered recently and since its last failure."""
         heard_s = self._heard_s(relay)
         if heard_s is None:
             return False
-        pause = self._pauses.get(_Subject(relay, _ALL_SERVERS))
+        pause = self._pauses.get(_PauseKey(relay, _ALL_SERVERS))
         return pause is None or heard_s > pause.began_s
 
     def _is_left_alone(
         self, relay: model.Address, server_id: ids.ServerId
     ) -> bool:
-        """Whether a relay is left alone, altogether or for one server."""
+        """Whether a relay is left alone, for all servers or for this one."""
         now_s = self._clock.monotonic_s()
         return any(
             pause is not None and now_s < pause.began_s + pause.length_s
             for pause in (
-                self._pauses.get(_Subject(relay, _ALL_SERVERS)),
-                self._pauses.get(_Subject(relay, server_id)),
+                self._pauses.get(_PauseKey(relay, _ALL_SERVERS)),
+                self._pauses.get(_PauseKey(relay, server_id)),
             )
         )
 
@@ -207,8 +214,8 @@
         self, relay: model.Address, server_id: ids.ServerId
     ) -> None:
         """Records that a request was sent to its server through a relay."""
-        self._pauses.pop(_Subject(relay, _ALL_SERVERS), None)
-        self._pauses.pop(_Subject(relay, server_id), None)
+        self._pauses.pop(_PauseKey(relay, _ALL_SERVERS), None)
+        self._pauses.pop(_PauseKey(relay, server_id), None)
 
     def note_failed(
         self,
@@ -220,19 +227,19 @@
 
         Args:
             relay: The relay.
-            reason: Why.
+            reason: What failed, for the log.
             server_id: The only server for which it is left alone; if omitted,
-                it is for all.
+                it is left alone for all.
         """
         if self._is_left_alone(relay, server_id):
             return
         settings = self._settings
-        subject = _Subject(relay, server_id)
-        last = self._pauses.get(subject)
+        key = _PauseKey(relay, server_id)
+        last = self._pauses.get(key)
         length_s = settings.first_pause_s
         if last is not None:
             length_s = min(2 * last.length_s, settings.longest_pause_s)
-        self._pauses[subject] = _Pause(self._clock.monotonic_s(), length_s)
+        self._pauses[key] = _Pause(self._clock.monotonic_s(), length_s)
         self._journal.decision(
             "relay_left_alone",
             address=str(relay),
@@ -247,6 +254,6 @@
             del self._ranked[server_id]
         now_s = self._clock.monotonic_s()
         longest_s = self._settings.longest_pause_s
-        for subject, pause in list(self._pauses.items()):
+        for key, pause in list(self._pauses.items()):
             if now_s > pause.began_s + pause.length_s + longest_s:
-                del self._pauses[subject]
+                del self._pauses[key]
--- a/libs/bridgecross-entry/src/bridgecross_entry/relay_contacts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relay_contacts.py
@@ -1,4 +1,4 @@
-"""Keeps in contact with the relays that are in use.
+"""Checks whether the relays that are in use answer.
 
 A request may be sent through an instance only with a recent stamp of that
 instance's clock, and one that has become silent must be noticed: requests that
@@ -31,14 +31,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ContactSettings:
-    """When relays are asked whether they are there."""
+    """When relays are asked for a stamp of their clock."""
 
+    # The interval at which all relays in use are checked.
     check_interval_s: float = 0.25
-    # A relay in use is asked if it was not heard for this long. Its stamps are
-    # used for 2 s.
+    # A relay in use is asked if it has not answered for this long. Its stamps
+    # can be used for 2 s.
     quiet_s: float = 1.5
-    # The same while requests wait for its answer. Answers of servers take less
-    # time as a rule.
+    # The same while requests wait for its answer. Most servers answer sooner,
+    # so that most requests need no query.
     waiting_quiet_s: float = 0.5
     # An instance answers within 2 ms; one that takes this long is overloaded
     # or out of reach.
@@ -58,7 +59,7 @@
         journal: journals.Journal,
         clock: clocks.Clock,
     ) -> None:
-        """Asks nobody yet.
+        """Starts without relays in use.
 
         Args:
             settings: When relays are asked.
@@ -76,7 +77,9 @@
         self._clock = clock
         # When each relay was last wanted for a request.
         self._wanted_s: dict[model.Address, float] = {}
+        # The blocks that wait for an answer of each relay.
         self._waiting: dict[model.Address, set[anyio.CancelScope]] = {}
+        # Relays with a query in progress.
         self._asked: set[model.Address] = set()
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -95,7 +98,7 @@
             return None
         return self._channels.heard_s(relay)
 
-    def want(self, relay: model.Address, *, is_ready: bool) -> None:
+    def note_wanted(self, relay: model.Address, *, is_ready: bool) -> None:
         """Records that a request is to go through a relay.
 
         Args:
@@ -108,7 +111,7 @@
 
     @contextlib.contextmanager
     def watch(self, relay: model.Address) -> Iterator[anyio.CancelScope]:
-        """Cancels a block that waits for a relay once that is silent."""
+        """Cancels a block that waits for a relay if that becomes silent."""
         scope = anyio.CancelScope()
         waiting = self._waiting.setdefault(relay, set())
         waiting.add(scope)
@@ -168,7 +171,7 @@
                 self._channels.note_stamp(relay, reply.stamp)
         if self._channels.heard_s(relay) >= asked_s:
             return
-        # It is asked again when a request wants it.
+        # It is asked again once a request is to go through it.
         self._wanted_s.pop(relay, None)
         self.on_silent(relay, "no answer to a query")
         for scope in list(self._waiting.get(relay, ())):
--- a/libs/bridgecross-entry/src/bridgecross_entry/relayed_requests.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relayed_requests.py
@@ -19,7 +19,7 @@
 
 
 class RelayedRequests:
-    """Sends what goes through a relay, and records what that shows of it.
+    """Sends requests through relays, and records which relays fail.
 
     Nothing is concluded about this instance's own links to servers.
     """
@@ -32,12 +32,12 @@
         forwarder: forward_client.ForwardClient,
         clock: clocks.Clock,
     ) -> None:
-        """Sends nothing yet.
+        """Stores the parts.
 
         Args:
             choice: Decides which way requests go.
             contacts: Knows which relays answer.
-            client: Knows which servers have open connections.
+            client: Knows to which servers there are idle connections.
             forwarder: Sends requests through other instances.
             clock: The time source.
         """
@@ -48,7 +48,7 @@
         self._clock = clock
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Starts to keep in contact with relays."""
+        """Starts to check the relays that are in use."""
         self._contacts.start(tasks)
 
     def sweep(self, known: Container[ids.ServerId]) -> None:
@@ -66,8 +66,8 @@
         """Sends a request through a relay.
 
         Returns:
-            Its result; None if it has not been sent, and goes straight. An
-            exchange with the relay that breaks counts as interrupted.
+            Its result; None if it was not sent and has to go straight. If the
+            exchange with the relay breaks, it counts as interrupted.
         """
         way = self._choice.choose(
             server,
@@ -76,10 +76,10 @@
             lambda: self._client.can_reuse_connection(server),
         )
         for relay in way.wanted:
-            self._contacts.want(relay, is_ready=False)
+            self._contacts.note_wanted(relay, is_ready=False)
         if way.relay is None:
             return None
-        self._contacts.want(way.relay, is_ready=True)
+        self._contacts.note_wanted(way.relay, is_ready=True)
         started_s = self._clock.monotonic_s()
         result: attempts.Attempt | attempts.Withheld | None = _SILENT
         with self._contacts.watch(way.relay):
@@ -100,7 +100,7 @@
         server: model.BackendServer,
         relayed: forward_client.Relayed,
     ) -> attempts.Attempt | attempts.Withheld | None:
-        """Records what a result shows of a relay.
+        """Records what a result shows about a relay.
 
         Returns:
             The result; None if the request was not sent.
--- a/libs/bridgecross-entry/src/bridgecross_entry/request_state.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/request_state.py
@@ -32,7 +32,7 @@
     configuration_version: int
     # Identifies repetitions of the request under other ids.
     fingerprint: poison_requests.Fingerprint
-    # What queues know of the caller; nothing unless they use it.
+    # What is known of the caller, if the queues of the service use it.
     origin: fair_share.Origin = fair_share.UNKNOWN
     # The server that most recently rejected the request as overloaded.
     shed_by: ids.ServerId | None = None
@@ -54,13 +54,13 @@
     trail: list[str] = dataclasses.field(default_factory=list)
     # The instances that it was sent through, in order.
     forwarded_by: list[model.Address] = dataclasses.field(default_factory=list)
-    # The time that its present attempt took on its way to and from a relay.
+    # The time that its current attempt spent between this instance and a relay.
     hop_s: float = 0.0
     # The last error answer of a server.
     last_failure: outcomes.Answered | None = None
 
     def add_hop(self, hop_s: float) -> None:
-        """Counts the time of a way to and from a relay."""
+        """Adds time that the attempt spent between here and a relay."""
         self.hop_s += hop_s
 
 
@@ -73,7 +73,12 @@
 def make_origin(
     request: attempts.EntryRequest, caller_age_s: float
 ) -> fair_share.Origin:
-    """Returns what queues use of the caller of a request."""
-    # 0 means that the caller is unknown.
+    """Returns what queues know of the caller of a request.
+
+    Args:
+        request: The request.
+        caller_age_s: How long its caller had waited when it arrived.
+    """
+    # A hash of 0 is replaced, since 0 means that the caller is unknown.
     caller = max(zlib.crc32(request.caller.encode()), 1)
     return fair_share.Origin(caller if request.caller else 0, caller_age_s)
--- a/libs/bridgecross-entry/tests/test_relayed_requests.py
+++ b/libs/bridgecross-entry/tests/test_relayed_requests.py
@@ -145,7 +145,7 @@
             self.contacts.start(tasks)
             if contact:
                 for relay in RELAYS:
-                    self.contacts.want(relay, is_ready=False)
+                    self.contacts.note_wanted(relay, is_ready=False)
                 await anyio.sleep(0.01)
             yield
             tasks.cancel_scope.cancel()
