Pipelined connections: reasons in comments, and new modules are listed

The package pages left out the modules for memory, relays and overload, and some comments of the caller protocol restated names. The modules are listed, and what the protocol relies on in uvicorn is stated where it relies on it.

--- a/libs/bridgecross-entry/src/bridgecross_entry/__init__.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/__init__.py
@@ -23,6 +23,13 @@
 * ``caller_protocol``: connections of callers, which may pipeline requests.
 * ``pipeline_order``: which of a connection's requests start, wait or end.
 * ``pipeline_monitor``: metrics and log lines of pipelined connections.
+* ``memory_ledger``: counts the bytes held for callers and peers.
+* ``memory_gate``: reserves memory for the bodies of requests.
+* ``send_buffers``: closes connections whose callers read too slowly.
+* ``memory_limits``: assembles these parts if there is a memory limit.
+* ``relay_choice``: which requests go to their server through a relay.
+* ``relay_contacts``: checks whether the relays that are in use answer.
+* ``relayed_requests``: sends requests through relays.
 * ``crash_watch``: finds requests during which servers crashed.
 * ``poison_broadcast``: shares those findings among the instances.
 * ``cluster_tasks``: the background tasks of an instance for the cluster.
--- a/libs/bridgecross-entry/src/bridgecross_entry/caller_protocol.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/caller_protocol.py
@@ -25,15 +25,19 @@
 from bridgecross_entry import pipeline_order
 
 _PIECE_BYTES = 4_096
-"""The size of the pieces in which received bytes are parsed. The limits of a
-connection are checked between pieces, since one read may contain thousands of
-small requests."""
+"""The size of the pieces in which received bytes are parsed.
+
+One read may contain thousands of small requests, so the limits of a connection
+are checked between pieces.
+"""
 
 _CALLER_CHECK_INTERVAL_S = 0.1
 """The interval of checks whether the caller has left while reading is paused.
-Callers wait for seconds, so little work is done in vain."""
 
-# States of a TCP connection from which its peer sends nothing more; see
+Servers work for up to this long on requests of a caller that has left.
+"""
+
+# States of a TCP connection whose peer sends nothing more; see
 # ``include/net/tcp_states.h`` of Linux.
 _TCP_CLOSE = 7
 _TCP_CLOSE_WAIT = 8
@@ -43,7 +47,7 @@
 class PipelineParts:
     """What the connections of one listener share."""
 
-    # Whether the route of a request allows it to run next to others.
+    # Whether the route of a request allows it to run concurrently with others.
     is_idempotent: Callable[[listener.Scope], bool]
     ledger: memory_ledger.Ledger
     monitor: pipeline_monitor.PipelineMonitor
@@ -108,7 +112,11 @@
             self._transport.writelines(held)
 
     def announce_close(self) -> None:
-        """Adds the header ``Connection: close`` to a response that is held."""
+        """Adds the header ``Connection: close`` to a response that is held.
+
+        ``uvicorn`` writes the head of a response as one piece, which ends with
+        an empty line. A piece before it can only be ``100 Continue``.
+        """
         for index, piece in enumerate(self._held or ()):
             if not piece.startswith(b"HTTP/1.1 100 "):
                 assert self._held is not None  # it has a piece
@@ -140,11 +148,11 @@
         self._order = pipeline_order.PipelineOrder[_Exchange](
             self.parts.limits, self.parts.ledger, self._is_idempotent
         )
-        # Received bytes that are not parsed while reading is paused.
+        # Received bytes that are kept, not parsed, while reading is paused.
         self._unparsed = b""
         # Whether the newest request has a head but not yet its whole body.
         self._is_in_body = False
-        # The size of the newest request so far.
+        # The size of the newest request as far as it has been read.
         self._newest_bytes = 0
         self._caller_check: asyncio.TimerHandle | None = None
 
@@ -196,7 +204,7 @@
             super().data_received(data[offset : offset + _PIECE_BYTES])
 
     def on_headers_complete(self) -> None:
-        """Notes the time, and lets the base class create the request."""
+        """Records the time, and lets the base class create the request."""
         state = cast("listener.Scope", self.scope)["state"]
         state[listener.RECEIVED_S] = self.parts.clock.monotonic_s()
         if not self._order.requests and _is_open(self.cycle):
@@ -222,7 +230,7 @@
                 self._schedule_caller_check()
 
     def on_message_complete(self) -> None:
-        """Notes that the newest request has been read completely."""
+        """Records that the newest request has been read completely."""
         super().on_message_complete()
         self._is_in_body = False
 
@@ -286,7 +294,7 @@
         self._update_reading()
 
     def _begin_pipelining(self) -> None:
-        """Takes over the running request, after which another one is read."""
+        """Adds the running request to the order, as another one is read."""
         exchange = self._make_exchange(self.cycle, self.app)
         exchange.is_pipelined = False
         exchange.is_started = True
@@ -302,7 +310,12 @@
         cycle: httptools_impl.RequestResponseCycle | None,
         app: ASGI3Application,
     ) -> _Exchange:
-        """Returns a request whose response is written in order."""
+        """Returns a request whose response is written in order.
+
+        Args:
+            cycle: The request; None to answer bytes that are no request.
+            app: Serves the request.
+        """
         size_bytes = self._newest_bytes if cycle is not None else 0
         exchange = _Exchange(size_bytes=size_bytes, cycle=cycle, app=app)
         exchange.transport = _ResponseTransport(
@@ -320,7 +333,7 @@
         return exchange
 
     def _is_idempotent(self, exchange: _Exchange) -> bool:
-        """Whether a request may run next to others."""
+        """Whether a request may run concurrently with others."""
         if exchange.cycle is None:
             return False
         return self.parts.is_idempotent(
@@ -382,7 +395,13 @@
         exchanges: Iterable[_Exchange],
         except_cycle: httptools_impl.RequestResponseCycle | None = None,
     ) -> None:
-        """Cancels requests that were dropped."""
+        """Cancels requests that were dropped.
+
+        Args:
+            exchanges: The requests.
+            except_cycle: The cycle of a request that is only counted, since
+                the base class cancels it.
+        """
         count = 0
         for exchange in exchanges:
             count += exchange.is_pipelined
--- a/libs/bridgecross-entry/src/bridgecross_entry/pipeline_monitor.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/pipeline_monitor.py
@@ -58,7 +58,12 @@
             self._count("cancelled", count)
 
     def note_paused(self, order: Order, caller: str) -> None:
-        """Logs that the reading of a connection pauses."""
+        """Counts a pause in reading a connection, and logs it if due.
+
+        Args:
+            order: The requests of the connection.
+            caller: The address of the caller.
+        """
         self._unlogged_count += 1
         now_s = self._clock.monotonic_s()
         if now_s - self._logged_s < _LOG_INTERVAL_S:
--- a/libs/bridgecross-entry/src/bridgecross_entry/pipeline_order.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/pipeline_order.py
@@ -35,7 +35,7 @@
     size_bytes: int
     # The size of its response as far as it waits for earlier responses.
     held_bytes: int = 0
-    # Whether it may run next to others; decided when it starts.
+    # Whether it may run concurrently with others; decided when it starts.
     is_idempotent: bool = False
     is_started: bool = False
     # Whether its response is complete.
@@ -62,7 +62,7 @@
             limits: The limits of the connection.
             ledger: Counts what the connection holds beyond its first request.
             is_idempotent: Whether a request that is about to start may run
-                next to others.
+                concurrently with others.
         """
         # The requests without a written response.
         self.requests: list[RequestT] = []
@@ -101,7 +101,7 @@
         return True
 
     def grow(self, size_bytes: int) -> None:
-        """Counts a piece of the newest request's body."""
+        """Counts a piece of the newest request's body, by its size."""
         self.requests[-1].size_bytes += size_bytes
         self._count_memory()
 
@@ -169,8 +169,8 @@
     def _count_memory(self) -> None:
         """Reserves what is held beyond the first request, or releases it.
 
-        What is held has been received already and cannot be refused; if the
-        ledger has no room for it, nothing more is read.
+        What is held has been received already and cannot be refused. If the
+        ledger has no room for it, reading pauses.
         """
         held_bytes = sum(
             each.size_bytes + each.held_bytes for each in self.requests[1:]
