--- a/libs/bridgecross-entry/tests/test_caller_protocol.py
+++ b/libs/bridgecross-entry/tests/test_caller_protocol.py
@@ -175,6 +175,7 @@
 
 
 async def test_idempotent_requests_run_at_once_and_are_answered_in_order(site):
+    """Guards against lookups that wait for, or overtake, a slow one."""
     site.send("/1", "/2")
     site.release("/2")
     await fakes.wait_until(lambda: "/2" in site.bodies)
@@ -194,6 +195,7 @@
 
 
 async def test_a_non_idempotent_request_runs_alone(site):
+    """Guards against a read that misses the write sent before it."""
     site.send("/1", body=b"a")
     await site.until_started("/1")
     site.send("/w2", body=b"b" * 9_000)
@@ -231,6 +233,7 @@
 
 @pytest.mark.parametrize("by", ["response", "request", "failure"])
 async def test_nothing_is_served_after_a_response_that_closes(site, by):
+    """Guards against writes that run although their caller repeats them."""
     site.send("/1")
     if by == "request":
         site.send("/2", headers="Connection: close\r\n")
@@ -274,6 +277,7 @@
 async def test_reading_pauses_at_the_limits_and_resumes(
     site, count, body_bytes, memory_bytes, started_count
 ):
+    """Guards against memory that grows with what a caller sends."""
     paths = [f"/{number}" for number in range(count)]
     site.release(*paths[1:])
     site.ledger.limit_bytes = memory_bytes
@@ -303,6 +307,7 @@
 
 @pytest.mark.parametrize("is_last_ready", [False, True])
 async def test_draining_answers_what_was_read(site, is_last_ready):
+    """Guards against requests that an instance loses when it stops."""
     site.send("/1", "/w2", "/3")
     await site.until_started("/1")
     if is_last_ready:
@@ -356,6 +361,8 @@
 
 
 async def test_other_connections_are_served_as_by_the_base_class(monkeypatch):
+    """Guards against a change for callers that do not pipeline."""
+
     def fail(order, request):
         raise AssertionError("the connection is not pipelined")
 
--- a/libs/bridgecross-entry/tests/test_cluster_state.py
+++ b/libs/bridgecross-entry/tests/test_cluster_state.py
@@ -546,6 +546,7 @@
 async def test_a_configuration_with_warnings_is_applied_and_logged(
     platform_log,
 ):
+    """Guards against unknown values that block a configuration."""
     reading_end, writing_end = os.pipe()
     journal = journals.Journal(
         "reader", journals.JournalSettings(), clock.SystemClock(), writing_end
--- a/libs/bridgecross-entry/tests/test_dispatch.py
+++ b/libs/bridgecross-entry/tests/test_dispatch.py
@@ -532,6 +532,7 @@
 
 
 async def test_without_a_retry_in_the_budget_an_owner_is_tried_once():
+    """Guards against retries beyond the budget when many owners reject."""
     bounds = dataclasses.replace(
         support.BOUNDS, retry_ratio=0.0, retry_slack=0.0
     )
--- a/libs/bridgecross-entry/tests/test_edge.py
+++ b/libs/bridgecross-entry/tests/test_edge.py
@@ -83,6 +83,7 @@
 
 
 async def test_the_route_decides_what_is_idempotent():
+    """Guards against a write that runs next to other requests."""
     real = clock.SystemClock()
     dispatcher = Dispatcher()
     caller_edge = edge.Edge(
--- a/libs/bridgecross-entry/tests/test_memory_ledger.py
+++ b/libs/bridgecross-entry/tests/test_memory_ledger.py
@@ -34,6 +34,7 @@
 def test_which_reservations_are_granted(
     held_for, held_bytes, purpose, size_bytes, granted
 ):
+    """Guards against large bodies that take the memory of small requests."""
     ledger = memory_ledger.MemoryLedger(SETTINGS, 2)
     ledger.reserve(held_for, held_bytes)
     before_bytes = ledger.used_bytes(purpose)
@@ -45,12 +46,14 @@
 
 
 def test_the_limit_is_what_the_program_leaves():
+    """Guards against a process that ends because it exceeds its limit."""
     for memory_mb, limit_bytes in ((3, 2_000), (2, 1_000), (0.5, 100)):
         ledger = memory_ledger.MemoryLedger(SETTINGS, memory_mb)
         assert ledger.limit_bytes == limit_bytes
 
 
 def test_a_large_body_in_small_pieces_gets_no_room_of_small_requests():
+    """Guards against chunked uploads that keep out small requests."""
     ledger = memory_ledger.MemoryLedger(SETTINGS, 2)
     ledger.reserve(ANSWER, 700)
     with memory_gate.BodyReservation(ledger, BODY, 2) as reservation:
@@ -63,6 +66,7 @@
 
 
 def test_refusals_are_logged_once_a_second_and_none_is_lost(monkeypatch):
+    """Guards against a log line for each refusal, and uncounted refusals."""
     clock = support.ManualClock()
     journal = support.make_journal(clock)
     counts = []
@@ -80,6 +84,7 @@
 
 
 def test_without_a_limit_nothing_is_watched_or_refused():
+    """Guards against a change for processes without a memory limit."""
     clock = support.ManualClock()
     journal = support.make_journal(clock)
     limits = memory_limits.make(0, journal, metrics.Metrics(), clock)
--- a/libs/bridgecross-entry/tests/test_memory_limits.py
+++ b/libs/bridgecross-entry/tests/test_memory_limits.py
@@ -140,6 +140,7 @@
     ],
 )
 async def test_nothing_stays_reserved(site, path, size_bytes, chunked, status):
+    """Guards against leaked reservations, which keep out requests."""
     head = await site.send(path, b"b" * size_bytes, chunked=chunked)
     assert int(head.split()[1]) == status
     assert (b"retry-after: 1000\r\n" in head) == (status == 503)
@@ -150,6 +151,7 @@
 
 @pytest.mark.parametrize("sent_bytes", [0, 1_000_000, 5_000_000])
 async def test_nothing_stays_reserved_for_a_caller_that_left(site, sent_bytes):
+    """Guards against reservations that leak when callers disconnect."""
     _, writer = await site.begin(b"/wait", 5_000_000, b"b" * sent_bytes)
     await anyio.sleep(0.1)
     assert site.ledger.total_bytes == 10_000_000
--- a/libs/bridgecross-entry/tests/test_pipeline_order.py
+++ b/libs/bridgecross-entry/tests/test_pipeline_order.py
@@ -43,6 +43,7 @@
     ],
 )
 def test_what_starts(kinds, answered_count, started):
+    """Guards against reads that overtake writes, and needless waits."""
     order, _ = _make(kinds)
     order.take_startable()
     for _ in range(answered_count):
@@ -64,6 +65,7 @@
 
 
 def test_a_closing_response_drops_what_follows():
+    """Guards against requests that run after the end of their connection."""
     order, _ = _make("iiiw")
     order.take_startable()
     third, fourth = order.requests[2:]
@@ -84,6 +86,7 @@
     ],
 )
 def test_reading_pauses_at_the_limits(count, size_bytes, must_pause):
+    """Guards against unbounded requests, and one that is never read."""
     assert _make("i" * count, size_bytes)[0].must_pause is must_pause
 
 
--- a/libs/bridgecross-entry/tests/test_relay_choice.py
+++ b/libs/bridgecross-entry/tests/test_relay_choice.py
@@ -71,6 +71,7 @@
 
 @pytest.mark.parametrize(("act", "options"), STRAIGHT.values(), ids=STRAIGHT)
 def test_what_goes_straight(act, options):
+    """Guards against relayed requests that gain nothing from a relay."""
     scene = Scene()
     assert scene.choose(64 * 1024, 0.1).relay == FIRST
     if act is not None:
@@ -85,6 +86,7 @@
 
 
 def test_relays_stay_when_others_leave_and_across_runs():
+    """Guards against new relays whenever an instance or server restarts."""
     rest = [each for each in STRONG if each != RANKED[-1]]
     assert relay_choice.rank_relays(SERVER, rest) == RANKED[:-1]
     later = support.make_server("a", domain="hall-1", started_ms=5)
@@ -96,6 +98,7 @@
 
 
 def test_a_relay_whose_clock_is_not_known_is_wanted_only():
+    """Guards against messages whose age the relay cannot check."""
     scene = Scene()
     del scene.heard_s[FIRST]
     assert scene.choose() == relay_choice.Way(SECOND, (FIRST,))
@@ -128,6 +131,7 @@
 
 
 def test_a_broken_link_of_a_relay_concerns_one_server():
+    """Guards against a relay that is given up because of a single server."""
     scene = Scene()
     scene.choice.note_failed(FIRST, "no link", SERVER.server_id)
     assert scene.choose().relay == SECOND
@@ -136,6 +140,7 @@
 
 
 def test_pauses_are_forgotten_after_a_while():
+    """Guards against long pauses because of failures long ago."""
     scene = Scene()
     scene.choice.note_failed(FIRST, "silent")
     scene.choice.note_failed(SECOND, "silent", SERVER.server_id)
--- a/libs/bridgecross-entry/tests/test_relayed_requests.py
+++ b/libs/bridgecross-entry/tests/test_relayed_requests.py
@@ -157,6 +157,7 @@
 
 
 async def test_the_first_relay_is_used_and_its_hop_is_told():
+    """Guards against time between instances that counts as the server's."""
     scene = Scene()
     async with scene.run():
         assert await scene.send() == BY_RELAY
@@ -202,6 +203,7 @@
 async def test_what_a_relay_did_not_send_goes_straight_at_once(
     result, blamed, counts
 ):
+    """Guards against refusals because of a relay, and its use meanwhile."""
     scene = Scene()
     scene.relays[0].result = result
     scene.relays[0].blamed = blamed
--- a/libs/bridgecross-entry/tests/test_send_buffers.py
+++ b/libs/bridgecross-entry/tests/test_send_buffers.py
@@ -58,6 +58,7 @@
 def test_which_callers_are_slow(
     unsent_bytes, read_per_s, other_bytes, closed_after_s
 ):
+    """Guards against memory held for callers that do not read."""
     clock = support.ManualClock()
     ledger, buffers = _make(clock, other_bytes)
     caller = Caller(unsent_bytes)
@@ -76,6 +77,7 @@
 
 
 def test_a_caller_is_not_slow_because_this_process_was_suspended():
+    """Guards against closed connections after a pause of this process."""
     clock = support.ManualClock()
     _, buffers = _make(clock)
     caller = Caller(1_000)
--- a/tests/emulated/test_relays.py
+++ b/tests/emulated/test_relays.py
@@ -130,6 +130,7 @@
     ids=SIZES,
 )
 def test_few_requests_open_a_connection(size, ratio):
+    """Guards against connections that take slots of servers."""
     with mock.patch.object(
         relayed_requests.RelayedRequests, "send", _send_straight
     ):
@@ -188,6 +189,7 @@
     ("act", "recovery_s", "served_ratio"), FAULTS.values(), ids=FAULTS
 )
 def test_a_relay_is_lost(act, recovery_s, served_ratio):
+    """Guards against refusals and second runs when a relay fails."""
     load = Load(act, rate_per_s=160.0, server_count=16)
     assert load.relayed_count > 0
     assert load.find_violations() == []
