--- a/libs/bridgecross-entry/tests/test_relayed_requests.py
+++ b/libs/bridgecross-entry/tests/test_relayed_requests.py
@@ -145,7 +145,7 @@
             self.contacts.start(tasks)
             if contact:
                 for relay in RELAYS:
-                    self.contacts.want(relay, is_ready=False)
+                    self.contacts.note_wanted(relay, is_ready=False)
                 await anyio.sleep(0.01)
             yield
             tasks.cancel_scope.cancel()
@@ -157,6 +157,7 @@
 
 
 async def test_the_first_relay_is_used_and_its_hop_is_told():
+    """Guards against time between instances that counts as the server's."""
     scene = Scene()
     async with scene.run():
         assert await scene.send() == BY_RELAY
@@ -202,6 +203,7 @@
 async def test_what_a_relay_did_not_send_goes_straight_at_once(
     result, blamed, counts
 ):
+    """Guards against refusals because of a relay, and its use meanwhile."""
     scene = Scene()
     scene.relays[0].result = result
     scene.relays[0].blamed = blamed
