A slot that is withheld from a late request counts as no grant

Cause: the turn of a tier was counted when a request was picked, before it was known whether it may have the slot. While late requests pause, each look at the queue took a turn, so a tier with a minimum share got more than its share, or lost its turn.

Change: the turn is counted with the grant. The test fails without the change.

--- a/libs/bridgecross-request/src/bridgecross_request/overload.py
+++ b/libs/bridgecross-request/src/bridgecross_request/overload.py
@@ -89,18 +89,14 @@
             key=lambda each: _sort_key(each, now_s),
         )
 
-    def note_picked(
-        self, picked: WaitingRequest, waiting: Collection[WaitingRequest]
-    ) -> None:
-        """Counts the choice of a waiting request as a grant to its tier.
+    def note_grant(self, priority: int, waiting: Collection[int]) -> None:
+        """Counts a grant to a waiting request.
 
         Args:
-            picked: The request that is next.
-            waiting: All requests that wait, including it.
+            priority: The priority of the request.
+            waiting: The priorities of all requests that wait, including it.
         """
-        self._turns.note_grant(
-            picked.priority, {each.priority for each in waiting}
-        )
+        self._turns.note_grant(priority, waiting)
 
     def assign_return_s(
         self, deadline_s: float, capacity_per_s: float
--- a/libs/bridgecross-request/src/bridgecross_request/queueing.py
+++ b/libs/bridgecross-request/src/bridgecross_request/queueing.py
@@ -354,6 +354,11 @@
             waiter = self._pick_next()
             if not self._may_grant(waiter):
                 return
+            if self._overload is not None:
+                self._overload.note_grant(
+                    waiter.tier.priority,
+                    {each.tier.priority for each in self._waiters},
+                )
             self._waiters.remove(waiter)
             self.waiting[waiter.tier.name] -= 1
             self.force_acquire(waiter.tier)
@@ -392,7 +397,6 @@
         """Returns the next waiter by a policy for overload."""
         waiting = [self._describe(policy, each) for each in self._waiters]
         picked = policy.pick(waiting)
-        policy.note_picked(picked, waiting)
         return self._waiters[waiting.index(picked)]
 
     def _sort_key(
--- a/libs/bridgecross-request/tests/test_overload.py
+++ b/libs/bridgecross-request/tests/test_overload.py
@@ -92,6 +92,34 @@
     assert [n for n, name in enumerate(order) if name == "low"] == [9, 19]
 
 
+async def test_pause_of_late_requests_takes_no_turn_from_a_tier(clock):
+    """Guards against slots that are withheld but counted as granted."""
+    settings = queueing.QueueSettings(
+        1, 0.0, 0.3, HOLD_S, overload.OverloadSettings(tier_min_share_ratio=0.5)
+    )
+    queue = queueing.TierQueue(settings, clock)
+    late = _due(clock, -1.0, 60.0)
+    granted: list[queueing.QueueTier] = []
+
+    async def request(tier) -> None:
+        await queue.acquire(tier, late)
+        granted.append(tier)
+
+    queue.force_acquire(FIRST)
+    async with anyio.create_task_group() as tasks:
+        for tier in (FIRST, LAST):
+            tasks.start_soon(request, tier)
+        await anyio.lowlevel.checkpoint()
+        # Late requests pause: the one that is next gets no slot yet.
+        queue.release(10.0, FIRST)
+        assert granted == []
+        clock.now_s += 30.0
+        queue._grant_next()
+        await anyio.wait_all_tasks_blocked()
+        assert granted == [FIRST]
+        tasks.cancel_scope.cancel()
+
+
 async def test_immediate_retries_are_at_expense_of_their_caller(clock):
     """Guards against a caller that takes all slots by asking most often."""
     queue = _queue(clock)
