Servers that join together are looked at once each

Cause: whether a service has few slots was computed from all of its servers, and their queues were looked at, for each server that joined.

--- a/libs/bridgecross-entry/src/bridgecross_entry/servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/servers.py
@@ -5,6 +5,7 @@
 kept for a short time as a last resort.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Container
 from collections.abc import Iterable
@@ -324,6 +325,13 @@
         # The last listed run of each server, by server name.
         self._last_runs: dict[str, model.BackendServer] = {}
         self._by_service: dict[ids.ServiceName, dict[ids.ServerId, Server]] = {}
+        # The slots of the known servers of each service, and how its queues
+        # work in overload.
+        self._slot_counts: collections.Counter[ids.ServiceName]
+        self._slot_counts = collections.Counter()
+        self._overloads: dict[
+            ids.ServiceName, overload_lib.OverloadSettings | None
+        ] = {}
         self._shares: dict[ids.ServiceName, fair_share.CallerShares] = {}
 
     def get(self, server_id: ids.ServerId) -> Server | None:
@@ -410,9 +418,9 @@
 
     def has_few_slots(self, service: ids.ServiceName) -> bool:
         """Whether the servers of a service have few slots on average."""
-        slots = [server.listed.slots for server in self.of_service(service)]
-        limit = self.settings.few_slots_count
-        return bool(slots) and sum(slots) <= limit * len(slots)
+        server_count = len(self._by_service.get(service, ()))
+        slots_max = self.settings.few_slots_count * server_count
+        return server_count > 0 and self._slot_counts[service] <= slots_max
 
     def find_overload(
         self, service: ids.ServiceName
@@ -453,6 +461,7 @@
             self._forget(listed.server_id, "its service changed")
             self._add(listed)
             return
+        self._slot_counts[listed.service] += listed.slots - known.listed.slots
         known.listed = listed
         self._update_overload(listed.service)
         self._note_warmup(known)
@@ -521,6 +530,7 @@
             return
         known.ended = True
         del self._by_service[known.listed.service][server_id]
+        self._slot_counts[known.listed.service] -= known.listed.slots
         self._update_overload(known.listed.service)
         self._journal.decision(
             "server_ended",
@@ -679,8 +689,15 @@
         )
 
     def _update_overload(self, service: ids.ServiceName) -> None:
-        """Sets how queues work in overload, after the servers changed."""
+        """Sets how queues work in overload, after the servers changed.
+
+        Queues are looked at only if that changed, since all of a service's
+        servers may join at once.
+        """
         overload = self.find_overload(service)
+        if overload is self._overloads.get(service):
+            return
+        self._overloads[service] = overload
         for server in self.of_service(service):
             if server.queue.settings.overload is not overload:
                 server.queue.settings = dataclasses.replace(
@@ -699,6 +716,7 @@
         self._servers[listed.server_id] = server
         of_service = self._by_service.setdefault(listed.service, {})
         of_service[listed.server_id] = server
+        self._slot_counts[listed.service] += listed.slots
         self._update_overload(listed.service)
         if listed.leaving:
             server.leaving_since_s = now_s
--- a/libs/bridgecross-entry/tests/test_servers.py
+++ b/libs/bridgecross-entry/tests/test_servers.py
@@ -181,3 +181,43 @@
         listed = support.make_server(f"s{index}")
         registry.put(dataclasses.replace(listed, slots=count))
     assert registry.has_few_slots(ids.ServiceName("rapor")) is expected
+
+
+def test_slots_that_change_and_servers_that_end_are_counted(registry):
+    """Guards against a sum of slots that drifts from the known servers."""
+    service = ids.ServiceName("rapor")
+    listed = [
+        dataclasses.replace(support.make_server(f"s{i}", port=i), slots=slots)
+        for i, slots in enumerate((2, 4), 1)
+    ]
+    for each in listed:
+        registry.put(each)
+    queues = [server.queue for server in registry.of_service(service)]
+    assert not registry.has_few_slots(service)
+    registry.put(dataclasses.replace(listed[1], slots=1))
+    assert registry.has_few_slots(service)
+    assert all(queue.settings.overload for queue in queues)
+    registry.put(listed[1])
+    assert not registry.has_few_slots(service)
+    assert not any(queue.settings.overload for queue in queues)
+    registry.end(listed[1].server_id, "it has crashed")
+    assert registry.has_few_slots(service)
+    registry.end(listed[0].server_id, "it has crashed")
+    assert not registry.has_few_slots(service)
+
+
+def test_many_servers_that_join_at_once_are_looked_at_once_each(registry):
+    """Guards against time that grows with the square of the servers."""
+    looked_at = []
+    of_service = registry.of_service
+
+    def count(service):
+        servers_of_service = list(of_service(service))
+        looked_at.extend(servers_of_service)
+        return servers_of_service
+
+    registry.of_service = count
+    for number in range(1, 301):
+        listed = support.make_server(f"s{number}", port=number)
+        registry.put(dataclasses.replace(listed, slots=2))
+    assert len(looked_at) <= 300
