Relays are checked only once one is wanted

Cause: a task that checks relays ran at every instance, also where no server has few slots.

Change: the task starts with the first request that is to go through a relay.

--- a/libs/bridgecross-entry/src/bridgecross_entry/relay_contacts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relay_contacts.py
@@ -82,15 +82,16 @@
         # Relays with a query in progress.
         self._asked: set[model.Address] = set()
         self._tasks: anyio.abc.TaskGroup | None = None
+        # Whether relays are checked at intervals.
+        self._is_checking = False
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Starts to ask the relays that are in use.
+        """Enables queries; nothing runs before a relay is wanted.
 
         Args:
             tasks: Runs the queries.
         """
         self._tasks = tasks
-        tasks.start_soon(tasks_lib.keep_running, self._run, self._journal)
 
     def heard_s(self, relay: model.Address) -> float | None:
         """Returns when a relay last answered; None if its stamp is too old."""
@@ -106,6 +107,11 @@
             is_ready: Whether it may be used at once; otherwise it is asked.
         """
         self._wanted_s[relay] = self._clock.monotonic_s()
+        if not self._is_checking and self._tasks is not None:
+            self._is_checking = True
+            self._tasks.start_soon(
+                tasks_lib.keep_running, self._run, self._journal
+            )
         if not is_ready:
             self._begin_query(relay)
 
--- a/libs/bridgecross-entry/tests/test_relayed_requests.py
+++ b/libs/bridgecross-entry/tests/test_relayed_requests.py
@@ -237,3 +237,18 @@
     async with scene.run():
         assert await scene.send(lambda: False) == attempts.Withheld()
     assert scene.count_requests() == (0, 0, 0)
+
+
+def test_nothing_runs_where_no_relay_is_wanted():
+    """Guards against timers of instances that use no relays."""
+    clock = support.ManualClock()
+    journal = support.make_journal(clock)
+    contacts = relay_contacts.RelayContacts(
+        relay_contacts.ContactSettings(), mock.Mock(), journal, clock
+    )
+    tasks = mock.Mock()
+    contacts.start(tasks)
+    tasks.start_soon.assert_not_called()
+    for _ in range(2):
+        contacts.note_wanted(RELAYS[0], is_ready=True)
+    tasks.start_soon.assert_called_once()
