--- a/libs/bridgecross-entry/src/bridgecross_entry/relay_contacts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relay_contacts.py
@@ -77,8 +77,9 @@
         self._clock = clock
         # When each relay was last wanted for a request.
         self._wanted_s: dict[model.Address, float] = {}
-        # The blocks that wait for an answer of each relay.
-        self._waiting: dict[model.Address, set[anyio.CancelScope]] = {}
+        # The blocks that wait for an answer of each relay, the oldest first, so
+        # that those with the least time left are cancelled first.
+        self._waiting: dict[model.Address, dict[anyio.CancelScope, None]] = {}
         # Relays with a query in progress.
         self._asked: set[model.Address] = set()
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -119,13 +120,13 @@
     def watch(self, relay: model.Address) -> Iterator[anyio.CancelScope]:
         """Cancels a block that waits for a relay if that becomes silent."""
         scope = anyio.CancelScope()
-        waiting = self._waiting.setdefault(relay, set())
-        waiting.add(scope)
+        waiting = self._waiting.setdefault(relay, {})
+        waiting[scope] = None
         try:
             with scope:
                 yield scope
         finally:
-            waiting.discard(scope)
+            waiting.pop(scope, None)
             if not waiting and self._waiting.get(relay) is waiting:
                 del self._waiting[relay]
 
--- a/libs/bridgecross-entry/tests/test_relayed_requests.py
+++ b/libs/bridgecross-entry/tests/test_relayed_requests.py
@@ -252,3 +252,32 @@
     for _ in range(2):
         contacts.note_wanted(RELAYS[0], is_ready=True)
     tasks.start_soon.assert_called_once()
+
+
+async def test_requests_that_wait_longest_for_a_silent_relay_end_first():
+    """Guards against an order that differs from run to run."""
+    clock = support.ManualClock()
+    channels = mock.Mock()
+    channels.heard_s.return_value = float("-inf")
+    channels.post = mock.AsyncMock(return_value=exchange.Unsent("", False))
+    contacts = relay_contacts.RelayContacts(
+        relay_contacts.ContactSettings(),
+        channels,
+        support.make_journal(clock),
+        clock,
+    )
+    cancelled: list[int] = []
+
+    async def wait(number: int) -> None:
+        with contacts.watch(RELAYS[0]):
+            try:
+                await anyio.sleep_forever()
+            finally:
+                cancelled.append(number)
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(20):
+            tasks.start_soon(wait, number)
+        await anyio.wait_all_tasks_blocked()
+        await contacts._query(RELAYS[0])
+    assert cancelled == list(range(20))
--- a/tests/emulated/test_broken_links.py
+++ b/tests/emulated/test_broken_links.py
@@ -284,12 +284,12 @@
 
 # Guards against a server that is taken for ended because it refuses the
 # connection of one instance whose links come and go.
-@pytest.mark.parametrize(("fault", "seed"), [(SILENT, 4), (REFUSED, 5)])
-def test_links_that_come_and_go_end_no_server(fault, seed):
+def test_links_that_come_and_go_end_no_server():
     act, served_ratio = ACTS["flapping"]
-    cut = Cut(fault, 6, act=act, seed=seed)
-    assert cut.find_violations() == []
-    assert cut.served_ratios()[0] > served_ratio
+    for fault, seed in [(SILENT, 4), (REFUSED, 5)]:
+        cut = Cut(fault, 6, act=act, seed=seed)
+        assert cut.find_violations() == []
+        assert cut.served_ratios()[0] > served_ratio
 
 
 def test_a_cut_of_all_instances_is_told_at_once():
--- a/tests/emulated/test_relays.py
+++ b/tests/emulated/test_relays.py
@@ -46,6 +46,7 @@
         server_count=12,
         rate_per_s=60.0,
         slots=2,
+        seed=1,
     ) -> None:
         self.act = act
         self.begun_s = 0.0
@@ -59,6 +60,7 @@
             server_domain_count=4,
             slots=slots,
             requests_per_s=rate_per_s,
+            seed=seed,
         ).run(self._act)
         self.cluster = self.scene.cluster
 
@@ -180,17 +182,18 @@
 
 
 FAULTS = {
-    "ends": (_kill_relay, 0.3, 0.95),
-    "is silent": (_silence_relay, 1.5, 0.8),
+    "ends": (_kill_relay, 1, 0.3, 0.95),
+    "is silent": (_silence_relay, 1, 1.5, 0.8),
+    "is silent, seed 8": (_silence_relay, 8, 1.5, 0.8),
 }
 
 
 @pytest.mark.parametrize(
-    ("act", "recovery_s", "served_ratio"), FAULTS.values(), ids=FAULTS
+    ("act", "seed", "recovery_s", "served_ratio"), FAULTS.values(), ids=FAULTS
 )
-def test_a_relay_is_lost(act, recovery_s, served_ratio):
+def test_a_relay_is_lost(act, seed, recovery_s, served_ratio):
     """Guards against refusals and second runs when a relay fails."""
-    load = Load(act, rate_per_s=160.0, server_count=16)
+    load = Load(act, rate_per_s=160.0, server_count=16, seed=seed)
     assert load.relayed_count > 0
     assert load.find_violations() == []
     assert load.list_reasons()
