--- a/review/lab/backend.py
+++ b/review/lab/backend.py
@@ -178,13 +178,23 @@
             }
             await self.answer(channel, 421, headers, b"")
             return
-        async with self._room:
+        arrived_s = time.monotonic()
+        limit_s = int(request.headers["request-deadline-ms"]) / 1_000
+        if not await self._wait_for_room(channel, limit_s):
+            self.log.write("rejected", request_id, self.name, 503)
+            headers = {"Request-Id": request_id, "Not-Executed": "1"}
+            await self.answer(channel, 503, headers, b"")
+            return
+        left_s = arrived_s + limit_s - time.monotonic()
+        try:
             self.log.note_run(request_id, self.name)
             self._running.append(key if self.keyed else -1)
             try:
-                is_done = await self._work(channel)
+                is_done = await self._work(channel, min(self._work_s, left_s))
             finally:
                 self._running.remove(key if self.keyed else -1)
+        finally:
+            self._room.release()
         if not is_done:
             self.log.write("dropped", request_id, self.name)
             return
@@ -192,6 +202,10 @@
             "Request-Id": request_id,
             "Response-Signature": f"{self.name}.{request_id}",
         }
+        if left_s < self._work_s:
+            self.log.write("late", request_id, self.name, 504)
+            await self.answer(channel, 504, headers, b"")
+            return
         self.log.write("done", request_id, self.name)
         await self.answer(channel, 200, headers, f"by {self.name}".encode())
 
@@ -205,10 +219,24 @@
         """Sends the answer to a request."""
         await channel.send(wire.encode_answer(status, headers, body))
 
-    async def _work(self, channel: wire.Channel) -> bool:
+    async def _wait_for_room(
+        self, channel: wire.Channel, limit_s: float
+    ) -> bool:
+        """Waits for a slot; returns whether the request is still wanted."""
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._room.acquire()
+        except TimeoutError:
+            return False
+        if channel.is_closed:
+            self._room.release()
+            return False
+        return True
+
+    async def _work(self, channel: wire.Channel, for_s: float) -> bool:
         """Works on a request; returns whether its sender waited for it."""
         closed = asyncio.create_task(_wait_closed(channel))
-        done, _ = await asyncio.wait({closed}, timeout=self._work_s)
+        done, _ = await asyncio.wait({closed}, timeout=for_s)
         closed.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await closed
--- a/review/lab/wire.py
+++ b/review/lab/wire.py
@@ -14,6 +14,7 @@
     412: "Precondition Failed",
     421: "Misdirected Request",
     503: "Service Unavailable",
+    504: "Gateway Timeout",
 }
 
 
