Take only an explicit rejection by another instance as "not sent"

Cause: the sender took every status but 200 as a rejection before anything was done. The HTTP library answers 500 by itself for each handler that is cancelled at the end of the process, or fails, so a request at work counted as not sent and was sent again. Lease orders went the same way.

Evidence: the relay logs CancelledError for the request, and within 10 ms its sender "relay ...: status 500" and a second run begins. No doubled request had got "the instance is stopping", and no connection broke.

Change: the code that rejects a message before anything is done says so in a header; any other status is a broken exchange. The proof is positive and written where it is known, so no status of the library can be mistaken for it. Decoding errors count as a rejection only where the message is decoded. A server is not blamed for the loss of the instance in between. The test's scene moves to a support module.

--- a/libs/bridgecross-entry/src/bridgecross_entry/edge.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/edge.py
@@ -294,7 +294,8 @@
         try:
             body = await listener.read_body(receive, max_bytes)
         except ValueError:
-            await listener.respond(send, 413, [], b"")
+            headers = _list_headers(is_rejected=is_forward)
+            await listener.respond(send, 413, headers, b"")
             return
         if body is None:
             return
@@ -333,13 +334,13 @@
             status = 413
         except memory_gate.NoMemoryError as error:
             memory.note_refusal("forward", str(error))
-            # For the other instance, any status but 200 means "not sent".
             status = 503
         else:
             if body is not None:
                 await _serve_forward(forwarding, scope, body, send, memory)
             return
-    await listener.refuse_body(receive, send, status, [], b"")
+    headers = _list_headers(is_rejected=True)
+    await listener.refuse_body(receive, send, status, headers, b"")
 
 
 async def _serve_forward(
@@ -356,11 +357,18 @@
         reply = await forwarding.answer(scope["raw_path"], body)
     if reply is None:
         return
+    headers = _list_headers(is_rejected=reply.is_rejected)
     if memory is None:
-        await listener.respond(send, reply.status, [], reply.body)
+        await listener.respond(send, reply.status, headers, reply.body)
         return
     with memory.count_answer(memory_ledger.Purpose.FORWARD, len(reply.body)):
-        await listener.respond(send, reply.status, [], reply.body)
+        await listener.respond(send, reply.status, headers, reply.body)
+
+
+def _list_headers(*, is_rejected: bool) -> list[tuple[bytes, bytes]]:
+    """Returns the headers of an answer to a forwarded message."""
+    header = forwards.NOTHING_DONE
+    return [(header.name, header.value)] if is_rejected else []
 
 
 async def answer_poison_update(
--- a/libs/bridgecross-entry/src/bridgecross_entry/forward_channels.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/forward_channels.py
@@ -5,6 +5,7 @@
 
 from bridgecross_core import clock as clocks
 from bridgecross_entry import exchange
+from bridgecross_entry import forwards
 from bridgecross_entry import model
 from bridgecross_entry import peers
 
@@ -47,7 +48,8 @@
         """Posts a message; the caller limits the time by cancelling.
 
         Returns:
-            The body of the answer, or why there is none.
+            The body of the answer, or why there is none. ``Unsent`` says that
+            the instance did nothing for the message and never will.
         """
         pool = self._pools.get(address)
         if pool is None:
@@ -57,10 +59,12 @@
         result = await pool.exchange(request, lambda _: True, may_send)
         if not isinstance(result, exchange.Reply):
             return result
-        if result.status != _HTTP_OK:
-            # The instance rejects it before it does anything.
-            return exchange.Unsent(f"status {result.status}", refused=False)
-        return result.body
+        if result.status == _HTTP_OK:
+            return result.body
+        reason = f"status {result.status}"
+        if result.header(forwards.NOTHING_DONE.name) is not None:
+            return exchange.Unsent(reason, refused=False)
+        return exchange.Broken(reason)
 
     def note_stamp(self, address: model.Address, stamp: peers.Stamp) -> None:
         """Keeps the stamp of an answer that has just arrived."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/forward_client.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/forward_client.py
@@ -230,7 +230,8 @@
                 self._report_notice(server, result)
                 return forwards.unpack_result(result)
             case exchange.Broken():
-                return attempts.Interrupted(result.reason)
+                # The other instance is lost, which says nothing of the server.
+                return attempts.Interrupted(result.reason, blames_server=False)
             case exchange.Unsent(is_withheld=True):
                 return attempts.Withheld()
             case _:
--- a/libs/bridgecross-entry/src/bridgecross_entry/forward_server.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/forward_server.py
@@ -10,6 +10,7 @@
 import math
 import random
 import secrets
+from typing import TypeVar
 
 import anyio
 
@@ -58,10 +59,29 @@
     patience_ratio: float = 3.0
 
 
+_Message = TypeVar("_Message")
+
+
 class _RejectedError(Exception):
     """A message may not be acted upon."""
 
 
+class _UnreadableError(Exception):
+    """A message cannot be decoded, so nothing was done for it."""
+
+
+def _decode(messages: codec.Codec[_Message], body: bytes) -> _Message:
+    """Returns a decoded message.
+
+    Raises:
+        _UnreadableError: It cannot be decoded.
+    """
+    try:
+        return messages.decode(body)
+    except codec.CodecError as error:
+        raise _UnreadableError(str(error)) from error
+
+
 class ForwardServer:
     """Answers instances whose own links are broken, or for which it relays."""
 
@@ -133,13 +153,13 @@
         self.open_count += 1
         try:
             return peers.PeerReply(200, await handlers[path](body))
-        except codec.CodecError as error:
+        except _UnreadableError as error:
             self._journal.decision(
                 "peer_message_unreadable",
                 path=path.decode(),
                 reason=str(error),
             )
-            return peers.PeerReply(400)
+            return peers.PeerReply(400, is_rejected=True)
         finally:
             self.open_count -= 1
 
@@ -151,7 +171,7 @@
 
     async def _answer_query(self, body: bytes) -> bytes:
         """Answers whether this instance reaches a server."""
-        query = forwards.QUERIES.decode(body)
+        query = _decode(forwards.QUERIES, body)
         reach = forwards.Reach.UNKNOWN
         if not self.is_stopping:
             reach = await self._find_reach(query)
@@ -228,7 +248,7 @@
 
     async def _answer_request(self, body: bytes) -> bytes:
         """Sends a request to its server, and returns the encoded result."""
-        forwarded = forwards.REQUESTS.decode(body)
+        forwarded = _decode(forwards.REQUESTS, body)
         received_s = self._clock.monotonic_s()
         result: attempts.Attempt | attempts.Withheld
         try:
@@ -245,7 +265,7 @@
 
     async def _answer_relayed(self, body: bytes) -> bytes:
         """Sends a request as a relay of its server, if there is capacity."""
-        forwarded = forwards.REQUESTS.decode(body)
+        forwarded = _decode(forwards.REQUESTS, body)
         received_s = self._clock.monotonic_s()
         result: attempts.Attempt | attempts.Withheld
         blamed = forwards.Blamed.NOTHING
@@ -413,7 +433,7 @@
 
     async def _answer_order(self, body: bytes) -> bytes:
         """Sends an order to its server, and returns the encoded result."""
-        order = forwards.ORDERS.decode(body)
+        order = _decode(forwards.ORDERS, body)
         received_s = self._clock.monotonic_s()
         result: attempts.GrantResult | attempts.ReleaseResult
         try:
--- a/libs/bridgecross-entry/src/bridgecross_entry/forwards.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/forwards.py
@@ -38,6 +38,11 @@
 
 PATHS = REQUEST_PATHS | {REACH_PATH, ORDER_PATH}
 
+NOTHING_DONE = outcomes.Header(b"nothing-done", b"1")
+"""The header of an answer that rejects a message before anything was done for
+it. Only the code that rejects a message adds it: the HTTP server answers 500 by
+itself if it is stopped, or fails, while a message is being handled."""
+
 
 class Reach(enum.Enum):
     """What an instance sees of a server."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -453,6 +453,8 @@
 
     status: int
     body: bytes = b""
+    # Whether the message was rejected before anything was done for it.
+    is_rejected: bool = False
 
 
 class PeerServer:
--- a/libs/bridgecross-entry/tests/test_forward_server.py
+++ b/libs/bridgecross-entry/tests/test_forward_server.py
@@ -4,186 +4,27 @@
 
 import anyio
 import entry_support as support
+import forward_support
 import pytest
 
 from bridgecross_core import ids
-from bridgecross_core import outcomes
 from bridgecross_entry import attempts
-from bridgecross_entry import crash_watch
 from bridgecross_entry import edge
-from bridgecross_entry import forward_server
 from bridgecross_entry import forwards
-from bridgecross_entry import link_probes
 from bridgecross_entry import listener
-from bridgecross_entry import metrics
 from bridgecross_entry import model
-from bridgecross_entry import peers
-from bridgecross_entry import server_links
-from bridgecross_entry import server_ways
-from bridgecross_entry import servers
-from bridgecross_entry import warmup_queries
 from bridgecross_request import poison_requests
 
 pytestmark = pytest.mark.anyio
 
-ANSWER = outcomes.Answered(
-    200, (outcomes.Header(b"x-proof", b"s"),), b"body", 1.5
-)
-CONTENT = forwards.Content(
-    "id", b"POST", b"/a/1?x=2", "/a/1", "h.example", ((b"x-a", b"1"),), b"b", 7
-)
-
-
-class Servers:
-    """An ``attempts.BackendClient`` and ``LeaseClient`` with scripts."""
-
-    def __init__(self) -> None:
-        self.result = ANSWER
-        self.order_result = attempts.Granted()
-        self.refusing = set()
-        # Called right before the first byte would be sent.
-        self.before_first_byte = lambda: None
-        self.sent = []
-        self.cancelled_count = 0
-        self.on_notice = attempts.ignore_notice
-
-    async def connect(self, server):
-        if server.name in self.refusing:
-            return attempts.NotSent("refused", refused=True)
-        return None
-
-    async def send(self, server, request, remaining_ms, may_send):
-        self.before_first_byte()
-        if not may_send():
-            return attempts.Withheld()
-        self.sent.append((server.name, request, remaining_ms))
-        if self.result is None:
-            try:
-                await anyio.sleep_forever()
-            finally:
-                self.cancelled_count += 1
-        return self.result
-
-    async def grant(self, server, *order: object):
-        self.before_first_byte()
-        if not order[-1]():
-            return attempts.Withheld()
-        self.sent.append((server.name, *order[:-1]))
-        return self.order_result
-
-
-class Scene:
-    """An instance that sends for others to the servers a, b and c."""
-
-    def __init__(self) -> None:
-        clock = self.clock = support.ManualClock()
-        journal = support.make_journal(clock)
-        self.metrics = metrics.Metrics()
-        self.servers = Servers()
-        self.registry = servers.ServerRegistry(
-            servers.ServerSettings(), support.BOUNDS, journal, clock
-        )
-        for number, name in enumerate("abc"):
-            self.registry.put(support.make_server(name, port=9 + number))
-        self.links = server_links.ServerLinks(
-            server_links.LinkSettings(), journal, self.metrics, clock
-        )
-        probes = link_probes.LinkProbes(
-            self.servers, self.links, journal, clock
-        )
-        self.ledger = poison_requests.PoisonLedger(
-            poison_requests.PoisonSettings(), clock
-        )
-        self.watch = crash_watch.CrashWatch(
-            crash_watch.CrashWatchSettings(),
-            self.ledger,
-            self.servers,
-            self.registry,
-            journal,
-            self.metrics,
-            clock,
-        )
-        self.server = forward_server.ForwardServer(
-            forward_server.ForwardServerSettings(relayed_per_core_count=2),
-            self.registry,
-            self.links,
-            probes,
-            self.servers,
-            server_ways.DirectOrders(
-                self.servers, self.links, probes, server_ways.WaySettings()
-            ),
-            self.watch,
-            warmup_queries.WarmupQueries(
-                2.0, self.registry, self.servers, clock
-            ),
-            journal,
-            self.metrics,
-            clock,
-        )
-
-    async def ask(self, name="a", *, is_fresh=False):
-        """Returns what the instance says of a server."""
-        query = forwards.ReachQuery(ids.ServerId(name), is_fresh)
-        reply = await self.server.answer(
-            forwards.REACH_PATH, forwards.QUERIES.encode(query)
-        )
-        return forwards.REACH_REPLIES.decode(reply.body)
-
-    async def validate(self, elapsed_s=0.0):
-        """Returns the validity of a message that is sent now."""
-        stamp = (await self.ask()).stamp
-        returned = peers.ReturnedStamp(stamp, elapsed_s)
-        return forwards.Validity(returned, 0.25, 0.4)
-
-    def encode(self, validity, **changes: object):
-        """Returns an encoded request for the server a."""
-        request = forwards.ForwardedRequest(
-            ids.ServerId("a"),
-            validity,
-            CONTENT,
-            is_keyed=True,
-            has_quota=False,
-            covers_cold=False,
-        )
-        return forwards.REQUESTS.encode(request._replace(**changes))
-
-    async def send(self, validity=None, **changes: object):
-        """Sends a request for the server a; returns the reply."""
-        body = self.encode(validity or await self.validate(), **changes)
-        reply = await self.server.answer(forwards.REQUEST_PATH, body)
-        return forwards.REQUEST_REPLIES.decode(reply.body)
-
-    async def relay(self, validity=None):
-        """Sends a request for the server a as to a relay."""
-        body = self.encode(validity or await self.validate())
-        reply = await self.server.answer(forwards.RELAYED_PATH, body)
-        return forwards.RELAYED_REPLIES.decode(reply.body)
-
-    async def order(self, validity=None):
-        """Sends a grant for the server a; returns the result."""
-        order = forwards.ForwardedOrder(
-            ids.ServerId("a"),
-            validity or await self.validate(),
-            forwards.OrderKind.GRANT,
-            1,
-            5,
-            3,
-            2_500.0,
-            "state",
-        )
-        body = forwards.ORDERS.encode(order)
-        reply = await self.server.answer(forwards.ORDER_PATH, body)
-        decoded = forwards.ORDER_REPLIES.decode(reply.body)
-        return forwards.unpack_order_result(decoded)
-
 
 async def test_a_request_and_its_answer_arrive_unchanged():
-    scene = Scene()
+    scene = forward_support.Scene()
     reply = await scene.send()
-    assert forwards.unpack_result(reply) == ANSWER
+    assert forwards.unpack_result(reply) == forward_support.ANSWER
     ((name, request, remaining_ms),) = scene.servers.sent
     assert name == "a"
-    assert forwards.pack(request) == CONTENT
+    assert forwards.pack(request) == forward_support.CONTENT
     assert remaining_ms == pytest.approx(400.0)
 
 
@@ -198,7 +39,7 @@
 
 @pytest.mark.parametrize("result", RESULTS, ids=repr)
 async def test_each_result_is_reported_as_it_is(result):
-    scene = Scene()
+    scene = forward_support.Scene()
     scene.servers.result = result
     assert forwards.unpack_result(await scene.send()) == result
 
@@ -215,7 +56,7 @@
 
 @pytest.mark.parametrize("result", ORDER_RESULTS, ids=repr)
 async def test_each_result_of_an_order_is_reported_as_it_is(result):
-    scene = Scene()
+    scene = forward_support.Scene()
     scene.servers.order_result = result
     assert await scene.order() == result
     assert scene.servers.sent == [("a", 1, 5, 3, 2_500.0, "state")]
@@ -260,7 +101,10 @@
 
 def _refuse(scene):
     subject = poison_requests.compute_fingerprint(
-        CONTENT.host, CONTENT.method, CONTENT.target, CONTENT.body
+        forward_support.CONTENT.host,
+        forward_support.CONTENT.method,
+        forward_support.CONTENT.target,
+        forward_support.CONTENT.body,
     )
     for name in "abc":
         now_s = scene.clock.now_s
@@ -295,7 +139,7 @@
 
 @pytest.mark.parametrize("happen", FORBIDDEN.values(), ids=FORBIDDEN)
 async def test_what_the_helper_knows_is_respected(happen):
-    scene = Scene()
+    scene = forward_support.Scene()
     validity = await scene.validate()
     happen(scene)
     result = forwards.unpack_result(await scene.send(validity))
@@ -310,28 +154,28 @@
 
 # Guards against a relay that has no processor left for its own requests.
 async def test_a_relay_takes_no_more_than_it_has_capacity_for():
-    scene = Scene()
+    scene = forward_support.Scene()
     scene.servers.result = None
     async with anyio.create_task_group() as tasks:
         for _ in range(2):
             tasks.start_soon(scene.relay)
         while len(scene.servers.sent) < 2:
             await anyio.sleep(0.001)
-        scene.servers.result = ANSWER
+        scene.servers.result = forward_support.ANSWER
         full = await scene.relay()
         # Whose own links are broken has no other way.
         helped = forwards.unpack_result(await scene.send())
         tasks.cancel_scope.cancel()
     assert full.blamed is forwards.Blamed.RELAY
     assert full.reply.kind is forwards.ResultKind.NOT_SENT
-    assert helped == ANSWER
+    assert helped == forward_support.ANSWER
     again = await scene.relay()
-    assert forwards.unpack_result(again.reply) == ANSWER
+    assert forwards.unpack_result(again.reply) == forward_support.ANSWER
 
 
 @pytest.mark.parametrize("happen", [_cool, _limit, _back_off, _refuse, _wait])
 async def test_the_helper_looks_again_at_the_first_byte(happen):
-    scene = Scene()
+    scene = forward_support.Scene()
     scene.servers.before_first_byte = lambda: happen(scene)
     result = forwards.unpack_result(await scene.send())
     assert isinstance(result, attempts.NotSent)
@@ -343,14 +187,14 @@
     [(_limit, {"has_quota": True}), (_cool, {"covers_cold": True})],
 )
 async def test_rights_that_were_obtained_are_used(happen, terms):
-    scene = Scene()
+    scene = forward_support.Scene()
     happen(scene)
     reply = await scene.send(**terms)
-    assert forwards.unpack_result(reply) == ANSWER
+    assert forwards.unpack_result(reply) == forward_support.ANSWER
 
 
 async def test_what_the_server_says_is_passed_on():
-    scene = Scene()
+    scene = forward_support.Scene()
     _limit(scene)
     reply = await scene.send(has_quota=True)
     assert reply.limit_per_s == 2.0
@@ -359,7 +203,7 @@
 
 @pytest.mark.parametrize("happen", [_stop, _cut, _wait, _end])
 async def test_orders_are_not_taken_where_requests_are_not(happen):
-    scene = Scene()
+    scene = forward_support.Scene()
     validity = await scene.validate()
     happen(scene)
     assert isinstance(await scene.order(validity), attempts.NotTaken)
@@ -368,24 +212,26 @@
 
 # Guards against an order of a leader that another one has followed meanwhile.
 async def test_an_order_is_not_sent_once_it_is_too_old():
-    scene = Scene()
+    scene = forward_support.Scene()
     scene.servers.before_first_byte = lambda: _wait(scene)
     assert isinstance(await scene.order(), attempts.NotTaken)
     assert scene.servers.sent == []
 
 
 async def test_the_time_since_a_stamp_is_not_counted_as_age():
-    scene = Scene()
+    scene = forward_support.Scene()
     validity = await scene.validate(elapsed_s=1.0)
     scene.clock.now_s += 1.1
     reply = await scene.send(validity)
-    assert forwards.unpack_result(reply) == ANSWER
+    assert forwards.unpack_result(reply) == forward_support.ANSWER
 
 
 async def test_a_message_for_an_earlier_process_is_not_acted_upon():
-    scene = Scene()
+    scene = forward_support.Scene()
     validity = await scene.validate()
-    result = forwards.unpack_result(await Scene().send(validity))
+    result = forwards.unpack_result(
+        await forward_support.Scene().send(validity)
+    )
     assert isinstance(result, attempts.NotSent)
 
 
@@ -398,13 +244,13 @@
     ],
 )
 async def test_an_instance_that_reaches_none_knows_nothing(refusing, reach):
-    scene = Scene()
+    scene = forward_support.Scene()
     scene.servers.refusing = set(refusing)
     assert (await scene.ask(is_fresh=True)).reach is reach
 
 
 async def test_an_unreadable_message_is_rejected():
-    scene = Scene()
+    scene = forward_support.Scene()
     for path in forwards.PATHS:
         assert (await scene.server.answer(path, b"\xc1")).status == 400
     assert scene.server.open_count == 0
@@ -412,7 +258,7 @@
 
 # Guards against servers that work on for callers who have left.
 async def test_a_caller_who_leaves_is_noticed_through_another_instance():
-    scene = Scene()
+    scene = forward_support.Scene()
     scene.servers.result = None
     scope = {"raw_path": forwards.REQUEST_PATH, "state": {}}
     body = scene.encode(await scene.validate())
@@ -432,7 +278,7 @@
 
 # Guards against a helper that works on after the time of a request.
 async def test_a_request_is_given_up_when_its_time_is_over():
-    scene = Scene()
+    scene = forward_support.Scene()
     scene.servers.result = None
     with anyio.fail_after(2.0):
         async with anyio.create_task_group() as tasks:
