Send no second attempt over a connection that an earlier one failed on

Cause: a server may send a rejection a second time, in the place of the next answer. Answers are known by the caller's id, which all attempts of a request share, and the second attempt went over the same connection. The copy of the first answer was taken for its own.

Evidence: the server's record has one rejection, one copy of it and one run within 3 ms; the trail of the request has two rejections.

Change: a connection remembers the requests that failed on it, and is not used for another attempt of them. Answers arrive on the connection of their attempt, so that no late answer can be for another attempt. This is in the pool, and so holds for each way. After 64 failures a connection is replaced.

--- a/libs/bridgecross-emulator/src/bridgecross_emulator/server_clients.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/server_clients.py
@@ -144,6 +144,7 @@
         path: str,
         known_s: float,
         may_send: attempts.MaySend,
+        request_id: str,
     ) -> float | None:
         """Returns the remaining warmup time of a server; None if unknown.
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempts.py
@@ -108,7 +108,8 @@
     # How long the receiver of the answer must send it no requests; 0 if it did
     # not ask for a backoff.
     backoff_s: float = 0.0
-    # Why a part of the report is invalid and ignored; empty if all is valid.
+    # Why a part of the report, or the whole answer, is invalid and ignored;
+    # empty if all is valid.
     problem: str = ""
     # The requests per second that the server takes from all instances together;
     # None if the answer names no limit.
@@ -170,7 +171,7 @@
         """
 
     def can_reuse_connection(self, server: model.BackendServer) -> bool:
-        """Whether the next request needs no new connection to a server.
+        """Whether a request that was not sent before needs no new connection.
 
         Unlike ``is_connected``, this is exact as far as this process knows.
         """
@@ -181,11 +182,12 @@
         path: str,
         known_s: float,
         may_send: MaySend,
+        request_id: str,
     ) -> float | None:
         """Finds out whether a server has restarted and is cold.
 
-        The next request uses the connection that was checked, provided that
-        nothing is awaited in between.
+        The request uses the connection that was checked, provided that nothing
+        is awaited in between.
 
         Args:
             server: The server.
@@ -193,6 +195,7 @@
             known_s: When it was last known whether the server is cold. A
                 connection opened before then leads to the same run.
             may_send: Whether anything may be sent to the server.
+            request_id: The id of the request that is to be sent next.
 
         Returns:
             The remaining warm-up time that the server reports; 0 if it is not
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -783,7 +783,9 @@
         """
         if not self._ways.is_straight(server.listed.server_id):
             return True
-        known = await self.warmups.check(server, may_send)
+        known = await self.warmups.check(
+            server, may_send, state.request.request_id
+        )
         if known is warmup_queries.WarmupState.SILENT:
             state.trail.append(f"{server.listed.server_id}: does not answer")
             server.note_unreachable(self._clock.monotonic_s())
--- a/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -26,6 +26,7 @@
 
 _NO_BODY_STATUSES = frozenset({204, 304})
 _FIRST_FINAL_STATUS = 200
+_FIRST_ERROR_STATUS = 400
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,6 +55,9 @@
     # An exchange fails if the answer is larger; an instance has 300 MB of
     # memory.
     max_body_bytes: int = 64 * 1024 * 1024
+    # A connection is closed once this many requests on it have failed: it
+    # remembers each of them, 0.1 KB a request.
+    failed_max_count: int = 64
 
 
 class Reply(NamedTuple):
@@ -141,6 +145,22 @@
         # When the latest request was sent, on the monotonic clock; infinite
         # before the first one.
         self.sent_s = math.inf
+        self._request_id = b""
+        # The hashes of the ids of requests that failed or were rejected; ids
+        # have any length, and two with the same hash cost only a connection.
+        self._failed_hashes: set[int] = set()
+
+    def may_carry(self, request_id: bytes) -> bool:
+        """Whether no earlier attempt of a request has failed on it.
+
+        A server may send an answer a second time, late, and all attempts of a
+        request have the same id. So the answer to the earlier attempt would be
+        taken for that to the next one.
+
+        Args:
+            request_id: The id; empty for an exchange without one.
+        """
+        return hash(request_id) not in self._failed_hashes
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and sets the TCP user timeout."""
@@ -197,7 +217,7 @@
         self.abort()
 
     async def exchange(
-        self, request: bytes, accepts: Accepts
+        self, request: bytes, accepts: Accepts, request_id: bytes
     ) -> Reply | Broken:
         """Sends a request and returns its answer.
 
@@ -206,6 +226,7 @@
         assert self._transport is not None  # the pool has connected it
         self._result = asyncio.get_running_loop().create_future()
         self._accepts = accepts
+        self._request_id = request_id
         self._wants_head_only = request.startswith(b"HEAD ")
         self._transport.write(request)
         try:
@@ -298,8 +319,16 @@
             return
         if self._transport is None or self._transport.get_write_buffer_size():
             self.reusable = False
+        if self._request_id and reply.status >= _FIRST_ERROR_STATUS:
+            self._note_failed()
         self._result.set_result(reply)
 
+    def _note_failed(self) -> None:
+        """Remembers a request that may be attempted again."""
+        self._failed_hashes.add(hash(self._request_id))
+        if len(self._failed_hashes) >= self._settings.failed_max_count:
+            self.reusable = False
+
     def _fail(self, reason: str) -> None:
         """Fails the exchange and closes the connection."""
         if self._result is not None and not self._result.done():
@@ -363,7 +392,11 @@
         return all(each.is_acknowledged(sent_before_s) for each in self._busy)
 
     async def exchange(
-        self, request: bytes, accepts: Accepts, may_send: MaySend = always
+        self,
+        request: bytes,
+        accepts: Accepts,
+        may_send: MaySend = always,
+        request_id: bytes = b"",
     ) -> Result:
         """Sends one request; the caller limits the time by cancelling.
 
@@ -371,9 +404,11 @@
             request: The bytes to write.
             accepts: Returns whether an answer belongs to the request.
             may_send: Called once there is a connection.
+            request_id: The id by which ``accepts`` tells answers apart, which
+                all attempts of a request share; empty if there is none.
         """
         started_s = self._clock.monotonic_s()
-        idle = self._take_idle()
+        idle = self._take_idle(request_id)
         if idle is None:
             opened = await self._open()
             if isinstance(opened, Unsent):
@@ -386,7 +421,9 @@
             return _WITHHELD
         connection = idle.connection
         try:
-            result = await self._exchange_on(connection, request, accepts)
+            result = await self._exchange_on(
+                connection, request, accepts, request_id
+            )
         except asyncio.CancelledError:
             if self._settings.drops_idle_on_timeout:
                 self._close_idle_since(started_s)
@@ -398,13 +435,17 @@
         return result
 
     async def _exchange_on(
-        self, connection: _Connection, request: bytes, accepts: Accepts
+        self,
+        connection: _Connection,
+        request: bytes,
+        accepts: Accepts,
+        request_id: bytes = b"",
     ) -> Reply | Broken:
         """Sends one request on a connection of this pool."""
         connection.sent_s = self._clock.monotonic_s()
         self._busy.add(connection)
         try:
-            return await connection.exchange(request, accepts)
+            return await connection.exchange(request, accepts, request_id)
         finally:
             self._busy.discard(connection)
 
@@ -425,15 +466,16 @@
 
     @property
     def can_reuse_connection(self) -> bool:
-        """Whether the next exchange uses an idle connection."""
+        """Whether a request not sent before needs no new connection."""
         now_s = self._clock.monotonic_s()
         return any(self._is_fresh(idle, now_s) for idle in self._idle)
 
-    def prefer_verified(self, known_s: float) -> bool:
+    def prefer_verified(self, known_s: float, request_id: bytes = b"") -> bool:
         """Makes the next exchange use a verified connection.
 
         Args:
             known_s: A connection opened before this time needs no verification.
+            request_id: The id of the next exchange; see ``exchange``.
 
         Returns:
             Whether there is such a connection.
@@ -443,6 +485,7 @@
             idle = self._idle[index]
             connection = idle.connection
             is_known = connection.is_verified or connection.opened_s <= known_s
+            is_known &= connection.may_carry(request_id)
             if is_known and self._is_fresh(idle, now_s):
                 self._idle.append(self._idle.pop(index))
                 return True
@@ -516,14 +559,15 @@
         age_s = now_s - idle.since_s
         return idle.connection.usable and age_s < idle.connection.idle_limit_s
 
-    def _take_idle(self) -> _IdleConnection | None:
-        """Returns the most recently used connection that is still usable."""
+    def _take_idle(self, request_id: bytes) -> _IdleConnection | None:
+        """Returns the most recently used connection that may be used."""
         now_s = self._clock.monotonic_s()
-        while self._idle:
-            idle = self._idle.pop()
-            if self._is_fresh(idle, now_s):
-                return idle
-            idle.connection.abort()
+        for index in reversed(range(len(self._idle))):
+            idle = self._idle[index]
+            if not self._is_fresh(idle, now_s):
+                self._idle.pop(index).connection.abort()
+            elif idle.connection.may_carry(request_id):
+                return self._idle.pop(index)
         return None
 
     async def _open(self) -> _Connection | Unsent:
--- a/libs/bridgecross-entry/src/bridgecross_entry/forward_server.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/forward_server.py
@@ -362,7 +362,7 @@
                 forwarded, server, fingerprint
             )
 
-        state = await self._warmups.check(server, may_send)
+        state = await self._warmups.check(server, may_send, content.request_id)
         if state is not warmup_queries.WarmupState.KNOWN or not may_send():
             return _FORBIDDEN
         left_s = deadline_s - self._clock.monotonic_s()
--- a/libs/bridgecross-entry/src/bridgecross_entry/warmup_queries.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/warmup_queries.py
@@ -51,9 +51,18 @@
         self._clock = clock
 
     async def check(
-        self, server: servers_lib.Server, may_send: attempts.MaySend
+        self,
+        server: servers_lib.Server,
+        may_send: attempts.MaySend,
+        request_id: str,
     ) -> WarmupState:
-        """Finds out whether a server is cold, and records it."""
+        """Finds out whether a server is cold, and records it.
+
+        Args:
+            server: The server.
+            may_send: Whether anything may be sent to it.
+            request_id: The id of the request that is to be sent next.
+        """
         service = self._registry.service_of(server)
         as_of_s = self.list_as_of_s()
         if service is None or service.warmup_rate_per_s is None:
@@ -63,7 +72,7 @@
         if self._clock.monotonic_s() - as_of_s < self._stale_age_s:
             return WarmupState.KNOWN
         warmup_left_s = await self._client.query_warmup_left_s(
-            server.listed, service.health_path, as_of_s, may_send
+            server.listed, service.health_path, as_of_s, may_send, request_id
         )
         if warmup_left_s is None:
             return WarmupState.SILENT if may_send() else WarmupState.WITHHELD
--- a/libs/bridgecross-entry/tests/test_exchange.py
+++ b/libs/bridgecross-entry/tests/test_exchange.py
@@ -70,7 +70,9 @@
         return reply.header(b"request-id") in {None, name}
 
     async with asyncio.timeout(2):
-        return await pool.exchange(b"GET / HTTP/1.1\r\n\r\n", accepts)
+        return await pool.exchange(
+            b"GET / HTTP/1.1\r\n\r\n", accepts, request_id=name
+        )
 
 
 async def test_complete_answer_is_returned_and_the_connection_reused():
@@ -154,6 +156,30 @@
         assert request_counts == [1, 1]
 
 
+# Guards against an answer that comes again and is taken for that to the next
+# attempt of its request; and against a new connection for each failure.
+@pytest.mark.parametrize("status", [b"503 Full", b"421 Other", b"500 Error"])
+async def test_only_the_request_that_failed_avoids_its_connection(status):
+    failure = b"HTTP/1.1 %s\r\ncontent-length: 0\r\n\r\n" % status
+    async with _serving(
+        [failure, failure], [OK % b"1", OK % b"2", OK % b"3"]
+    ) as (pool, request_counts):
+        for name in (b"1", b"2", b"1", b"2", b"3"):
+            await _ask(pool, name)
+        assert request_counts == [2, 3]
+
+
+# Guards against memory that grows with each failure on a connection.
+async def test_a_connection_is_replaced_after_many_failures():
+    failure = b"HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n"
+    max_count = exchange.ConnectionSettings().failed_max_count
+    scripts = [failure] * max_count, [failure] * 2
+    async with _serving(*scripts) as (pool, request_counts):
+        for number in range(max_count + 2):
+            await _ask(pool, b"%d" % number)
+        assert request_counts == [max_count, 2]
+
+
 async def test_connection_close_of_the_server_is_respected():
     closing = (
         b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
--- a/libs/bridgecross-entry/tests/test_last_check.py
+++ b/libs/bridgecross-entry/tests/test_last_check.py
@@ -60,7 +60,7 @@
         return self.script.pop(0)
 
     async def query_warmup_left_s(
-        self, server, path, known_s, may_send=_always
+        self, server, path, known_s, may_send=_always, request_id=""
     ):
         await self._wait()
         if not may_send():
