Believe no rejection that lacks the id of its request

Seen by callers: none yet. A server that rejects a health check, and sends the rejection a second time in the place of the next answer, would have a request refused as never run that it runs.

Cause: an error status without an id counted as the answer to the request in progress, since an intermediary may have rejected it. Answers to health checks have no id, and the connection of a rejected one was kept.

Change: such an answer breaks the exchange at once, which promises nothing, and its connection is closed.

--- a/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -92,9 +92,17 @@
     reason: str
 
 
+class UnclearAnswerError(Exception):
+    """It cannot be told whether an answer belongs to the request."""
+
+
 Result = Reply | Unsent | Broken
 Accepts = Callable[[Reply], bool]
-"""Returns whether an answer belongs to the request that was sent."""
+"""Returns whether an answer belongs to the request that was sent.
+
+If this cannot be told, it raises ``UnclearAnswerError``: the exchange is broken
+then, as the answer proves nothing about the request.
+"""
 
 MaySend = Callable[[], bool]
 """Returns whether a request may still be sent; nothing is awaited between the
@@ -313,7 +321,12 @@
         if self._result is None or self._result.done():
             return
         reply = Reply(self._status, tuple(self._headers), b"".join(self._body))
-        if self._accepts is not None and not self._accepts(reply):
+        try:
+            is_expected = self._accepts is None or self._accepts(reply)
+        except UnclearAnswerError as error:
+            self._fail(str(error))
+            return
+        if not is_expected:
             # A late answer to an earlier request; the expected one may follow.
             self.reusable = False
             return
@@ -496,7 +509,8 @@
     ) -> Result:
         """Sends one request on a new connection and marks it as verified.
 
-        If it was answered, the next exchange uses the same connection.
+        If it was answered without an error, the next exchange uses the same
+        connection; otherwise it is closed.
 
         Args:
             request: The bytes to write.
@@ -514,12 +528,17 @@
         except asyncio.CancelledError:
             opened.abort()
             raise
-        if isinstance(result, Reply) and opened.usable:
-            opened.is_verified = True
-            self._keep(opened)
+        if not isinstance(result, Reply) or not opened.usable:
+            opened.abort()
+            return Broken("the connection was not kept")
+        if result.status >= _FIRST_ERROR_STATUS:
+            # A second copy of it could be taken for an answer to the next
+            # request.
+            opened.abort()
             return result
-        opened.abort()
-        return Broken("the connection was not kept")
+        opened.is_verified = True
+        self._keep(opened)
+        return result
 
     async def connect(self) -> Unsent | None:
         """Opens a connection and keeps it; returns why it failed, or None."""
