Send a release as the first request of its connection

Seen by callers: none yet. A server that sends the answer to a grant, or to another release, a second time in the place of the next one would have its keys given on while it works on them.

Cause: answers to lease orders carry no id, so whichever answer came next on the connection was taken for that to the release.

Change: a release goes over a connection that has carried nothing, so no other answer can arrive on it. Grants need no such rule: believing one that was not taken counts the server as the holder, which refuses requests but gives no key away.

--- a/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -410,6 +410,8 @@
         accepts: Accepts,
         may_send: MaySend = always,
         request_id: bytes = b"",
+        *,
+        is_first: bool = False,
     ) -> Result:
         """Sends one request; the caller limits the time by cancelling.
 
@@ -419,9 +421,11 @@
             may_send: Called once there is a connection.
             request_id: The id by which ``accepts`` tells answers apart, which
                 all attempts of a request share; empty if there is none.
+            is_first: Whether it must be the first request on its connection,
+                as a late answer to an earlier one would be taken for its own.
         """
         started_s = self._clock.monotonic_s()
-        idle = self._take_idle(request_id)
+        idle = self._take_idle(request_id, is_first=is_first)
         if idle is None:
             opened = await self._open()
             if isinstance(opened, Unsent):
@@ -578,13 +582,17 @@
         age_s = now_s - idle.since_s
         return idle.connection.usable and age_s < idle.connection.idle_limit_s
 
-    def _take_idle(self, request_id: bytes) -> _IdleConnection | None:
+    def _take_idle(
+        self, request_id: bytes, *, is_first: bool = False
+    ) -> _IdleConnection | None:
         """Returns the most recently used connection that may be used."""
         now_s = self._clock.monotonic_s()
         for index in reversed(range(len(self._idle))):
             idle = self._idle[index]
             if not self._is_fresh(idle, now_s):
                 self._idle.pop(index).connection.abort()
+            elif is_first and idle.connection.sent_s < math.inf:
+                continue
             elif idle.connection.may_carry(request_id):
                 return self._idle.pop(index)
         return None
