--- a/libs/bridgecross-entry/src/bridgecross_entry/cluster_tasks.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/cluster_tasks.py
@@ -21,6 +21,7 @@
 from bridgecross_entry import coordinator
 from bridgecross_entry import dispatch
 from bridgecross_entry import instance_list
+from bridgecross_entry import invalid_records
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
 from bridgecross_entry import leadership
@@ -111,6 +112,7 @@
         self._journal = journal
         self._metrics = metrics
         self._clock = clock
+        self._invalid_reports = invalid_records.InvalidRecords("load", journal)
         self._peer_client = peer_client
         self._leadership = leadership.Leadership(
             leadership.LeadershipSettings(),
@@ -196,9 +198,7 @@
     def make_peer_server(self) -> peers.PeerServer:
         """Creates the handler of messages from other instances."""
         return peers.PeerServer(
-            lambda report: self._view(report.service).add_report(
-                report.keys, report.servers
-            ),
+            self._add_report,
             self._apply_map,
             self._mark_settled,
             self._relayer.receive,
@@ -334,6 +334,21 @@
             for service in self._table.services():
                 await self._report_service(service, window_s)
 
+    def _add_report(self, report: load.LoadReport) -> None:
+        """Adds a load report of this instance or another one."""
+        unknown_count = self._view(report.service).add_report(
+            report.keys, report.servers
+        )
+        if unknown_count:
+            self._metrics.unknown_keys.add(
+                {"service": report.service}, unknown_count
+            )
+            self._invalid_reports.note(
+                "load_report_invalid",
+                report.instance,
+                ValueError("it has keys that do not exist"),
+            )
+
     async def _report_service(
         self, service: ids.ServiceName, window_s: float
     ) -> None:
@@ -343,9 +358,6 @@
         keys, servers = counter.pop_counts()
         if key_map is None or not (keys or servers):
             return
-        if key_map.coordinator == self._instance.name:
-            self._view(service).add_report(keys, servers)
-            return
         report = load.LoadReport(
             ids.InstanceId(self._instance.name),
             service,
@@ -353,6 +365,9 @@
             keys,
             servers,
         )
+        if key_map.coordinator == self._instance.name:
+            self._add_report(report)
+            return
         await self._peer_client.report_load(key_map.coordinator_address, report)
 
     # Coordination.
--- a/libs/bridgecross-entry/src/bridgecross_entry/load_view.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/load_view.py
@@ -6,6 +6,7 @@
 import math
 
 from bridgecross_core import ids
+from bridgecross_entry import keymap
 from bridgecross_entry import load
 from bridgecross_entry import model
 from bridgecross_entry import planner
@@ -94,14 +95,23 @@
         self,
         keys: tuple[load.KeyCount, ...],
         servers: tuple[load.ServerCount, ...],
-    ) -> None:
-        """Adds one load report."""
+    ) -> int:
+        """Adds one load report.
+
+        Returns:
+            The number of its keys that do not exist, which are left out.
+        """
+        unknown_count = 0
         for key, requests in keys:
+            if not keymap.FIRST_KEY <= key <= keymap.LAST_KEY:
+                unknown_count += 1
+                continue
             self._fast.add(key, requests)
             self._slow.add(key, requests)
         for server_id, answers, busy_s in servers:
             self._step_answers[server_id] += answers
             self._step_busy_s[server_id] += busy_s
+        return unknown_count
 
     def advance(
         self, servers: Iterable[model.BackendServer], now_s: float
--- a/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
@@ -73,6 +73,11 @@
             "Keys given to another owner, by service.",
             registry=self.registry,
         )
+        self.unknown_keys = aioprometheus.Counter(
+            "bridgecross_unknown_keys_total",
+            "Keys in load reports that do not exist, by service.",
+            registry=self.registry,
+        )
         self.request_seconds = aioprometheus.Histogram(
             "bridgecross_request_seconds",
             "Time from the head of a request to its outcome, by service.",
--- a/libs/bridgecross-entry/tests/test_load_view.py
+++ b/libs/bridgecross-entry/tests/test_load_view.py
@@ -47,6 +47,17 @@
     assert view.fast_load().of(7, 7) < 5
 
 
+# Guards against a coordinator that fails on each plan, so that all keys of its
+# service lose their owners.
+@pytest.mark.parametrize("key", [-1, 65_536, 70_000, 2**70])
+def test_keys_that_do_not_exist_are_left_out(key):
+    view = _view()
+    counts = (load.KeyCount(key, 9), load.KeyCount(65_535, 25))
+    assert view.add_report(counts, ()) == 1
+    for loads in (view.fast_load(), view.slow_load()):
+        assert loads.hottest_key == 65_535
+
+
 def test_load_is_right_before_the_window_is_full():
     view = _view()
     for step in range(1, 5):
