--- a/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -154,8 +154,8 @@
         # before the first one.
         self.sent_s = math.inf
         self._request_id = b""
-        # The hashes of the ids of requests that failed or were rejected; ids
-        # have any length, and two with the same hash cost only a connection.
+        # The hashes of the ids of requests that failed or were rejected. Ids
+        # have any length; two with the same hash cost at most a connection.
         self._failed_hashes: set[int] = set()
 
     def may_carry(self, request_id: bytes) -> bool:
@@ -502,8 +502,10 @@
             idle = self._idle[index]
             connection = idle.connection
             is_known = connection.is_verified or connection.opened_s <= known_s
-            is_known &= connection.may_carry(request_id)
-            if is_known and self._is_fresh(idle, now_s):
+            may_use = self._is_fresh(idle, now_s) and connection.may_carry(
+                request_id
+            )
+            if is_known and may_use:
                 self._idle.append(self._idle.pop(index))
                 return True
         return False
