Say what confirms the lead, and how many instances were counted

A leader that stayed confirmed wrote no line, so its log could not show whether a majority or the log confirmed it, nor whom it counted. The line comes with each change of the basis as well; it names the counts of the last round.

Test: test_what_confirms_the_lead_is_logged; before: KeyError: 'by'.

--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -21,6 +21,7 @@
 from collections.abc import Container
 from collections.abc import Iterable
 import dataclasses
+import enum
 import random
 from typing import NamedTuple
 
@@ -57,6 +58,13 @@
 _NO_CLAIM = Claim(-1, "")
 
 
+class _Basis(enum.Enum):
+    """What confirmed the lead last, as logged."""
+
+    LOG = "the log"
+    MAJORITY = "a majority"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeadershipSettings:
     """Timing of claims and of the confirmation of the lead."""
@@ -170,6 +178,7 @@
         self._leader_lost_log = False
         # When the latest confirmation of this instance's lead was requested.
         self._confirmed_s = float("-inf")
+        self._basis = _Basis.LOG
         # Whether this instance is certain to be the only leader.
         self._sole = sole_lead.SoleLead(
             settings.sole, instance.peer_address, clock
@@ -181,8 +190,8 @@
         # when last.
         self._dispute_count = 0
         self._disputed_s = float("-inf")
-        # Whether the lead was confirmed at the last check.
-        self._was_confirmed = False
+        # What confirmed the lead at the last check; None if nothing did.
+        self._logged_basis: _Basis | None = None
         # The last round that was counted, and whether this instance was certain
         # to be alone at the last check.
         self._last_round: relay_rounds.RelayRound | None = None
@@ -247,12 +256,18 @@
             return
         self._sole.note_round(relay_round)
         if relay_round.is_majority and relay_round.sent_s >= self._disputed_s:
-            self._confirmed_s = max(self._confirmed_s, relay_round.sent_s)
+            self._confirm_since(relay_round.sent_s, _Basis.MAJORITY)
             now_s = self._clock.monotonic_s()
             self._majority_known_s = min(self._majority_known_s, now_s)
             if relay_round.is_unanimous:
                 self._known_to_all_s = min(self._known_to_all_s, now_s)
 
+    def _confirm_since(self, requested_s: float, basis: _Basis) -> None:
+        """Records a confirmation, unless a later one is known."""
+        if requested_s > self._confirmed_s:
+            self._confirmed_s = requested_s
+            self._basis = basis
+
     async def run(self) -> None:
         """Claims whenever heartbeats are missing, until cancelled."""
         if not self.knows_claims:
@@ -292,14 +307,21 @@
         return self._wait.overdue_s >= self._claim_delay_s()
 
     def _log_confirmation_change(self) -> None:
-        """Logs that the lead became confirmed or unconfirmed."""
-        if self.may_order == self._was_confirmed:
+        """Logs that the lead became confirmed, by something else, or not."""
+        basis = self._basis if self.may_order else None
+        if basis == self._logged_basis:
             return
-        self._was_confirmed = self.may_order
+        self._logged_basis = basis
+        counted = self._last_round
         self._journal.lifecycle(
-            "lead_confirmed" if self.may_order else "lead_unconfirmed",
+            "lead_confirmed" if basis else "lead_unconfirmed",
             term=self.term,
             leads=self.is_leader,
+            by=basis.value if basis else "",
+            confirmed_s_ago=round(
+                self._clock.monotonic_s() - self._confirmed_s, 3
+            ),
+            **(counted.counts if counted else {}),
         )
 
     def _log_sole_change(self) -> None:
@@ -314,9 +336,7 @@
             term=self.term,
             leads=self.is_leader,
             voters=[len(voters) for voters in self._sole.sets.sets],
-            listed=len(counted.peers) + 1,
-            accepted=len(counted.accepted) + 1,
-            ended=len(counted.ended),
+            **counted.counts,
             list_offset=counted.list_offset,
             list_age_s=round(counted.list_age_s, 3),
             confirmed_s_ago=round(self._sole.confirmed_ago_s, 3),
@@ -341,7 +361,7 @@
         """Records that the log had no later claim than this instance's."""
         if not self.is_leader:
             return
-        self._confirmed_s = max(self._confirmed_s, asked_s)
+        self._confirm_since(asked_s, _Basis.LOG)
         self._sole.note_newest_in_log(asked_s)
         self._namer.note_newest(newest)
 
@@ -511,6 +531,8 @@
         self._know(claim)
         self._leader_lost_log = False
         self._confirmed_s = asked_s
+        self._basis = _Basis.LOG
+        self._last_round = None
         self._begin_sole_lead(asked_s, records)
         self._majority_known_s = float("inf")
         self._known_to_all_s = float("inf")
--- a/libs/bridgecross-entry/src/bridgecross_entry/relay_rounds.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relay_rounds.py
@@ -37,6 +37,15 @@
         """Whether no listed instance can still follow another leader."""
         return self.peers <= self.accepted | self.ended
 
+    @property
+    def counts(self) -> dict[str, int]:
+        """How many instances were counted, with the leader; for log lines."""
+        return {
+            "listed": len(self.peers) + 1,
+            "accepted": len(self.accepted) + 1,
+            "ended": len(self.ended),
+        }
+
     def listed(self, own: model.Address) -> frozenset[model.Address]:
         """Returns all listed instances, with the leader itself."""
         return self.peers | {own}
--- a/libs/bridgecross-entry/tests/test_leadership.py
+++ b/libs/bridgecross-entry/tests/test_leadership.py
@@ -376,6 +376,21 @@
     assert events == ["lead_confirmed", "lead_unconfirmed"]
 
 
+async def test_what_confirms_the_lead_is_logged():
+    manual = support.ManualClock()
+    leading = await _lead_alone(manual, fakes.MemoryLog())
+    lines = []
+    leading._journal.lifecycle = lambda event, **fields: lines.append(fields)
+    leading._log_confirmation_change()
+    manual.now_s += 1.0
+    _note_majority(leading, manual)
+    for _ in range(2):
+        leading._log_confirmation_change()
+    assert [line["by"] for line in lines] == ["the log", "a majority"]
+    assert lines[1]["listed"] == 5
+    assert lines[1]["accepted"] == 3
+
+
 async def test_a_claim_is_above_all_that_are_known_though_the_log_lost_them():
     member = Member(fakes.MemoryLog(), 1)
     member.leadership.handle_heartbeat(leadership.Claim(7, "entry-9"))
