Take no refused connection for the end of an instance

Seen by callers: two servers worked on the same keys, each for the callers on one side of a failure domain that was cut off by resets.

Cause: a connection that was refused counted as the end of the instance at the address. A leader inside the cut took its domain for a majority and renewed leases without the log; the one outside counted all as informed and waited for 0.5 s in place of 2.0 s. A refusal is the word of the link: whatever rejects packets on the way refuses as well.

Change: only answers count. A majority is one of all listed instances, without those at which a process answers that has just started; else the log confirms. Earlier leaders are excluded once half of the instances have answered, since a majority of the others is impossible then; all know once all have answered. The same holds for the leader that is alone: half and all of the voters are those that answered.

Tests that called a refused instance an ended one expect the opposite now; each has a case more, of a process that has just started. "A just started instance counts for no majority" looks at the majority itself, as earlier leaders are excluded by half.

--- a/libs/bridgecross-emulator/src/bridgecross_emulator/link_faults.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/link_faults.py
@@ -1,8 +1,9 @@
-"""Faults of the links from instances to servers, drawn beside others."""
+"""Faults of links to servers and between domains, drawn beside others."""
 
 import random
 
 from bridgecross_emulator import broken_links
+from bridgecross_emulator import domain_cuts
 from bridgecross_emulator import faults
 
 _SHARES = (0.2, 0.4, 0.6, 0.8, 1.0)
@@ -49,6 +50,19 @@
     return begin
 
 
+def _make_domain_cut(fault: broken_links.LinkFault) -> faults.Begin:
+    """Returns a function that cuts off the domain of an instance."""
+
+    def begin(scene: faults.Scene, target: int) -> faults.End:
+        domain = scene.instance(target).settings.failure_domain
+        return domain_cuts.cut(scene.cluster, {domain}, fault)
+
+    return begin
+
+
+DOMAIN_REFUSED = "domain refused"
+DOMAIN_SILENT = "domain silent"
+
 KINDS = {
     "links refused": faults.Kind(
         _make_begin(broken_links.LinkFault.REFUSED), 3
@@ -63,6 +77,13 @@
     "links to a service silent": faults.Kind(
         _make_begin(broken_links.LinkFault.SILENT, one_service=True), 2
     ),
+    # Drawn separately from the others.
+    DOMAIN_REFUSED: faults.Kind(
+        _make_domain_cut(broken_links.LinkFault.REFUSED), 0, disturbs_all=True
+    ),
+    DOMAIN_SILENT: faults.Kind(
+        _make_domain_cut(broken_links.LinkFault.SILENT), 0, disturbs_all=True
+    ),
 }
 
 
@@ -80,3 +101,23 @@
             faults.Event(round(at_s, 3), name, target, round(for_s, 3))
         )
     return tuple(sorted(events))
+
+
+_DOMAIN_CUTS_COUNT = 2
+_DOMAIN_CUT_S = (3.0, 12.0)
+"""How long a domain is cut off; keys move after 5 to 6 s."""
+
+
+def draw_domain_cuts(seed: int, length_s: float) -> tuple[faults.Event, ...]:
+    """Returns cuts of domains, half of them of the leader's."""
+    rng = random.Random(f"domains {seed}")
+    events = []
+    for _ in range(_DOMAIN_CUTS_COUNT):
+        name = rng.choice((DOMAIN_REFUSED, DOMAIN_REFUSED, DOMAIN_SILENT))
+        for_s = rng.uniform(*_DOMAIN_CUT_S)
+        at_s = rng.uniform(0.0, length_s - for_s)
+        target = rng.choice((0, rng.randrange(20)))
+        events.append(
+            faults.Event(round(at_s, 3), name, target, round(for_s, 3))
+        )
+    return tuple(sorted(events))
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/network.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/network.py
@@ -53,6 +53,10 @@
         # The number of cuts in each direction that are in effect.
         self._cut: collections.Counter[tuple[model.Address, model.Address]]
         self._cut = collections.Counter()
+        # The number of reasons for which connections between two hosts are
+        # refused, by who opens them.
+        self._refused: collections.Counter[tuple[model.Address, model.Address]]
+        self._refused = collections.Counter()
         # The ratio of packets that are lost, by direction.
         self._lost_ratio: dict[tuple[model.Address, model.Address], float] = {}
         self._rng = random.Random(1)
@@ -102,6 +106,26 @@
         self._cut.clear()
         self._healed.notify()
 
+    def refuse(self, sender: model.Address, receiver: model.Address) -> None:
+        """Refuses connections, as a firewall that rejects packets does.
+
+        Exchanges in progress end as well; the receiver's process goes on.
+        """
+        self._refused[sender, receiver] += 1
+        self.break_exchanges(receiver)
+
+    def undo_refuse(
+        self, sender: model.Address, receiver: model.Address
+    ) -> None:
+        """Undoes one refusal of connections between two hosts."""
+        self._refused[sender, receiver] -= 1
+
+    def is_refused(
+        self, sender: model.Address, receiver: model.Address
+    ) -> bool:
+        """Whether connections from one host to another are refused."""
+        return self._refused[sender, receiver] > 0
+
     def lose(
         self, sender: model.Address, receiver: model.Address, ratio: float
     ) -> None:
@@ -176,7 +200,8 @@
             await anyio.sleep_forever()
         await self._network.cross(self._sender, self._receiver)
         process = self._network.find(self._receiver)
-        if process is None:
+        is_refused = self._network.is_refused(self._sender, self._receiver)
+        if process is None or is_refused:
             return exchanges.Unsent("connection refused", refused=True)
         path = request.split(b" ", 2)[1].decode()
         self._network.message_count[path] += 1
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/search.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/search.py
@@ -207,6 +207,12 @@
     return tuple(sorted(draw_key_moves(seed) + cuts))
 
 
+def draw_domain_cuts(seed: int) -> tuple[faults.Event, ...]:
+    """Returns the events of a seed, with cuts of failure domains."""
+    cuts = link_faults.draw_domain_cuts(seed, _LENGTH_S)
+    return tuple(sorted(draw_all(seed) + cuts))
+
+
 def _draw_key_moves_with(name: str) -> Draw:
     """Returns a draw that adds events of one kind to ``draw_key_moves``."""
 
@@ -223,6 +229,7 @@
     "moving": draw_key_moves,
     "links": draw_links,
     "moving links": draw_moves_and_links,
+    "domains": draw_domain_cuts,
     "lossy": _draw_key_moves_with(move_faults.LOSSY),
     "mistaken": _draw_key_moves_with(move_faults.MISTAKEN),
     "unlisted": _draw_key_moves_with(move_faults.UNLISTED),
--- a/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leadership.py
@@ -196,9 +196,9 @@
         # to be alone at the last check.
         self._last_round: relay_rounds.RelayRound | None = None
         self._was_sole = False
-        # When a majority of the instances was first known to have accepted the
-        # newest claim, and when all were; infinite before that.
-        self._majority_known_s = float("inf")
+        # When half of the instances were first known to know of the newest
+        # claim, and when all were; infinite before that.
+        self._half_known_s = float("inf")
         self._known_to_all_s = float("inf")
 
     @property
@@ -221,18 +221,18 @@
         return self.term if self.is_leader and self._sole.is_certain else None
 
     @property
-    def majority_known_s(self) -> float:
-        """When a majority was first known to follow this leader.
+    def half_known_s(self) -> float:
+        """When half of the instances were first known to know of this leader.
 
         On the monotonic clock; infinite before that. From then on a previous
         leader gets no confirmation from a majority any more, so leases that it
         renewed run out within a bounded time.
         """
-        return self._majority_known_s
+        return self._half_known_s
 
     @property
     def known_to_all_s(self) -> float:
-        """When all instances were first known to follow, or to have ended.
+        """When all instances were first known to know of this leader.
 
         On the monotonic clock; infinite before that. From then on no process is
         left that may follow a previous leader, so a shorter wait for that
@@ -255,12 +255,15 @@
             self._journal.decision("lead_disputed", term=relay_round.term)
             return
         self._sole.note_round(relay_round)
-        if relay_round.is_majority and relay_round.sent_s >= self._disputed_s:
+        if relay_round.sent_s < self._disputed_s:
+            return
+        if relay_round.is_majority:
             self._confirm_since(relay_round.sent_s, _Basis.MAJORITY)
-            now_s = self._clock.monotonic_s()
-            self._majority_known_s = min(self._majority_known_s, now_s)
-            if relay_round.is_unanimous:
-                self._known_to_all_s = min(self._known_to_all_s, now_s)
+        now_s = self._clock.monotonic_s()
+        if relay_round.excludes_others:
+            self._half_known_s = min(self._half_known_s, now_s)
+        if relay_round.is_unanimous:
+            self._known_to_all_s = min(self._known_to_all_s, now_s)
 
     def _confirm_since(self, requested_s: float, basis: _Basis) -> None:
         """Records a confirmation, unless a later one is known."""
@@ -534,7 +537,7 @@
         self._basis = _Basis.LOG
         self._last_round = None
         self._begin_sole_lead(asked_s, records)
-        self._majority_known_s = float("inf")
+        self._half_known_s = float("inf")
         self._known_to_all_s = float("inf")
         self.is_leader = True
         self._journal.lifecycle("leads", term=claim.term)
--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -51,10 +51,10 @@
     drift_ratio: float = 1.02
     # Covers the time between sending an order and its receipt by the server.
     expiry_margin_s: float = 0.15
-    # A previous leader may still send orders for this long after a majority
-    # knows of the next leader: its confirmation is valid for 1.5 s, and an
-    # order in flight for 0.5 s. Once all instances know of the next leader,
-    # only an order in flight remains possible.
+    # A previous leader may still send orders for this long after half of the
+    # instances know of the next leader: its confirmation is valid for 1.5 s,
+    # and an order in flight for 0.5 s. Once all instances know of the next
+    # leader, only an order in flight remains possible.
     previous_leader_s: float = 2.0
     previous_order_s: float = 0.5
     # A grant is answered within 2 ms; a release is answered only after running
@@ -89,12 +89,12 @@
         """Whether this instance is certain to be the leader now."""
 
     @property
-    def majority_known_s(self) -> float:
-        """When a majority first knew of its leadership; infinite before."""
+    def half_known_s(self) -> float:
+        """When half of the instances first knew of it; infinite before."""
 
     @property
     def known_to_all_s(self) -> float:
-        """When every other instance had learned of it or terminated."""
+        """When all instances first knew of it; infinite before."""
 
 
 class _HungServer(NamedTuple):
@@ -594,7 +594,7 @@
         """Returns until when an order of a previous leader may take effect."""
         settings = self._settings
         return min(
-            self._lead.majority_known_s + settings.previous_leader_s,
+            self._lead.half_known_s + settings.previous_leader_s,
             self._lead.known_to_all_s + settings.previous_order_s,
         )
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -138,8 +138,11 @@
     DISPUTED = "disputed"
     """The peer knows of a later leader."""
 
-    ENDED = "ended"
-    """No process listens at the address."""
+    REFUSED = "refused"
+    """The address refused the connection.
+
+    No process listens there, or something on the way rejects packets.
+    """
 
     UNKNOWN = "unknown"
     """No usable answer came, or calls to the peer are paused."""
@@ -337,8 +340,8 @@
     ) -> _CallResult:
         """Posts a message, unless calls to the peer are paused."""
         if self.is_paused(address):
-            # This does not apply to a terminated peer, which is called each
-            # time, since it may have restarted.
+            # This does not apply to a peer that refuses connections: a call
+            # costs little there, and it may have restarted.
             return _CallResult(Reception.UNKNOWN)
         return await self._call_now(address, path, body)
 
@@ -360,9 +363,9 @@
             reason = f"status {result.status}"
         else:
             reason = result.reason
-        ended = isinstance(result, exchange.Unsent) and result.refused
-        self._note_failure(address, reason, len(body), ended=ended)
-        return _CallResult(Reception.ENDED if ended else Reception.UNKNOWN)
+        refused = isinstance(result, exchange.Unsent) and result.refused
+        self._note_failure(address, reason, len(body), refused=refused)
+        return _CallResult(Reception.REFUSED if refused else Reception.UNKNOWN)
 
     def _note_answer(self, address: model.Address) -> None:
         """Records that a peer answered."""
@@ -378,7 +381,7 @@
         reason: str,
         length_bytes: int,
         *,
-        ended: bool,
+        refused: bool,
     ) -> None:
         """Records a call that failed, and pauses calls to the peer.
 
@@ -389,7 +392,7 @@
         if not self._is_known_unresponsive(address, now_s):
             self._unresponsive_since_s[address] = now_s
         self._last_failure_s[address] = now_s
-        if ended:
+        if refused:
             self._silent.discard(address)
             self._pauses.pop(address, None)
         else:
@@ -397,7 +400,7 @@
         is_short = length_bytes <= self._settings.short_max_bytes
         if is_short and self.is_paused(address):
             return
-        if not ended:
+        if not refused:
             until_s = now_s + self._settings.pause_s
             self._pauses[address] = _Pause(until_s, is_short)
         self._journal.decision("peer_lost", address=str(address), reason=reason)
--- a/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/relaying.py
@@ -48,11 +48,6 @@
     message_max_bytes: int = 60_000
 
 
-_COUNTS_AS_ENDED = peers.Reception.ENDED
-"""How an instance that has just started is counted: its earlier run, which may
-have followed a later leader, has ended, and its new run follows nobody else."""
-
-
 class _EncodedRelay(NamedTuple):
     """A message for all instances that know the same offsets."""
 
@@ -158,6 +153,7 @@
         list_offset = self._state.instances_offset
         list_age_s = self._state.instances_age_s
         received: dict[model.Address, peers.Reception] = {}
+        just_started: set[model.Address] = set()
         messages: dict[tuple[cluster_state.Offsets, bool], _EncodedRelay] = {}
         polled = self._choose_polled()
 
@@ -173,11 +169,9 @@
                     claim, known, wants_batches=peer in polled
                 )
             answer = await self._send(peer, messages[variant])
-            received[peer] = (
-                answer.reception
-                if answer.reply.counts_for_majority
-                else _COUNTS_AS_ENDED
-            )
+            received[peer] = answer.reception
+            if not answer.reply.counts_for_majority:
+                just_started.add(peer)
             if answer.reply.offsets:
                 tasks.start_soon(self._catch_up, peer, claim)
             if self._client.may_be_silent(peer):
@@ -186,12 +180,14 @@
         async with anyio.create_task_group() as calls:
             for peer in self._addresses():
                 calls.start_soon(send_to, peer)
+        accepted = _find_all(received, peers.Reception.ACCEPTED)
         relay_round = relay_rounds.RelayRound(
             claim.term,
             sent_s,
             peers=frozenset(received),
-            accepted=_find_all(received, peers.Reception.ACCEPTED),
-            ended=_find_all(received, peers.Reception.ENDED),
+            accepted=accepted - just_started,
+            restarted=accepted & just_started,
+            refused=_find_all(received, peers.Reception.REFUSED),
             is_disputed=peers.Reception.DISPUTED in received.values(),
             list_offset=list_offset,
             list_age_s=list_age_s,
--- a/libs/bridgecross-entry/src/bridgecross_entry/sole_lead.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/sole_lead.py
@@ -3,14 +3,15 @@
 A leader is certain while all of this holds:
 
 1. The log names the voters (``voters``), and it is one of them.
-2. No earlier leader can be certain any more. Half of the voters follow this
-   leader or have ended, so no earlier one gets a majority, and the last
-   majority of an earlier one is no longer valid. Or this leader has led for
-   longer than an earlier one may be certain without the log.
+2. No earlier leader can be certain any more. Half of the voters know of this
+   leader, so no earlier one gets a majority, and the last majority of an
+   earlier one is no longer valid. Or this leader has led for longer than an
+   earlier one may be certain without the log.
 3. No later leader is certain yet: a majority of the voters accepted a recent
-   heartbeat. If some of that majority have ended, a recent read of the log also
-   showed no later claim, since they may have started again and follow a later
-   leader. That one waits for as long as such a confirmation is valid.
+   heartbeat. If some of that majority have just started, or refused the
+   connection, a recent read of the log also showed no later claim, since they
+   may follow a later leader. That one waits for as long as such a confirmation
+   is valid.
 4. The log showed no later claim for a bounded time; a longer one if all voters
    followed meanwhile.
 
@@ -89,16 +90,16 @@
         self._counts_list = False
         # When this instance began to lead.
         self._led_s = float("inf")
-        # When half of the voters, and all of them, were first known to follow
-        # or to have ended.
+        # When half of the voters, and all of them, first knew of this leader.
         self._half_known_s = float("inf")
         self._all_known_s = float("inf")
         # Whether no earlier leader can be certain any more; stays true.
         self._is_settled = False
         # When the last heartbeat was sent that a majority accepted, and the
-        # last one for which that holds if those that have ended are counted.
+        # last one for which that holds if those are counted that have just
+        # started or refused the connection.
         self._accepted_s = float("-inf")
-        self._accepted_or_ended_s = float("-inf")
+        self._not_silent_s = float("-inf")
         # When the log last showed this instance's claim as the newest.
         self._log_s = float("-inf")
         # The same, or when all voters followed, without a gap that is too long.
@@ -116,7 +117,7 @@
     @property
     def _confirmed_s(self) -> float:
         """When the last confirmation that no later leader is certain began."""
-        with_log_s = min(self._accepted_or_ended_s, self._log_s)
+        with_log_s = min(self._not_silent_s, self._log_s)
         return max(self._accepted_s, with_log_s)
 
     @property
@@ -190,7 +191,7 @@
         self._all_known_s = float("inf")
         self._is_settled = False
         self._accepted_s = float("-inf")
-        self._accepted_or_ended_s = float("-inf")
+        self._not_silent_s = float("-inf")
         self._log_s = asked_s
         self._unrivalled_s = asked_s
         self._read_s = float("-inf")
@@ -206,17 +207,18 @@
             self._sets = self._inherited.add(listed)
         now_s = self._clock.monotonic_s()
         living = relay_round.accepted | {self._own}
-        living_or_ended = living | relay_round.ended
+        informed = living | relay_round.restarted
         if self._sets.have_majority(living):
             self._accepted_s = max(self._accepted_s, sent_s)
-        if self._sets.have_majority(living_or_ended):
-            self._accepted_or_ended_s = max(self._accepted_or_ended_s, sent_s)
-        if self._sets.have_half(living_or_ended):
+        if self._sets.have_majority(informed | relay_round.refused):
+            self._not_silent_s = max(self._not_silent_s, sent_s)
+        if self._sets.have_half(informed):
             self._half_known_s = min(self._half_known_s, now_s)
-        if self._sets.are_within(living_or_ended):
+        if self._sets.are_within(informed):
             self._all_known_s = min(self._all_known_s, now_s)
             missing_s = sent_s - self._unrivalled_s
-            # After that long one that has ended may have led meanwhile.
+            # After that long, the earlier run of one that has just started may
+            # have led.
             is_gap = missing_s >= self._settings.missing_max_s
             if not is_gap or self._sets.are_within(living):
                 self._unrivalled_s = max(self._unrivalled_s, sent_s)
@@ -225,7 +227,7 @@
         """Records that another instance knows of a later claim."""
         self._disputed_s = self._clock.monotonic_s()
         self._accepted_s = float("-inf")
-        self._accepted_or_ended_s = float("-inf")
+        self._not_silent_s = float("-inf")
         self._unrivalled_s = float("-inf")
 
     def note_newest_in_log(self, asked_s: float) -> None:
@@ -251,7 +253,7 @@
         settings = self._settings
         now_s = self._clock.monotonic_s()
         read_ago_s = now_s - self._read_s
-        if is_needed and self._accepted_or_ended_s > self._confirmed_s:
+        if is_needed and self._not_silent_s > self._confirmed_s:
             is_old = self.confirmed_ago_s > settings.confirmation_renew_age_s
             if is_old and read_ago_s >= settings.confirmation_read_interval_s:
                 return True
--- a/libs/bridgecross-entry/tests/entry_fakes.py
+++ b/libs/bridgecross-entry/tests/entry_fakes.py
@@ -221,7 +221,7 @@
     def __init__(self) -> None:
         self.may_order = True
         # In the past, so that no earlier leader sends orders any more.
-        self.majority_known_s = float("-inf")
+        self.half_known_s = float("-inf")
         self.known_to_all_s = float("-inf")
 
 
--- a/libs/bridgecross-entry/tests/leadership_support.py
+++ b/libs/bridgecross-entry/tests/leadership_support.py
@@ -25,18 +25,31 @@
 
 
 def make_round(
-    term, sent_s, others_count, *, accepted=0, ended=0, disputed=False, own=0
+    term,
+    sent_s,
+    others_count,
+    *,
+    accepted=0,
+    restarted=0,
+    refused=0,
+    disputed=False,
+    own=0,
 ):
-    """Returns a round in which the first others accepted, the last ended."""
+    """Returns a round in which the first others accepted.
+
+    The last ones have just started, and those before them refuse connections.
+    """
     count = others_count + 1
     others = [make_address(n) for n in range(count) if n != own]
+    running = others[: others_count - restarted]
     return relay_rounds.RelayRound(
         term,
         sent_s,
         frozenset(others),
         frozenset(others[:accepted]),
-        frozenset(others[others_count - ended :]),
-        disputed,
+        restarted=frozenset(others[others_count - restarted :]),
+        refused=frozenset(running[len(running) - refused :]),
+        is_disputed=disputed,
     )
 
 
--- a/libs/bridgecross-entry/tests/test_coordinator.py
+++ b/libs/bridgecross-entry/tests/test_coordinator.py
@@ -74,7 +74,7 @@
     _, lease_servers, bench = _make("a", "b")
     async with _running(bench):
         await fakes.wait_until(lambda: lease_servers.holder(KEY) == "a")
-        bench.lead.majority_known_s = time.monotonic()
+        bench.lead.half_known_s = time.monotonic()
         bench.lead.known_to_all_s = float("inf")
         bench.registry.put(support.make_server("a", leaving=True))
         await anyio.sleep(0.15)
--- a/libs/bridgecross-entry/tests/test_leadership.py
+++ b/libs/bridgecross-entry/tests/test_leadership.py
@@ -26,7 +26,14 @@
 
 
 def _make_round(
-    term, peers, *, accepted=0, ended=0, disputed=False, sent_s=None
+    term,
+    peers,
+    *,
+    accepted=0,
+    restarted=0,
+    refused=0,
+    disputed=False,
+    sent_s=None,
 ):
     if sent_s is None:
         sent_s = clock.SystemClock().monotonic_s()
@@ -35,7 +42,8 @@
         sent_s,
         peers,
         accepted=accepted,
-        ended=ended,
+        restarted=restarted,
+        refused=refused,
         disputed=disputed,
     )
 
@@ -244,24 +252,49 @@
 
 
 @pytest.mark.parametrize(
-    ("peers", "accepted", "ended", "expected"),
+    ("peers", "accepted", "restarted", "refused", "expected"),
     [
-        pytest.param(0, 0, 0, True, id="alone"),
-        pytest.param(10, 5, 0, True, id="most follow"),
-        pytest.param(10, 4, 0, False, id="too few follow"),
-        pytest.param(3, 1, 0, False, id="half follow"),
-        pytest.param(10, 1, 8, True, id="most have ended"),
-        pytest.param(1, 0, 0, False, id="the only other is silent"),
-        pytest.param(1, 0, 1, True, id="the only other has ended"),
+        pytest.param(0, 0, 0, 0, True, id="alone"),
+        pytest.param(10, 5, 0, 0, True, id="most follow"),
+        pytest.param(10, 4, 0, 0, False, id="too few follow"),
+        pytest.param(3, 1, 0, 0, False, id="half follow"),
+        pytest.param(10, 1, 8, 0, True, id="most have just started"),
+        pytest.param(10, 1, 0, 8, False, id="most refuse connections"),
+        pytest.param(10, 4, 0, 6, False, id="all others refuse"),
+        pytest.param(1, 0, 0, 0, False, id="the only other is silent"),
+        pytest.param(1, 0, 1, 0, True, id="the only other has just started"),
+        pytest.param(1, 0, 0, 1, False, id="the only other refuses"),
     ],
 )
-def test_a_majority_counts_who_follows_and_who_has_ended(
-    peers, accepted, ended, expected
+def test_a_majority_counts_who_follows_and_who_has_just_started(
+    peers, accepted, restarted, refused, expected
 ):
-    relay_round = _make_round(1, peers, accepted=accepted, ended=ended)
+    relay_round = _make_round(
+        1, peers, accepted=accepted, restarted=restarted, refused=refused
+    )
     assert relay_round.is_majority is expected
 
 
+# Guards against a wait for an earlier leader's orders that ends too early.
+@pytest.mark.parametrize(
+    ("peers", "accepted", "restarted", "refused", "expected"),
+    [
+        pytest.param(1, 0, 0, 1, True, id="1 of 2, which refuses"),
+        pytest.param(2, 0, 0, 2, False, id="1 of 3"),
+        pytest.param(3, 1, 0, 2, True, id="2 of 4"),
+        pytest.param(10, 4, 0, 6, False, id="5 of 11"),
+        pytest.param(10, 2, 3, 5, True, id="6 of 11, some have just started"),
+    ],
+)
+def test_half_of_the_instances_exclude_another_majority(
+    peers, accepted, restarted, refused, expected
+):
+    relay_round = _make_round(
+        1, peers, accepted=accepted, restarted=restarted, refused=refused
+    )
+    assert relay_round.excludes_others is expected
+
+
 async def _lead_alone(manual, platform_log):
     """Returns a leader whose clock the test sets."""
     leading = leadership.Leadership(
@@ -330,11 +363,11 @@
 async def test_a_majority_counts_only_once_it_accepted_a_heartbeat():
     manual = support.ManualClock()
     leading = await _lead_alone(manual, fakes.MemoryLog())
-    assert leading.majority_known_s == float("inf")
+    assert leading.half_known_s == float("inf")
     leading.note_relay_round(_make_round(leading.term, 2, accepted=0))
-    assert leading.majority_known_s == float("inf")
+    assert leading.half_known_s == float("inf")
     leading.note_relay_round(_make_round(leading.term, 2, accepted=1))
-    assert leading.majority_known_s == manual.now_s
+    assert leading.half_known_s == manual.now_s
 
 
 def test_weak_machines_come_after_all_others():
@@ -356,12 +389,20 @@
     assert member.leadership._rank() == 18
 
 
-async def test_all_follow_once_each_has_accepted_or_ended():
+# Guards against a shorter wait while an earlier leader is behind a cut that
+# refuses connections.
+async def test_all_know_of_a_leader_once_each_has_accepted_or_restarted():
     manual = support.ManualClock()
     leading = await _lead_alone(manual, fakes.MemoryLog())
     leading.note_relay_round(_make_round(leading.term, 4, accepted=3))
     assert leading.known_to_all_s == float("inf")
-    leading.note_relay_round(_make_round(leading.term, 4, accepted=2, ended=2))
+    leading.note_relay_round(
+        _make_round(leading.term, 4, accepted=2, refused=2)
+    )
+    assert leading.known_to_all_s == float("inf")
+    leading.note_relay_round(
+        _make_round(leading.term, 4, accepted=2, restarted=2)
+    )
     assert leading.known_to_all_s == manual.now_s
 
 
@@ -427,14 +468,14 @@
     assert member.leadership.knows_claims
 
 
-def _note_majority(leading, manual, *, accepted=2, ended=0, peers=4):
+def _note_majority(leading, manual, *, accepted=2, restarted=0, peers=4):
     """Records that a majority of five accepts a heartbeat that is sent now."""
     leading.note_relay_round(
         _make_round(
             leading.term,
             peers,
             accepted=accepted,
-            ended=ended,
+            restarted=restarted,
             sent_s=manual.now_s,
         )
     )
@@ -459,7 +500,7 @@
 async def test_a_leader_is_alone_as_soon_as_all_follow_it():
     manual = support.ManualClock()
     leading = await _lead_alone(manual, fakes.MemoryLog())
-    _note_majority(leading, manual, accepted=3, ended=1)
+    _note_majority(leading, manual, accepted=3, restarted=1)
     assert leading.sole_term == leading.term
 
 
--- a/libs/bridgecross-entry/tests/test_leadership_orders.py
+++ b/libs/bridgecross-entry/tests/test_leadership_orders.py
@@ -214,7 +214,7 @@
     await scene.leadership._try_claim()
     assert scene.leadership.term == 2
     scene.leadership.note_relay_round(earlier)
-    assert scene.leadership.majority_known_s == float("inf")
+    assert scene.leadership.half_known_s == float("inf")
 
 
 # Guards against a leader that counts for the majority of another one.
--- a/libs/bridgecross-entry/tests/test_leases.py
+++ b/libs/bridgecross-entry/tests/test_leases.py
@@ -167,7 +167,7 @@
 @pytest.mark.parametrize(
     ("attribute", "wait_s"),
     [
-        pytest.param("majority_known_s", 0.2, id="a majority knows"),
+        pytest.param("half_known_s", 0.2, id="a majority knows"),
         pytest.param("known_to_all_s", 0.05, id="all know"),
     ],
 )
@@ -177,7 +177,7 @@
     """They expire by the time at which others learned of this leader."""
     manual = support.ManualClock()
     lease_manager = _make_lease_manager(lease_servers, lead, manual)
-    lead.majority_known_s = lead.known_to_all_s = float("inf")
+    lead.half_known_s = lead.known_to_all_s = float("inf")
     lease_manager.assume_held(RANGES)
     manual.now_s += 60
     assert not lease_manager._leases_expired(A)
@@ -266,7 +266,7 @@
 # was still valid.
 async def test_a_second_answer_waits_for_what_an_earlier_leader_renewed(lead):
     begun_s = time.monotonic()
-    lead.majority_known_s, lead.known_to_all_s = begun_s, math.inf
+    lead.half_known_s, lead.known_to_all_s = begun_s, math.inf
     servers_of_a = LostReleases(begun_s)
     lease_manager = _make_lease_manager(servers_of_a, lead, clock.SystemClock())
     moving = keymap.KeyRange(0, 9, ids.ServerId("b"), 2, A)
@@ -470,7 +470,7 @@
     begun_s = loop.monotonic_s()
     restarting = Restarting(loop, begun_s + least_s)
     lease_manager = _make_lease_manager(restarting, lead, loop)
-    lead.majority_known_s = begun_s
+    lead.half_known_s = begun_s
     lead.known_to_all_s = begun_s if known_to_all else float("inf")
     moving = keymap.KeyRange(0, 9, ids.ServerId("b"), 2, A)
     with contextlib.closing(loop):
@@ -487,7 +487,7 @@
     slow = SlowReleases()
     lease_manager = _make_lease_manager(slow, lead, clock.SystemClock())
     next_lead = fakes.Lead()
-    next_lead.majority_known_s, next_lead.known_to_all_s = (
+    next_lead.half_known_s, next_lead.known_to_all_s = (
         time.monotonic(),
         math.inf,
     )
--- a/libs/bridgecross-entry/tests/test_peers.py
+++ b/libs/bridgecross-entry/tests/test_peers.py
@@ -33,13 +33,13 @@
     [
         pytest.param(
             [REFUSED, ACCEPTED],
-            [peers.Reception.ENDED, peers.Reception.ACCEPTED],
+            [peers.Reception.REFUSED, peers.Reception.ACCEPTED],
             id="it has started again",
         ),
         pytest.param(
             [REFUSED, REFUSED],
-            [peers.Reception.ENDED, peers.Reception.ENDED],
-            id="nobody listens yet",
+            [peers.Reception.REFUSED, peers.Reception.REFUSED],
+            id="nobody listens yet, or a cut refuses",
         ),
         pytest.param(
             [SILENT],
@@ -48,7 +48,7 @@
         ),
     ],
 )
-async def test_only_an_instance_that_was_called_is_known_to_have_ended(
+async def test_only_an_instance_that_was_called_is_known_to_refuse(
     results, expected
 ):
     real = clock.SystemClock()
@@ -96,8 +96,8 @@
     assert not client.may_be_silent(ADDRESS)
 
 
-async def test_an_instance_that_has_ended_is_not_silent():
-    """It counts as ended in the next round."""
+async def test_an_instance_that_refuses_connections_is_not_silent():
+    """It is called in the next round."""
     manual = support.ManualClock()
     peer = Peer(SILENT, REFUSED)
     client = peers.PeerClient(
@@ -108,7 +108,7 @@
     )
     await client.relay(ADDRESS, b"", None)
     answer = await client.relay_despite_pause(ADDRESS, b"", None)
-    assert answer.reception is peers.Reception.ENDED
+    assert answer.reception is peers.Reception.REFUSED
     assert not client.may_be_silent(ADDRESS)
 
 
--- a/libs/bridgecross-entry/tests/test_relaying.py
+++ b/libs/bridgecross-entry/tests/test_relaying.py
@@ -354,11 +354,11 @@
     scene.logs[0].unavailable_topics = {cluster_state.INSTANCE_TOPIC}
     await scene.leader.reader.read()
     await scene.leader.broadcast()
-    assert scene.leader.lead.majority_known_s == float("inf")
+    assert scene.leader.lead.half_known_s == float("inf")
     scene.logs[0].unavailable_topics = set()
     await scene.leader.reader.read()
     await scene.leader.broadcast()
-    assert scene.leader.lead.majority_known_s < float("inf")
+    assert scene.leader.lead.half_known_s < float("inf")
 
 
 async def test_just_started_instance_counts_for_no_majority():
@@ -368,10 +368,13 @@
     scene.set_knows_claims(False)
     scene.leader.peer_client.unreachable = {scene.others[1].address}
     await scene.leader.broadcast()
-    assert scene.leader.lead.majority_known_s == float("inf")
+    assert not scene.leader.lead._last_round.is_majority
+    # It knows of this leader now, and accepts no earlier one.
+    assert scene.leader.lead._last_round.excludes_others
+    assert scene.leader.lead.known_to_all_s == float("inf")
     scene.set_knows_claims(True)
     await scene.leader.broadcast()
-    assert scene.leader.lead.majority_known_s < float("inf")
+    assert scene.leader.lead._last_round.is_majority
 
 
 async def test_instance_without_the_list_counts_no_majority():
@@ -379,11 +382,11 @@
     scene.logs[0].unavailable_topics = {cluster_state.INSTANCE_TOPIC}
     await scene.read()
     await scene.leader.broadcast()
-    assert scene.leader.lead.majority_known_s == float("inf")
+    assert scene.leader.lead.half_known_s == float("inf")
     scene.logs[0].unavailable_topics = set()
     await scene.read()
     await scene.leader.broadcast()
-    assert scene.leader.lead.majority_known_s < float("inf")
+    assert scene.leader.lead.half_known_s < float("inf")
 
 
 class _HeldTasks:
--- a/libs/bridgecross-entry/tests/test_sole_lead.py
+++ b/libs/bridgecross-entry/tests/test_sole_lead.py
@@ -22,25 +22,30 @@
             named, counts_list=counts_list, asked_s=self.clock.now_s
         )
 
-    def note_round(self, accepted, ended=0, listed=_VOTERS):
-        """Lets the first others accept a heartbeat, the last have ended."""
+    def note_round(self, accepted, restarted=0, refused=0, listed=_VOTERS):
+        """Lets the first others accept a heartbeat.
+
+        The last ones have just started, and those before refuse connections.
+        """
         others = sorted(listed - {_OWN}, key=str)
+        running = others[: len(others) - restarted]
         self.lead.note_round(
             relay_rounds.RelayRound(
                 0,
                 self.clock.now_s,
                 frozenset(others),
                 frozenset(others[:accepted]),
-                frozenset(others[len(others) - ended :]),
+                restarted=frozenset(others[len(others) - restarted :]),
+                refused=frozenset(running[len(running) - refused :]),
                 is_disputed=False,
             )
         )
 
-    def pass_s(self, for_s, accepted, ended=0):
+    def pass_s(self, for_s, accepted, restarted=0, refused=0):
         """Lets time pass with a round each half second."""
         for _ in range(round(for_s / 0.5)):
             self.clock.now_s += 0.5
-            self.note_round(accepted, ended)
+            self.note_round(accepted, restarted, refused)
 
 
 def _make_certain():
@@ -81,18 +86,19 @@
 
 
 @pytest.mark.parametrize(
-    ("accepted", "ended", "settles"),
+    ("accepted", "restarted", "refused", "settles"),
     [
-        pytest.param(1, 0, False, id="2 of 5"),
-        pytest.param(2, 0, True, id="3 of 5"),
-        pytest.param(1, 1, True, id="2 of 5 and one has ended"),
+        pytest.param(1, 0, 0, False, id="2 of 5"),
+        pytest.param(2, 0, 0, True, id="3 of 5"),
+        pytest.param(1, 1, 0, True, id="2 of 5 and one has just started"),
+        pytest.param(1, 0, 3, False, id="2 of 5, the others refuse"),
     ],
 )
-def test_earlier_leaders_are_waited_for(accepted, ended, settles):
+def test_earlier_leaders_are_waited_for(accepted, restarted, refused, settles):
     scene = _Scene()
-    scene.note_round(accepted, ended)
+    scene.note_round(accepted, restarted, refused)
     scene.clock.now_s += _SETTINGS.confirmation_valid_s
-    scene.note_round(accepted, ended)
+    scene.note_round(accepted, restarted, refused)
     scene.lead.note_newest_in_log(scene.clock.now_s)
     assert not scene.lead.is_settled
     assert not scene.lead.is_certain
@@ -119,10 +125,30 @@
     assert scene.lead.needs_change(frozenset([_OWN]))
 
 
+# Guards against a leader that is alone beside an earlier one, since it takes
+# refused connections of voters behind a cut for their ends.
+def test_voters_that_refuse_connections_settle_nothing():
+    scene = _Scene()
+    scene.note_round(accepted=2, refused=2)
+    assert not scene.lead.is_settled
+    scene.note_round(accepted=2, restarted=2)
+    assert scene.lead.is_settled
+
+
+# Guards against a leader behind a cut that stays alone without the log.
+def test_voters_that_refuse_connections_do_not_follow():
+    scene = _make_certain()
+    scene.pass_s(_SETTINGS.missing_max_s - 0.5, accepted=3, refused=1)
+    assert scene.lead.is_certain
+    scene.pass_s(0.5, accepted=3, refused=1)
+    assert not scene.lead.is_certain
+
+
 # Guards against two that are alone while voters end and start again.
-def test_voters_that_have_ended_confirm_only_with_the_log():
+@pytest.mark.parametrize("state", ["restarted", "refused"])
+def test_voters_that_do_not_follow_confirm_only_with_the_log(state):
     scene = _make_certain()
-    scene.pass_s(4.0, accepted=1, ended=3)
+    scene.pass_s(4.0, accepted=1, **{state: 3})
     assert not scene.lead.is_certain
     assert scene.lead.should_read(is_needed=True)
     scene.lead.note_newest_in_log(scene.clock.now_s)
@@ -130,14 +156,14 @@
 
 
 # Guards against a leader that returns after its voters were replaced.
-def test_after_a_gap_voters_that_have_ended_do_not_stand_for_the_log():
+def test_after_a_gap_voters_that_have_restarted_do_not_stand_for_the_log():
     scene = _make_certain()
     scene.pass_s(9.0, accepted=3)
     assert scene.lead.is_certain
-    scene.note_round(accepted=3, ended=1)
+    scene.note_round(accepted=3, restarted=1)
     scene.pass_s(11.0, accepted=3)
     assert not scene.lead.is_certain
-    scene.note_round(accepted=3, ended=1)
+    scene.note_round(accepted=3, restarted=1)
     assert not scene.lead.is_certain
     scene.note_round(accepted=4)
     assert scene.lead.is_certain
--- a/tests/emulated/mutants.py
+++ b/tests/emulated/mutants.py
@@ -17,6 +17,7 @@
 from bridgecross_entry import leadership
 from bridgecross_entry import leases
 from bridgecross_entry import proofs
+from bridgecross_entry import relay_rounds
 from bridgecross_entry import server_list
 from bridgecross_entry import servers
 from bridgecross_request import poison_requests
@@ -145,6 +146,18 @@
     return mock.patch.object(leadership.Leadership, "may_order", leads)
 
 
+def _take_refusals_for_ends():
+    """An instance whose address refuses connections counts as ended."""
+
+    def is_majority(self):
+        running_count = len(self.peers - self.restarted - self.refused) + 1
+        return 2 * (len(self.accepted) + 1) > running_count
+
+    return mock.patch.object(
+        relay_rounds.RelayRound, "is_majority", property(is_majority)
+    )
+
+
 class _Forgetful(set[int]):
     """A set that ignores additions."""
 
@@ -242,7 +255,7 @@
         _wait_for_no_work, _RESTS, 1, search.draw_key_moves
     ),
     "who asked before is forgotten": Mutant(
-        _forget_who_asked_before, _RESTS, 9, search.draw_key_moves
+        _forget_who_asked_before, _RESTS, 85, search.draw_key_moves
     ),
     "runs are taken for ended": Mutant(
         _take_runs_for_ended, _RESTS, 1, search.draw_key_moves
@@ -253,6 +266,9 @@
     "orders without a confirmed lead": Mutant(
         _order_unconfirmed, _RESTS, 35, search.draw_key_moves
     ),
+    "refused connections count as ends of instances": Mutant(
+        _take_refusals_for_ends, "one owner a key", 24, search.draw_domain_cuts
+    ),
     "what moves is moved on": Mutant(
         _move_what_moves, _RESTS, 33, search.draw_key_moves
     ),
--- a/tests/emulated/test_search.py
+++ b/tests/emulated/test_search.py
@@ -11,6 +11,7 @@
 # CI always simulates the same clusters; other seeds are run by hand.
 CI_SEEDS = range(1, 13)
 KEY_MOVES_SEEDS = (1, 3)
+DOMAIN_CUTS_SEEDS = (24, 26, 50)
 
 
 @pytest.mark.parametrize("seed", CI_SEEDS)
@@ -32,6 +33,11 @@
         assert search.simulate(events).violations == ()
 
 
+@pytest.mark.parametrize("seed", DOMAIN_CUTS_SEEDS)
+def test_a_cluster_keeps_its_guarantees_while_domains_are_cut_off(seed):
+    assert search.simulate(search.draw_domain_cuts(seed)).violations == ()
+
+
 @pytest.mark.parametrize("seed", KEY_MOVES_SEEDS)
 def test_a_cluster_keeps_its_guarantees_while_keys_move(seed):
     result = search.simulate(search.draw_key_moves(seed))
