Bound what an exchange receives, and what all of them hold

Seen by callers: none yet; reported for servers in trouble. A server that sends a name, a value, headers, trailers, a reason, a chunk's extension, interim answers or answers to others without end kept its request until the deadline while the instance received as fast as the link allowed. At the first entrance interim answers went on beyond the deadline, and a body behind a refusal filled 1,042 MB in 4 s.

Cause: the parser bounds no part of a head, the bound on bodies was that of one answer, answers in progress were not counted together, and the timeouts of the first entrance's client are those of a single read.

Change: an exchange counts all bytes and those of bodies. What is no body may have 64 KiB and a quarter of the bodies, whatever part it is; bodies together 64 MiB, and the ledger counts them from 16 KiB on. Bytes are parsed in pieces, so other callers wait for one piece at most. Such an exchange is broken: the request may have run, the connection is closed, a line and a counter tell of it. The first entrance has a bound on the bytes of each request's answer, and its deadline ends the whole exchange.

--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_platform.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_platform.py
@@ -10,10 +10,13 @@
 from bridgecross_daemon import ports
 from bridgecross_ownership import leases
 from bridgecross_ownership import membership as memberships
+from bridgecross_request import bounded_streams
 from bridgecross_request import runner as runners
 
 _LIST_TIMEOUT_S = 2.0
 _LEASE_MAX_CONNECTIONS = 2
+_LEASE_ANSWER_MAX_BYTES = 1024 * 1024
+"""An answer lists the slices that a server holds, at 50 bytes each."""
 _HTTP_ERRORS = (
     httpcore.NetworkError,
     httpcore.TimeoutException,
@@ -131,14 +134,16 @@
         limit_s = request.lease_ms / 1_000
         phases = ("connect", "read", "write", "pool")
         try:
-            response = await self._find_pool(address).request(
-                "PUT",
-                f"http://{address}/bridgecross/lease",
-                content=codec.to_json(request).encode(),
-                extensions={"timeout": dict.fromkeys(phases, limit_s)},
-            )
+            # The timeouts of the pool are for a single read or write.
+            with anyio.fail_after(limit_s):
+                response = await self._find_pool(address).request(
+                    "PUT",
+                    f"http://{address}/bridgecross/lease",
+                    content=codec.to_json(request).encode(),
+                    extensions={"timeout": dict.fromkeys(phases, limit_s)},
+                )
             return codec.from_json(response.content, leases.LeaseReply)
-        except (*_HTTP_ERRORS, codec.CodecError) as error:
+        except (*_HTTP_ERRORS, codec.CodecError, TimeoutError) as error:
             raise leases.ServerUnreachableError(repr(error)) from error
 
     async def aclose(self) -> None:
@@ -154,6 +159,9 @@
         """
         if address not in self._pools:
             self._pools[address] = httpcore.AsyncConnectionPool(
-                max_connections=_LEASE_MAX_CONNECTIONS
+                max_connections=_LEASE_MAX_CONNECTIONS,
+                network_backend=bounded_streams.BoundedBackend(
+                    _LEASE_ANSWER_MAX_BYTES
+                ),
             )
         return self._pools[address]
--- a/libs/bridgecross-emulator/src/bridgecross_emulator/instances.py
+++ b/libs/bridgecross-emulator/src/bridgecross_emulator/instances.py
@@ -14,6 +14,7 @@
 from bridgecross_emulator import server_clients
 from bridgecross_emulator import servers
 from bridgecross_emulator import virtual
+from bridgecross_entry import answer_bounds
 from bridgecross_entry import assembly
 from bridgecross_entry import attempts
 from bridgecross_entry import edge
@@ -119,12 +120,18 @@
         """Returns the client of the log."""
         return self._log_client
 
-    def make_backend_client(self) -> attempts.BackendClient:
+    def make_backend_client(
+        self, answers: answer_bounds.AnswerMemory
+    ) -> attempts.BackendClient:
         """Returns the client that sends requests."""
+        del answers
         return self._requests
 
-    def make_lease_client(self) -> attempts.LeaseClient:
+    def make_lease_client(
+        self, answers: answer_bounds.AnswerMemory
+    ) -> attempts.LeaseClient:
         """Returns the client that sends lease orders."""
+        del answers
         return self._orders
 
     def make_caller_codec(self) -> edge.CallerCodec:
--- a/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
@@ -13,6 +13,7 @@
 
 from bridgecross_core import clock as clocks
 from bridgecross_core import ids
+from bridgecross_entry import answer_bounds
 from bridgecross_entry import attempts
 from bridgecross_entry import cluster_state
 from bridgecross_entry import cluster_tasks
@@ -28,6 +29,7 @@
 from bridgecross_entry import link_probes
 from bridgecross_entry import log as logs
 from bridgecross_entry import log_breaker
+from bridgecross_entry import memory_limits
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import model
 from bridgecross_entry import peer_reach
@@ -57,11 +59,23 @@
     def make_log(self, metrics: metrics_lib.Metrics) -> logs.PlatformLog:
         """Returns the client of the platform's log."""
 
-    def make_backend_client(self) -> attempts.BackendClient:
-        """Returns the client that sends requests."""
+    def make_backend_client(
+        self, answers: answer_bounds.AnswerMemory
+    ) -> attempts.BackendClient:
+        """Returns the client that sends requests.
 
-    def make_lease_client(self) -> attempts.LeaseClient:
-        """Returns the client that sends lease orders."""
+        Args:
+            answers: Counts the answers that are being received.
+        """
+
+    def make_lease_client(
+        self, answers: answer_bounds.AnswerMemory
+    ) -> attempts.LeaseClient:
+        """Returns the client that sends lease orders.
+
+        Args:
+            answers: Counts the answers that are being received.
+        """
 
     def make_caller_codec(self) -> edge.CallerCodec:
         """Returns the codec for callers' requests and answers."""
@@ -99,7 +113,13 @@
             journal,
             clock,
         )
-        self.backend_client = adapter.make_backend_client()
+        self.memory = memory_limits.make(
+            self.settings.memory_mb, journal, self.metrics, clock
+        )
+        self._answers = answer_bounds.AnswerMemory(
+            self.memory.ledger, journal, self.metrics
+        )
+        self.backend_client = adapter.make_backend_client(self._answers)
         self.links = server_links.ServerLinks(
             server_links.LinkSettings(), journal, self.metrics, clock
         )
@@ -153,7 +173,7 @@
             self.forwarder,
             self.relays,
         )
-        direct_leases = adapter.make_lease_client()
+        direct_leases = adapter.make_lease_client(self._answers)
         direct_orders = server_ways.DirectOrders(
             direct_leases,
             self.links,
@@ -337,7 +357,9 @@
     def _make_pool(self, address: model.Address) -> exchange.Exchanger:
         """Returns the connections to an instance that forwards requests."""
         settings = exchange.ConnectionSettings()
-        return exchange.ConnectionPool(address, settings, self.clock)
+        return exchange.ConnectionPool(
+            address, settings, self.clock, self._answers
+        )
 
     def _has_peers(self) -> bool:
         """Returns whether there are other instances."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/edge.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/edge.py
@@ -18,6 +18,7 @@
 from bridgecross_entry import listener
 from bridgecross_entry import memory_gate
 from bridgecross_entry import memory_ledger
+from bridgecross_entry import memory_reservation
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import peers
 from bridgecross_entry import permit_issuer
@@ -149,7 +150,7 @@
                 )
             except ValueError as error:
                 answer = self._reject(413, str(error))
-            except memory_gate.NoMemoryError as error:
+            except memory_reservation.NoMemoryError as error:
                 memory.note_refusal("body", str(error))
                 answer = self._refuse_memory(scope, received_s, str(error))
             else:
@@ -332,7 +333,7 @@
             )
         except ValueError:
             status = 413
-        except memory_gate.NoMemoryError as error:
+        except memory_reservation.NoMemoryError as error:
             memory.note_refusal("forward", str(error))
             status = 503
         else:
--- a/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -22,8 +22,13 @@
 
 from bridgecross_core import clock as clocks
 from bridgecross_core import outcomes
+from bridgecross_entry import answer_bounds
 from bridgecross_entry import model
 
+_PIECE_BYTES = 16 * 1024
+"""The size of the pieces in which received bytes are parsed; the bounds are
+checked between pieces. A piece of short headers takes 2 ms."""
+
 _NO_BODY_STATUSES = frozenset({204, 304})
 _FIRST_FINAL_STATUS = 200
 _FIRST_ERROR_STATUS = 400
@@ -52,9 +57,10 @@
     # timeout. Only for users that cancel for no other reason than a timeout,
     # as new connections to servers are expensive.
     drops_idle_on_timeout: bool = False
-    # An exchange fails if the answer is larger; an instance has 300 MB of
-    # memory.
-    max_body_bytes: int = 64 * 1024 * 1024
+    # An exchange fails if it receives more.
+    bounds: answer_bounds.BoundSettings = dataclasses.field(
+        default_factory=answer_bounds.BoundSettings
+    )
     # A connection is closed once this many requests on it have failed: it
     # remembers each of them, 0.1 KB a request.
     failed_max_count: int = 64
@@ -129,16 +135,28 @@
 class _Connection(asyncio.Protocol):
     """A connection that runs one exchange at a time."""
 
-    def __init__(self, settings: ConnectionSettings, opened_s: float) -> None:
+    def __init__(
+        self,
+        settings: ConnectionSettings,
+        opened_s: float,
+        address: model.Address,
+        memory: answer_bounds.AnswerMemory,
+    ) -> None:
         """Creates the protocol of a connection that is being opened."""
         self._settings = settings
+        self._address = address
+        self._memory = memory
+        # What the exchange in progress has received.
+        self._received = answer_bounds.ReceivedBytes(
+            settings.bounds, memory, address
+        )
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._result: asyncio.Future[Reply | Broken] | None = None
         self._accepts: Accepts | None = None
         self._headers: list[outcomes.Header] = []
-        self._body: list[bytes] = []
-        self._body_size_bytes = 0
+        # Not the pieces, which may be of one byte each.
+        self._body = bytearray()
         self._status = 0
         self._is_length_known = False
         self._in_answer = False
@@ -236,26 +254,39 @@
         self._accepts = accepts
         self._request_id = request_id
         self._wants_head_only = request.startswith(b"HEAD ")
+        self._received = answer_bounds.ReceivedBytes(
+            self._settings.bounds, self._memory, self._address
+        )
         self._transport.write(request)
         try:
-            return await self._result
+            with self._received:
+                return await self._result
         except asyncio.CancelledError:
             self._reset()
             raise
         finally:
             self._result = None
+            self._body = bytearray()
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; unexpected bytes close the connection."""
-        if self._result is None or self._result.done():
-            self.abort()
-            return
+        for offset in range(0, len(data), _PIECE_BYTES):
+            if self._result is None or self._result.done():
+                self.abort()
+                return
+            self._parse(data[offset : offset + _PIECE_BYTES])
+
+    def _parse(self, piece: bytes) -> None:
+        """Feeds the parser, and ends an exchange that receives too much."""
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(piece)
         except httptools.HttpParserUpgrade:
             self._fail("the server switched protocols")
         except httptools.HttpParserError as error:
             self._fail(f"the answer is not HTTP: {error}")
+        excess = self._received.add_parsed(len(piece))
+        if excess is not None:
+            self._fail(excess.value)
 
     def eof_received(self) -> bool:
         """Completes an answer without a length, and closes the connection."""
@@ -273,8 +304,7 @@
         if self._result is None or self._result.done():
             self.reusable = False
         self._headers = []
-        self._body = []
-        self._body_size_bytes = 0
+        self._body = bytearray()
         self._status = 0
         self._is_length_known = False
         self._in_answer = True
@@ -303,11 +333,12 @@
 
     def on_body(self, body: bytes) -> None:
         """Stores a part of the body."""
-        self._body_size_bytes += len(body)
-        if self._body_size_bytes > self._settings.max_body_bytes:
-            self._fail("the answer is too large")
+        excess = self._received.add_body(len(body))
+        if excess is not None:
+            self._body = bytearray()
+            self._fail(excess.value)
             return
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Completes the answer, unless it is an interim one."""
@@ -320,7 +351,7 @@
         self._in_answer = False
         if self._result is None or self._result.done():
             return
-        reply = Reply(self._status, tuple(self._headers), b"".join(self._body))
+        reply = Reply(self._status, tuple(self._headers), bytes(self._body))
         try:
             is_expected = self._accepts is None or self._accepts(reply)
         except UnclearAnswerError as error:
@@ -386,9 +417,18 @@
         address: model.Address,
         settings: ConnectionSettings,
         clock: clocks.Clock,
+        memory: answer_bounds.AnswerMemory = answer_bounds.UNCOUNTED,
     ) -> None:
-        """Creates a pool without connections."""
+        """Creates a pool without connections.
+
+        Args:
+            address: Where the connections lead.
+            settings: How they are opened and kept, and what they may receive.
+            clock: The time source.
+            memory: Counts the answers that are being received.
+        """
         self.address = address
+        self._memory = memory
         self.opened_count = 0
         self._settings = settings
         self._clock = clock
@@ -607,7 +647,9 @@
         try:
             async with asyncio.timeout(self._settings.connect_timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(self._settings, opened_s),
+                    lambda: _Connection(
+                        self._settings, opened_s, self.address, self._memory
+                    ),
                     self.address.host,
                     self.address.port,
                 )
--- a/libs/bridgecross-entry/src/bridgecross_entry/memory_gate.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/memory_gate.py
@@ -2,13 +2,12 @@
 
 from collections.abc import Iterator
 import contextlib
-from types import TracebackType
-from typing import Self
 
 from bridgecross_core import clock as clocks
 from bridgecross_entry import journal as journals
 from bridgecross_entry import listener
 from bridgecross_entry import memory_ledger
+from bridgecross_entry import memory_reservation
 from bridgecross_entry import metrics as metrics_lib
 
 _LOG_INTERVAL_S = 1.0
@@ -19,72 +18,6 @@
 hold memory now are answered."""
 
 
-class NoMemoryError(Exception):
-    """There is no room for the body of a request."""
-
-
-class BodyReservation:
-    """The memory that is reserved for the body of one request.
-
-    A context manager that releases the memory at its end.
-    """
-
-    def __init__(
-        self,
-        ledger: memory_ledger.Ledger,
-        purpose: memory_ledger.Purpose,
-        copies_count: int,
-    ) -> None:
-        """Reserves nothing yet.
-
-        Args:
-            ledger: Grants memory.
-            purpose: What the body is held for.
-            copies_count: The maximum number of copies of the body that exist
-                at a time.
-        """
-        self._ledger = ledger
-        self._purpose = purpose
-        self._copies_count = copies_count
-        self._held_bytes = 0
-
-    def __enter__(self) -> Self:
-        """Returns this reservation."""
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Releases what is reserved."""
-        self._ledger.release(self._purpose, self._held_bytes)
-        self._held_bytes = 0
-
-    def grow(self, body_bytes: int) -> None:
-        """Enlarges the reservation for a body of at least this size.
-
-        The whole size is reserved anew: the ledger must not take a large body
-        that arrives in pieces for many small ones.
-
-        Args:
-            body_bytes: The size of one copy of the body.
-
-        Raises:
-            NoMemoryError: There is no room; the reservation is unchanged.
-        """
-        wanted_bytes = body_bytes * self._copies_count
-        if 0 < wanted_bytes <= self._held_bytes:
-            return
-        self._ledger.release(self._purpose, self._held_bytes)
-        if self._ledger.try_reserve(self._purpose, wanted_bytes):
-            self._held_bytes = wanted_bytes
-            return
-        self._ledger.reserve(self._purpose, self._held_bytes)
-        raise NoMemoryError(f"no memory for a body of {body_bytes} bytes")
-
-
 class MemoryGate:
     """Admits requests as far as the ledger has room for their bodies."""
 
@@ -104,21 +37,25 @@
         self._logged_s = -_LOG_INTERVAL_S
         self._last_reason = ""
 
-    def reserve_body(self) -> BodyReservation:
+    def reserve_body(self) -> memory_reservation.BodyReservation:
         """Returns an empty reservation for a caller's request.
 
         At most two copies exist at a time: the received pieces and the joined
         body, and later the body and the message to the server.
         """
-        return BodyReservation(self._ledger, memory_ledger.Purpose.BODY, 2)
+        return memory_reservation.BodyReservation(
+            self._ledger, memory_ledger.Purpose.BODY, 2
+        )
 
-    def reserve_forward(self) -> BodyReservation:
+    def reserve_forward(self) -> memory_reservation.BodyReservation:
         """Returns an empty reservation for a request of another instance.
 
         The message is held until its answer is written, next to the decoded
         body and the message to the server.
         """
-        return BodyReservation(self._ledger, memory_ledger.Purpose.FORWARD, 3)
+        return memory_reservation.BodyReservation(
+            self._ledger, memory_ledger.Purpose.FORWARD, 3
+        )
 
     @contextlib.contextmanager
     def count_answer(
@@ -166,7 +103,7 @@
     scope: listener.Scope,
     receive: listener.Receive,
     max_bytes: int,
-    reservation: BodyReservation,
+    reservation: memory_reservation.BodyReservation,
 ) -> bytes | None:
     """Returns the body of a request; None if the caller disconnected.
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/memory_ledger.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/memory_ledger.py
@@ -14,6 +14,7 @@
     ANSWER = "answer"
     PIPELINE = "pipeline"
     FORWARD = "forward"
+    RECEIVING = "receiving"
 
 
 class Ledger(Protocol):
@@ -57,8 +58,9 @@
     # What the interpreter, the program and its knowledge of the cluster need.
     program_bytes: int = 80 * _MEGABYTE
     # The share of the remaining memory that the ledger grants. The other part
-    # is for what it does not count: connections and heads of requests, answers
-    # that are still being received, and memory that the allocator keeps.
+    # is for what it does not count: connections and heads of requests, small
+    # answers that are still being received, and memory that the allocator
+    # keeps.
     granted_ratio: float = 0.6
     # What the ledger grants at least, for a limit that leaves almost nothing.
     granted_min_bytes: int = 8 * _MEGABYTE
--- a/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
@@ -136,6 +136,12 @@
             "Requests refused because their bodies did not fit, by reason.",
             registry=self.registry,
         )
+        self.answers_broken_off = aioprometheus.Counter(
+            "bridgecross_answers_broken_off_total",
+            "Answers of servers and instances of which nothing more was "
+            "received, by the bound that they exceeded.",
+            registry=self.registry,
+        )
         self.slow_readers_closed = aioprometheus.Counter(
             "bridgecross_slow_readers_closed_total",
             "Connections closed because the caller did not read its answer.",
--- a/libs/bridgecross-entry/src/bridgecross_entry/peers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/peers.py
@@ -15,6 +15,7 @@
 from bridgecross_core import codec
 from bridgecross_core import ids
 from bridgecross_core import timeouts
+from bridgecross_entry import answer_bounds
 from bridgecross_entry import cluster_state
 from bridgecross_entry import exchange
 from bridgecross_entry import follower as followers
@@ -22,6 +23,7 @@
 from bridgecross_entry import keymap
 from bridgecross_entry import leadership
 from bridgecross_entry import load
+from bridgecross_entry import memory_ledger
 from bridgecross_entry import model
 
 _DEFLATE_LEVEL = 1
@@ -332,8 +334,16 @@
 
     def _make_pool(self, address: model.Address) -> exchange.Exchanger:
         """Returns a connection pool for an address."""
-        settings = exchange.ConnectionSettings(drops_idle_on_timeout=True)
-        return exchange.ConnectionPool(address, settings, self._clock)
+        settings = exchange.ConnectionSettings(
+            drops_idle_on_timeout=True,
+            bounds=answer_bounds.BoundSettings(body_max_bytes=_BODY_MAX_BYTES),
+        )
+        return exchange.ConnectionPool(
+            address,
+            settings,
+            self._clock,
+            answer_bounds.AnswerMemory(memory_ledger.UNLIMITED, self._journal),
+        )
 
     async def _call(
         self, address: model.Address, path: bytes, body: bytes
--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_client.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_client.py
@@ -21,8 +21,10 @@
 from bridgecross_core import codec
 from bridgecross_core import ids
 from bridgecross_core import timeouts
+from bridgecross_entry import answer_bounds
 from bridgecross_entry import exchange
 from bridgecross_entry import journal as journals
+from bridgecross_entry import memory_ledger
 from bridgecross_entry import model
 from bridgecross_entry import permit_issuer
 from bridgecross_entry import permits
@@ -445,8 +447,14 @@
         settings = exchange.ConnectionSettings(
             idle_timeout_s=self._settings.idle_timeout_s,
             drops_idle_on_timeout=True,
+            bounds=answer_bounds.SMALL,
+        )
+        return exchange.ConnectionPool(
+            address,
+            settings,
+            self._clock,
+            answer_bounds.AnswerMemory(memory_ledger.UNLIMITED, self._journal),
         )
-        return exchange.ConnectionPool(address, settings, self._clock)
 
 
 def _drop_verdict(
--- a/libs/bridgecross-entry/src/bridgecross_entry/quota_client.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/quota_client.py
@@ -18,8 +18,10 @@
 from bridgecross_core import codec
 from bridgecross_core import ids
 from bridgecross_core import timeouts
+from bridgecross_entry import answer_bounds
 from bridgecross_entry import exchange
 from bridgecross_entry import journal as journals
+from bridgecross_entry import memory_ledger
 from bridgecross_entry import model
 from bridgecross_entry import quota_issuer
 from bridgecross_entry import quotas
@@ -438,5 +440,12 @@
 
     def _make_pool(self, address: model.Address) -> exchange.Exchanger:
         """Returns a connection pool for an address."""
-        settings = exchange.ConnectionSettings(drops_idle_on_timeout=True)
-        return exchange.ConnectionPool(address, settings, self._clock)
+        settings = exchange.ConnectionSettings(
+            drops_idle_on_timeout=True, bounds=answer_bounds.SMALL
+        )
+        return exchange.ConnectionPool(
+            address,
+            settings,
+            self._clock,
+            answer_bounds.AnswerMemory(memory_ledger.UNLIMITED, self._journal),
+        )
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -57,9 +57,7 @@
         self._journal = journal
         self._parts = assembly.Assembly(adapter, clock, journal)
         self._parts.on_configuration = self._apply_caller_limits
-        self._memory = memory_limits.make(
-            self._parts.settings.memory_mb, journal, self._parts.metrics, clock
-        )
+        self._memory = self._parts.memory
         self._edge = edge.Edge(
             self._parts.dispatcher,
             adapter.make_caller_codec(),
--- a/libs/bridgecross-entry/tests/test_memory_ledger.py
+++ b/libs/bridgecross-entry/tests/test_memory_ledger.py
@@ -3,9 +3,9 @@
 import entry_support as support
 import pytest
 
-from bridgecross_entry import memory_gate
 from bridgecross_entry import memory_ledger
 from bridgecross_entry import memory_limits
+from bridgecross_entry import memory_reservation
 from bridgecross_entry import metrics
 
 BODY = memory_ledger.Purpose.BODY
@@ -56,10 +56,10 @@
     """Guards against chunked uploads that keep out small requests."""
     ledger = memory_ledger.MemoryLedger(SETTINGS, 2)
     ledger.reserve(ANSWER, 700)
-    with memory_gate.BodyReservation(ledger, BODY, 2) as reservation:
+    with memory_reservation.BodyReservation(ledger, BODY, 2) as reservation:
         for size_bytes in (5, 10, 25):
             reservation.grow(size_bytes)
-        with pytest.raises(memory_gate.NoMemoryError):
+        with pytest.raises(memory_reservation.NoMemoryError):
             reservation.grow(30)
         assert ledger.used_bytes(BODY) == 50
     assert ledger.used_bytes(BODY) == 0
--- a/libs/bridgecross-request/src/bridgecross_request/backends.py
+++ b/libs/bridgecross-request/src/bridgecross_request/backends.py
@@ -13,6 +13,7 @@
 from bridgecross_core import clock as clocks
 from bridgecross_core import ids
 from bridgecross_core import outcomes
+from bridgecross_request import bounded_streams
 from bridgecross_request import requests
 
 TOKEN_HEADER = b"bridgecross-token"
@@ -48,6 +49,12 @@
 
 _RETRY_AFTER_SHED_MS = 200
 
+_FRAMING_MAX_BYTES = 64 * 1024
+"""Heads, trailers and interim answers, besides the lengths of chunks."""
+
+_FRAMING_MAX_RATIO = 1
+"""The lengths of chunks, by the bytes of bodies."""
+
 
 class Fence(NamedTuple):
     """What a server checks before it runs a request."""
@@ -143,6 +150,19 @@
         The pool closes a connection after any error on it, so a late answer
         can never be taken for that of another request.
         """
+        # The timeouts of the pool are for a single read or write.
+        with anyio.move_on_after(limit.left_s):
+            return await self._exchange(address, request, fence, limit)
+        return outcomes.Unknown("the server did not answer in time")
+
+    async def _exchange(
+        self,
+        address: str,
+        request: requests.Request,
+        fence: Fence,
+        limit: Limit,
+    ) -> outcomes.Outcome:
+        """Sends a request and reads its answer, however long that takes."""
         pool = self._find_pool(address)
         try:
             async with pool.stream(
@@ -196,6 +216,10 @@
                 max_keepalive_connections=self._settings.connections_per_server,
                 keepalive_expiry=self._settings.keepalive_s,
                 retries=0,
+                network_backend=bounded_streams.BoundedBackend(
+                    _FRAMING_MAX_BYTES
+                    + (1 + _FRAMING_MAX_RATIO) * self._settings.max_body_bytes
+                ),
             )
         return self._pools[address]
 
@@ -203,15 +227,14 @@
         self, response: httpcore.Response
     ) -> outcomes.Outcome:
         """Reads the whole answer; a refusal becomes ``NotRun``."""
-        refused = _find_header(response, REFUSED_HEADER)
-        if refused is not None:
-            await response.aread()
-            return _describe_refusal(refused)
         body = bytearray()
         async for part in response.aiter_stream():
             body += part
             if len(body) > self._settings.max_body_bytes:
                 return outcomes.Unknown("the answer is too large", status=502)
+        refused = _find_header(response, REFUSED_HEADER)
+        if refused is not None:
+            return _describe_refusal(refused)
         return outcomes.Answered(
             status=response.status,
             headers=tuple(
--- a/libs/bridgecross-request/tests/test_backends.py
+++ b/libs/bridgecross-request/tests/test_backends.py
@@ -7,12 +7,15 @@
 length.
 """
 
+import contextlib
 import time
 
 import anyio
 import anyio.abc
+import endless_server
 import pytest
 
+from bridgecross_core import outcomes
 from bridgecross_request import backends
 
 STOP_S = 10.0
@@ -62,6 +65,8 @@
 
 def _request():
     class Request:
+        method = b"GET"
+        target = "/"
         body = b""
         request_id = "id"
         headers = ()
@@ -79,3 +84,65 @@
     await listener.aclose()
     assert await backend.is_refusing(address)
     await backend.aclose()
+
+
+_MAX_BODY_BYTES = 256 * 1024
+_REFUSED = b"HTTP/1.1 409 Conflict\r\nbridgecross-refused: fence\r\n\r\n"
+_ENDLESS = {
+    name: script
+    for name, script in {
+        **endless_server.FRAMING,
+        **endless_server.BODIES,
+        "a refusal with a body": (_REFUSED, b"a" * 32_768),
+    }.items()
+    # The first answer on a connection is the expected one here.
+    if "to others" not in name
+}
+
+
+# Guards against bytes that nothing bounds, not even the request's deadline,
+# and against a refusal whose body fills the memory.
+@pytest.mark.anyio
+@pytest.mark.parametrize("script", _ENDLESS.values(), ids=_ENDLESS)
+async def test_an_answer_without_end_is_broken_off(script):
+    async with endless_server.serving(*script) as (address, server):
+        backend = backends.HttpBackend(
+            backends.BackendSettings(1, _MAX_BODY_BYTES)
+        )
+        with anyio.fail_after(10.0):
+            outcome = await backend.send(
+                str(address),
+                _request(),
+                backends.Fence(1, 2, 3),
+                backends.Limit(30.0, time.time() + 30.0),
+            )
+            while not server.closed_count:
+                await anyio.sleep(0.01)
+        assert isinstance(outcome, outcomes.Unknown)
+
+
+# Guards against a server that answers a little at a time beyond the deadline.
+@pytest.mark.anyio
+async def test_no_answer_goes_on_after_the_deadline():
+    async def serve(stream):
+        async with stream:
+            await stream.receive()
+            with contextlib.suppress(anyio.BrokenResourceError):
+                while True:
+                    await stream.send(b"HTTP/1.1 102 Processing\r\n\r\n")
+                    await anyio.sleep(0.02)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, serve)
+        backend = backends.HttpBackend(backends.BackendSettings(1, 1_000))
+        with anyio.fail_after(5.0):
+            outcome = await backend.send(
+                f"127.0.0.1:{port}",
+                _request(),
+                backends.Fence(1, 2, 3),
+                backends.Limit(0.3, time.time() + 0.3),
+            )
+        tasks.cancel_scope.cancel()
+    assert isinstance(outcome, outcomes.Unknown)
