Take no interim answer for a whole one when its connection ends

Seen by callers: none yet; reported by other operators. A server that sends an interim answer with the request's id and closes had the request count as answered with 100, 102 or 103 and no body. An order counted as answered by any interim answer.

Cause: the end of a connection completes an answer without a length whose head was read. An interim answer is such a head, and stayed in progress after it was complete. A status below 100 counted as well.

Change: only a final status ends with its connection. The first entrance had no such fault, and has a test now.

--- a/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -30,6 +30,7 @@
 checked between pieces. A piece of short headers takes 2 ms."""
 
 _NO_BODY_STATUSES = frozenset({204, 304})
+_FIRST_STATUS = 100
 _FIRST_FINAL_STATUS = 200
 _FIRST_ERROR_STATUS = 400
 
@@ -290,7 +291,8 @@
 
     def eof_received(self) -> bool:
         """Completes an answer without a length, and closes the connection."""
-        if self._in_answer and self._status and not self._is_length_known:
+        is_final = self._status >= _FIRST_FINAL_STATUS
+        if self._in_answer and is_final and not self._is_length_known:
             self._finish()
         return False
 
@@ -319,6 +321,9 @@
     def on_headers_complete(self) -> None:
         """Reads the status and whether the connection stays open."""
         self._status = self._parser.get_status_code()
+        if self._status < _FIRST_STATUS:
+            self._fail(f"the status is {self._status}")
+            return
         if self._status in _NO_BODY_STATUSES:
             self._is_length_known = True
         if not self._parser.should_keep_alive():
@@ -343,6 +348,7 @@
     def on_message_complete(self) -> None:
         """Completes the answer, unless it is an interim one."""
         if self._status < _FIRST_FINAL_STATUS:
+            self._in_answer = False
             return
         self._finish()
 
--- a/libs/bridgecross-entry/tests/test_exchange.py
+++ b/libs/bridgecross-entry/tests/test_exchange.py
@@ -106,6 +106,51 @@
         assert isinstance(await _ask(pool), exchange.Broken)
 
 
+_INTERIM = b"HTTP/1.1 103 Early\r\nrequest-id: 1\r\n\r\n"
+_HEAD = b"HTTP/1.1 200 OK\r\nrequest-id: 1\r\n"
+UNFINISHED = {
+    "a status line, cut": b"HTTP/1.1 200 O",
+    "a status line": b"HTTP/1.1 200 OK\r\n",
+    "a name, cut": _HEAD + b"content-le",
+    "a value, cut": _HEAD + b"content-length: 1",
+    "headers": _HEAD,
+    "an empty line, cut": _HEAD + b"\r",
+    "headers of HTTP/1.0": b"HTTP/1.0 200 OK\r\nrequest-id: 1\r\n",
+    "100": b"HTTP/1.1 100 Continue\r\n\r\n",
+    "101": b"HTTP/1.1 101 Switching\r\nrequest-id: 1\r\n\r\n",
+    "102": b"HTTP/1.1 102 Processing\r\nrequest-id: 1\r\n\r\n",
+    "103": _INTERIM,
+    "103 of HTTP/1.0": _INTERIM.replace(b"1.1", b"1.0"),
+    "several interim answers": _INTERIM * 3,
+    "an interim answer and a head, cut": _INTERIM + _HEAD,
+    "an interim answer and other bytes": _INTERIM + b"whole",
+    "a status that does not exist": _HEAD.replace(b"200", b"099") + b"\r\n",
+}
+"""What a server may send before it closes without having answered."""
+
+
+# Guards against an answer that stops in its head, or after an interim one, and
+# counts as whole.
+@pytest.mark.parametrize("sent", UNFINISHED.values(), ids=UNFINISHED)
+@pytest.mark.parametrize("name", [b"1", b""], ids=["an id", "no id"])
+async def test_an_answer_that_stops_in_its_head_is_not_whole(sent, name):
+    async with _serving([sent, b""]) as (pool, _):
+        async with asyncio.timeout(2):
+            result = await pool.exchange(
+                b"GET / HTTP/1.1\r\n\r\n",
+                lambda reply: not name or reply.header(b"request-id") == name,
+                request_id=name,
+            )
+        assert isinstance(result, exchange.Broken)
+
+
+async def test_an_interim_answer_is_followed_by_the_whole_one():
+    async with _serving([_INTERIM * 2 + OK % b"1"]) as (pool, _):
+        reply = await _ask(pool)
+        assert isinstance(reply, exchange.Reply)
+        assert (reply.status, reply.body) == (200, b"ok")
+
+
 async def test_an_answer_without_length_ends_with_its_connection():
     async with _serving([b"HTTP/1.1 200 OK\r\n\r\nwhole", b""]) as (pool, _):
         reply = await _ask(pool)
--- a/libs/bridgecross-request/tests/test_backends.py
+++ b/libs/bridgecross-request/tests/test_backends.py
@@ -121,6 +121,40 @@
         assert isinstance(outcome, outcomes.Unknown)
 
 
+_UNFINISHED = {
+    "a status line": b"HTTP/1.1 200 OK\r\n",
+    "a value, cut": b"HTTP/1.1 200 OK\r\ncontent-length: 1",
+    "headers": b"HTTP/1.1 200 OK\r\ncontent-length: 12\r\n",
+    "100": b"HTTP/1.1 100 Continue\r\n\r\n",
+    "103": b"HTTP/1.1 103 Early\r\nbridgecross-refused: fence\r\n\r\n",
+    "101": b"HTTP/1.1 101 Switching\r\n\r\n",
+}
+
+
+# Guards against an answer that stops in its head and counts as whole.
+@pytest.mark.anyio
+@pytest.mark.parametrize("sent", _UNFINISHED.values(), ids=_UNFINISHED)
+async def test_an_answer_that_stops_in_its_head_is_not_whole(sent):
+    async def serve(stream):
+        async with stream:
+            await stream.receive()
+            await stream.send(sent)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, serve)
+        backend = backends.HttpBackend(backends.BackendSettings(1, 1_000))
+        outcome = await backend.send(
+            f"127.0.0.1:{port}",
+            _request(),
+            backends.Fence(1, 2, 3),
+            backends.Limit(5.0, time.time() + 5.0),
+        )
+        tasks.cancel_scope.cancel()
+    assert isinstance(outcome, outcomes.Unknown)
+
+
 # Guards against a server that answers a little at a time beyond the deadline.
 @pytest.mark.anyio
 async def test_no_answer_goes_on_after_the_deadline():
