--- a/libs/bridgecross-entry/src/bridgecross_entry/__init__.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/__init__.py
@@ -4,7 +4,8 @@
 * ``attempts``: requests, and the outcome of one attempt at a backend server.
 * ``exchange``: HTTP/1.1 exchanges over persistent connections.
 * ``routes``: maps host and path to a route, and a route to a service.
-* ``servers``: backend servers and what this instance measured of them.
+* ``servers``: a backend server and what this instance measured of it.
+* ``server_registry``: the backend servers that this instance knows.
 * ``notices``: what servers report about themselves in their answers.
 * ``retry_budget``: limits retries over a sliding window, for all instances.
 * ``dispatch``: handles a request from its arrival to its outcome.
@@ -23,7 +24,9 @@
 * ``caller_protocol``: connections of callers, which may pipeline requests.
 * ``pipeline_order``: which of a connection's requests start, wait or end.
 * ``pipeline_monitor``: metrics and log lines of pipelined connections.
+* ``answer_bounds``: bounds what an exchange receives as an answer.
 * ``memory_ledger``: counts the bytes held for callers and peers.
+* ``memory_reservation``: reserves memory for a body that arrives in pieces.
 * ``memory_gate``: reserves memory for the bodies of requests.
 * ``send_buffers``: closes connections whose callers read too slowly.
 * ``memory_limits``: assembles these parts if there is a memory limit.
--- a/libs/bridgecross-entry/src/bridgecross_entry/admission.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/admission.py
@@ -11,7 +11,7 @@
 
 from bridgecross_core import clock as clocks
 from bridgecross_core import ids
-from bridgecross_entry import servers as servers_lib
+from bridgecross_entry import server_registry
 from bridgecross_request import queueing
 
 
@@ -38,7 +38,7 @@
     def __init__(
         self,
         settings: AdmissionSettings,
-        registry: servers_lib.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         clock: clocks.Clock,
     ) -> None:
         """Starts without queues."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/assembly.py
@@ -42,6 +42,7 @@
 from bridgecross_entry import relay_contacts
 from bridgecross_entry import relayed_requests
 from bridgecross_entry import server_links
+from bridgecross_entry import server_registry
 from bridgecross_entry import server_ways
 from bridgecross_entry import servers as servers_lib
 from bridgecross_entry import warmup_queries
@@ -187,7 +188,7 @@
             self.probes,
             self.forwarder,
         )
-        self.registry = servers_lib.ServerRegistry(
+        self.registry = server_registry.ServerRegistry(
             servers_lib.ServerSettings(), self.settings.bounds, journal, clock
         )
         self.backend_client.on_notice = self.registry.notices.record
--- a/libs/bridgecross-entry/src/bridgecross_entry/attempt_results.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/attempt_results.py
@@ -11,6 +11,7 @@
 from bridgecross_entry import keymap
 from bridgecross_entry import refusals as refusals_lib
 from bridgecross_entry import request_state
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers as servers_lib
 
 _FIRST_ERROR_STATUS = 500
@@ -45,7 +46,7 @@
     def __init__(
         self,
         settings: ResultSettings,
-        registry: servers_lib.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         table: keymap.KeyTable,
         refusals: refusals_lib.Refusals,
         watch: crash_watch.CrashWatch,
--- a/libs/bridgecross-entry/src/bridgecross_entry/cluster_state.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/cluster_state.py
@@ -25,7 +25,7 @@
 from bridgecross_entry import log as logs
 from bridgecross_entry import model
 from bridgecross_entry import server_list
-from bridgecross_entry import servers as servers_lib
+from bridgecross_entry import server_registry
 from bridgecross_entry import tasks as tasks_lib
 
 KEY_TOPIC = "keyed.bridgecross-keys"
@@ -152,7 +152,7 @@
         settings: ClusterStateSettings,
         log: logs.PlatformLog,
         decoder: Decoder,
-        registry: servers_lib.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         table: keymap.KeyTable,
         configure: Callable[[model.Configuration], None],
         journal: journals.Journal,
--- a/libs/bridgecross-entry/src/bridgecross_entry/cluster_tasks.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/cluster_tasks.py
@@ -38,7 +38,7 @@
 from bridgecross_entry import quota_client as quota_clients
 from bridgecross_entry import quota_issuer as quota_issuers
 from bridgecross_entry import relaying
-from bridgecross_entry import servers as servers_lib
+from bridgecross_entry import server_registry
 from bridgecross_entry import tasks as tasks_lib
 from bridgecross_request import poison_requests
 
@@ -74,7 +74,7 @@
         lease_client: attempts.LeaseClient,
         peer_client: peers.PeerClient,
         state: cluster_state.ClusterState,
-        registry: servers_lib.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         table: keymap.KeyTable,
         dispatcher: dispatch.Dispatcher,
         quota_issuer: quota_issuers.QuotaIssuer,
--- a/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/coordinator.py
@@ -30,7 +30,7 @@
 from bridgecross_entry import planner
 from bridgecross_entry import proofs
 from bridgecross_entry import server_capacities
-from bridgecross_entry import servers as servers_lib
+from bridgecross_entry import server_registry
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,7 +78,7 @@
         topic: str,
         follower: followers.Follower,
         lease_manager: leases.LeaseManager,
-        registry: servers_lib.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         table: keymap.KeyTable,
         loads: load_view.LoadView,
         list_is_fresh: Callable[[], bool],
--- a/libs/bridgecross-entry/src/bridgecross_entry/crash_watch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/crash_watch.py
@@ -24,7 +24,7 @@
 from bridgecross_entry import journal as journals
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import model
-from bridgecross_entry import servers as servers_lib
+from bridgecross_entry import server_registry
 from bridgecross_entry import tasks as tasks_lib
 from bridgecross_request import error_answers
 from bridgecross_request import poison_requests
@@ -95,7 +95,7 @@
         settings: CrashWatchSettings,
         ledger: poison_requests.PoisonLedger,
         client: ServerProber,
-        registry: servers_lib.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         journal: journals.Journal,
         metrics: metrics_lib.Metrics,
         clock: clocks.Clock,
--- a/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/dispatch.py
@@ -37,6 +37,7 @@
 from bridgecross_entry import retry_budget
 from bridgecross_entry import routes
 from bridgecross_entry import server_links
+from bridgecross_entry import server_registry
 from bridgecross_entry import server_selection
 from bridgecross_entry import server_ways
 from bridgecross_entry import servers as servers_lib
@@ -96,7 +97,7 @@
         self,
         settings: DispatchSettings,
         instance: model.InstanceSettings,
-        registry: servers_lib.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         table: keymap.KeyTable,
         client: attempts.BackendClient,
         journal: journals.Journal,
--- a/libs/bridgecross-entry/src/bridgecross_entry/forward_server.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/forward_server.py
@@ -27,6 +27,7 @@
 from bridgecross_entry import model
 from bridgecross_entry import peers
 from bridgecross_entry import server_links
+from bridgecross_entry import server_registry
 from bridgecross_entry import server_ways
 from bridgecross_entry import servers as servers_lib
 from bridgecross_entry import warmup_queries
@@ -88,7 +89,7 @@
     def __init__(
         self,
         settings: ForwardServerSettings,
-        registry: servers_lib.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         links: server_links.ServerLinks,
         probes: link_probes.LinkProbes,
         requests: attempts.BackendClient,
--- a/libs/bridgecross-entry/src/bridgecross_entry/leases.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/leases.py
@@ -24,6 +24,7 @@
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import model
 from bridgecross_entry import proofs
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers as servers_lib
 
 _NEVER_EXECUTED = (attempts.Refused, attempts.NotTaken, attempts.Withheld)
@@ -115,7 +116,7 @@
         bounds: model.Bounds,
         lead: Lead,
         client: attempts.LeaseClient,
-        registry: servers_lib.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         journal: journals.Journal,
         metrics: metrics_lib.Metrics,
         clock: clocks.Clock,
--- a/libs/bridgecross-entry/src/bridgecross_entry/limited_servers.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/limited_servers.py
@@ -10,6 +10,7 @@
 from bridgecross_core import ids
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import quota_client
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers as servers_lib
 
 _DESCRIBED_MAX_COUNT = 3
@@ -24,7 +25,7 @@
 
     def __init__(
         self,
-        registry: servers_lib.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         quotas: quota_client.QuotaClient | None,
         metrics: metrics_lib.Metrics,
     ) -> None:
--- a/libs/bridgecross-entry/src/bridgecross_entry/owner_selection.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/owner_selection.py
@@ -7,6 +7,7 @@
 from bridgecross_entry import keymap
 from bridgecross_entry import refusals as refusals_lib
 from bridgecross_entry import request_state
+from bridgecross_entry import server_registry
 from bridgecross_entry import server_selection
 from bridgecross_entry import servers as servers_lib
 
@@ -31,7 +32,7 @@
     def __init__(
         self,
         settings: OwnerSettings,
-        registry: servers_lib.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         table: keymap.KeyTable,
         selector: server_selection.ServerSelector,
         refusals: refusals_lib.Refusals,
--- a/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/permit_issuer.py
@@ -19,6 +19,7 @@
 from bridgecross_entry import journal as journals
 from bridgecross_entry import metrics as metrics_lib
 from bridgecross_entry import permits
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers as servers_lib
 from bridgecross_entry import warmups as warmups_lib
 from bridgecross_request import fair_share
@@ -104,7 +105,7 @@
         settings: IssuerSettings,
         server_settings: servers_lib.ServerSettings,
         domain: str,
-        registry: servers_lib.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         journal: journals.Journal,
         metrics: metrics_lib.Metrics,
         clock: clocks.Clock,
--- a/libs/bridgecross-entry/src/bridgecross_entry/server_capacities.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/server_capacities.py
@@ -5,7 +5,7 @@
 from bridgecross_core import ids
 from bridgecross_entry import load_view
 from bridgecross_entry import model
-from bridgecross_entry import servers as servers_lib
+from bridgecross_entry import server_registry
 from bridgecross_entry import warmups
 
 
@@ -29,7 +29,7 @@
         self,
         settings: CapacitySettings,
         bounds: model.Bounds,
-        registry: servers_lib.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         loads: load_view.LoadView,
     ) -> None:
         """Stores the sources of information.
--- a/libs/bridgecross-entry/src/bridgecross_entry/server_list.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/server_list.py
@@ -10,7 +10,7 @@
 from bridgecross_entry import journal as journals
 from bridgecross_entry import log as logs
 from bridgecross_entry import model
-from bridgecross_entry import servers as servers_lib
+from bridgecross_entry import server_registry
 
 DecodeServer = Callable[[logs.KeyedRecord], model.BackendServer]
 """Decodes an entry; raises ``findings.FindingsError`` if it is invalid."""
@@ -23,7 +23,7 @@
         self,
         feed: feeds.Feed,
         decode: DecodeServer,
-        registry: servers_lib.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         journal: journals.Journal,
         clock: clocks.Clock,
     ) -> None:
--- a/libs/bridgecross-entry/src/bridgecross_entry/server_selection.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/server_selection.py
@@ -9,6 +9,7 @@
 from bridgecross_core import ids
 from bridgecross_entry import attempts
 from bridgecross_entry import model
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers as servers_lib
 
 
@@ -32,7 +33,7 @@
         self,
         settings: SelectionSettings,
         instance: model.InstanceSettings,
-        registry: servers_lib.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         client: attempts.BackendClient,
         clock: clocks.Clock,
         is_straight: Callable[[ids.ServerId], bool] = lambda _: True,
--- a/libs/bridgecross-entry/src/bridgecross_entry/warmup_queries.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/warmup_queries.py
@@ -5,6 +5,7 @@
 
 from bridgecross_core import clock as clocks
 from bridgecross_entry import attempts
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers as servers_lib
 
 
@@ -31,7 +32,7 @@
     def __init__(
         self,
         stale_age_s: float,
-        registry: servers_lib.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         client: attempts.BackendClient,
         clock: clocks.Clock,
     ) -> None:
--- a/libs/bridgecross-entry/tests/cluster_state_support.py
+++ b/libs/bridgecross-entry/tests/cluster_state_support.py
@@ -14,6 +14,7 @@
 from bridgecross_entry import follower
 from bridgecross_entry import journal as journals
 from bridgecross_entry import keymap
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers
 
 
@@ -71,7 +72,7 @@
     ) -> None:
         real = clock.SystemClock()
         journal = written or support.make_journal(real)
-        self.registry = servers.ServerRegistry(
+        self.registry = server_registry.ServerRegistry(
             servers.ServerSettings(), support.BOUNDS, journal, real
         )
         self.versions: list[int] = []
--- a/libs/bridgecross-entry/tests/entry_fakes.py
+++ b/libs/bridgecross-entry/tests/entry_fakes.py
@@ -19,6 +19,7 @@
 from bridgecross_entry import log
 from bridgecross_entry import metrics
 from bridgecross_entry import planner
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers
 
 SERVICE = ids.ServiceName("rapor")
@@ -255,7 +256,7 @@
     ) -> None:
         real = clock.SystemClock()
         journal = support.make_journal(real)
-        self.registry = servers.ServerRegistry(
+        self.registry = server_registry.ServerRegistry(
             servers.ServerSettings(), support.BOUNDS, journal, real
         )
         self.table = keymap.KeyTable(journal)
--- a/libs/bridgecross-entry/tests/forward_support.py
+++ b/libs/bridgecross-entry/tests/forward_support.py
@@ -13,6 +13,7 @@
 from bridgecross_entry import metrics
 from bridgecross_entry import peers
 from bridgecross_entry import server_links
+from bridgecross_entry import server_registry
 from bridgecross_entry import server_ways
 from bridgecross_entry import servers
 from bridgecross_entry import warmup_queries
@@ -72,7 +73,7 @@
         journal = support.make_journal(clock)
         self.metrics = metrics.Metrics()
         self.servers = Servers()
-        self.registry = servers.ServerRegistry(
+        self.registry = server_registry.ServerRegistry(
             servers.ServerSettings(), support.BOUNDS, journal, clock
         )
         for number, name in enumerate("abc"):
--- a/libs/bridgecross-entry/tests/test_crash_watch.py
+++ b/libs/bridgecross-entry/tests/test_crash_watch.py
@@ -8,6 +8,7 @@
 from bridgecross_entry import attempts
 from bridgecross_entry import crash_watch
 from bridgecross_entry import metrics
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers
 from bridgecross_request import poison_requests
 
@@ -42,7 +43,7 @@
         self.clock = real
         journal = support.make_journal(real)
         self.backends = Backends(*refusing)
-        self.registry = servers.ServerRegistry(
+        self.registry = server_registry.ServerRegistry(
             servers.ServerSettings(), support.BOUNDS, journal, real
         )
         self.server = support.make_server("a")
--- a/libs/bridgecross-entry/tests/test_dispatch.py
+++ b/libs/bridgecross-entry/tests/test_dispatch.py
@@ -16,6 +16,7 @@
 from bridgecross_entry import metrics
 from bridgecross_entry import model
 from bridgecross_entry import permit_client
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers
 from bridgecross_request import fair_share
 
@@ -81,7 +82,7 @@
         real = clock.SystemClock()
         journal = support.make_journal(real)
         bounds = bounds or support.BOUNDS
-        self.registry = servers.ServerRegistry(
+        self.registry = server_registry.ServerRegistry(
             servers.ServerSettings(), bounds, journal, real
         )
         for name in ("a", "b"):
--- a/libs/bridgecross-entry/tests/test_evacuations.py
+++ b/libs/bridgecross-entry/tests/test_evacuations.py
@@ -2,6 +2,7 @@
 import pytest
 
 from bridgecross_entry import evacuations
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers
 
 START = evacuations.EvacuationChange("hall-1", is_evacuated=True)
@@ -16,7 +17,7 @@
 
 @pytest.fixture
 def registry(clock):
-    made = servers.ServerRegistry(
+    made = server_registry.ServerRegistry(
         servers.ServerSettings(),
         support.BOUNDS,
         support.make_journal(clock),
--- a/libs/bridgecross-entry/tests/test_leases.py
+++ b/libs/bridgecross-entry/tests/test_leases.py
@@ -15,6 +15,7 @@
 from bridgecross_entry import leases
 from bridgecross_entry import metrics
 from bridgecross_entry import proofs
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers
 
 pytestmark = pytest.mark.anyio
@@ -39,7 +40,7 @@
 
 def _make_lease_manager(lease_servers, lead, time_source):
     journal = support.make_journal(time_source)
-    registry = servers.ServerRegistry(
+    registry = server_registry.ServerRegistry(
         servers.ServerSettings(), support.BOUNDS, journal, time_source
     )
     registry.put(support.make_server("a"))
--- a/libs/bridgecross-entry/tests/test_notices.py
+++ b/libs/bridgecross-entry/tests/test_notices.py
@@ -7,6 +7,7 @@
 from bridgecross_entry import attempts
 from bridgecross_entry import journal
 from bridgecross_entry import notices
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers
 
 LEAVING = attempts.Notice(is_leaving=True)
@@ -95,7 +96,7 @@
 
 @pytest.fixture
 def registry(clock, journal_lines):
-    made = servers.ServerRegistry(
+    made = server_registry.ServerRegistry(
         servers.ServerSettings(), support.BOUNDS, journal_lines, clock
     )
     made.put(SERVER)
--- a/libs/bridgecross-entry/tests/test_permit_client.py
+++ b/libs/bridgecross-entry/tests/test_permit_client.py
@@ -14,6 +14,7 @@
 from bridgecross_entry import permit_client
 from bridgecross_entry import permit_issuer
 from bridgecross_entry import permits
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers
 from bridgecross_request import fair_share
 from bridgecross_request import queueing
@@ -89,7 +90,7 @@
 ):
     real = clock.SystemClock()
     journal = support.make_journal(real)
-    registry = servers.ServerRegistry(
+    registry = server_registry.ServerRegistry(
         servers.ServerSettings(), support.BOUNDS, journal, real
     )
     own = permit_issuer.PermitIssuer(
@@ -196,7 +197,7 @@
     slots, instance_count, is_used
 ):
     real = clock.SystemClock()
-    registry = servers.ServerRegistry(
+    registry = server_registry.ServerRegistry(
         servers.ServerSettings(),
         support.BOUNDS,
         support.make_journal(real),
--- a/libs/bridgecross-entry/tests/test_permit_issuer.py
+++ b/libs/bridgecross-entry/tests/test_permit_issuer.py
@@ -11,6 +11,7 @@
 from bridgecross_entry import model
 from bridgecross_entry import permit_issuer
 from bridgecross_entry import permits
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers
 from bridgecross_request import fair_share
 
@@ -31,7 +32,7 @@
     def __init__(self) -> None:
         real = clock.SystemClock()
         journal = support.make_journal(real)
-        self.registry = servers.ServerRegistry(
+        self.registry = server_registry.ServerRegistry(
             servers.ServerSettings(), support.BOUNDS, journal, real
         )
         self.registry.put(support.make_server("a"))
--- a/libs/bridgecross-entry/tests/test_restarts.py
+++ b/libs/bridgecross-entry/tests/test_restarts.py
@@ -21,6 +21,7 @@
 from bridgecross_entry import keymap
 from bridgecross_entry import log
 from bridgecross_entry import server_list
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers
 
 pytestmark = pytest.mark.anyio
@@ -37,7 +38,7 @@
         journal = support.make_journal(real)
         self.log = fakes.MemoryLog()
         self.feed = feeds.Feed(TOPIC)
-        self.registry = servers.ServerRegistry(
+        self.registry = server_registry.ServerRegistry(
             servers.ServerSettings(), support.BOUNDS, journal, real
         )
         self.list = server_list.ServerList(
--- a/libs/bridgecross-entry/tests/test_servers.py
+++ b/libs/bridgecross-entry/tests/test_server_registry.py
@@ -5,6 +5,7 @@
 
 from bridgecross_core import ids
 from bridgecross_entry import attempts
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers
 
 NAME = ids.ServerId("a")
@@ -17,7 +18,7 @@
 
 @pytest.fixture
 def registry(clock):
-    return servers.ServerRegistry(
+    return server_registry.ServerRegistry(
         servers.ServerSettings(),
         support.BOUNDS,
         support.make_journal(clock),
@@ -25,7 +26,7 @@
     )
 
 
-def _server(registry: servers.ServerRegistry) -> servers.Server:
+def _server(registry: server_registry.ServerRegistry) -> servers.Server:
     server = registry.get(NAME)
     assert server is not None
     return server
--- a/tests/emulated/mutants.py
+++ b/tests/emulated/mutants.py
@@ -19,7 +19,7 @@
 from bridgecross_entry import proofs
 from bridgecross_entry import relay_rounds
 from bridgecross_entry import server_list
-from bridgecross_entry import servers
+from bridgecross_entry import server_registry
 from bridgecross_request import poison_requests
 
 _SINCE = feeds.Feed.since
@@ -129,7 +129,7 @@
 def _take_runs_for_ended():
     """Every run of a server counts as ended."""
     return mock.patch.object(
-        servers.ServerRegistry, "has_ended", return_value=True
+        server_registry.ServerRegistry, "has_ended", return_value=True
     )
 
 
--- a/tests/emulated/test_leaving_word.py
+++ b/tests/emulated/test_leaving_word.py
@@ -11,7 +11,7 @@
 
 from bridgecross_emulator import instances
 from bridgecross_entry import notices
-from bridgecross_entry import servers
+from bridgecross_entry import server_registry
 from tests.emulated import crash_scene
 
 WITHIN_S = 2.0
@@ -162,13 +162,13 @@
 
 def _override_by_entry():
     """Makes an entry override what the server said in its answers."""
-    put = servers.ServerRegistry.put
+    put = server_registry.ServerRegistry.put
 
     def undo(self, listed):
         self.notices._leaving_since_s.pop(listed.server_id, None)
         put(self, listed)
 
-    return mock.patch.object(servers.ServerRegistry, "put", undo)
+    return mock.patch.object(server_registry.ServerRegistry, "put", undo)
 
 
 def _use_without_limit():
--- a/tests/emulated/test_warmup.py
+++ b/tests/emulated/test_warmup.py
@@ -21,6 +21,7 @@
 
 from bridgecross_emulator import instances
 from bridgecross_entry import dispatch
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers
 from bridgecross_entry import warmups
 from tests.emulated import crash_scene
@@ -220,7 +221,7 @@
 
 def _treat_all_as_warm():
     return mock.patch.object(
-        servers.ServerRegistry, "cold_rate_per_s", return_value=None
+        server_registry.ServerRegistry, "cold_rate_per_s", return_value=None
     )
 
 
--- a/tests/load/simulation.py
+++ b/tests/load/simulation.py
@@ -33,6 +33,7 @@
 from bridgecross_entry import permit_client
 from bridgecross_entry import permit_issuer
 from bridgecross_entry import permits
+from bridgecross_entry import server_registry
 from bridgecross_entry import servers
 from tests.load import totals as totals_lib
 
@@ -357,7 +358,7 @@
             self._clock,
         )
         instance = clusters.make_settings(number)
-        registry = servers.ServerRegistry(
+        registry = server_registry.ServerRegistry(
             self.load.server_settings, instance.bounds, journal, self._clock
         )
         for backend_servers in self._services.values():
@@ -386,7 +387,7 @@
     def _make_permits(
         self,
         instance: model.InstanceSettings,
-        registry: servers.ServerRegistry,
+        registry: server_registry.ServerRegistry,
         journal: journals.Journal,
     ) -> permit_client.PermitClient | None:
         if self.load.with_permits is False:
