--- a/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/exchange.py
@@ -26,8 +26,8 @@
 from bridgecross_entry import model
 
 _PIECE_BYTES = 16 * 1024
-"""The size of the pieces in which received bytes are parsed; the bounds are
-checked between pieces. A piece of short headers takes 2 ms."""
+"""The size of the pieces in which received bytes are parsed. The bounds are
+checked between pieces, and parsing many short headers takes long."""
 
 _NO_BODY_STATUSES = frozenset({204, 304})
 _FIRST_STATUS = 100
