--- a/libs/bridgecross-entry/tests/test_answer_bounds.py
+++ b/libs/bridgecross-entry/tests/test_answer_bounds.py
@@ -1,7 +1,6 @@
 """What an exchange receives from a peer that sends bytes without end."""
 
 import asyncio
-import time
 
 import anyio
 import anyio.lowlevel
@@ -21,6 +20,7 @@
 # One piece is parsed before the bounds are checked.
 _PIECE_BYTES = 16 * 1024
 _ENOUGH_S = 5.0
+_ADDRESS = model.Address("127.0.0.1", 1)
 _REQUEST = b"GET / HTTP/1.1\r\n\r\n"
 
 
@@ -134,31 +134,57 @@
     assert ledger.total_bytes == 0
 
 
-# Guards against a server that keeps all other callers of the process waiting.
-async def test_others_go_on_while_bytes_without_end_arrive():
-    longest_s = 0.0
+class _Transport:
+    """A transport that is open until it is aborted."""
+
+    def __init__(self) -> None:
+        self.is_aborted = False
+
+    def get_extra_info(self, name):
+        del name
+
+    def write(self, data):
+        del data
+
+    def abort(self):
+        self.is_aborted = True
+
+    def is_closing(self):
+        return self.is_aborted
 
-    async def run_beside():
-        nonlocal longest_s
-        while True:
-            begun_s = time.process_time()
-            await anyio.lowlevel.checkpoint()
-            longest_s = max(longest_s, time.process_time() - begun_s)
+
+# Guards against a server that keeps all other callers of the process waiting
+# while what arrived at once is parsed.
+async def test_what_arrives_at_once_is_parsed_only_up_to_the_bound():
+    journal = _Lines()
+    memory = answer_bounds.AnswerMemory(memory_ledger.UNLIMITED, journal)
+    transport = _Transport()
+    connection = exchange._Connection(
+        exchange.ConnectionSettings(bounds=_BOUNDS), 0.0, _ADDRESS, memory
+    )
+    connection.connection_made(transport)
+    results = []
+
+    async def ask():
+        results.append(
+            await connection.exchange(_REQUEST, lambda reply: True, b"1")
+        )
 
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(run_beside)
-        for script in endless_server.FRAMING.values():
-            await _receive(script)
-        tasks.cancel_scope.cancel()
-    assert longest_s < 0.1
+        tasks.start_soon(ask)
+        await anyio.lowlevel.checkpoint()
+        begin, again = endless_server.FRAMING["headers"]
+        connection.data_received(begin + 100 * again)
+        assert transport.is_aborted
+    (line,) = journal.lines
+    assert line["received_bytes"] <= _BOUNDS.framing_max_bytes + _PIECE_BYTES
+    assert results == [exchange.Broken(answer_bounds.Excess.FRAMING.value)]
 
 
 async def test_only_long_bodies_are_counted_and_then_released():
     ledger = memory_ledger.MemoryLedger(memory_ledger.LedgerSettings(), 200.0)
     memory = answer_bounds.AnswerMemory(ledger)
-    received = answer_bounds.ReceivedBytes(
-        _BOUNDS, memory, model.Address("127.0.0.1", 1)
-    )
+    received = answer_bounds.ReceivedBytes(_BOUNDS, memory, _ADDRESS)
     with received:
         assert received.add_body(_BOUNDS.uncounted_max_bytes) is None
         assert ledger.total_bytes == 0
