--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_platform.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_platform.py
@@ -16,7 +16,7 @@
 _LIST_TIMEOUT_S = 2.0
 _LEASE_MAX_CONNECTIONS = 2
 _LEASE_ANSWER_MAX_BYTES = 1024 * 1024
-"""An answer lists the slices that a server holds, at 50 bytes each."""
+"""An answer lists the slices that a server holds."""
 _HTTP_ERRORS = (
     httpcore.NetworkError,
     httpcore.TimeoutException,
