Tests of clients that nobody controls, and what they found, listed

Real processes beside small crowds: heads of legal size made of very many lines, bytes without end in each part of a request, connections without a request, on every listener of both entrances. Checked are only that the process lives, its memory and its open sockets under a bound, and that an ordinary request is answered afterwards. The bounds: the memory of the smallest machine (160 MB) and its descriptors without those that are kept for files, and 300 MB at the first entrance.

The list has a line with the figure for each. Lines of this issue do not count against the list's maximum.

They are a call of pytest of their own, without workers, after all others.

--- a/libs/bridgecross-standins/src/bridgecross_standins/__init__.py
+++ b/libs/bridgecross-standins/src/bridgecross_standins/__init__.py
@@ -8,6 +8,7 @@
 * ``balancer``: the platform's load balancer.
 * ``probing``: sends requests at a steady rate.
 * ``checker``: checks the journals for violated guarantees.
+* ``crowds``: clients that send what they like.
 * ``serving``: serves any of the stand-ins over HTTP.
 * ``processes``: starts a cluster as separate processes.
 * ``cluster_tools``: helpers of the demo, tests and benchmarks for a cluster.
@@ -20,6 +21,7 @@
     "balancer",
     "checker",
     "cluster_tools",
+    "crowds",
     "demo",
     "list_standin",
     "log_standin",
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -41,6 +41,13 @@
         conftest.parse_known_failures(text)
 
 
+def test_lines_of_some_issues_do_not_count():
+    lines = [f"a.py::test_{number} | cause | 82" for number in range(30)]
+    assert len(conftest.parse_known_failures("\n".join(lines))) == 30
+    with pytest.raises(pytest.UsageError):
+        conftest.parse_known_failures("\n".join([*lines, *[LINE] * 7]))
+
+
 class Item:
     nodeid = "a/test_b.py::test_c"
 
