Take no trailer for a header of its request

Callers: a request with the header Request-Id "one" and a trailer Request-Id "two" ran at the server as "two" and was answered as "two"; key, deadline and host could be replaced in the same way.

Cause: the parser reports headers and trailers by one function, and the base class adds both to one list, which is read once the body is complete.

Evidence: test_trailers_are_no_headers failed before in both cases, the list ended with (b'request-id', b'two'), (b'host', b'i').

Why it works: what is reported while a body is being read is dropped, so the list is that of the head. Trailers are optional for whoever receives them.

--- a/libs/bridgecross-entry/src/bridgecross_entry/caller_protocol.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/caller_protocol.py
@@ -203,6 +203,11 @@
                 return
             super().data_received(data[offset : offset + _PIECE_BYTES])
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Drops trailers: they are no headers of the request."""
+        if not self._is_in_body:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Records the time, and lets the base class create the request."""
         state = cast("listener.Scope", self.scope)["state"]
--- a/libs/bridgecross-entry/tests/test_caller_protocol.py
+++ b/libs/bridgecross-entry/tests/test_caller_protocol.py
@@ -77,6 +77,7 @@
         self.cancelled: list[str] = []
         self.bodies: dict[str, bytes] = {}
         self.received_s: dict[str, float] = {}
+        self.headers: dict[str, list[tuple[bytes, bytes]]] = {}
         self.failing: set[str] = set()
         self.truncated: set[str] = set()
         self.closing: set[str] = set()
@@ -92,6 +93,7 @@
             self.cancelled.append(path)
             return
         self.bodies[path] = body
+        self.headers[path] = scope["headers"]
         with anyio.CancelScope() as scope_of_request:
             state[listener.ON_DISCONNECT] = scope_of_request.cancel
             await self.released[path].wait()
@@ -373,3 +375,21 @@
         assert await _exchange_one_by_one(plain) == responses
     seen = (pipelining.started, pipelining.bodies)
     assert (plain.started, plain.bodies) == seen
+
+
+@pytest.mark.parametrize("is_pipelined", [False, True])
+async def test_trailers_are_no_headers(site, is_pipelined):
+    """Guards against a body that says under which id its request runs."""
+    site.release("/1", "/w2")
+    head = "Transfer-Encoding: chunked\r\nRequest-Id: one\r\n"
+    if is_pipelined:
+        site.send("/1")
+    site.send("/w2", headers=head)
+    site.writer.write(b"1\r\nx\r\n0\r\nRequest-Id: two\r\nHost: i\r\n\r\n")
+    paths = ["/1", "/w2"] if is_pipelined else ["/w2"]
+    assert await site.read_paths(len(paths)) == paths
+    assert site.headers["/w2"] == [
+        (b"host", b"h"),
+        (b"transfer-encoding", b"chunked"),
+        (b"request-id", b"one"),
+    ]
