Bound what a client may send beside the bodies of its requests

Callers: all requests at an instance end with its process, which is killed for its memory; before that it answers nobody, since a long value is copied for each read.

Cause: no part of a request but its body had a bound. The configured limit of heads was decoded and used nowhere.

Why it works: whatever is no body is counted by its bytes before it is parsed, on every listener, so no part can be missed. Beyond the limit the request is refused with 431 or 400 after the responses to earlier ones.

--- a/libs/bridgecross-entry/src/bridgecross_entry/caller_protocol.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/caller_protocol.py
@@ -19,18 +19,12 @@
 from uvicorn.protocols.http import httptools_impl
 
 from bridgecross_core import clock as clocks
+from bridgecross_entry import bounded_protocol
 from bridgecross_entry import listener
 from bridgecross_entry import memory_ledger
 from bridgecross_entry import pipeline_monitor
 from bridgecross_entry import pipeline_order
 
-_PIECE_BYTES = 4_096
-"""The size of the pieces in which received bytes are parsed.
-
-One read may contain thousands of small requests, so the limits of a connection
-are checked between pieces.
-"""
-
 _CALLER_CHECK_INTERVAL_S = 0.1
 """The interval of checks whether the caller has left while reading is paused.
 
@@ -150,8 +144,6 @@
         )
         # Received bytes that are kept, not parsed, while reading is paused.
         self._unparsed = b""
-        # Whether the newest request has a head but not yet its whole body.
-        self._is_in_body = False
         # The size of the newest request as far as it has been read.
         self._newest_bytes = 0
         self._caller_check: asyncio.TimerHandle | None = None
@@ -193,26 +185,11 @@
 
     # Reading.
 
-    def data_received(self, data: bytes) -> None:
-        """Parses bytes until the limits are reached, and keeps the rest."""
-        for offset in range(0, len(data), _PIECE_BYTES):
-            if self.transport.is_closing() or not self._may_parse():
-                return
-            if self._order.is_paused:
-                self._unparsed += data[offset:]
-                return
-            super().data_received(data[offset : offset + _PIECE_BYTES])
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Drops trailers: they are no headers of the request."""
-        if not self._is_in_body:
-            super().on_header(name, value)
-
     def on_headers_complete(self) -> None:
         """Records the time, and lets the base class create the request."""
         state = cast("listener.Scope", self.scope)["state"]
         state[listener.RECEIVED_S] = self.parts.clock.monotonic_s()
-        if not self._order.requests and _is_open(self.cycle):
+        if not self._order.requests and bounded_protocol.is_open(self.cycle):
             self._begin_pipelining()
         if self._order.requests:
             # Without an earlier request, the base class passes the new one
@@ -222,7 +199,6 @@
             len(name) + len(value) for name, value in self.headers
         )
         super().on_headers_complete()
-        self._is_in_body = True
 
     def on_body(self, body: bytes) -> None:
         """Counts the bytes of a body."""
@@ -234,37 +210,41 @@
             if self.flow.read_paused:
                 self._schedule_caller_check()
 
-    def on_message_complete(self) -> None:
-        """Records that the newest request has been read completely."""
-        super().on_message_complete()
-        self._is_in_body = False
-
-    def send_400_response(self, msg: str) -> None:
-        """Refuses invalid bytes after the responses to earlier requests."""
+    def refuse(self, refusal: bounded_protocol.Refusal) -> None:
+        """Refuses the newest request after the responses to earlier ones."""
+        is_in_body = self._bounds.is_in_body
         if not self._order.requests:
-            if self._is_in_body or not _is_open(self.cycle):
-                super().send_400_response(msg)
+            if is_in_body or not bounded_protocol.is_open(self.cycle):
+                super().refuse(refusal)
                 return
             self._begin_pipelining()
-        elif self._is_in_body and self._is_newest_pipelined():
-            # The newest request is invalid, so this is its response.
+        elif is_in_body and self._is_newest_pipelined():
+            # This is the response to the newest request.
             self._cancel(self._order.drop_last())
             self._order.accepts = True
+        self._is_discarding = True
         exchange = self._make_exchange(None, self.app)
         self._order.add(exchange)
         transport, self.transport = self.transport, exchange.transport
         try:
-            super().send_400_response(msg)
+            self.write_refusal(refusal)
         finally:
             self.transport = transport
-        self._settle()
+        exchange.transport.close()
 
     def _may_parse(self) -> bool:
         """Whether received bytes belong to a request that will be answered."""
-        return self._order.accepts or (
-            self._is_in_body and self._is_newest_pipelined()
+        return super()._may_parse() and (
+            self._order.accepts
+            or (self._bounds.is_in_body and self._is_newest_pipelined())
         )
 
+    def _keep(self, data: bytes, offset: int) -> bool:
+        """Keeps bytes while reading is paused."""
+        if self._order.is_paused:
+            self._unparsed += data[offset:]
+        return self._order.is_paused
+
     def _is_newest_pipelined(self) -> bool:
         """Whether the newest request is unanswered and was not dropped."""
         if not self._order.requests:
@@ -383,14 +363,16 @@
             if not first.is_answered:
                 break
             self._order.remove_first()
-            if first.closes:
+            if first.cycle is None:
+                self.linger()
+            elif first.closes:
                 self.transport.close()
         self._update_reading()
         if self._order.requests:
             self._start_requests()
         else:
             self.parts.monitor.unwatch(self._order)
-            if not self._order.accepts:
+            if not self._order.accepts and self._linger_timer is None:
                 self.transport.close()
             self.on_response_complete()
         self._parse_rest()
@@ -415,11 +397,7 @@
                 continue
             if cycle.response_complete:
                 continue
-            cycle.disconnected = True
-            cycle.message_event.set()
-            on_disconnect = _state(cycle).get(listener.ON_DISCONNECT)
-            if on_disconnect is not None:
-                on_disconnect()
+            bounded_protocol.cancel(cycle)
         self.parts.monitor.note_cancelled(count)
 
     # Limits.
@@ -474,13 +452,6 @@
     return BoundCallerProtocol
 
 
-def _is_open(cycle: httptools_impl.RequestResponseCycle | None) -> bool:
-    """Whether a request has been read and is not answered."""
-    return cycle is not None and not (
-        cycle.response_complete or cycle.disconnected
-    )
-
-
 def _state(cycle: httptools_impl.RequestResponseCycle) -> dict[str, Any]:
     """Returns the state that a request shares with the application."""
     return cycle.scope["state"]
--- a/libs/bridgecross-entry/src/bridgecross_entry/listener.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/listener.py
@@ -12,9 +12,10 @@
 import anyio
 import uvicorn
 from uvicorn.protocols.http import flow_control
-from uvicorn.protocols.http import httptools_impl
 from uvicorn.server import ServerState
 
+from bridgecross_entry import bounded_protocol
+from bridgecross_entry import client_guard
 from bridgecross_entry import journal as journals
 from bridgecross_entry import model
 from bridgecross_entry import send_buffers
@@ -24,7 +25,7 @@
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 App = Callable[[Scope, Receive, Send], Awaitable[None]]
 
-ON_DISCONNECT = "bridgecross.on_disconnect"
+ON_DISCONNECT = bounded_protocol.ON_DISCONNECT
 """The key of ``scope["state"]`` under which an application stores a function
 to call when the caller disconnects."""
 
@@ -53,17 +54,12 @@
 structure ``tcp_info``."""
 
 
-class DisconnectAwareProtocol(httptools_impl.HttpToolsProtocol):
+class DisconnectAwareProtocol(bounded_protocol.BoundedProtocol):
     """Notifies the application as soon as the caller disconnects."""
 
     # Watches the send buffer, if the memory of the process is limited.
     buffers: send_buffers.SendBuffers | None = None
 
-    @property
-    def peer(self) -> str:
-        """The address of the caller."""
-        return self.client[0] if self.client else ""
-
     def unsent_bytes(self) -> int:
         """Returns the size of the send buffer."""
         return self.transport.get_write_buffer_size()
@@ -152,6 +148,7 @@
         app: App,
         protocol: type[DisconnectAwareProtocol] = DisconnectAwareProtocol,
         buffers: send_buffers.SendBuffers | None = None,
+        guard: client_guard.ClientGuard | None = None,
     ) -> None:
         """Creates a listener that has not been started.
 
@@ -160,8 +157,11 @@
             app: Serves the requests.
             protocol: Handles a connection.
             buffers: Watches the send buffers of the connections, if given.
+            guard: Limits what the connections hold; by default to the default
+                limits of requests.
         """
         self._address = address
+        self._guard = guard or client_guard.ClientGuard()
         self._buffers = buffers
         self._protocol = protocol
         self._config = uvicorn.Config(
@@ -238,6 +238,7 @@
             config=self._config, server_state=self._state, app_state={}
         )
         protocol.buffers = self._buffers
+        protocol.guard = self._guard
         return protocol
 
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
@@ -136,6 +136,12 @@
             "Requests refused because their bodies did not fit, by reason.",
             registry=self.registry,
         )
+        self.client_faults = aioprometheus.Counter(
+            "bridgecross_client_faults_total",
+            "Requests and connections of clients that were ended since they "
+            "exceeded a limit, by reason.",
+            registry=self.registry,
+        )
         self.answers_broken_off = aioprometheus.Counter(
             "bridgecross_answers_broken_off_total",
             "Answers of servers and instances of which nothing more was "
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -12,6 +12,8 @@
 from bridgecross_core import clock as clocks
 from bridgecross_entry import assembly
 from bridgecross_entry import caller_protocol
+from bridgecross_entry import client_guard
+from bridgecross_entry import client_monitor
 from bridgecross_entry import draining
 from bridgecross_entry import edge
 from bridgecross_entry import follower as followers
@@ -65,6 +67,9 @@
             clock,
             self._memory.gate,
         )
+        self._clients = client_monitor.ClientMonitor(
+            journal, self._parts.metrics, clock
+        )
         self._make_listeners()
         self._stop_requested = anyio.Event()
         self._stopping = False
@@ -73,6 +78,10 @@
         """Creates the listeners."""
         platform = self._parts.settings
         peer_server = self._parts.cluster_tasks.make_peer_server()
+        self._caller_guard = self._make_guard()
+        peer_guard = self._make_guard()
+        ready_guard = self._make_guard()
+        metrics_guard = self._make_guard()
         self._pipelines = pipeline_monitor.PipelineMonitor(
             self._parts.metrics, self._journal, self._clock
         )
@@ -89,6 +98,7 @@
                 )
             ),
             buffers=self._memory.buffers,
+            guard=self._caller_guard,
         )
         self._peer_listener = listener.Listener(
             platform.peer_address,
@@ -101,6 +111,7 @@
                 self._parts.forward_server,
                 self._memory.gate,
             ),
+            guard=peer_guard,
         )
         self._listeners = [
             self._caller_listener,
@@ -108,15 +119,21 @@
             listener.Listener(
                 platform.ready_address,
                 edge.make_readiness_app(self._is_ready),
+                guard=ready_guard,
             ),
             listener.Listener(
                 platform.metrics_address,
                 edge.make_metrics_app(
                     self._parts.metrics, self._refresh_metrics
                 ),
+                guard=metrics_guard,
             ),
         ]
 
+    def _make_guard(self) -> client_guard.ClientGuard:
+        """Returns the limits of a listener."""
+        return client_guard.ClientGuard(self._clients)
+
     # Running.
 
     async def run(self) -> None:
@@ -215,7 +232,8 @@
         return not self._stopping and self._parts.cluster_state.is_complete
 
     def _apply_caller_limits(self, new: model.Configuration) -> None:
-        """Applies the configured idle timeout to callers' connections."""
+        """Applies the configured limits to callers' connections."""
+        self._caller_guard.configure(new)
         idle_s = new.limits.idle_timeout_ms / 1_000
         self._caller_listener.set_idle_timeout(idle_s)
 
@@ -228,6 +246,7 @@
             self._journal.flush()
             self._parts.sweep()
             self._memory.sweep()
+            self._clients.log_faults()
 
     async def _write_tally(self) -> None:
         """Logs the totals of requests at regular intervals."""
--- /dev/null
+++ b/libs/bridgecross-entry/tests/test_bounded_protocol.py
@@ -0,0 +1,205 @@
+"""Tests of what a connection reads, refuses and closes at its limits."""
+
+import asyncio
+import contextlib
+import types
+
+import anyio
+import entry_support as support
+import pytest
+
+from bridgecross_entry import caller_protocol
+from bridgecross_entry import client_guard
+from bridgecross_entry import client_monitor
+from bridgecross_entry import listener
+from bridgecross_entry import memory_ledger
+from bridgecross_entry import metrics
+from bridgecross_entry import model
+from bridgecross_entry import pipeline_monitor
+from bridgecross_entry import pipeline_order
+
+pytestmark = [
+    pytest.mark.anyio,
+    pytest.mark.parametrize(
+        "anyio_backend",
+        [("asyncio", {"use_uvloop": True}), ("asyncio", {})],
+        ids=["uvloop", "asyncio"],
+    ),
+]
+
+HEAD_MAX_BYTES = 4_096 + 1_000
+"""What ``client_guard`` makes of ``max_header_bytes=1_000``."""
+
+LEDGER = memory_ledger.LedgerSettings(
+    program_bytes=0, granted_ratio=1.0, granted_min_bytes=0
+)
+HEAD = b"POST /%s HTTP/1.1\r\nhost: h\r\n"
+CHUNKED = HEAD % b"c" + b"transfer-encoding: chunked\r\n\r\n"
+
+
+class Site:
+    """A listener whose application returns what it received."""
+
+    def __init__(self, memory_mb: float = 1.0) -> None:
+        clock = support.ManualClock()
+        self.clock = clock
+        self.metrics = metrics.Metrics()
+        journal = support.make_journal(clock)
+        self.ledger = memory_ledger.MemoryLedger(LEDGER, memory_mb)
+        self.guard = client_guard.ClientGuard(
+            client_monitor.ClientMonitor(journal, self.metrics, clock),
+        )
+        limits = model.CallerLimits(1_000, 1_000_000, 3_000, 15_000)
+        self.guard.configure(types.SimpleNamespace(limits=limits))
+        self.monitor = pipeline_monitor.PipelineMonitor(
+            self.metrics, journal, clock
+        )
+        parts = caller_protocol.PipelineParts(
+            lambda scope: True,
+            self.ledger,
+            self.monitor,
+            clock,
+            pipeline_order.PipelineLimits(),
+        )
+        self.listener = listener.Listener(
+            model.Address("127.0.0.1", 0),
+            self.serve,
+            caller_protocol.make_protocol(parts),
+            guard=self.guard,
+        )
+        self.released = anyio.Event()
+        self.scopes: list[listener.Scope] = []
+        self.bodies: list[bytes] = []
+
+    async def serve(self, scope, receive, send):
+        self.scopes.append(scope)
+        body = await listener.read_body(receive, 10_000_000)
+        if body is None:
+            return
+        self.bodies.append(body)
+        if scope["path"] == "/wait":
+            await self.released.wait()
+        lines = [b"%s:%s" % line for line in scope["headers"]]
+        await listener.respond(send, 200, [], b"\n".join([*lines, body]))
+
+    async def connect(self):
+        port = self.listener._server.sockets[0].getsockname()[1]
+        return await asyncio.open_connection("127.0.0.1", port)
+
+    async def send(self, *pieces: bytes) -> bytes:
+        """Sends bytes on a connection of their own; returns all answers."""
+        reader, writer = await self.connect()
+        for piece in pieces:
+            writer.write(piece)
+            await writer.drain()
+            await anyio.sleep(0.01)
+        with contextlib.suppress(OSError):
+            writer.write_eof()
+        with anyio.fail_after(5.0):
+            answers = await reader.read()
+        writer.transport.abort()
+        return answers
+
+    def count(self, fault: client_monitor.Fault) -> int:
+        labels = {"reason": fault.name.lower()}
+        try:
+            return self.metrics.client_faults.get(labels)
+        except KeyError:
+            return 0
+
+    async def until(self, is_true) -> None:
+        with anyio.fail_after(5.0):
+            while not is_true():
+                await anyio.sleep(0.005)
+
+
+@pytest.fixture
+async def site():
+    running = Site()
+    await running.listener.start()
+    yield running
+    running.listener.stop()
+    running.listener.abort_all()
+
+
+def _statuses(answers: bytes) -> list[int]:
+    """Returns the statuses of answers whose bodies have no such line."""
+    return [
+        int(each.split(b" ", 1)[0]) for each in answers.split(b"HTTP/1.1 ")[1:]
+    ]
+
+
+def _fill(size_bytes: int, line: bytes = b"") -> bytes:
+    """Returns a head of exactly this size."""
+    head = HEAD % b"x" + line
+    missing_bytes = size_bytes - len(head) - len(b"a:\r\n\r\n")
+    return head + b"a:" + b"x" * missing_bytes + b"\r\n\r\n"
+
+
+@pytest.mark.parametrize("before", [b"", b"\r\n" * 300], ids=["", "empty"])
+@pytest.mark.parametrize("pieces_count", [1, 3])
+async def test_a_head_is_served_up_to_the_limit(site, before, pieces_count):
+    """Guards against heads without end, and against legal ones refused."""
+    for excess_bytes, status in ((0, 200), (1, 431)):
+        head = before + _fill(HEAD_MAX_BYTES + excess_bytes - len(before))
+        step = -(-len(head) // pieces_count)
+        pieces = [head[i : i + step] for i in range(0, len(head), step)]
+        answers = await site.send(*pieces)
+        assert _statuses(answers) == [status]
+    assert site.count(client_monitor.Fault.HEAD_SIZE) == 1
+    assert len(site.scopes) == 1
+    value = dict(site.scopes[0]["headers"])[b"a"]
+    assert value == b"x" * len(value)
+    await site.until(lambda: not site.ledger.total_bytes)
+
+
+PARTS_WITHOUT_END = {
+    "target": (b"GET /", b"x"),
+    "name": (HEAD % b"x", b"x"),
+    "value": (HEAD % b"x" + b"a:", b"x"),
+    "blanks": (HEAD % b"x" + b"a:", b" "),
+    "lines": (HEAD % b"x", b"a:\r\n"),
+    "empty lines": (b"", b"\r\n"),
+    "trailers": (CHUNKED + b"0\r\n", b"a:\r\n"),
+    "trailer": (CHUNKED + b"0\r\na:", b"x"),
+    "extension": (CHUNKED + b"1;", b"x"),
+}
+
+
+@pytest.mark.parametrize(
+    ("opening", "repeated"),
+    PARTS_WITHOUT_END.values(),
+    ids=PARTS_WITHOUT_END.keys(),
+)
+async def test_earlier_responses_come_before_a_refusal(site, opening, repeated):
+    """Guards against a refusal that is taken for an earlier response."""
+    endless = opening + repeated * 12_000
+    reader, writer = await site.connect()
+    writer.write(HEAD % b"wait" + b"content-length: 3\r\n\r\nabc" + endless)
+    faults = (
+        client_monitor.Fault.HEAD_SIZE,
+        client_monitor.Fault.FRAMING_SIZE,
+    )
+    await site.until(lambda: sum(map(site.count, faults)))
+    site.released.set()
+    with anyio.fail_after(5.0):
+        answers = await reader.read()
+    writer.close()
+    statuses = _statuses(answers)
+    assert statuses[0] == 200
+    assert b"abc" in answers
+    assert statuses[1:] in ([431], [400])
+    assert b"connection: close" in answers
+    assert site.bodies == [b"abc"]
+    await site.until(lambda: not site.ledger.total_bytes)
+
+
+async def test_chunks_of_one_byte_with_trailers_are_served(site):
+    """Guards against legal bodies that are refused by their framing."""
+    chunks = b"1\r\nx\r\n" * 30_000 + b"0\r\na: 1\r\nhost: other\r\n\r\n"
+    answers = await site.send(CHUNKED + chunks)
+    assert _statuses(answers) == [200]
+    assert site.bodies == [b"x" * 30_000]
+    # A trailer is no header: it may not replace what the request was read by.
+    names = [name for name, _ in site.scopes[0]["headers"]]
+    assert names == [b"host", b"transfer-encoding"]
