A test of slow readers looks again before it expects a refusal

It checked that memory is held, sent a request and expected it to be refused; a slow reader may be closed in between, and the request is rightly served. Seen once beside five other workers.

The check is as strict: an answer given while the memory is still held must be a refusal, and at least one such answer must have been seen.

--- a/libs/bridgecross-entry/tests/test_memory_limits.py
+++ b/libs/bridgecross-entry/tests/test_memory_limits.py
@@ -188,14 +188,19 @@
         slow.append(writer)
     await anyio.sleep(0.2)
     held_bytes = site.ledger.total_bytes
+    checked_count = 0
     assert (held_bytes > site.ledger.limit_bytes) == is_short
     # Beyond the limit nothing is started, and no further answer is held.
     assert (len(site.server.ran) < callers_count) == is_short
     with anyio.fail_after(closed_within_s):
         while site.ledger.total_bytes >= held_bytes:
             head = await site.send(b"/", b"b" * 1_000_000)
-            assert (b" 503 " if is_short else b" 200 ") in head
+            # A slow reader may have been closed meanwhile.
+            if site.ledger.total_bytes >= held_bytes:
+                assert (b" 503 " if is_short else b" 200 ") in head
+                checked_count += 1
             await anyio.sleep(0.05)
+    assert checked_count
     await site.wait_until_released()
     assert b" 200 " in await site.send(b"/", b"b" * 1_000_000)
     for writer in slow:
