Count the memory that heads of requests take, by their lines

Callers: an instance ends, killed for its memory, and with it all requests that it holds.

Cause: a header line of four bytes takes about 200 as objects, and heads were not counted. An idle connection kept the head of its last request.

Why it works: each head is reserved in the ledger as it grows, by bytes and lines, until its response is complete; what does not fit is refused with 503 before anything was sent. An answered request is dropped by its connection.

--- a/libs/bridgecross-entry/src/bridgecross_entry/bounded_protocol.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/bounded_protocol.py
@@ -1,13 +1,17 @@
 """The protocol of a connection that reads no more than its limits allow."""
 
 import asyncio
+import collections
 from typing import Any
 from typing import NamedTuple
+from typing import cast
 
 from uvicorn.protocols.http import httptools_impl
 
 from bridgecross_entry import client_guard
 from bridgecross_entry import client_monitor
+from bridgecross_entry import head_memory
+from bridgecross_entry import memory_ledger
 from bridgecross_entry import request_bounds
 
 ON_DISCONNECT = "bridgecross.on_disconnect"
@@ -36,6 +40,12 @@
 
 _INVALID = Refusal(400, "Invalid HTTP request received.")
 
+_NO_MEMORY = Refusal(
+    503,
+    "there is no memory for the head",
+    b"retry-after: %.3f\r\n" % (memory_ledger.RETRY_AFTER_MS / 1_000),
+)
+
 _REFUSALS = {
     request_bounds.Excess.HEAD: (
         client_monitor.Fault.HEAD_SIZE,
@@ -48,6 +58,10 @@
 }
 
 
+class _NoRoomError(Exception):
+    """There is no room for the head of a request."""
+
+
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """Refuses requests whose heads, trailers or framing are too large."""
 
@@ -57,6 +71,13 @@
         """Creates the protocol of a connection without requests."""
         super().__init__(*args, **kwargs)
         self._bounds: request_bounds.RequestBounds
+        # The memory of the heads of unanswered requests, the oldest first.
+        self._heads: collections.deque[head_memory.HeadReservation] = (
+            collections.deque()
+        )
+        # The memory of a head that is not complete.
+        self._newest_head: head_memory.HeadReservation | None = None
+        self._lines_count = 0
         # Whether nothing that is received is parsed any more.
         self._is_discarding = False
         self._discarded_bytes = 0
@@ -80,6 +101,9 @@
         """Drops what waits for the end of the connection."""
         if self._linger_timer is not None:
             self._linger_timer.cancel()
+        self._drop_head()
+        while self._heads:
+            self._heads.popleft().release()
         super().connection_lost(exc)
 
     # Reading.
@@ -97,17 +121,29 @@
             self._discard(len(data) - offset)
 
     def on_message_begin(self) -> None:
-        """Takes the limits that are in force."""
+        """Takes the limits that are in force, and counts a new head."""
         super().on_message_begin()
         self._bounds.limits = self.guard.request_limits
+        self._newest_head = self.guard.reserve_head()
+        self._lines_count = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Drops trailers: they are no headers of the request."""
         if not self._bounds.is_in_body:
+            self._lines_count += 1
             super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
-        """Counts what follows as the body or its framing."""
+        """Counts what follows as the body or its framing.
+
+        Raises:
+            _NoRoomError: There is no room for the head.
+        """
+        if not self.count_head():
+            raise _NoRoomError
+        assert self._newest_head is not None  # its head has begun
+        self._heads.append(self._newest_head)
+        self._newest_head = None
         super().on_headers_complete()
         self._bounds.begin_body()
 
@@ -121,6 +157,32 @@
         super().on_message_complete()
         self._bounds.end()
 
+    def on_response_complete(self) -> None:
+        """Releases the head of a request that is answered."""
+        if self._heads:
+            self._heads.popleft().release()
+        if self.cycle is not None and self.cycle.response_complete:
+            self._forget(self.cycle)
+        super().on_response_complete()
+
+    def count_head(self) -> bool:
+        """Counts the newest head so far; returns whether there is room."""
+        if self._newest_head is None:
+            return True
+        return self._newest_head.grow(
+            self._bounds.head_bytes, self._lines_count
+        )
+
+    def _forget(self, cycle: httptools_impl.RequestResponseCycle) -> None:
+        """Drops the head of a request that is answered.
+
+        The connection may be idle for long, and refers to its last request.
+        """
+        if self.scope is cycle.scope:
+            self.headers = []
+            self.scope = cast("Any", None)
+        cycle.scope = cast("Any", {"state": {}})
+
     def _may_parse(self) -> bool:
         """Whether received bytes belong to a request that will be answered."""
         return not self._is_discarding and not self.transport.is_closing()
@@ -144,17 +206,28 @@
             fault, refusal = _REFUSALS[excess]
             self.guard.note(fault, self.peer)
             self.refuse(refusal)
+        elif not self.count_head():
+            self._refuse_head()
 
     # Refusals.
 
     def send_400_response(self, msg: str) -> None:
-        """Refuses bytes that are no request."""
+        """Refuses bytes that are no request, or for which there is no room."""
         del msg  # It is always the same.
-        self.refuse(_INVALID)
+        if self.count_head():
+            self.refuse(_INVALID)
+        else:
+            self._refuse_head()
+
+    def _refuse_head(self) -> None:
+        """Refuses a request for whose head there is no room."""
+        self.guard.note(client_monitor.Fault.HEAD_MEMORY, self.peer)
+        self.refuse(_NO_MEMORY)
 
     def refuse(self, refusal: Refusal) -> None:
         """Refuses the newest request, of which nothing more is read."""
         self._is_discarding = True
+        self._drop_head()
         cycle = self.cycle
         if self._bounds.is_in_body:
             is_answering = cycle.response_started
@@ -170,6 +243,14 @@
         self.write_refusal(refusal)
         self.linger()
 
+    def _drop_head(self) -> None:
+        """Drops a head that is not complete."""
+        if self._newest_head is not None:
+            self._newest_head.release()
+            self._newest_head = None
+            self.headers = []
+            self.scope = cast("Any", None)
+
     def write_refusal(self, refusal: Refusal) -> None:
         """Writes the answer to a request that is not read to its end."""
         body = refusal.reason.encode()
--- a/libs/bridgecross-entry/src/bridgecross_entry/caller_protocol.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/caller_protocol.py
@@ -20,6 +20,7 @@
 
 from bridgecross_core import clock as clocks
 from bridgecross_entry import bounded_protocol
+from bridgecross_entry import head_memory
 from bridgecross_entry import listener
 from bridgecross_entry import memory_ledger
 from bridgecross_entry import pipeline_monitor
@@ -127,6 +128,8 @@
     app: ASGI3Application
     # Set right after its creation, as its functions refer to the exchange.
     transport: _ResponseTransport = dataclasses.field(init=False)
+    # The memory of its head.
+    head: head_memory.HeadReservation | None = None
     # Whether it was read before an earlier request was answered.
     is_pipelined: bool = True
 
@@ -187,6 +190,9 @@
 
     def on_headers_complete(self) -> None:
         """Records the time, and lets the base class create the request."""
+        if not self.count_head():
+            # The base class refuses it.
+            super().on_headers_complete()
         state = cast("listener.Scope", self.scope)["state"]
         state[listener.RECEIVED_S] = self.parts.clock.monotonic_s()
         if not self._order.requests and bounded_protocol.is_open(self.cycle):
@@ -223,6 +229,7 @@
             self._cancel(self._order.drop_last())
             self._order.accepts = True
         self._is_discarding = True
+        self._drop_head()
         exchange = self._make_exchange(None, self.app)
         self._order.add(exchange)
         transport, self.transport = self.transport, exchange.transport
@@ -303,6 +310,8 @@
         """
         size_bytes = self._newest_bytes if cycle is not None else 0
         exchange = _Exchange(size_bytes=size_bytes, cycle=cycle, app=app)
+        if cycle is not None:
+            exchange.head = self._heads[-1]
         exchange.transport = _ResponseTransport(
             self.transport,
             functools.partial(self._hold, exchange),
@@ -363,6 +372,7 @@
             if not first.is_answered:
                 break
             self._order.remove_first()
+            self._release_head(first)
             if first.cycle is None:
                 self.linger()
             elif first.closes:
@@ -392,6 +402,7 @@
         count = 0
         for exchange in exchanges:
             count += exchange.is_pipelined
+            self._release_head(exchange)
             cycle = exchange.cycle
             if cycle is None or cycle is except_cycle:
                 continue
@@ -400,6 +411,14 @@
             bounded_protocol.cancel(cycle)
         self.parts.monitor.note_cancelled(count)
 
+    def _release_head(self, exchange: _Exchange) -> None:
+        """Releases the head of a request that is answered or dropped."""
+        if exchange.head is not None and exchange.head in self._heads:
+            self._heads.remove(exchange.head)
+            exchange.head.release()
+        if exchange.cycle is not None and exchange.cycle.response_complete:
+            self._forget(exchange.cycle)
+
     # Limits.
 
     def _update_reading(self) -> None:
--- a/libs/bridgecross-entry/src/bridgecross_entry/client_monitor.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/client_monitor.py
@@ -15,6 +15,7 @@
 
     HEAD_SIZE = "the head is too large"
     FRAMING_SIZE = "there are too many bytes beside the body"
+    HEAD_MEMORY = "there is no memory for the head"
 
 
 class ClientMonitor:
--- a/libs/bridgecross-entry/src/bridgecross_entry/edge.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/edge.py
@@ -170,7 +170,7 @@
         outcome = outcomes.NotRun(
             outcomes.NotRunProof.REFUSED_BY_ADMISSION,
             reason,
-            retry_after_ms=memory_gate.RETRY_AFTER_MS,
+            retry_after_ms=memory_ledger.RETRY_AFTER_MS,
         )
         return self._codec.write(request.request_id, outcome)
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/memory_gate.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/memory_gate.py
@@ -13,10 +13,6 @@
 _LOG_INTERVAL_S = 1.0
 """The shortest time between two log lines about refusals."""
 
-RETRY_AFTER_MS = 1_000
-"""When a refused request may be repeated: by then, most of the requests that
-hold memory now are answered."""
-
 
 class MemoryGate:
     """Admits requests as far as the ledger has room for their bodies."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/memory_ledger.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/memory_ledger.py
@@ -6,10 +6,15 @@
 
 _MEGABYTE = 1_000_000
 
+RETRY_AFTER_MS = 1_000
+"""When a refused request may be repeated: by then, most of the requests that
+hold memory now are answered."""
+
 
 class Purpose(enum.Enum):
     """What bytes are held for."""
 
+    HEAD = "head"
     BODY = "body"
     ANSWER = "answer"
     PIPELINE = "pipeline"
@@ -58,9 +63,8 @@
     # What the interpreter, the program and its knowledge of the cluster need.
     program_bytes: int = 80 * _MEGABYTE
     # The share of the remaining memory that the ledger grants. The other part
-    # is for what it does not count: connections and heads of requests, small
-    # answers that are still being received, and memory that the allocator
-    # keeps.
+    # is for what it does not count: connections, small answers that are still
+    # being received, and memory that the allocator keeps.
     granted_ratio: float = 0.6
     # What the ledger grants at least, for a limit that leaves almost nothing.
     granted_min_bytes: int = 8 * _MEGABYTE
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -132,7 +132,7 @@
 
     def _make_guard(self) -> client_guard.ClientGuard:
         """Returns the limits of a listener."""
-        return client_guard.ClientGuard(self._clients)
+        return client_guard.ClientGuard(self._memory.ledger, self._clients)
 
     # Running.
 
--- a/libs/bridgecross-entry/tests/test_bounded_protocol.py
+++ b/libs/bridgecross-entry/tests/test_bounded_protocol.py
@@ -47,6 +47,7 @@
         journal = support.make_journal(clock)
         self.ledger = memory_ledger.MemoryLedger(LEDGER, memory_mb)
         self.guard = client_guard.ClientGuard(
+            self.ledger,
             client_monitor.ClientMonitor(journal, self.metrics, clock),
         )
         limits = model.CallerLimits(1_000, 1_000_000, 3_000, 15_000)
@@ -203,3 +204,51 @@
     # A trailer is no header: it may not replace what the request was read by.
     names = [name for name, _ in site.scopes[0]["headers"]]
     assert names == [b"host", b"transfer-encoding"]
+
+
+async def test_a_head_of_many_lines_needs_memory(site):
+    """Guards against heads that take far more memory than their size."""
+    lines = b"a:\r\n" * 1_000
+    assert _statuses(await site.send(HEAD % b"x" + lines + b"\r\n")) == [200]
+    site.ledger.reserve(memory_ledger.Purpose.BODY, 500_000)
+    answers = await site.send(HEAD % b"x" + lines + b"\r\n")
+    assert _statuses(answers) == [503]
+    assert b"retry-after: 1.000\r\n" in answers
+    # An ordinary head is served meanwhile, and the refused one has not run.
+    assert _statuses(await site.send(HEAD % b"x" + b"\r\n")) == [200]
+    assert len(site.scopes) == 2
+    assert site.count(client_monitor.Fault.HEAD_MEMORY) == 1
+    site.ledger.release(memory_ledger.Purpose.BODY, 500_000)
+    await site.until(lambda: not site.ledger.total_bytes)
+
+
+async def test_an_answered_request_holds_no_memory(site):
+    """Guards against idle connections that keep the heads of their requests."""
+    reader, writer = await site.connect()
+    writer.write(HEAD % b"wait" + b"a:\r\n" * 900 + b"\r\n")
+    await site.until(lambda: site.bodies)
+    held_bytes = site.ledger.used_bytes(memory_ledger.Purpose.HEAD)
+    assert held_bytes > 900 * 256
+    site.released.set()
+    await reader.readuntil(b"\r\n\r\n")
+    await site.until(lambda: not site.ledger.total_bytes)
+    (protocol,) = site.listener._state.connections
+    assert not protocol.headers
+    assert not protocol.scope
+    assert protocol.cycle.scope == {"state": {}}
+    writer.close()
+
+
+async def test_pipelined_heads_are_counted_until_they_are_answered(site):
+    """Guards against leaked memory, and against heads that nobody counts."""
+    reader, writer = await site.connect()
+    one = HEAD % b"wait" + b"a:\r\n" * 300 + b"\r\n"
+    writer.write(one * 3)
+    await site.until(lambda: len(site.bodies) == 3)
+    used_bytes = site.ledger.used_bytes(memory_ledger.Purpose.HEAD)
+    assert used_bytes >= 3 * 300 * 256
+    site.released.set()
+    for _ in range(3):
+        await reader.readuntil(b"\r\n\r\n")
+    await site.until(lambda: not site.ledger.total_bytes)
+    writer.close()
