Close connections that bring no request in time, or beyond the descriptors

Callers: clients that open connections and send nothing, or a part of a request, take all descriptors of an instance. It accepts nobody, and reaches no server, no other instance and no log.

Cause: the idle timer starts with a response and any byte stops it, the configured time for heads was used nowhere, and nothing counted connections.

Why it works: heads, bodies and idle connections have a time, which counts only while the instance reads; a listener at its share of the descriptors closes the connection that has waited longest for a request.

Without a limit in the settings, connections are not counted.

--- a/libs/bridgecross-entry/src/bridgecross_entry/bounded_protocol.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/bounded_protocol.py
@@ -10,6 +10,7 @@
 
 from bridgecross_entry import client_guard
 from bridgecross_entry import client_monitor
+from bridgecross_entry import connection_limits
 from bridgecross_entry import head_memory
 from bridgecross_entry import memory_ledger
 from bridgecross_entry import request_bounds
@@ -40,6 +41,9 @@
 
 _INVALID = Refusal(400, "Invalid HTTP request received.")
 
+_SLOW_HEAD = Refusal(408, "the head takes too long")
+_SLOW_BODY = Refusal(408, "the body takes too long")
+
 _NO_MEMORY = Refusal(
     503,
     "there is no memory for the head",
@@ -78,6 +82,9 @@
         # The memory of a head that is not complete.
         self._newest_head: head_memory.HeadReservation | None = None
         self._lines_count = 0
+        self.waiting_since_s: float | None = None
+        self.head_since_s: float | None = None
+        self.body_since_s: float | None = None
         # Whether nothing that is received is parsed any more.
         self._is_discarding = False
         self._discarded_bytes = 0
@@ -96,6 +103,10 @@
         """Takes the limits that are in force."""
         super().connection_made(transport)
         self._bounds = request_bounds.RequestBounds(self.guard.request_limits)
+        self.waiting_since_s = self.guard.connections.now_s()
+        # Only this class adds to them.
+        others = cast("set[BoundedProtocol]", self.connections)
+        self.guard.connections.admit(self, others)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Drops what waits for the end of the connection."""
@@ -126,6 +137,7 @@
         self._bounds.limits = self.guard.request_limits
         self._newest_head = self.guard.reserve_head()
         self._lines_count = 0
+        self.head_since_s = self.guard.connections.now_s()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Drops trailers: they are no headers of the request."""
@@ -144,6 +156,8 @@
         assert self._newest_head is not None  # its head has begun
         self._heads.append(self._newest_head)
         self._newest_head = None
+        self.body_since_s = self.guard.connections.now_s()
+        self.head_since_s = self.waiting_since_s = None
         super().on_headers_complete()
         self._bounds.begin_body()
 
@@ -156,6 +170,7 @@
         """Counts what follows as the next head."""
         super().on_message_complete()
         self._bounds.end()
+        self.body_since_s = None
 
     def on_response_complete(self) -> None:
         """Releases the head of a request that is answered."""
@@ -163,6 +178,8 @@
             self._heads.popleft().release()
         if self.cycle is not None and self.cycle.response_complete:
             self._forget(self.cycle)
+        if not self.pipeline:
+            self.waiting_since_s = self.guard.connections.now_s()
         super().on_response_complete()
 
     def count_head(self) -> bool:
@@ -209,6 +226,33 @@
         elif not self.count_head():
             self._refuse_head()
 
+    # Limits of connections; see ``connection_limits.Connection``.
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether what the client sends is read."""
+        return not self.flow.read_paused
+
+    @property
+    def is_ending(self) -> bool:
+        """Whether it is being closed already."""
+        return self._is_discarding or self.transport.is_closing()
+
+    def end(self, reason: connection_limits.Reason) -> None:
+        """Closes the connection, whose newest request is not complete."""
+        match reason:
+            case connection_limits.Reason.SLOW_HEAD:
+                self.guard.note(client_monitor.Fault.HEAD_TIMEOUT, self.peer)
+                self.refuse(_SLOW_HEAD)
+            case connection_limits.Reason.SLOW_BODY:
+                self.guard.note(client_monitor.Fault.BODY_TIMEOUT, self.peer)
+                self.refuse(_SLOW_BODY)
+            case connection_limits.Reason.CROWDED:
+                self.guard.note(client_monitor.Fault.CROWDED, self.peer)
+                self.transport.close()
+            case connection_limits.Reason.IDLE:
+                self.transport.close()
+
     # Refusals.
 
     def send_400_response(self, msg: str) -> None:
--- a/libs/bridgecross-entry/src/bridgecross_entry/client_monitor.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/client_monitor.py
@@ -16,6 +16,9 @@
     HEAD_SIZE = "the head is too large"
     FRAMING_SIZE = "there are too many bytes beside the body"
     HEAD_MEMORY = "there is no memory for the head"
+    HEAD_TIMEOUT = "the head takes too long"
+    BODY_TIMEOUT = "the body takes too long"
+    CROWDED = "there are too many connections"
 
 
 class ClientMonitor:
--- a/libs/bridgecross-entry/src/bridgecross_entry/listener.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/listener.py
@@ -162,7 +162,7 @@
                 limits of requests.
         """
         self._address = address
-        self._guard = guard or client_guard.ClientGuard()
+        self._guard = guard or client_guard.make_default()
         self._buffer = bytearray(small_reads.READ_BYTES)
         self._buffers = buffers
         self._protocol = protocol
@@ -225,6 +225,15 @@
         if self._server is not None:
             self._server.close()
 
+    async def watch_connections(self) -> None:
+        """Checks at intervals which connections bring no request."""
+        limiter = self._guard.connections
+        while True:
+            await asyncio.sleep(limiter.limits.interval_s)
+            limiter.check(
+                cast(set[DisconnectAwareProtocol], self._state.connections)
+            )
+
     async def watch_send_buffers(self) -> None:
         """Checks the send buffers of all connections at intervals."""
         while self._buffers is not None:
--- a/libs/bridgecross-entry/src/bridgecross_entry/model.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/model.py
@@ -190,6 +190,9 @@
     # The memory that the process may use, in 10^6 bytes; 0 if the platform
     # states no limit.
     memory_mb: float = 0.0
+    # The sockets and pipes that the process may have open; 0 if the platform
+    # states no limit.
+    max_descriptors: int = 0
     # The area of each failure domain.
     area_of_domain: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/runtime.py
@@ -14,6 +14,7 @@
 from bridgecross_entry import caller_protocol
 from bridgecross_entry import client_guard
 from bridgecross_entry import client_monitor
+from bridgecross_entry import connection_limits
 from bridgecross_entry import draining
 from bridgecross_entry import edge
 from bridgecross_entry import follower as followers
@@ -78,10 +79,11 @@
         """Creates the listeners."""
         platform = self._parts.settings
         peer_server = self._parts.cluster_tasks.make_peer_server()
-        self._caller_guard = self._make_guard()
-        peer_guard = self._make_guard()
-        ready_guard = self._make_guard()
-        metrics_guard = self._make_guard()
+        shares = connection_limits.ConnectionShares()
+        self._caller_guard = self._make_guard(shares.callers_ratio)
+        peer_guard = self._make_guard(shares.instances_ratio)
+        ready_guard = self._make_guard(shares.readiness_ratio)
+        metrics_guard = self._make_guard(shares.metrics_ratio)
         self._pipelines = pipeline_monitor.PipelineMonitor(
             self._parts.metrics, self._journal, self._clock
         )
@@ -130,9 +132,19 @@
             ),
         ]
 
-    def _make_guard(self) -> client_guard.ClientGuard:
-        """Returns the limits of a listener."""
-        return client_guard.ClientGuard(self._memory.ledger, self._clients)
+    def _make_guard(self, ratio: float) -> client_guard.ClientGuard:
+        """Returns the limits of a listener.
+
+        Args:
+            ratio: Its share of the descriptors of this process.
+        """
+        limiter = connection_limits.ConnectionLimiter(self._clock)
+        max_count = self._parts.settings.max_descriptors * ratio
+        if max_count:
+            limiter.limits = connection_limits.ConnectionLimits(max_count)
+        return client_guard.ClientGuard(
+            limiter, self._memory.ledger, self._clients
+        )
 
     # Running.
 
@@ -157,6 +169,11 @@
                 self._caller_listener.watch_send_buffers,
                 self._journal,
             )
+            tasks.start_soon(
+                tasks_lib.keep_running,
+                self._caller_listener.watch_connections,
+                self._journal,
+            )
             tasks.start_soon(self._watch_signals)
             await self._stop_requested.wait()
             await self._drain()
--- a/libs/bridgecross-entry/tests/test_bounded_protocol.py
+++ b/libs/bridgecross-entry/tests/test_bounded_protocol.py
@@ -11,6 +11,7 @@
 from bridgecross_entry import caller_protocol
 from bridgecross_entry import client_guard
 from bridgecross_entry import client_monitor
+from bridgecross_entry import connection_limits
 from bridgecross_entry import listener
 from bridgecross_entry import memory_ledger
 from bridgecross_entry import metrics
@@ -46,12 +47,17 @@
         self.metrics = metrics.Metrics()
         journal = support.make_journal(clock)
         self.ledger = memory_ledger.MemoryLedger(LEDGER, memory_mb)
+        self.limiter = connection_limits.ConnectionLimiter(clock)
         self.guard = client_guard.ClientGuard(
+            self.limiter,
             self.ledger,
             client_monitor.ClientMonitor(journal, self.metrics, clock),
         )
+        route = types.SimpleNamespace(timeout_ms=5_000)
         limits = model.CallerLimits(1_000, 1_000_000, 3_000, 15_000)
-        self.guard.configure(types.SimpleNamespace(limits=limits))
+        self.guard.configure(
+            types.SimpleNamespace(limits=limits, routes=[route])
+        )
         self.monitor = pipeline_monitor.PipelineMonitor(
             self.metrics, journal, clock
         )
@@ -252,3 +258,107 @@
         await reader.readuntil(b"\r\n\r\n")
     await site.until(lambda: not site.ledger.total_bytes)
     writer.close()
+
+
+async def _check_twice(site, seconds: float) -> None:
+    """Lets time pass, and checks the connections as the listener does."""
+    site.clock.now_s += seconds - 0.5
+    for _ in range(2):
+        site.clock.now_s += 0.5
+        # What was sent is read between two checks.
+        await anyio.sleep(0.02)
+        site.limiter.check(site.listener._state.connections)
+
+
+INCOMPLETE = {
+    "idle": (b"", 15.0, []),
+    "only empty lines": (b"\r\n\r\n", 15.0, []),
+    "head": (HEAD % b"x", 3.0, [408]),
+    "body": (HEAD % b"x" + b"content-length: 9\r\n\r\npart", 5.0, [408]),
+    "chunk": (CHUNKED + b"9\r\npart", 5.0, [408]),
+}
+
+
+@pytest.mark.parametrize(
+    ("sent", "timeout_s", "statuses"),
+    INCOMPLETE.values(),
+    ids=INCOMPLETE.keys(),
+)
+async def test_incomplete_requests_are_ended(site, sent, timeout_s, statuses):
+    """Guards against connections that are held without a request."""
+    reader, writer = await site.connect()
+    writer.write(sent)
+    await site.until(lambda: site.listener._state.connections)
+    await anyio.sleep(0.02)
+    # The time between two checks is too long: this process stood still.
+    site.limiter.check(site.listener._state.connections)
+    await _check_twice(site, timeout_s)
+    with pytest.raises(TimeoutError), anyio.fail_after(0.05):
+        await reader.read(1)
+    await _check_twice(site, 1.0)
+    with anyio.fail_after(5.0):
+        answers = await reader.read()
+    assert _statuses(answers) == statuses
+    assert not site.bodies
+    writer.close()
+    await site.until(lambda: not site.listener._state.connections)
+    assert not site.ledger.total_bytes
+
+
+async def test_a_new_connection_takes_the_place_of_the_longest_idle(site):
+    """Guards against clients that keep all others out by doing nothing."""
+    site.limiter.limits = connection_limits.ConnectionLimits(max_count=3)
+    callers = []
+    for path in (b"wait", None, HEAD % b"x", None):
+        site.clock.now_s += 1.0
+        reader, writer = await site.connect()
+        if path == b"wait":
+            writer.write(HEAD % path + b"\r\n")
+            await site.until(lambda: site.bodies)
+        elif path:
+            writer.write(path)
+        callers.append((reader, writer))
+        await anyio.sleep(0.02)
+    with anyio.fail_after(5.0):
+        assert await callers[1][0].read() == b""
+    await site.until(lambda: len(site.listener._state.connections) == 3)
+    assert site.count(client_monitor.Fault.CROWDED) == 1
+    # The others go on, and the newest is served.
+    for number in (2, 3):
+        callers[number][1].write(b"" if number == 2 else HEAD % b"x")
+        callers[number][1].write(b"\r\n")
+        head = await callers[number][0].readuntil(b"\r\n\r\n")
+        assert _statuses(head) == [200]
+    site.released.set()
+    assert _statuses(await callers[0][0].readuntil(b"\r\n\r\n")) == [200]
+    for _, writer in callers:
+        writer.close()
+
+
+async def test_a_new_connection_is_closed_if_all_others_have_a_request(site):
+    """Guards against requests that are ended for a connection without one."""
+    site.limiter.limits = connection_limits.ConnectionLimits(max_count=1)
+    reader, writer = await site.connect()
+    writer.write(HEAD % b"wait" + b"\r\n")
+    await site.until(lambda: site.bodies)
+    newcomer, other_writer = await site.connect()
+    with anyio.fail_after(5.0):
+        assert await newcomer.read() == b""
+    site.released.set()
+    assert _statuses(await reader.readuntil(b"\r\n\r\n")) == [200]
+    writer.close()
+    other_writer.close()
+
+
+async def test_without_limits_nothing_is_closed(site):
+    """Guards against limits that no setting asks for."""
+    site.guard = client_guard.make_default()
+    site.listener._guard = site.guard
+    reader, writer = await site.connect()
+    writer.write(HEAD % b"x")
+    await anyio.sleep(0.02)
+    for _ in range(3):
+        site.guard.connections.check(site.listener._state.connections)
+    writer.write(b"\r\n")
+    assert _statuses(await reader.readuntil(b"\r\n\r\n")) == [200]
+    writer.close()
