Serve the first entrance's callers by the bounded listener

Callers: after a crowd that sent requests ahead has left, an ordinary request is not answered within 30 s.

Cause: hypercorn parses 64 KiB at a time, waits for each response before it looks at the connection again, and reads no further meanwhile. So it does not notice that callers left, and runs over a thousand requests of each of them.

Evidence: test_a_crowd_does_not_fill_the_memory[small requests sent ahead-callers] failed before with TimeoutError, twice.

Why it works: the daemon uses the listener of the other entrance, which reads while a request runs, holds 32 requests and 16 KiB of a connection at most, and cancels them as soon as it ends. Its bounds of heads, trailers, times and connections hold here, too.

After: the test passes, peak 89 MB.

--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_metrics.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_metrics.py
@@ -61,6 +61,19 @@
             registry=self._registry,
         )
 
+        self.client_faults = aioprometheus.Counter(
+            "bridgecross_client_faults_total",
+            "Requests and connections of clients that were ended since they "
+            "exceeded a limit, by reason.",
+            registry=self._registry,
+        )
+        self.pipelined_requests = aioprometheus.Counter(
+            "bridgecross_pipelined_requests_total",
+            "Requests that were read before an earlier one of their connection "
+            "was answered: started at once, waited, or cancelled later.",
+            registry=self._registry,
+        )
+
     def count_request(
         self,
         service: str,
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/serving.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/serving.py
@@ -3,25 +3,28 @@
 from typing import Any
 
 import anyio
-import hypercorn.asyncio
-import hypercorn.config
 
 from bridgecross_core import clock as clocks
 from bridgecross_core import hybrid_clock
 from bridgecross_daemon import _admin_api
 from bridgecross_daemon import _caller_api
+from bridgecross_daemon import _listeners
 from bridgecross_daemon import _metrics
 from bridgecross_daemon import _platform
 from bridgecross_daemon import instance
 from bridgecross_daemon import peer_client
 from bridgecross_daemon import peer_server
 from bridgecross_daemon import ports
+from bridgecross_entry import memory_ledger
 from bridgecross_log import http_service
 from bridgecross_request import backends
 from bridgecross_settings import process
 
 _GRPC_GRACE_S = 1.0
-_KEEP_ALIVE_MAX_REQUESTS = 1_000_000
+
+# The shares of the descriptors; the rest is for servers, instances and logs.
+_CALLERS_RATIO = 0.5
+_ADMIN_RATIO = 0.05
 
 
 class Daemon:
@@ -39,6 +42,9 @@
         self._peers = peer_client.PeerClient(self._stamps)
         self._lease_transport: _platform.HttpLeaseTransport | None = None
         self._metrics = _metrics.Metrics()
+        self._listeners = _listeners.Listeners(
+            memory_ledger.UNLIMITED, self._metrics, self._clock
+        )
         self._instance = instance.Instance(settings, self._create_ports())
         self._stop_servers = anyio.Event()
 
@@ -66,10 +72,16 @@
             tasks.start_soon(self._instance.run)
             async with anyio.create_task_group() as servers:
                 servers.start_soon(
-                    self._serve, settings.caller_address, caller_app
+                    self._serve,
+                    settings.caller_address,
+                    caller_app,
+                    _CALLERS_RATIO,
                 )
                 servers.start_soon(
-                    self._serve, settings.admin_address, admin_app
+                    self._serve,
+                    settings.admin_address,
+                    admin_app,
+                    _ADMIN_RATIO,
                 )
                 await self._instance.wait_drained()
                 self._stop_servers.set()
@@ -99,16 +111,12 @@
             make_backend=make_backend,
         )
 
-    async def _serve(self, address: str, app: Any) -> None:
+    async def _serve(self, address: str, app: Any, ratio: float) -> None:
         """Serves an application over HTTP until the servers are stopped."""
-        config = hypercorn.config.Config()
-        config.bind = [address]
-        config.accesslog = None
-        config.errorlog = None
-        config.graceful_timeout = self._instance.drain_limit_s()
-        config.keep_alive_max_requests = _KEEP_ALIVE_MAX_REQUESTS
-        await hypercorn.asyncio.serve(
-            app, config, shutdown_trigger=self._stop_servers.wait
+        await _listeners.serve(
+            self._listeners.make(address, app, ratio),
+            self._stop_servers,
+            self._instance.drain_limit_s,
         )
 
     async def _aclose(self) -> None:
--- a/libs/bridgecross-entry/src/bridgecross_entry/client_monitor.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/client_monitor.py
@@ -26,8 +26,8 @@
 
     def __init__(
         self,
-        journal: journals.Journal,
-        metrics: metrics_lib.Metrics,
+        journal: journals.DecisionLog,
+        metrics: metrics_lib.ClientMetrics,
         clock: clocks.Clock,
     ) -> None:
         """Creates a monitor that has seen nothing."""
--- a/libs/bridgecross-entry/src/bridgecross_entry/journal.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/journal.py
@@ -11,6 +11,7 @@
 import os
 import sys
 from typing import Any
+from typing import Protocol
 
 import loguru
 import msgspec
@@ -101,6 +102,13 @@
         del self._buffer[:written]
 
 
+class DecisionLog(Protocol):
+    """The part of a journal that observers of connections use."""
+
+    def decision(self, event: str, **fields: Any) -> None:
+        """Logs a decision, or a change of what is known."""
+
+
 class Journal:
     """The structured log of one process."""
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/listener.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/listener.py
@@ -203,6 +203,11 @@
         for protocol in list(self._state.connections):
             protocol.shutdown()
 
+    @property
+    def connections_count(self) -> int:
+        """The number of open connections."""
+        return len(self._state.connections)
+
     @property
     def unsent_bytes(self) -> int:
         """The size of all send buffers, which the end of the process drops.
--- a/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/metrics.py
@@ -1,5 +1,7 @@
 """Prometheus metrics of one instance."""
 
+from typing import Protocol
+
 import aioprometheus
 import aioprometheus.renderer
 
@@ -7,6 +9,13 @@
 _LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2, 5, 15]
 
 
+class ClientMetrics(Protocol):
+    """The metrics of connections of clients."""
+
+    client_faults: aioprometheus.Counter
+    pipelined_requests: aioprometheus.Counter
+
+
 class Metrics:
     """The metrics of one process; each label has a bounded set of values."""
 
--- a/libs/bridgecross-entry/src/bridgecross_entry/pipeline_monitor.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/pipeline_monitor.py
@@ -18,8 +18,8 @@
 
     def __init__(
         self,
-        metrics: metrics_lib.Metrics,
-        journal: journals.Journal,
+        metrics: metrics_lib.ClientMetrics,
+        journal: journals.DecisionLog,
         clock: clocks.Clock,
     ) -> None:
         """Creates a monitor that observes no connection yet."""
