Bound the bodies that the first entrance holds

Callers: the daemon's memory grows with the number of callers that upload at the same time, up to the end of the process.

Cause: a body has a limit, and all of them together had none.

Why it works: each body is reserved as it arrives, twice, in a ledger of what the new process setting memory_mb leaves; what does not fit is refused with 503 before it is sent anywhere. The heads are counted by the same ledger.

--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_caller_api.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_caller_api.py
@@ -5,11 +5,7 @@
 and problem bodies.
 """
 
-from collections.abc import Awaitable
-from collections.abc import Callable
-from collections.abc import MutableMapping
 import secrets
-from typing import Any
 from typing import NamedTuple
 from typing import Protocol
 import urllib.parse
@@ -19,13 +15,16 @@
 from bridgecross_core import ids
 from bridgecross_core import outcomes
 from bridgecross_daemon import _metrics
+from bridgecross_entry import listener
+from bridgecross_entry import memory_ledger
+from bridgecross_entry import memory_reservation
 from bridgecross_request import callers
 from bridgecross_request import requests
 from bridgecross_settings import tree
 
-Message = MutableMapping[str, Any]
-Receive = Callable[[], Awaitable[Message]]
-Send = Callable[[Message], Awaitable[None]]
+Message = listener.Scope
+Receive = listener.Receive
+Send = listener.Send
 
 _PREFIX = "v1"
 _PATH_PARTS = 4
@@ -49,9 +48,15 @@
 class _RefusedError(Exception):
     """A request cannot be accepted; no attempt was made."""
 
-    def __init__(self, problem: Problem) -> None:
-        """Initializes the error with the problem to report."""
+    def __init__(self, problem: Problem, *, is_unread: bool = False) -> None:
+        """Initializes the error with the problem to report.
+
+        Args:
+            problem: What the caller is told.
+            is_unread: Whether the rest of the body will not be used.
+        """
         self.problem = problem
+        self.is_unread = is_unread
         super().__init__(problem.detail)
 
 
@@ -113,6 +118,7 @@
         backend: CallerBackend,
         metrics: _metrics.Metrics,
         clock: clocks.Clock,
+        ledger: memory_ledger.Ledger,
     ) -> None:
         """Initializes the application.
 
@@ -120,10 +126,12 @@
             backend: The instance that handles the requests.
             metrics: Counts the requests.
             clock: The clock for deadlines and durations.
+            ledger: Grants the memory for bodies.
         """
         self._backend = backend
         self._metrics = metrics
         self._clock = clock
+        self._ledger = ledger
 
     async def __call__(
         self, scope: Message, receive: Receive, send: Send
@@ -135,13 +143,23 @@
         if scope["type"] != "http":
             return
         self._backend.begin_request()
+        # The received pieces and the body, or the body and the message to the
+        # server.
+        reservation = memory_reservation.BodyReservation(
+            self._ledger, memory_ledger.Purpose.BODY, 2
+        )
         try:
-            await self._serve(scope, receive, send)
+            with reservation:
+                await self._serve(scope, receive, send, reservation)
         finally:
             self._backend.end_request()
 
     async def _serve(
-        self, scope: Message, receive: Receive, send: Send
+        self,
+        scope: Message,
+        receive: Receive,
+        send: Send,
+        reservation: memory_reservation.BodyReservation,
     ) -> None:
         """Parses the request, has it handled, and sends the response."""
         started_s = self._clock.monotonic_s()
@@ -149,10 +167,13 @@
         closing = self._backend.is_leaving()
         try:
             request = await self._parse_request(
-                scope, receive, request_id, started_s
+                scope, receive, request_id, started_s, reservation
             )
         except _RefusedError as refused:
-            await _send_problem(send, refused.problem, request_id, closing)
+            unread = receive if refused.is_unread else None
+            await _send_problem(
+                send, refused.problem, request_id, closing, unread=unread
+            )
             return
         outcome = await self._backend.handle(request)
         duration_s = self._clock.monotonic_s() - started_s
@@ -167,6 +188,7 @@
         receive: Receive,
         request_id: str,
         started_s: float,
+        reservation: memory_reservation.BodyReservation,
     ) -> requests.Request:
         """Authenticates the caller and returns the parsed request.
 
@@ -182,7 +204,16 @@
         service = place.services[target.service]
         headers = dict(scope["headers"])
         admission = _authenticate(house, place, service, headers)
-        body = await _read_body(receive, service.policy.max_body_bytes)
+        try:
+            body = await _read_body(
+                receive, service.policy.max_body_bytes, reservation
+            )
+        except memory_reservation.NoMemoryError as error:
+            self._metrics.memory_refusals.inc({"reason": "body"})
+            problem = Problem(
+                503, "No memory", str(error), memory_ledger.RETRY_AFTER_MS
+            )
+            raise _RefusedError(problem, is_unread=True) from error
         deadline_ms = _read_deadline(headers, admission.tier)
         key = _read_idempotency_key(scope["method"], headers, service)
         return requests.Request(
@@ -265,11 +296,16 @@
             )
 
 
-async def _read_body(receive: Receive, limit_bytes: int) -> bytes:
-    """Returns the whole body.
+async def _read_body(
+    receive: Receive,
+    limit_bytes: int,
+    reservation: memory_reservation.BodyReservation,
+) -> bytes:
+    """Returns the whole body, for which memory is reserved as it arrives.
 
     Raises:
         _RefusedError: The body is too large, or the caller disconnected.
+        NoMemoryError: There is no room for the body.
     """
     body = bytearray()
     while True:
@@ -281,7 +317,10 @@
         body += message.get("body", b"")
         if len(body) > limit_bytes:
             detail = f"at most {limit_bytes} bytes are allowed"
-            raise _RefusedError(Problem(413, "Body too large", detail))
+            raise _RefusedError(
+                Problem(413, "Body too large", detail), is_unread=True
+            )
+        reservation.grow(len(body))
         if not message.get("more_body", False):
             return bytes(body)
 
@@ -369,8 +408,18 @@
     request_id: str,
     closing: bool,
     proof: bytes = outcomes.NotRunProof.REFUSED_BY_ADMISSION.value.encode(),
+    unread: Receive | None = None,
 ) -> None:
-    """Sends a response that says why the request was not run."""
+    """Sends a response that says why the request was not run.
+
+    Args:
+        send: Sends the response.
+        problem: What it says.
+        request_id: The id of the request.
+        closing: Whether it closes the connection.
+        proof: Why the request has not run.
+        unread: Returns what is left of a body that will not be used.
+    """
     headers = [
         (b"content-type", _PROBLEM_TYPE),
         (_OUTCOME_HEADER, b"not-run"),
@@ -385,6 +434,9 @@
             (b"bridgecross-retry-after-ms", b"%d" % problem.retry_after_ms)
         )
     body = _render_problem(problem, "not-run", request_id)
+    if unread is not None:
+        await listener.refuse_body(unread, send, problem.status, headers, body)
+        return
     await _send(send, problem.status, headers, body, closing)
 
 
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/_metrics.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/_metrics.py
@@ -73,6 +73,11 @@
             "was answered: started at once, waited, or cancelled later.",
             registry=self._registry,
         )
+        self.memory_refusals = aioprometheus.Counter(
+            "bridgecross_memory_refusals_total",
+            "Requests refused because their bodies did not fit, by reason.",
+            registry=self._registry,
+        )
 
     def count_request(
         self,
--- a/libs/bridgecross-daemon/src/bridgecross_daemon/serving.py
+++ b/libs/bridgecross-daemon/src/bridgecross_daemon/serving.py
@@ -42,8 +42,11 @@
         self._peers = peer_client.PeerClient(self._stamps)
         self._lease_transport: _platform.HttpLeaseTransport | None = None
         self._metrics = _metrics.Metrics()
+        self._ledger = memory_ledger.MemoryLedger(
+            memory_ledger.LedgerSettings(), settings.memory_mb
+        )
         self._listeners = _listeners.Listeners(
-            memory_ledger.UNLIMITED, self._metrics, self._clock
+            self._ledger, self._metrics, self._clock
         )
         self._instance = instance.Instance(settings, self._create_ports())
         self._stop_servers = anyio.Event()
@@ -65,7 +68,7 @@
         )
         await server.start()
         caller_app = _caller_api.CallerApp(
-            self._instance, self._metrics, self._clock
+            self._instance, self._metrics, self._clock, self._ledger
         )
         admin_app = _admin_api.build_admin_app(self._instance, self._metrics)
         async with anyio.create_task_group() as tasks:
--- a/libs/bridgecross-settings/src/bridgecross_settings/process.py
+++ b/libs/bridgecross-settings/src/bridgecross_settings/process.py
@@ -50,6 +50,9 @@
     # A snapshot is appended when the last one is this old. Must be well
     # below the retention time of the log.
     snapshot_interval_s: Annotated[int, msgspec.Meta(ge=1, le=864_000)] = 3_600
+    # The memory that the process may use, in 10^6 bytes. What it holds for
+    # callers is bounded by it.
+    memory_mb: Annotated[int, msgspec.Meta(ge=100, le=1_000_000)] = 1_024
     # The number of events that this process retains for timelines.
     timeline_events: Annotated[int, msgspec.Meta(ge=16, le=1_000_000)] = 4_096
     # The minimum severity of log lines.
--- a/libs/bridgecross-standins/src/bridgecross_standins/processes.py
+++ b/libs/bridgecross-standins/src/bridgecross_standins/processes.py
@@ -64,6 +64,8 @@
     folder: pathlib.Path
     # The settings of the log stand-in, as JSON.
     log_settings: str = "{}"
+    # The memory that each entry instance may use, in 10^6 bytes.
+    entry_memory_mb: int = 1_024
 
 
 class Process:
@@ -241,6 +243,7 @@
                     "admin_address": admin_address,
                     "log_url": self.log_url,
                     "instance_list_url": self.list_url,
+                    "memory_mb": self.shape.entry_memory_mb,
                 },
                 indent=2,
             ),
--- a/tests/clients/test_first_entrance.py
+++ b/tests/clients/test_first_entrance.py
@@ -96,6 +96,7 @@
         services=(processes.ServiceShape("rapor", 1),),
         instances=1,
         folder=tmp_path / "house",
+        entry_memory_mb=MEMORY_MB,
     )
     with processes.Cluster(shape) as running:
         anyio.run(cluster_tools.start_cluster, running)
