--- a/libs/bridgecross-entry/src/bridgecross_entry/request_bounds.py
+++ b/libs/bridgecross-entry/src/bridgecross_entry/request_bounds.py
@@ -53,11 +53,6 @@
         # The end of the last piece of a head.
         self._tail = b""
 
-    @property
-    def has_begun_head(self) -> bool:
-        """Whether a head has begun that is not complete."""
-        return not self.is_in_body and self.head_bytes > 0
-
     @property
     def excess_framing_bytes(self) -> int:
         """The framing of the request beyond that of the smallest chunks."""
--- a/libs/bridgecross-entry/tests/test_bounded_protocol.py
+++ b/libs/bridgecross-entry/tests/test_bounded_protocol.py
@@ -212,6 +212,32 @@
     assert names == [b"host", b"transfer-encoding"]
 
 
+ORDINARY = {
+    "a head byte by byte": [bytes([each]) for each in HEAD % b"x" + b"\r\n"],
+    "several requests in one read": [(HEAD % b"x" + b"\r\n") * 5],
+    "an empty line between requests": [
+        HEAD % b"x" + b"\r\n",
+        b"\r\n" + HEAD % b"x" + b"\r\n",
+    ],
+    "an empty trailer part": [CHUNKED + b"3\r\nabc\r\n0\r\n\r\n"],
+    "a body after 100": [
+        HEAD % b"x" + b"expect: 100-continue\r\ncontent-length: 3\r\n\r\n",
+        b"abc",
+    ],
+}
+
+
+@pytest.mark.parametrize("pieces", ORDINARY.values(), ids=ORDINARY.keys())
+async def test_ordinary_clients_meet_no_limit(site, pieces):
+    """Guards against limits that change what ordinary clients get."""
+    answers = await site.send(*pieces)
+    statuses = _statuses(answers)
+    assert statuses.count(200) == len(site.bodies) >= 1
+    assert set(statuses) <= {100, 200}
+    assert set(site.bodies) <= {b"", b"abc"}
+    await site.until(lambda: not site.ledger.total_bytes)
+
+
 async def test_a_head_of_many_lines_needs_memory(site):
     """Guards against heads that take far more memory than their size."""
     lines = b"a:\r\n" * 1_000
